--- a/src/libshallotport/settings/checked_yaml.cc
+++ b/src/libshallotport/settings/checked_yaml.cc
@@ -272,7 +272,7 @@
 
 std::string checked_yaml::Address(std::string_view key,
                                   const std::optional<std::string>& fallback) {
-  std::string text = Text(key, std::move(fallback));
+  std::string text = Text(key, fallback);
   if (!text.empty() && !IsAddress(text)) {
     AddProblem(key, "not an address: " + text, "IP:port, port 1 to 65535");
   }
