--- /dev/null
+++ b/src/libshallotport/routing/circuit_breaker.h
@@ -0,0 +1,90 @@
+#ifndef SHALLOTPORT_ROUTING_CIRCUIT_BREAKER_H_
+#define SHALLOTPORT_ROUTING_CIRCUIT_BREAKER_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+enum class breaker_state : uint8_t { kClosed, kOpen, kHalfOpen };
+
+// Keeps work away from one endpoint after consecutive failures. After a pause
+// that doubles with each further opening, one probe at a time is let through;
+// a successful probe closes the breaker.
+class circuit_breaker {
+ public:
+  static constexpr uint32_t kFailuresToOpen = 3;
+  static constexpr duration kFirstPause{1'000'000};
+  static constexpr duration kLongestPause{16'000'000};
+
+  // True if an attempt may be sent now. Does not change the state.
+  bool Allows(steady_time now) const {
+    switch (state_) {
+      case breaker_state::kClosed:
+        return true;
+      case breaker_state::kOpen:
+        return now >= open_until_;
+      case breaker_state::kHalfOpen:
+        return !is_probing_;
+    }
+    return false;
+  }
+
+  // Must be called when an allowed attempt is sent.
+  void OnSent(steady_time now) {
+    if (state_ == breaker_state::kOpen && now >= open_until_) {
+      state_ = breaker_state::kHalfOpen;
+    }
+    if (state_ == breaker_state::kHalfOpen) {
+      is_probing_ = true;
+    }
+  }
+
+  void OnSuccess() {
+    consecutive_failures_ = 0;
+    is_probing_ = false;
+    // Answers to calls sent before the opening are no evidence of recovery.
+    if (state_ == breaker_state::kHalfOpen) {
+      state_ = breaker_state::kClosed;
+      pause_ = kFirstPause;
+    }
+  }
+
+  void OnFailure(steady_time now) {
+    ++consecutive_failures_;
+    const bool failed_probe = state_ == breaker_state::kHalfOpen;
+    const bool too_many = state_ == breaker_state::kClosed &&
+                          consecutive_failures_ >= kFailuresToOpen;
+    if (failed_probe || too_many) {
+      Open(now);
+    }
+  }
+
+  // An attempt ended without evidence for or against the endpoint.
+  void OnNeutral() { is_probing_ = false; }
+
+  breaker_state state() const { return state_; }
+
+  // When the next probe is allowed; meaningful while open.
+  steady_time open_until() const { return open_until_; }
+
+ private:
+  void Open(steady_time now) {
+    state_ = breaker_state::kOpen;
+    is_probing_ = false;
+    open_until_ = now + pause_;
+    pause_ = std::min(pause_ * 2, kLongestPause);
+  }
+
+  breaker_state state_ = breaker_state::kClosed;
+  uint32_t consecutive_failures_ = 0;
+  bool is_probing_ = false;
+  duration pause_ = kFirstPause;
+  steady_time open_until_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_CIRCUIT_BREAKER_H_
--- /dev/null
+++ b/src/libshallotport/routing/domain_summary.h
@@ -0,0 +1,45 @@
+#ifndef SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
+#define SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace shallotport {
+
+// What one failure domain can take for one service, seen by one of its hosts.
+struct service_summary {
+  service_id service;
+  uint32_t free_slots = 0;
+  uint32_t endpoints = 0;         // Choosable ones.
+  uint32_t expected_time_us = 0;  // Queue and service time of a new request.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(service, free_slots, endpoints, expected_time_us);
+  }
+};
+
+// Sent on peer_channel::kSummaries to hosts of other failure domains. Absolute
+// state: a later sequence of the same host replaces an earlier one.
+struct domain_summary {
+  domain_id domain;
+  host_id host;
+  incarnation started = 0;
+  uint64_t sequence = 0;
+  std::string address;  // "IP:port" where the host takes spilled requests.
+  std::vector<service_summary> services;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(domain, host, started, sequence, address, services);
+  }
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
--- /dev/null
+++ b/src/libshallotport/routing/online_request.cc
@@ -0,0 +1,296 @@
+#include "routing/online_request.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace shallotport {
+
+namespace {
+
+// How long a claimed call that missed its deadline may go on, so that its
+// answer is recorded for the caller's resend.
+constexpr duration kRecordingGrace{10'000'000};
+constexpr steady_time kNever = steady_time::max();
+// Status codes from here on mean that the endpoint failed.
+constexpr int kFirstServerErrorStatus = 500;
+
+}  // namespace
+
+online_request::online_request(online_request_options options)
+    : options_(std::move(options)) {}
+
+std::vector<online_action> online_request::Start(steady_time now) {
+  now_ = now;
+  AskRoute(false, false);
+  return std::exchange(out_, {});
+}
+
+std::vector<online_action> online_request::Handle(steady_time now,
+                                                  online_event event) {
+  now_ = now;
+  if (phase_ != phase::kDone) {
+    std::visit([this](const auto& value) { On(value); }, event);
+  }
+  return std::exchange(out_, {});
+}
+
+steady_time online_request::next_timer() const {
+  if (phase_ == phase::kEnding || phase_ == phase::kDone) {
+    return kNever;
+  }
+  steady_time next = options_.deadline;
+  for (const attempt& call : attempts_) {
+    next = std::min(next, TimeoutOf(call));
+  }
+  if (IsHedgePossible()) {
+    next = std::min(next, attempts_.front().started_at + options_.hedge_after);
+  }
+  if (phase_ == phase::kAsking && !is_outcome_open_) {
+    next = std::min(next, next_ask_);
+  }
+  return next;
+}
+
+void online_request::On(const route_decided& event) {
+  is_route_open_ = false;
+  if (!IsOk(event.choice)) {
+    if (phase_ == phase::kEnding) {
+      Finish();
+      return;
+    }
+    OnRouteRefused(ErrorOf(event.choice));
+    return;
+  }
+  const route_choice& route = ValueOf(event.choice);
+  if (phase_ == phase::kEnding) {
+    ReportUnused(route);
+    Finish();
+    return;
+  }
+  const bool is_hedge_late = !attempts_.empty() && attempts_.front().has_byte;
+  if (is_hedge_late) {
+    ReportUnused(route);
+    return;
+  }
+  if (now_ >= options_.deadline) {
+    ReportUnused(route);
+    OnDeadline();
+    return;
+  }
+  UseRoute(route);
+}
+
+void online_request::UseRoute(const route_choice& route) {
+  if (!CanContinueOn(route)) {
+    ReportUnused(route);
+    GiveUp(MakeError(error_kind::kEndpointFailed,
+                     "the stream broke and is too long to restart"));
+    return;
+  }
+  last_route_ = route;
+  if (!UsesClaim()) {
+    StartAttempt(route);
+    return;
+  }
+  phase_ = phase::kClaiming;
+  is_claim_open_ = true;
+  out_.push_back(begin_claim{route.endpoint, route.started});
+}
+
+void online_request::OnRouteRefused(const error& reason) {
+  if (!attempts_.empty()) {
+    return;  // It was for a hedge.
+  }
+  retry_after_ = std::max(retry_after_, reason.retry_after);
+  GiveUp(attempts_unproven_ > 0 ? MakeFailure() : reason);
+}
+
+void online_request::On(const claim_decided& event) {
+  is_claim_open_ = false;
+  // Without a quorum's answer the claim may still commit.
+  holds_claim_ = event.verdict == claim_verdict::kGranted ||
+                 (event.verdict == claim_verdict::kRefused &&
+                  event.reason.kind == error_kind::kNoQuorum);
+  if (phase_ == phase::kEnding) {
+    Finish();
+    return;
+  }
+  if (event.verdict == claim_verdict::kGranted && now_ < options_.deadline) {
+    StartAttempt(last_route_);
+    return;
+  }
+  ReportUnused(last_route_);
+  switch (event.verdict) {
+    case claim_verdict::kGranted:
+      OnDeadline();
+      return;
+    case claim_verdict::kRecorded:
+      ToCaller(answer_recorded{event.recorded});
+      is_answered_ = true;
+      Finish();
+      return;
+    case claim_verdict::kRefused:
+      GiveUp(event.reason);
+      return;
+  }
+}
+
+void online_request::On(const attempt_head& event) {
+  attempt* call = FindAttempt(event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const bool is_crossed = event.echoed_id != call->id.text();
+  const bool is_server_error =
+      options_.is_idempotent && event.http_status >= kFirstServerErrorStatus;
+  call->has_head = true;
+  call->head = event;
+  const bool breaks_stream = is_head_sent_ && !IsStreaming(*call);
+  if (is_crossed || is_server_error || breaks_stream) {
+    OnAttemptFailed(event.attempt, attempt_outcome::kFailed, false);
+  }
+}
+
+void online_request::On(const attempt_piece& event) {
+  attempt* call = FindAttempt(event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  if (!call->has_head) {
+    OnAttemptFailed(event.attempt, attempt_outcome::kFailed, false);
+    return;
+  }
+  if (!AcceptPosition(*call, event)) {
+    return;
+  }
+  if (!call->has_byte) {
+    call->has_byte = true;
+    out_.push_back(report_first_byte{call->route.ticket});
+    CancelAttempts(attempt_outcome::kCancelled, event.attempt);
+    call = FindAttempt(event.attempt);
+  }
+  call->last_byte_at = now_;
+  if (IsStreaming(*call)) {
+    DeliverPiece(*call, event.bytes);
+  } else {
+    call->body += event.bytes;
+  }
+}
+
+void online_request::On(const attempt_ended& event) {
+  attempt* call = FindAttempt(event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const bool is_whole =
+      event.end == attempt_end_kind::kComplete && call->has_head;
+  if (is_whole && IsStreaming(*call)) {
+    CompleteStream(*call);
+    return;
+  }
+  if (is_whole) {
+    endpoint_answer answer{call->head.http_status, call->head.content_type,
+                           std::move(call->body)};
+    EndAttempt(event.attempt, attempt_outcome::kOk, false);
+    CompleteAnswer(std::move(answer));
+    return;
+  }
+  const bool is_refusal = event.end == attempt_end_kind::kRefusedNotRun;
+  const bool is_proven =
+      !call->has_byte &&
+      (is_refusal || event.end == attempt_end_kind::kNotSent);
+  retry_after_ = std::max(
+      retry_after_,
+      std::chrono::duration_cast<std::chrono::milliseconds>(event.retry_after));
+  OnAttemptFailed(
+      event.attempt,
+      is_refusal ? attempt_outcome::kRefusedNotRun : attempt_outcome::kFailed,
+      is_proven);
+}
+
+void online_request::On(const outcome_learned& event) {
+  is_outcome_open_ = false;
+  if (phase_ != phase::kAsking) {
+    return;
+  }
+  switch (event.outcome) {
+    case remembered_outcome::kAnswered:
+      CompleteAnswer(event.answer);
+      return;
+    case remembered_outcome::kInProgress:
+      return;  // Asked again at next_ask_.
+    case remembered_outcome::kUnknown:
+      GiveUp(MakeFailure());
+      return;
+  }
+}
+
+void online_request::On(const caller_gone& /*event*/) {
+  if (is_answered_) {
+    return;
+  }
+  is_answered_ = true;
+  const bool is_sent = phase_ == phase::kCalling || phase_ == phase::kAsking;
+  if (UsesClaim() && is_sent) {
+    return;  // The caller may come back for the recorded answer.
+  }
+  Finish();
+}
+
+void online_request::On(const timer_expired& /*event*/) {
+  if (phase_ == phase::kEnding) {
+    return;
+  }
+  if (now_ >= options_.deadline) {
+    OnDeadline();
+    return;
+  }
+  const auto late =
+      std::find_if(attempts_.begin(), attempts_.end(),
+                   [this](const attempt& call) { return IsTimedOut(call); });
+  if (late != attempts_.end()) {
+    OnOverdue(*late);
+    return;
+  }
+  if (IsHedgePossible() &&
+      now_ >= attempts_.front().started_at + options_.hedge_after) {
+    was_hedged_ = true;
+    AskRoute(false, true);
+  }
+  if (phase_ == phase::kAsking && !is_outcome_open_ && now_ >= next_ask_) {
+    AskOutcome();
+  }
+}
+
+void online_request::OnDeadline() {
+  const bool can_record =
+      UsesClaim() && !is_answered_ &&
+      (phase_ == phase::kCalling || phase_ == phase::kAsking);
+  if (!can_record) {
+    GiveUp(MakeError(attempts_unproven_ > 0 ? error_kind::kDeadlineExceeded
+                                            : error_kind::kDeadlineUnreachable,
+                     "the deadline passed"));
+    return;
+  }
+  ToCaller(answer_error{
+      error{error_kind::kDeadlineExceeded,
+            "the deadline passed; a resend with the same key gets the answer",
+            std::chrono::milliseconds(1'000)},
+      false});
+  is_answered_ = true;
+  options_.deadline = now_ + kRecordingGrace;
+}
+
+void online_request::WriteState(nlohmann::json& out) const {
+  out["id"] = options_.id.text();
+  out["phase"] = static_cast<int>(phase_);
+  out["attempts_started"] = attempts_started_;
+  out["attempts_live"] = attempts_.size();
+  out["holds_claim"] = holds_claim_;
+  out["is_answered"] = is_answered_;
+  out["delivered_tokens"] = delivered_tokens_;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/online_request.h
@@ -0,0 +1,139 @@
+#ifndef SHALLOTPORT_ROUTING_ONLINE_REQUEST_H_
+#define SHALLOTPORT_ROUTING_ONLINE_REQUEST_H_
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "routing/online_request_messages.h"
+
+namespace shallotport {
+
+// The life of one online request at its entry host, from admission to the one
+// final answer. A pure state machine: the handler thread feeds it events,
+// performs the actions that it returns in their order, and calls it with
+// timer_expired at next_timer().
+//
+// It promises: the caller gets exactly one answer, whole and its own, or one
+// error; a non-idempotent request is sent only under a granted claim (or once,
+// without a key) and again only after a proof that it was not run; a request
+// that is given up is answered at once.
+class online_request {
+ public:
+  explicit online_request(online_request_options options);
+
+  // Must be called once, first.
+  std::vector<online_action> Start(steady_time now);
+
+  std::vector<online_action> Handle(steady_time now, online_event event);
+
+  // When to call Handle() with timer_expired at the latest.
+  steady_time next_timer() const;
+
+  // True once request_done was returned.
+  bool is_done() const { return phase_ == phase::kDone; }
+
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  enum class phase : uint8_t {
+    kRouting,   // Waits for a route; nothing is under way.
+    kClaiming,  // Waits for the claim; nothing is under way.
+    kCalling,   // At least one attempt is under way.
+    kAsking,    // The answer is lost or late; the endpoint is asked for it.
+    kEnding,    // Over for the caller; a route or claim is still to come back.
+    kDone,
+  };
+
+  // One call to an endpoint that is under way.
+  struct attempt {
+    attempt_number number = 0;
+    attempt_id id;
+    route_choice route;
+    steady_time started_at;
+    steady_time last_byte_at;
+    bool has_head = false;
+    bool has_byte = false;
+    bool is_overdue = false;  // Timed out, kept because it can't be repeated.
+    attempt_head head;
+    std::string body;             // Content of an answer that is not streamed.
+    uint64_t next_position = 0;   // Tokens so far, skipped ones included.
+    uint64_t content_offset = 0;  // Bytes so far, skipped ones included.
+  };
+
+  void On(const route_decided& event);
+  void On(const claim_decided& event);
+  void On(const attempt_head& event);
+  void On(const attempt_piece& event);
+  void On(const attempt_ended& event);
+  void On(const outcome_learned& event);
+  void On(const caller_gone& event);
+  void On(const timer_expired& event);
+
+  bool UsesClaim() const { return !options_.is_idempotent && options_.has_key; }
+  bool IsStreaming(const attempt& call) const;
+  bool IsHedgePossible() const;
+  bool IsTimedOut(const attempt& call) const;
+  steady_time TimeoutOf(const attempt& call) const;
+  attempt* FindAttempt(attempt_number number);
+  bool MayTryAgain(bool is_proven_not_run) const;
+  bool CanContinueOn(const route_choice& route) const;
+
+  void AskRoute(bool is_retry, bool is_hedge);
+  void OnRouteRefused(const error& reason);
+  void UseRoute(const route_choice& route);
+  void ReportUnused(const route_choice& route);
+  void StartAttempt(const route_choice& route);
+  void EndAttempt(attempt_number number, attempt_outcome outcome, bool cancel);
+  void CancelAttempts(attempt_outcome outcome, attempt_number except);
+  void OnAttemptFailed(attempt_number number,
+                       attempt_outcome outcome,
+                       bool is_proven_not_run);
+  void OnAnswerLost(const route_choice& route);
+  void OnOverdue(attempt& call);
+  void AskOutcome();
+  bool AcceptPosition(attempt& call, const attempt_piece& piece);
+  void DeliverPiece(attempt& call, std::string_view bytes);
+  void Deliver(std::string_view bytes);
+  void CompleteStream(attempt& call);
+  void CompleteAnswer(endpoint_answer answer);
+  void OnDeadline();
+  void GiveUp(error failure);
+  error MakeFailure() const;
+  void ToCaller(online_action action);
+  void ConcludeClaim();
+  void Finish();
+
+  online_request_options options_;
+  phase phase_ = phase::kRouting;
+  steady_time now_;
+  std::vector<online_action> out_;
+
+  std::vector<attempt> attempts_;
+  attempt_number attempts_started_ = 0;
+  uint32_t attempts_unproven_ = 0;  // Sent, without a proof of not_run.
+  bool was_hedged_ = false;
+  std::vector<endpoint_id> tried_;
+  bool is_route_open_ = false;  // ask_route is unanswered.
+  bool is_claim_open_ = false;  // begin_claim is unanswered.
+  bool holds_claim_ = false;
+  route_choice last_route_;
+  std::chrono::milliseconds retry_after_{0};  // Longest one that was advised.
+  bool is_outcome_open_ = false;              // ask_outcome is unanswered.
+  steady_time next_ask_;
+
+  // The caller got its final answer or is gone; what is still done serves the
+  // record of the claim.
+  bool is_answered_ = false;
+  bool is_head_sent_ = false;
+  std::string delivered_;  // The content that the caller has, up to a bound.
+  uint64_t delivered_bytes_ = 0;
+  uint64_t delivered_tokens_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_ONLINE_REQUEST_H_
--- /dev/null
+++ b/src/libshallotport/routing/request_router.cc
@@ -0,0 +1,302 @@
+#include "routing/request_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <unordered_set>
+
+#include "base/digest.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kCapacityRetryAfter{500};
+constexpr std::chrono::milliseconds kShortestRetryAfter{50};
+// Weight of an endpoint that is choosable only because of the floor.
+constexpr double kSpareWeight = 0.2;
+// A request leaves its failure domain only if that saves this share of its
+// expected time.
+constexpr double kSpillGain = 0.5;
+
+std::chrono::milliseconds RoundUp(duration time) {
+  return std::chrono::ceil<std::chrono::milliseconds>(time);
+}
+
+error Refusal(error_kind kind,
+              std::string detail,
+              std::chrono::milliseconds retry_after) {
+  return error{kind, std::move(detail), retry_after};
+}
+
+bool IsExcluded(const route_query& query, const endpoint_id& id) {
+  return std::find(query.excluded.begin(), query.excluded.end(), id) !=
+         query.excluded.end();
+}
+
+}  // namespace
+
+request_router::request_router(request_router_options options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      limiter_(options_.host) {}
+
+void request_router::SetConfiguration(const configuration& settings,
+                                      uint64_t revision) {
+  if (revision < revision_) {
+    return;
+  }
+  revision_ = revision;
+  limiter_.SetConfiguration(settings);
+  std::unordered_set<service_id> kept;
+  for (const service_configuration& service : settings.services) {
+    kept.insert(service.id);
+    const auto known = services_.find(service.id);
+    if (known != services_.end()) {
+      known->second->SetSettings(service);
+      continue;
+    }
+    const auto added = services_.emplace(
+        service.id, std::make_unique<routed_service>(service));
+    for (const auto& [id, endpoint] : endpoints_) {
+      const auto& offered = endpoint->record().services;
+      if (std::find(offered.begin(), offered.end(), service.id) !=
+          offered.end()) {
+        added.first->second->AddMember(endpoint);
+      }
+    }
+  }
+  std::erase_if(services_,
+                [&kept](const auto& row) { return !kept.contains(row.first); });
+}
+
+void request_router::UpdateEndpoints(steady_time now,
+                                     std::span<const endpoint_record> all) {
+  std::unordered_set<endpoint_id> kept;
+  for (const endpoint_record& record : all) {
+    kept.insert(record.id);
+    UpdateEndpoint(now, record);
+  }
+  std::vector<endpoint_id> gone;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!kept.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const endpoint_id& id : gone) {
+    RemoveEndpoint(now, id);
+  }
+}
+
+void request_router::UpdateEndpoint(steady_time now,
+                                    const endpoint_record& record) {
+  std::shared_ptr<routed_endpoint>& known = endpoints_[record.id];
+  const bool is_same =
+      known != nullptr && known->record().started == record.started;
+  if (is_same) {
+    const std::vector<service_id> services = known->record().services;
+    known->Update(now, record);
+    if (known->record().services != services) {
+      Unlink(*known);
+      Link(known);
+    }
+    return;
+  }
+  if (known != nullptr && known->record().started > record.started) {
+    return;
+  }
+  if (known != nullptr) {
+    Unlink(*known);
+  }
+  known =
+      std::make_shared<routed_endpoint>(now, record, HashOf(record.id.text()));
+  Link(known);
+}
+
+void request_router::RemoveEndpoint(steady_time /*now*/,
+                                    const endpoint_id& id) {
+  const auto found = endpoints_.find(id);
+  if (found != endpoints_.end()) {
+    Unlink(*found->second);
+    endpoints_.erase(found);
+  }
+}
+
+void request_router::Link(const std::shared_ptr<routed_endpoint>& endpoint) {
+  for (const service_id& id : endpoint->record().services) {
+    const auto service = services_.find(id);
+    if (service != services_.end()) {
+      service->second->AddMember(endpoint);
+    }
+  }
+}
+
+void request_router::Unlink(const routed_endpoint& endpoint) {
+  for (const auto& [id, service] : services_) {
+    service->RemoveMember(endpoint);
+  }
+}
+
+routed_service* request_router::FindService(const route_query& query) {
+  const auto found = services_.find(query.service);
+  if (found == services_.end()) {
+    return nullptr;
+  }
+  const auto& allowed = found->second->settings().accounts;
+  const bool is_allowed =
+      allowed.empty() ||
+      std::find(allowed.begin(), allowed.end(), query.account) != allowed.end();
+  return is_allowed ? found->second.get() : nullptr;
+}
+
+result<route_choice> request_router::Admit(steady_time now,
+                                           const route_query& query) {
+  routed_service* service = FindService(query);
+  if (service == nullptr) {
+    ++counts_.not_found;
+    return Refusal(error_kind::kNotFound, "no such service", {});
+  }
+  const bool is_extra = query.is_retry || query.is_hedge;
+  if (is_extra && !service->budget().HasToken()) {
+    ++counts_.budget_spent;
+    return Refusal(error_kind::kNoCapacity, "the retry budget is spent",
+                   kCapacityRetryAfter);
+  }
+  // The host of a spilled request's own domain has applied the limit.
+  const bool is_limited =
+      !is_extra && !query.is_spilled && query.lane == request_lane::kOnline;
+  if (is_limited) {
+    const status acquired = limiter_.Acquire(now, query.account);
+    if (!IsOk(acquired)) {
+      ++counts_.over_limit;
+      return ErrorOf(acquired);
+    }
+  }
+  result<route_choice> choice = AdmitLocalOrSpill(now, *service, query);
+  if (!IsOk(choice)) {
+    if (is_limited) {
+      limiter_.Release(query.account);
+    }
+    return choice;
+  }
+  if (is_extra) {
+    service->budget().TryTake();
+    ++(query.is_hedge ? counts_.hedges : counts_.retries);
+  }
+  open_[ValueOf(choice).ticket].is_limited = is_limited;
+  ++counts_.admitted;
+  return choice;
+}
+
+result<route_choice> request_router::AdmitLocalOrSpill(
+    steady_time now,
+    routed_service& service,
+    const route_query& query) {
+  const duration remaining = query.deadline - now;
+  if (remaining.count() <= 0) {
+    ++counts_.deadline_unreachable;
+    return Refusal(error_kind::kDeadlineUnreachable, "the deadline has passed",
+                   kShortestRetryAfter);
+  }
+  service.EjectOutliers(now);
+  CollectCandidates(now, service, query);
+  const bool has_local = !candidates_.empty();
+  duration shortest{0};
+  std::optional<size_t> chosen;
+  if (has_local) {
+    chosen = ChooseLocal(now, service, query, shortest);
+  }
+  const bool may_spill =
+      !query.is_spilled && query.lane == request_lane::kOnline;
+  const bool is_queued =
+      chosen && candidates_[*chosen].load >= candidates_[*chosen].slots;
+  if (may_spill && (!chosen || is_queued)) {
+    const duration to_beat =
+        chosen ? std::min(remaining,
+                          duration(static_cast<int64_t>(
+                              kSpillGain * ExpectedTime(candidates_[*chosen]))))
+               : remaining;
+    std::optional<route_choice> spilled = OpenSpill(now, query, to_beat);
+    if (spilled) {
+      return *std::move(spilled);
+    }
+  }
+  if (chosen) {
+    return OpenLocal(now, service, query, candidates_[*chosen]);
+  }
+  if (has_local) {
+    ++counts_.deadline_unreachable;
+    return Refusal(
+        error_kind::kDeadlineUnreachable,
+        "queue and service time exceed the deadline",
+        std::max(kShortestRetryAfter, RoundUp(shortest - remaining)));
+  }
+  ++counts_.no_capacity;
+  return Refusal(error_kind::kNoCapacity, "no endpoint can take the request",
+                 kCapacityRetryAfter);
+}
+
+void request_router::CollectCandidates(steady_time now,
+                                       const routed_service& service,
+                                       const route_query& query) {
+  candidates_.clear();
+  spares_.clear();
+  size_t total = 0;
+  size_t usable = 0;
+  for (size_t i = 0; i < service.members().size(); ++i) {
+    const service_member& member = *service.members()[i];
+    const routed_endpoint& endpoint = *member.endpoint;
+    const endpoint_record& record = endpoint.record();
+    if (record.is_leaving) {
+      continue;
+    }
+    ++total;
+    const bool is_ejected = now < member.ejected_until;
+    const bool is_usable = !is_ejected && endpoint.breaker().Allows(now);
+    usable += is_usable ? 1 : 0;
+    if (!query.excluded.empty() && IsExcluded(query, record.id)) {
+      continue;
+    }
+    choice_candidate candidate;
+    candidate.member = static_cast<uint32_t>(i);
+    candidate.hash = endpoint.hash();
+    candidate.reported_load = record.load.running + record.load.queued;
+    candidate.load = endpoint.LoadAt(now);
+    candidate.slots = endpoint.slots();
+    candidate.weight = endpoint.WeightAt(now);
+    candidate.service_time_us = service.TimeAt(now, member);
+    const bool is_full = query.lane == request_lane::kBatch &&
+                         candidate.load + 1 > candidate.slots;
+    if (is_full) {
+      continue;
+    }
+    if (is_usable) {
+      candidates_.push_back(candidate);
+      continue;
+    }
+    const steady_time until =
+        is_ejected ? member.ejected_until : endpoint.breaker().open_until();
+    spares_.push_back({candidate, until});
+  }
+  KeepFloor(usable, total);
+}
+
+void request_router::KeepFloor(size_t usable, size_t total) {
+  const auto floor = static_cast<size_t>(
+      std::ceil(routed_service::kChoosableShare * static_cast<double>(total)));
+  if (usable >= floor || spares_.empty()) {
+    return;
+  }
+  const size_t wanted = std::min(floor - usable, spares_.size());
+  std::partial_sort(spares_.begin(),
+                    spares_.begin() + static_cast<long>(wanted), spares_.end(),
+                    [](const spare_candidate& a, const spare_candidate& b) {
+                      return a.unusable_until < b.unusable_until;
+                    });
+  for (size_t i = 0; i < wanted; ++i) {
+    candidates_.push_back(spares_[i].candidate);
+    candidates_.back().weight *= kSpareWeight;
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/request_router.h
@@ -0,0 +1,157 @@
+#ifndef SHALLOTPORT_ROUTING_REQUEST_ROUTER_H_
+#define SHALLOTPORT_ROUTING_REQUEST_ROUTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random_source.h"
+#include "base/result.h"
+#include "control/configuration.h"
+#include "membership/endpoint_record.h"
+#include "routing/account_limiter.h"
+#include "routing/domain_summary.h"
+#include "routing/route_query.h"
+#include "routing/routed_service.h"
+#include "routing/spill_directory.h"
+
+namespace shallotport {
+
+struct request_router_options {
+  host_id host;
+  domain_id domain;
+  incarnation started = 0;
+  std::string address;  // "IP:port" where the host takes spilled requests.
+  uint64_t seed = 1;
+};
+
+// Decides, for one host, which attempt may be sent now and to which endpoint:
+// account limits, admission by deadline, endpoint choice, breakers, ejection,
+// retry budgets and the spill to another failure domain. Pure; the host's
+// routing duty thread owns it.
+class request_router {
+ public:
+  explicit request_router(request_router_options options);
+
+  request_router(const request_router&) = delete;
+  request_router& operator=(const request_router&) = delete;
+
+  void SetConfiguration(const configuration& settings, uint64_t revision);
+
+  // Replaces the set of endpoints; unchanged incarnations keep their history.
+  void UpdateEndpoints(steady_time now, std::span<const endpoint_record> all);
+  void UpdateEndpoint(steady_time now, const endpoint_record& record);
+  void RemoveEndpoint(steady_time now, const endpoint_id& id);
+
+  // Takes a summary of another failure domain; stale ones are ignored.
+  void OnDomainSummary(steady_time now, const domain_summary& summary);
+  // What the own failure domain can take, for the hosts of other domains.
+  domain_summary MakeDomainSummary(steady_time now);
+
+  // Admits one attempt and chooses where it goes. Fails, as not run, with
+  // kNotFound, kOverLimit, kDeadlineUnreachable or kNoCapacity; the last three
+  // carry retry_after. Each success must be ended by one OnFinished().
+  result<route_choice> Admit(steady_time now, const route_query& query);
+
+  void OnStarted(steady_time now, attempt_ticket ticket);
+  void OnFirstByte(steady_time now, attempt_ticket ticket);
+  // `service_time`: from the start of the attempt to its end.
+  void OnFinished(steady_time now,
+                  attempt_ticket ticket,
+                  attempt_outcome outcome,
+                  duration service_time);
+
+  account_limiter& limiter() { return limiter_; }
+
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  // One admitted attempt that has not ended.
+  struct open_attempt {
+    account_id account;
+    service_id service;
+    std::shared_ptr<service_member> member;  // Null for a spilled attempt.
+    double queue_rounds = 1;  // Expected time over service time at the start.
+    bool is_limited = false;  // Holds a place of the account's concurrency.
+    bool has_first_byte = false;
+  };
+
+  // Keeps counts by name of the counter.
+  struct counts {
+    uint64_t admitted = 0;
+    uint64_t retries = 0;
+    uint64_t hedges = 0;
+    uint64_t spilled = 0;
+    uint64_t over_limit = 0;
+    uint64_t no_capacity = 0;
+    uint64_t deadline_unreachable = 0;
+    uint64_t not_found = 0;
+    uint64_t budget_spent = 0;
+    uint64_t ok = 0;
+    uint64_t failed = 0;
+    uint64_t timed_out = 0;
+    uint64_t refused = 0;
+    uint64_t cancelled = 0;
+  };
+
+  void Unlink(const routed_endpoint& endpoint);
+  void Link(const std::shared_ptr<routed_endpoint>& endpoint);
+  routed_service* FindService(const route_query& query);
+  void CollectCandidates(steady_time now,
+                         const routed_service& service,
+                         const route_query& query);
+  void KeepFloor(size_t usable, size_t total);
+  // The chosen candidate, or nothing if none can meet the deadline; then
+  // `shortest` is the least expected time.
+  std::optional<size_t> ChooseLocal(steady_time now,
+                                    routed_service& service,
+                                    const route_query& query,
+                                    duration& shortest);
+  result<route_choice> AdmitLocalOrSpill(steady_time now,
+                                         routed_service& service,
+                                         const route_query& query);
+  route_choice OpenLocal(steady_time now,
+                         const routed_service& service,
+                         const route_query& query,
+                         const choice_candidate& chosen);
+  std::optional<route_choice> OpenSpill(steady_time now,
+                                        const route_query& query,
+                                        duration time_to_beat);
+  void JudgeEndpoint(steady_time now,
+                     routed_service* service,
+                     const open_attempt& attempt,
+                     attempt_outcome outcome,
+                     duration service_time);
+  void Count(attempt_outcome outcome);
+
+  request_router_options options_;
+  uint64_t revision_ = 0;
+  random_source random_;
+  account_limiter limiter_;
+  spill_directory spill_;
+  std::unordered_map<endpoint_id, std::shared_ptr<routed_endpoint>> endpoints_;
+  std::unordered_map<service_id, std::unique_ptr<routed_service>> services_;
+  std::unordered_map<attempt_ticket, open_attempt> open_;
+  attempt_ticket last_ticket_ = 0;
+  uint64_t summary_sequence_ = 0;
+  counts counts_;
+
+  struct spare_candidate {
+    choice_candidate candidate;
+    steady_time unusable_until;
+  };
+  // Reused between the calls.
+  std::vector<choice_candidate> candidates_;
+  std::vector<spare_candidate> spares_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_REQUEST_ROUTER_H_
--- /dev/null
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -0,0 +1,249 @@
+// The request_router's choice of one endpoint and the life of the attempts.
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "routing/request_router.h"
+
+namespace shallotport {
+
+std::optional<size_t> request_router::ChooseLocal(steady_time now,
+                                                  routed_service& service,
+                                                  const route_query& query,
+                                                  duration& shortest) {
+  const double remaining = static_cast<double>((query.deadline - now).count());
+  const double quick = service.QuickTimeAt(now);
+  // Time in the queue, plus the time that few requests stay below.
+  const auto least_time = [quick](const choice_candidate& candidate) {
+    return quick == 0 ? 0
+                      : ExpectedTime(candidate) - candidate.service_time_us +
+                            std::min(quick, candidate.service_time_us);
+  };
+  const size_t chosen =
+      service.strategy().Choose(candidates_, query.prefix_hash, random_);
+  if (least_time(candidates_[chosen]) <= remaining) {
+    return chosen;
+  }
+  const auto quickest = std::min_element(
+      candidates_.begin(), candidates_.end(),
+      [&least_time](const choice_candidate& a, const choice_candidate& b) {
+        return least_time(a) < least_time(b);
+      });
+  shortest = duration(static_cast<int64_t>(least_time(*quickest)));
+  if (least_time(*quickest) > remaining) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(quickest - candidates_.begin());
+}
+
+route_choice request_router::OpenLocal(steady_time now,
+                                       const routed_service& service,
+                                       const route_query& query,
+                                       const choice_candidate& chosen) {
+  const std::shared_ptr<service_member>& member =
+      service.members()[chosen.member];
+  routed_endpoint& endpoint = *member->endpoint;
+  endpoint.OnSent();
+  endpoint.breaker().OnSent(now);
+  open_attempt attempt;
+  attempt.account = query.account;
+  attempt.service = query.service;
+  attempt.member = member;
+  if (chosen.service_time_us > 0) {
+    attempt.queue_rounds = ExpectedTime(chosen) / chosen.service_time_us;
+  }
+  route_choice choice;
+  choice.endpoint = endpoint.record().id;
+  choice.address = endpoint.record().address;
+  choice.started = endpoint.record().started;
+  choice.can_resume = endpoint.record().can_resume;
+  choice.remembers_outcomes = endpoint.record().remembers_outcomes;
+  choice.ticket = ++last_ticket_;
+  open_.emplace(choice.ticket, std::move(attempt));
+  return choice;
+}
+
+std::optional<route_choice> request_router::OpenSpill(steady_time now,
+                                                      const route_query& query,
+                                                      duration time_to_beat) {
+  const auto target = spill_.Find(now, query.service, time_to_beat);
+  if (!target) {
+    return std::nullopt;
+  }
+  spill_.OnSpilled(target->host, query.service);
+  ++counts_.spilled;
+  open_attempt attempt;
+  attempt.account = query.account;
+  attempt.service = query.service;
+  route_choice choice;
+  choice.endpoint = endpoint_id(target->host.text());
+  choice.address = target->address;
+  choice.spill_domain = target->domain;
+  choice.ticket = ++last_ticket_;
+  open_.emplace(choice.ticket, std::move(attempt));
+  return choice;
+}
+
+void request_router::OnStarted(steady_time /*now*/, attempt_ticket /*ticket*/) {
+}
+
+void request_router::OnFirstByte(steady_time /*now*/, attempt_ticket ticket) {
+  const auto found = open_.find(ticket);
+  if (found != open_.end()) {
+    found->second.has_first_byte = true;
+  }
+}
+
+void request_router::OnFinished(steady_time now,
+                                attempt_ticket ticket,
+                                attempt_outcome outcome,
+                                duration service_time) {
+  const auto found = open_.find(ticket);
+  if (found == open_.end()) {
+    return;
+  }
+  const open_attempt attempt = std::move(found->second);
+  open_.erase(found);
+  if (attempt.is_limited) {
+    limiter_.Release(attempt.account);
+  }
+  Count(outcome);
+  const auto service = services_.find(attempt.service);
+  routed_service* owner =
+      service == services_.end() ? nullptr : service->second.get();
+  if (owner != nullptr && outcome == attempt_outcome::kOk) {
+    owner->budget().OnSuccess();
+  }
+  if (attempt.member != nullptr) {
+    JudgeEndpoint(now, owner, attempt, outcome, service_time);
+  }
+}
+
+void request_router::JudgeEndpoint(steady_time now,
+                                   routed_service* service,
+                                   const open_attempt& attempt,
+                                   attempt_outcome outcome,
+                                   duration service_time) {
+  routed_endpoint& endpoint = *attempt.member->endpoint;
+  endpoint.OnEnded();
+  const double time_us =
+      static_cast<double>(service_time.count()) / attempt.queue_rounds;
+  // An attempt that was ended early took at least this long.
+  const bool is_bound =
+      outcome == attempt_outcome::kTimedOut ||
+      (outcome == attempt_outcome::kCancelled && !attempt.has_first_byte &&
+       time_us > attempt.member->estimate.mean_us());
+  if (service != nullptr && (outcome == attempt_outcome::kOk || is_bound)) {
+    service->AddSample(now, *attempt.member, time_us);
+  }
+  switch (outcome) {
+    case attempt_outcome::kOk:
+      endpoint.breaker().OnSuccess();
+      return;
+    case attempt_outcome::kRefusedNotRun:
+    case attempt_outcome::kFailed:
+    case attempt_outcome::kTimedOut:
+      endpoint.breaker().OnFailure(now);
+      return;
+    case attempt_outcome::kCancelled:
+    case attempt_outcome::kUnused:
+      endpoint.breaker().OnNeutral();
+      return;
+  }
+}
+
+void request_router::Count(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::kOk:
+      ++counts_.ok;
+      return;
+    case attempt_outcome::kRefusedNotRun:
+      ++counts_.refused;
+      return;
+    case attempt_outcome::kFailed:
+      ++counts_.failed;
+      return;
+    case attempt_outcome::kTimedOut:
+      ++counts_.timed_out;
+      return;
+    case attempt_outcome::kCancelled:
+    case attempt_outcome::kUnused:
+      ++counts_.cancelled;
+      return;
+  }
+}
+
+void request_router::OnDomainSummary(steady_time now,
+                                     const domain_summary& summary) {
+  if (summary.domain != options_.domain) {
+    spill_.Update(now, summary);
+  }
+}
+
+domain_summary request_router::MakeDomainSummary(steady_time now) {
+  domain_summary summary;
+  summary.domain = options_.domain;
+  summary.host = options_.host;
+  summary.started = options_.started;
+  summary.sequence = ++summary_sequence_;
+  summary.address = options_.address;
+  for (const auto& [id, service] : services_) {
+    route_query query;
+    query.service = id;
+    CollectCandidates(now, *service, query);
+    service_summary row;
+    row.service = id;
+    row.endpoints = static_cast<uint32_t>(candidates_.size());
+    double shortest = 0;
+    for (const choice_candidate& candidate : candidates_) {
+      const double free = candidate.slots - candidate.load;
+      row.free_slots += free > 0 ? static_cast<uint32_t>(free) : 0;
+      const double time = ExpectedTime(candidate);
+      shortest = shortest == 0 ? time : std::min(shortest, time);
+    }
+    row.expected_time_us = static_cast<uint32_t>(shortest);
+    if (row.endpoints > 0) {
+      summary.services.push_back(row);
+    }
+  }
+  return summary;
+}
+
+void request_router::WriteState(nlohmann::json& out) const {
+  out["revision"] = revision_;
+  out["endpoints"] = endpoints_.size();
+  out["open_attempts"] = open_.size();
+  nlohmann::json& counters = out["counters"];
+  counters["admitted"] = counts_.admitted;
+  counters["retries"] = counts_.retries;
+  counters["hedges"] = counts_.hedges;
+  counters["spilled"] = counts_.spilled;
+  counters["over_limit"] = counts_.over_limit;
+  counters["no_capacity"] = counts_.no_capacity;
+  counters["deadline_unreachable"] = counts_.deadline_unreachable;
+  counters["not_found"] = counts_.not_found;
+  counters["budget_spent"] = counts_.budget_spent;
+  counters["ok"] = counts_.ok;
+  counters["failed"] = counts_.failed;
+  counters["timed_out"] = counts_.timed_out;
+  counters["refused"] = counts_.refused;
+  counters["cancelled"] = counts_.cancelled;
+  for (const auto& [id, service] : services_) {
+    nlohmann::json& row = out["services"][id.text()];
+    row["strategy"] = service->settings().routing_strategy;
+    row["retry_tokens"] = service->budget().tokens();
+    row["ejections"] = service->ejections();
+    for (const auto& member : service->members()) {
+      nlohmann::json& entry =
+          row["members"][member->endpoint->record().id.text()];
+      entry["own_outstanding"] = member->endpoint->own_outstanding();
+      entry["mean_us"] = member->estimate.mean_us();
+      entry["breaker"] = static_cast<int>(member->endpoint->breaker().state());
+      entry["is_leaving"] = member->endpoint->record().is_leaving;
+    }
+  }
+  limiter_.WriteState(out["limits"]);
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/routed_service.cc
@@ -0,0 +1,130 @@
+#include "routing/routed_service.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotport {
+
+namespace {
+
+constexpr duration kEjectionPeriod{1'000'000};
+constexpr duration kFirstEjection{5'000'000};
+constexpr duration kLongestEjection{30'000'000};
+constexpr double kOutlierFactor = 3;
+constexpr uint64_t kSamplesToJudge = 5;
+// An estimate without new samples loses half of its distance to the service's
+// mean in each of these periods, so that a slow endpoint is tried again.
+constexpr duration kEstimateHalfLife{5'000'000};
+// Without any sample for this long, nothing is known about the service.
+constexpr duration kEstimateLifetime{10'000'000};
+
+double Ratio(duration time, duration unit) {
+  return static_cast<double>(time.count()) / static_cast<double>(unit.count());
+}
+
+}  // namespace
+
+routed_service::routed_service(const service_configuration& settings)
+    : budget_(kRetryShare, kRetryReserve) {
+  SetSettings(settings);
+}
+
+void routed_service::SetSettings(const service_configuration& settings) {
+  const bool is_same_strategy =
+      strategy_ != nullptr &&
+      settings.routing_strategy == settings_.routing_strategy;
+  settings_ = settings;
+  if (is_same_strategy) {
+    return;
+  }
+  strategy_ = MakeChoiceStrategy(settings.routing_strategy);
+  if (strategy_ == nullptr) {
+    strategy_ = MakeChoiceStrategy("adaptive");
+  }
+}
+
+void routed_service::AddMember(
+    const std::shared_ptr<routed_endpoint>& endpoint) {
+  members_.push_back(std::make_shared<service_member>());
+  members_.back()->endpoint = endpoint;
+}
+
+void routed_service::RemoveMember(const routed_endpoint& endpoint) {
+  std::erase_if(members_, [&endpoint](const auto& member) {
+    return member->endpoint.get() == &endpoint;
+  });
+}
+
+void routed_service::AddSample(steady_time now,
+                               service_member& member,
+                               double time_us) {
+  member.estimate.Add(now, time_us);
+  overall_.Add(now, time_us);
+}
+
+double routed_service::TimeAt(steady_time now,
+                              const service_member& member) const {
+  if (!member.estimate.IsKnown()) {
+    return overall_.mean_us();
+  }
+  const double own = member.estimate.mean_us();
+  const duration age = member.estimate.AgeAt(now);
+  if (age <= kEstimateHalfLife) {
+    return own;
+  }
+  const double kept =
+      std::exp2(-Ratio(age - kEstimateHalfLife, kEstimateHalfLife));
+  return overall_.mean_us() + (own - overall_.mean_us()) * kept;
+}
+
+double routed_service::QuickTimeAt(steady_time now) const {
+  const bool is_fresh =
+      overall_.IsKnown() && overall_.AgeAt(now) < kEstimateLifetime;
+  return is_fresh ? overall_.quick_us() : 0;
+}
+
+double routed_service::MedianTime() const {
+  std::vector<double> times;
+  for (const auto& member : members_) {
+    if (member->estimate.samples() >= kSamplesToJudge) {
+      times.push_back(member->estimate.mean_us());
+    }
+  }
+  if (times.size() < 3) {
+    return 0;
+  }
+  const auto middle = times.begin() + static_cast<long>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+void routed_service::EjectOutliers(steady_time now) {
+  if (now < next_ejection_) {
+    return;
+  }
+  next_ejection_ = now + kEjectionPeriod;
+  const double median = MedianTime();
+  if (median <= 0) {
+    return;
+  }
+  for (const auto& member : members_) {
+    const bool is_judged = member->estimate.samples() >= kSamplesToJudge &&
+                           member->estimate.AgeAt(now) < kEjectionPeriod &&
+                           now >= member->ejected_until;
+    if (!is_judged) {
+      continue;
+    }
+    if (member->estimate.mean_us() <= kOutlierFactor * median) {
+      member->ejections = 0;
+      continue;
+    }
+    ++ejections_;
+    ++member->ejections;
+    member->ejected_until =
+        now + std::min(kFirstEjection * member->ejections, kLongestEjection);
+    // What was learned before the ejection says nothing about the time after.
+    member->estimate = service_estimate{};
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/service_estimate.h
@@ -0,0 +1,48 @@
+#ifndef SHALLOTPORT_ROUTING_SERVICE_ESTIMATE_H_
+#define SHALLOTPORT_ROUTING_SERVICE_ESTIMATE_H_
+
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+// Learns how long a request takes, without the time in queues: an exponentially
+// weighted mean and a low quantile.
+class service_estimate {
+ public:
+  void Add(steady_time now, double time_us) {
+    ++samples_;
+    last_sample_ = now;
+    if (samples_ == 1) {
+      mean_us_ = time_us;
+      quick_us_ = time_us;
+      return;
+    }
+    mean_us_ += kWeight * (time_us - mean_us_);
+    // Stochastic approximation: equilibrium where kQuickShare are below.
+    quick_us_ *= time_us < quick_us_ ? 1 - kStep * (1 - kQuickShare)
+                                     : 1 + kStep * kQuickShare;
+  }
+
+  bool IsKnown() const { return samples_ > 0; }
+  uint64_t samples() const { return samples_; }
+  double mean_us() const { return mean_us_; }
+  // The time that a quarter of the requests stay below.
+  double quick_us() const { return quick_us_; }
+  duration AgeAt(steady_time now) const { return now - last_sample_; }
+
+ private:
+  static constexpr double kWeight = 0.1;
+  static constexpr double kQuickShare = 0.25;
+  static constexpr double kStep = 0.1;
+
+  uint64_t samples_ = 0;
+  double mean_us_ = 0;
+  double quick_us_ = 0;
+  steady_time last_sample_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_SERVICE_ESTIMATE_H_
--- /dev/null
+++ b/src/libshallotport/routing/spill_directory.h
@@ -0,0 +1,60 @@
+#ifndef SHALLOTPORT_ROUTING_SPILL_DIRECTORY_H_
+#define SHALLOTPORT_ROUTING_SPILL_DIRECTORY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "routing/domain_summary.h"
+
+namespace shallotport {
+
+// What the hosts of other failure domains last said that they can take. Keeps
+// one summary a host; they age out.
+class spill_directory {
+ public:
+  // A summary older than this is not used.
+  static constexpr duration kSummaryLifetime{3'000'000};
+  // Added to the expected time in another domain: the hop and the risk.
+  static constexpr duration kHopCost{5'000};
+
+  struct target {
+    domain_id domain;
+    host_id host;
+    std::string address;
+    duration expected{0};
+  };
+
+  // Ignores summaries that are older than the one known of the same host.
+  void Update(steady_time now, const domain_summary& summary);
+
+  // The host with the most free slots for the service, whose expected time is
+  // below `time_to_beat`; nothing if no other domain has any.
+  std::optional<target> Find(steady_time now,
+                             const service_id& service,
+                             duration time_to_beat) const;
+
+  // Counts a request sent there, until the host's next summary.
+  void OnSpilled(const host_id& host, const service_id& service);
+
+  size_t size() const { return hosts_.size(); }
+
+ private:
+  struct remote_host {
+    domain_summary summary;
+    steady_time received_at;
+    std::unordered_map<service_id, uint32_t> sent_since;
+  };
+
+  remote_host* FindHost(const host_id& id);
+
+  std::vector<remote_host> hosts_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_SPILL_DIRECTORY_H_
