--- a/src/libshallotport/control/configuration.h
+++ b/src/libshallotport/control/configuration.h
@@ -19,11 +19,14 @@
   uint32_t requests_per_second = 100;  // Over all hosts.
   uint32_t concurrent_requests = 200;  // Over all hosts.
   uint32_t batch_weight = 1;           // Share among accounts with jobs.
+  std::vector<service_id> services;    // What it may call; empty: everything.
+
+  bool operator==(const account_configuration&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, token_sha256, requests_per_second, concurrent_requests,
-            batch_weight);
+            batch_weight, services);
   }
 };
 
@@ -43,22 +46,41 @@
   uint32_t online_reserve_slots = 1;  // Per endpoint, kept free of batch.
   uint32_t batch_max_attempts = 3;    // Per item.
 
+  bool operator==(const service_configuration&) const = default;
+
   template <typename Archive>
   void serialize(Archive& archive);
 };
 
 // Everything that operators put into force as one unit. The revision under
-// which it was accepted travels beside it.
+// which it was accepted travels beside it. Accounts and services are sorted by
+// id once a configuration has been parsed or put into force.
 struct configuration {
   std::vector<account_configuration> accounts;
   std::vector<service_configuration> services;
 
+  bool operator==(const configuration&) const = default;
+
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(accounts, services);
   }
 };
 
+// The account or service with this id, or null.
+const account_configuration* FindAccount(const configuration& config,
+                                         const account_id& id);
+const service_configuration* FindService(const configuration& config,
+                                         const service_id& id);
+
+// Whether the account may call the service: both name each other, where an
+// empty list names everything.
+bool MayCall(const account_configuration& account,
+             const service_configuration& service);
+
+// Sorts accounts and services by id.
+void SortById(configuration& config);
+
 template <typename Archive>
 void service_configuration::serialize(Archive& archive) {
   // Durations travel as their count of milliseconds.
