--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -110,28 +110,28 @@
 void online_request::On(const claim_decided& event) {
   is_claim_open_ = false;
   // Without a quorum's answer the claim may still commit.
-  holds_claim_ = event.verdict == claim_verdict::kGranted ||
-                 (event.verdict == claim_verdict::kRefused &&
+  holds_claim_ = event.verdict == claim_ruling::kGranted ||
+                 (event.verdict == claim_ruling::kRefused &&
                   event.reason.kind == error_kind::kNoQuorum);
   if (phase_ == phase::kEnding) {
     Finish();
     return;
   }
-  if (event.verdict == claim_verdict::kGranted && now_ < options_.deadline) {
+  if (event.verdict == claim_ruling::kGranted && now_ < options_.deadline) {
     StartAttempt(last_route_);
     return;
   }
   ReportUnused(last_route_);
   switch (event.verdict) {
-    case claim_verdict::kGranted:
+    case claim_ruling::kGranted:
       OnDeadline();
       return;
-    case claim_verdict::kRecorded:
+    case claim_ruling::kRecorded:
       ToCaller(answer_recorded{event.recorded});
       is_answered_ = true;
       Finish();
       return;
-    case claim_verdict::kRefused:
+    case claim_ruling::kRefused:
       GiveUp(event.reason);
       return;
   }
--- a/src/libshallotport/routing/online_request_messages.h
+++ b/src/libshallotport/routing/online_request_messages.h
@@ -48,13 +48,13 @@
 };
 
 // The claims slice answered begin_claim.
-enum class claim_verdict : uint8_t {
+enum class claim_ruling : uint8_t {
   kGranted,
   kRecorded,  // An earlier call under the key ended; `recorded` is its answer.
   kRefused,   // `reason` says why: in progress, conflict, no quorum and so on.
 };
 struct claim_decided {
-  claim_verdict verdict = claim_verdict::kGranted;
+  claim_ruling verdict = claim_ruling::kGranted;
   endpoint_answer recorded;
   error reason;
 };
