--- /dev/null
+++ b/src/libshallotport/serving/routing_duty.cc
@@ -0,0 +1,160 @@
+#include "serving/routing_duty.h"
+
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "serving/configuration_view.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr size_t kRingCapacity = 8192;
+constexpr duration kFullRingPause = std::chrono::microseconds(200);
+constexpr duration kTimerPeriod = std::chrono::seconds(1);
+
+}  // namespace
+
+routing_duty::routing_duty(const request_router_options& options,
+                           const clock_source& clock)
+    : router_(options),
+      thread_(
+          clock,
+          kRingCapacity,
+          [this](steady_time now, message received) {
+            std::visit([this, now](auto& kind) { On(now, kind); }, received);
+          },
+          [](steady_time now) { return now + kTimerPeriod; }) {}
+
+routing_duty::~routing_duty() {
+  Stop();
+}
+
+void routing_duty::Admit(route_query query, admit_reply reply) {
+  message pushed = admit_message{std::move(query), std::move(reply)};
+  if (!thread_.TryPush(std::move(pushed))) {
+    std::get<admit_message>(pushed).reply(
+        error{error_kind::kNoCapacity, "the host has too many requests waiting",
+              std::chrono::milliseconds(100)});
+  }
+}
+
+void routing_duty::ReportStarted(attempt_ticket ticket) {
+  Push(report_message{report_kind::kStarted, ticket});
+}
+
+void routing_duty::ReportFirstByte(attempt_ticket ticket) {
+  Push(report_message{report_kind::kFirstByte, ticket});
+}
+
+void routing_duty::ReportFinished(attempt_ticket ticket,
+                                  attempt_outcome outcome,
+                                  duration service_time) {
+  Push(report_message{report_kind::kFinished, ticket, outcome, service_time});
+}
+
+void routing_duty::UpdateEndpoint(endpoint_record record) {
+  Push(std::move(record));
+}
+
+void routing_duty::RemoveEndpoint(endpoint_id id) {
+  Push(remove_message{std::move(id)});
+}
+
+void routing_duty::SetConfiguration(
+    std::shared_ptr<const configuration_snapshot> settings) {
+  Push(std::move(settings));
+}
+
+void routing_duty::SetHostCount(uint32_t hosts) {
+  Push(host_count_message{hosts});
+}
+
+void routing_duty::OnDomainSummary(domain_summary summary) {
+  Push(std::move(summary));
+}
+
+domain_summary routing_duty::MakeDomainSummary() {
+  std::promise<domain_summary> reply;
+  std::future<domain_summary> made = reply.get_future();
+  Push(summary_message{&reply});
+  return made.get();
+}
+
+void routing_duty::WriteState(nlohmann::json& out) {
+  std::promise<std::string> reply;
+  std::future<std::string> text = reply.get_future();
+  Push(state_message{&reply});
+  out = nlohmann::json::parse(text.get());
+  out["ring"] = {{"used", thread_.ring().size()},
+                 {"refused", thread_.ring().refused()}};
+}
+
+void routing_duty::Push(message pushed) {
+  while (!thread_.TryPush(std::move(pushed))) {
+    if (thread_.ring().IsClosed()) {
+      // The thread has ended, so its state is safe to touch from here.
+      if (auto* state = std::get_if<state_message>(&pushed)) {
+        state->reply->set_value("{}");
+      } else if (auto* summary = std::get_if<summary_message>(&pushed)) {
+        summary->reply->set_value({});
+      }
+      return;
+    }
+    std::this_thread::sleep_for(kFullRingPause);
+  }
+}
+
+void routing_duty::On(steady_time now, admit_message& message) {
+  message.reply(router_.Admit(now, message.query));
+}
+
+void routing_duty::On(steady_time now, const report_message& message) {
+  switch (message.kind) {
+    case report_kind::kStarted:
+      router_.OnStarted(now, message.ticket);
+      break;
+    case report_kind::kFirstByte:
+      router_.OnFirstByte(now, message.ticket);
+      break;
+    case report_kind::kFinished:
+      router_.OnFinished(now, message.ticket, message.outcome,
+                         message.service_time);
+      break;
+  }
+}
+
+void routing_duty::On(steady_time now, const endpoint_record& record) {
+  router_.UpdateEndpoint(now, record);
+}
+
+void routing_duty::On(steady_time now, const remove_message& message) {
+  router_.RemoveEndpoint(now, message.id);
+}
+
+void routing_duty::On(
+    steady_time /*now*/,
+    const std::shared_ptr<const configuration_snapshot>& settings) {
+  router_.SetConfiguration(settings->settings(), settings->revision());
+}
+
+void routing_duty::On(steady_time /*now*/, const host_count_message& message) {
+  router_.limiter().SetHostCount(message.hosts);
+}
+
+void routing_duty::On(steady_time now, const domain_summary& summary) {
+  router_.OnDomainSummary(now, summary);
+}
+
+void routing_duty::On(steady_time /*now*/, const state_message& message) {
+  nlohmann::json state;
+  router_.WriteState(state);
+  message.reply->set_value(state.dump());
+}
+
+void routing_duty::On(steady_time now, const summary_message& message) {
+  message.reply->set_value(router_.MakeDomainSummary(now));
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/serving/routing_duty.h
@@ -0,0 +1,109 @@
+#ifndef SHALLOTPORT_SERVING_ROUTING_DUTY_H_
+#define SHALLOTPORT_SERVING_ROUTING_DUTY_H_
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/duty_thread.h"
+#include "base/result.h"
+#include "membership/endpoint_record.h"
+#include "routing/domain_summary.h"
+#include "routing/request_router.h"
+
+namespace shallotport {
+
+class configuration_snapshot;
+
+// The thread that owns this host's request_router. Everyone else asks it
+// through its ring; all functions are thread-safe.
+class routing_duty {
+ public:
+  using admit_reply = std::function<void(result<route_choice> choice)>;
+
+  routing_duty(const request_router_options& options,
+               const clock_source& clock);
+  ~routing_duty();
+
+  void Start() { thread_.Start(); }
+  void Stop() { thread_.Stop(); }
+
+  // `reply` runs on the routing thread, or at once with kNoCapacity when the
+  // ring is full. It must not block.
+  void Admit(route_query query, admit_reply reply);
+
+  void ReportStarted(attempt_ticket ticket);
+  void ReportFirstByte(attempt_ticket ticket);
+  void ReportFinished(attempt_ticket ticket,
+                      attempt_outcome outcome,
+                      duration service_time);
+
+  void UpdateEndpoint(endpoint_record record);
+  void RemoveEndpoint(endpoint_id id);
+  void SetConfiguration(std::shared_ptr<const configuration_snapshot> settings);
+  void SetHostCount(uint32_t hosts);
+  void OnDomainSummary(domain_summary summary);
+
+  // Asks the routing thread and waits for its answer.
+  domain_summary MakeDomainSummary();
+  void WriteState(nlohmann::json& out);
+
+ private:
+  struct admit_message {
+    route_query query;
+    admit_reply reply;
+  };
+  enum class report_kind : uint8_t { kStarted, kFirstByte, kFinished };
+  struct report_message {
+    report_kind kind = report_kind::kStarted;
+    attempt_ticket ticket = 0;
+    attempt_outcome outcome = attempt_outcome::kOk;
+    duration service_time{0};
+  };
+  struct remove_message {
+    endpoint_id id;
+  };
+  struct host_count_message {
+    uint32_t hosts = 1;
+  };
+  struct state_message {
+    std::promise<std::string>* reply;
+  };
+  struct summary_message {
+    std::promise<domain_summary>* reply;
+  };
+  using message = std::variant<admit_message,
+                               report_message,
+                               endpoint_record,
+                               remove_message,
+                               std::shared_ptr<const configuration_snapshot>,
+                               host_count_message,
+                               domain_summary,
+                               state_message,
+                               summary_message>;
+
+  // Waits while the ring is full: these messages must not be lost.
+  void Push(message pushed);
+
+  void On(steady_time now, admit_message& message);
+  void On(steady_time now, const report_message& message);
+  void On(steady_time now, const endpoint_record& record);
+  void On(steady_time now, const remove_message& message);
+  void On(steady_time now,
+          const std::shared_ptr<const configuration_snapshot>& settings);
+  void On(steady_time now, const host_count_message& message);
+  void On(steady_time now, const domain_summary& summary);
+  void On(steady_time now, const state_message& message);
+  void On(steady_time now, const summary_message& message);
+
+  request_router router_;
+  duty_thread<message> thread_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_SERVING_ROUTING_DUTY_H_
