--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -220,7 +220,11 @@
       CompleteAnswer(event.answer);
       return;
     case remembered_outcome::kInProgress:
-      return;  // Asked again at next_ask_.
+      // Asked again at next_ask_, if that can still help this caller.
+      if (attempts_.empty() && next_ask_ >= options_.deadline) {
+        OnDeadline();
+      }
+      return;
     case remembered_outcome::kUnknown:
       GiveUp(MakeFailure());
       return;
@@ -271,12 +275,12 @@
   if (!can_record) {
     GiveUp(MakeError(attempts_unproven_ > 0 ? error_kind::kDeadlineExceeded
                                             : error_kind::kDeadlineUnreachable,
-                     "the deadline passed"));
+                     "no answer within the deadline"));
     return;
   }
   ToCaller(answer_error{
       error{error_kind::kDeadlineExceeded,
-            "the deadline passed; a resend with the same key gets the answer",
+            "no answer within the deadline; resend with the same key",
             std::chrono::milliseconds(1'000)},
       false});
   is_answered_ = true;
--- /dev/null
+++ b/src/libshallotport/routing/online_request_fuzz_test.cc
@@ -0,0 +1,39 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "routing/testing/online_request_world.h"
+
+namespace shallotport {
+
+namespace {
+
+// ROUTING_FUZZ_SEEDS raises the number of worlds for runs by hand.
+uint64_t SeedCount() {
+  const char* text = std::getenv("ROUTING_FUZZ_SEEDS");
+  return text == nullptr ? 5'000 : std::strtoull(text, nullptr, 10);
+}
+
+TEST(online_request_fuzz, EveryRequestGetsOneWholeOwnAnswer) {
+  world_counts counts;
+  for (uint64_t seed = 1; seed <= SeedCount() && !testing::Test::HasFailure();
+       ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    online_request_world world(seed, counts);
+    world.Run();
+  }
+  for (const auto& [name, count] : counts.by_name) {
+    RecordProperty(name, count);
+  }
+  for (const char* name :
+       {"whole", "recorded", "resumed", "restarted", "retry", "hedge",
+        "outcome_asked", "claim_finished", "claim_released", "claim_abandoned",
+        "outcome_unknown", "endpoint_failed", "no_capacity",
+        "deadline_unreachable", "deadline_exceeded"}) {
+    EXPECT_GT(counts.by_name[name], 0) << name << " was never reached";
+  }
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/testing/online_request_world.h
@@ -0,0 +1,350 @@
+#ifndef SHALLOTPORT_ROUTING_TESTING_ONLINE_REQUEST_WORLD_H_
+#define SHALLOTPORT_ROUTING_TESTING_ONLINE_REQUEST_WORLD_H_
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random_source.h"
+#include "routing/online_request.h"
+
+namespace shallotport {
+
+// How often each thing happened, over many worlds.
+struct world_counts {
+  std::map<std::string, int> by_name;
+};
+
+// One online_request among fake endpoints, a fake claim and a fake router, in
+// virtual time. The endpoints count their runs, answer, refuse, break, go
+// silent, repeat, skip and cross; events of cancelled attempts still arrive.
+// Check() compares the outcome with what was really run.
+class online_request_world {
+ public:
+  online_request_world(uint64_t seed, world_counts& counts)
+      : random_(seed), counts_(counts.by_name), request_(MakeOptions()) {}
+
+  void Run() {
+    if (Chance(8)) {
+      Schedule(UniformBelow(random_, 3'000), caller_gone{});
+    }
+    Perform(request_.Start(now_));
+    while (!HasFatalFault() && !(events_.empty() && request_.is_done())) {
+      Step();
+    }
+    Check();
+  }
+
+ private:
+  static constexpr steady_time kStart{std::chrono::seconds(1'000)};
+
+  bool Chance(uint64_t one_in) { return UniformBelow(random_, one_in) == 0; }
+  bool HasFatalFault() const { return steps_ > 5'000; }
+
+  online_request_options MakeOptions() {
+    options_.id = request_id("r" + std::to_string(random_() % 1'000));
+    options_.is_idempotent = !Chance(2);
+    options_.has_key = !Chance(3);
+    options_.is_stream = !Chance(3);
+    options_.deadline =
+        kStart +
+        duration(40'000 + random_() % (Chance(3) ? 300'000 : 4'000'000));
+    options_.first_byte_timeout = duration(300'000);
+    options_.token_gap_timeout = duration(200'000);
+    options_.hedge_after = duration(Chance(2) ? 100'000 : 0);
+    options_.max_attempts = 1 + static_cast<uint32_t>(random_() % 5);
+    is_numbered_ = !Chance(3);
+    fault_rate_ = 1 + UniformBelow(random_, 4);
+    for (size_t i = 0; i < 1 + random_() % 8; ++i) {
+      tokens_.push_back(options_.id.text() + ":" + std::to_string(random_()));
+      text_ += tokens_.back();
+    }
+    return options_;
+  }
+
+  void Schedule(uint64_t delay_ms, online_event event) {
+    events_.emplace(now_ + std::chrono::milliseconds(delay_ms),
+                    std::move(event));
+  }
+
+  void Step() {
+    ++steps_;
+    const steady_time timer = request_.next_timer();
+    const bool is_event_next =
+        !events_.empty() && events_.begin()->first <= timer;
+    if (!is_event_next && timer == steady_time::max()) {
+      ADD_FAILURE() << "the request waits for nothing";
+      steps_ = 1'000'000;
+      return;
+    }
+    if (!is_event_next) {
+      now_ = std::max(now_, timer);
+      Perform(request_.Handle(now_, timer_expired{}));
+    } else {
+      now_ = std::max(now_, events_.begin()->first);
+      const online_event event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      Arrive(event);
+    }
+    const bool is_waiting = !live_.empty() || open_asks_ > 0 ||
+                            request_.next_timer() < options_.deadline;
+    EXPECT_TRUE(is_waiting || is_final_ || is_caller_gone_)
+        << "given up but held until its deadline";
+  }
+
+  // Runs happen when the call reaches the endpoint, cancelled or not.
+  void Arrive(const online_event& event) {
+    if (std::holds_alternative<caller_gone>(event)) {
+      is_caller_gone_ = true;
+    }
+    const bool is_reply = std::holds_alternative<route_decided>(event) ||
+                          std::holds_alternative<claim_decided>(event) ||
+                          std::holds_alternative<outcome_learned>(event);
+    open_asks_ -= is_reply ? 1 : 0;
+    if (const auto* claim = std::get_if<claim_decided>(&event)) {
+      is_claim_held_ = claim->verdict == claim_verdict::kGranted;
+    }
+    if (const auto* route = std::get_if<route_decided>(&event)) {
+      if (IsOk(route->choice)) {
+        open_tickets_.insert(ValueOf(route->choice).ticket);
+      }
+    }
+    if (const auto* end = std::get_if<attempt_ended>(&event)) {
+      live_.erase(end->attempt);
+    }
+    Perform(request_.Handle(now_, event));
+  }
+
+  void Perform(const std::vector<online_action>& actions) {
+    for (const online_action& action : actions) {
+      std::visit([this](const auto& value) { Do(value); }, action);
+    }
+  }
+
+  void Do(const ask_route& ask) {
+    ++open_asks_;
+    ++counts_[ask.is_hedge ? "hedge" : ask.is_retry ? "retry" : "route"];
+    if (Chance(12)) {
+      Schedule(1, route_decided{error{error_kind::kNoCapacity, "", {}}});
+      return;
+    }
+    route_choice route;
+    route.endpoint = endpoint_id("e" + std::to_string(ask.excluded.size()));
+    route.ticket = ++last_ticket_;
+    route.can_resume = is_numbered_ && Chance(2);
+    route.remembers_outcomes = Chance(2);
+    Schedule(UniformBelow(random_, 5), route_decided{route});
+  }
+
+  void Do(const begin_claim& /*action*/) {
+    ++open_asks_;
+    ++claims_begun_;
+    EXPECT_FALSE(is_claim_held_);
+    claim_decided reply;
+    const uint64_t dice = UniformBelow(random_, 10);
+    if (dice == 0) {
+      reply.verdict = claim_verdict::kRecorded;
+      reply.recorded = {200, "", text_};
+    } else if (dice == 1) {
+      reply.verdict = claim_verdict::kRefused;
+      reply.reason.kind =
+          Chance(2) ? error_kind::kNoQuorum : error_kind::kInProgress;
+    }
+    Schedule(Chance(10) ? 6'000 : UniformBelow(random_, 20), reply);
+  }
+
+  void Do(const finish_claim& action) {
+    EXPECT_TRUE(is_claim_held_);
+    EXPECT_EQ(action.answer.body, text_);
+    is_claim_held_ = false;
+    ++counts_["claim_finished"];
+  }
+  void Do(const release_claim& /*action*/) {
+    is_claim_held_ = false;
+    was_released_ = true;
+    EXPECT_EQ(runs_, 0) << "a claim was released after a run";
+    ++counts_["claim_released"];
+  }
+  void Do(const abandon_claim& /*action*/) {
+    EXPECT_TRUE(is_claim_held_);
+    is_claim_held_ = false;
+    ++counts_["claim_abandoned"];
+  }
+
+  void Do(const start_attempt& start);
+
+  void Do(const cancel_attempt& action) { live_.erase(action.attempt); }
+  void Do(const ask_outcome& /*action*/) {
+    ++open_asks_;
+    ++counts_["outcome_asked"];
+    outcome_learned reply;
+    const uint64_t dice = UniformBelow(random_, 4);
+    if (dice == 0) {
+      reply.outcome = remembered_outcome::kInProgress;
+    } else if (runs_ > 0 && dice != 1) {
+      reply.outcome = remembered_outcome::kAnswered;
+      reply.answer = {200, "", text_};
+    }
+    Schedule(UniformBelow(random_, 30), reply);
+  }
+  void Do(const report_started& /*action*/) {}
+  void Do(const report_first_byte& action) {
+    EXPECT_TRUE(open_tickets_.contains(action.ticket));
+  }
+  void Do(const report_finished& action) {
+    EXPECT_EQ(open_tickets_.erase(action.ticket), 1u);
+  }
+
+  void Do(const send_head& /*action*/) {
+    EXPECT_FALSE(has_head_);
+    has_head_ = true;
+  }
+  void Do(const send_bytes& action) {
+    EXPECT_TRUE(has_head_);
+    received_ += action.bytes;
+    EXPECT_EQ(text_.substr(0, received_.size()), received_);
+  }
+  void Do(const send_end& /*action*/) {
+    EXPECT_EQ(received_, text_);
+    Finalize("whole");
+  }
+  void Do(const answer_recorded& action) {
+    EXPECT_FALSE(has_head_);
+    EXPECT_EQ(action.answer.body, text_);
+    Finalize("recorded");
+  }
+  void Do(const answer_error& action) {
+    EXPECT_EQ(action.is_after_head, has_head_);
+    const error_answer& row = Answer(action.failure.kind);
+    is_not_run_promised_ = row.run == run_outcome::kNotRun;
+    if (row.retry != retry_advice::kNever) {
+      EXPECT_GT(action.failure.retry_after.count(), 0);
+    }
+    Finalize(std::string(row.code));
+  }
+  void Do(const request_done& /*action*/) { ++dones_; }
+
+  void Finalize(const std::string& how) {
+    EXPECT_FALSE(is_final_) << "a second final answer";
+    EXPECT_FALSE(is_caller_gone_);
+    is_final_ = true;
+    ++counts_[how];
+  }
+
+  void Check() {
+    EXPECT_TRUE(is_final_ != is_caller_gone_ || is_final_);
+    EXPECT_EQ(dones_, 1);
+    EXPECT_TRUE(open_tickets_.empty());
+    EXPECT_TRUE(live_.empty());
+    EXPECT_FALSE(is_claim_held_) << "a claim was left behind";
+    if (is_not_run_promised_) {
+      EXPECT_EQ(runs_, 0) << "refused as not run, but it ran";
+    }
+    if (!options_.is_idempotent) {
+      EXPECT_LE(runs_, 1);
+      EXPECT_TRUE(!was_released_ || runs_ <= 1);
+    }
+  }
+
+  random_source random_;
+  std::map<std::string, int>& counts_;
+  online_request_options options_;
+  bool is_numbered_ = true;
+  uint64_t fault_rate_ = 1;
+  std::vector<std::string> tokens_;
+  std::string text_;
+  online_request request_;
+
+  steady_time now_ = kStart;
+  std::multimap<steady_time, online_event> events_;
+  std::set<attempt_number> live_;
+  std::set<attempt_ticket> open_tickets_;
+  attempt_ticket last_ticket_ = 0;
+  int open_asks_ = 0;
+  int claims_begun_ = 0;
+  int runs_ = 0;
+  int dones_ = 0;
+  int steps_ = 0;
+  bool is_claim_held_ = false;
+  bool was_released_ = false;
+  bool is_caller_gone_ = false;
+  bool is_final_ = false;
+  bool has_head_ = false;
+  bool is_not_run_promised_ = false;
+  std::string received_;
+};
+
+inline void online_request_world::Do(const start_attempt& start) {
+  EXPECT_TRUE(options_.is_idempotent || !options_.has_key || is_claim_held_);
+  EXPECT_LT(now_, options_.deadline);
+  live_.insert(start.attempt);
+  ++counts_[start.resume_after > 0 ? "resumed" : "attempt"];
+  if (start.resume_after == 0 && has_head_) {
+    ++counts_["restarted"];
+  }
+  const uint64_t fault = Chance(fault_rate_) ? UniformBelow(random_, 11) : 99;
+  uint64_t at = 1 + UniformBelow(random_, 20);
+  if (fault == 0 || fault == 1) {
+    const auto end = fault == 0 ? attempt_end_kind::kNotSent
+                                : attempt_end_kind::kRefusedNotRun;
+    Schedule(at, attempt_ended{start.attempt, end, duration{0}});
+    return;
+  }
+  ++runs_;
+  if (fault == 2) {
+    return;  // The connection is silent for good.
+  }
+  if (fault == 3) {
+    Schedule(at, attempt_ended{start.attempt, attempt_end_kind::kBroken, {}});
+    return;
+  }
+  at += fault == 4 ? 250 : 0;  // Late, after a hedge.
+  const bool is_crossed = fault == 5;
+  Schedule(at,
+           attempt_head{start.attempt, is_crossed ? "other.1" : start.id.text(),
+                        fault == 6 && options_.is_idempotent ? 500 : 200,
+                        "text/plain"});
+  const uint64_t marked = UniformBelow(random_, tokens_.size());
+  for (uint64_t i = start.resume_after; i < tokens_.size(); ++i) {
+    at += UniformBelow(random_, 30);
+    attempt_piece piece{start.attempt, tokens_[i], std::nullopt};
+    if (is_numbered_) {
+      piece.position = i;
+    }
+    if (is_crossed) {
+      piece.bytes = "another caller's answer";
+    }
+    if (!is_numbered_ && Chance(3) && i + 1 < tokens_.size()) {
+      piece.bytes += tokens_[++i];
+    }
+    const bool is_here = i == marked;
+    if (fault == 7 && is_here) {  // Silent in the middle.
+      return;
+    }
+    if (fault == 8 && is_here) {
+      Schedule(at, attempt_ended{start.attempt, attempt_end_kind::kTruncated,
+                                 duration{0}});
+      return;
+    }
+    if (fault == 9 && is_here && is_numbered_) {
+      continue;  // One event is missing.
+    }
+    if (fault == 10 && is_here && is_numbered_) {
+      Schedule(at, piece);  // One event comes twice.
+    }
+    Schedule(at, piece);
+  }
+  const bool is_last_missing =
+      fault == 9 && is_numbered_ && marked + 1 == tokens_.size();
+  Schedule(at, attempt_ended{start.attempt,
+                             is_last_missing ? attempt_end_kind::kTruncated
+                                             : attempt_end_kind::kComplete,
+                             duration{0}});
+}
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ROUTING_TESTING_ONLINE_REQUEST_WORLD_H_
