--- /dev/null
+++ b/src/libshallotport/batch/job_reports.h
@@ -0,0 +1,62 @@
+#ifndef SHALLOTPORT_BATCH_JOB_REPORTS_H_
+#define SHALLOTPORT_BATCH_JOB_REPORTS_H_
+
+#include <optional>
+
+#include "batch/item_payloads.h"
+#include "batch/job_catalogue.h"
+#include "batch/job_messages.h"
+
+namespace shallotport {
+
+// The public id of a job: it names the group of the replicated log that keeps
+// the job, and its number there.
+job_id MakeJobId(uint32_t group, job_number number);
+
+// The job's number, or nothing if `id` is none of this group's.
+std::optional<job_number> ParseJobId(uint32_t group, const job_id& id);
+
+// Answers the queries of the job catalogue. A view for the time of one query.
+class job_reports {
+ public:
+  job_reports(const job_catalogue& catalogue,
+              const item_payloads& payloads,
+              uint32_t group,
+              wall_milliseconds now)
+      : catalogue_(catalogue), payloads_(payloads), group_(group), now_(now) {}
+
+  // Counts and the expected end, by the service's pace and what of the same
+  // service is due earlier.
+  job_status StatusOf(const job_record& job) const;
+
+  job_reply<job_status> Answer(const job_status_query& query) const;
+  job_reply<job_list> Answer(const list_jobs_query& query) const;
+  job_reply<results_page> Answer(const results_query& query) const;
+  job_reply<lease_bodies> Answer(const lease_bodies_query& query) const;
+  job_reply<lease_changes> Answer(const revocations_query& query) const;
+  job_reply<waiting_items> Answer(const waiting_query& query) const;
+
+ private:
+  const job_record* FindJob(const account_id& account, const job_id& id) const;
+  uint64_t ItemsDueBefore(const job_record& job) const;
+  result<std::string> ReadBody(const item_ref& ref) const;
+  status AddLine(const job_record& job,
+                 const item_entry& entry,
+                 uint32_t index,
+                 results_page& page) const;
+
+  const job_catalogue& catalogue_;
+  const item_payloads& payloads_;
+  const uint32_t group_;
+  const wall_milliseconds now_;
+};
+
+// What the holder has to stop of the leases it names.
+lease_changes ChangesOf(const job_catalogue& catalogue,
+                        const host_id& host,
+                        incarnation host_incarnation,
+                        const std::vector<lease_epoch>& epochs);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_JOB_REPORTS_H_
--- /dev/null
+++ b/src/libshallotport/batch/pinned_payloads.h
@@ -0,0 +1,60 @@
+#ifndef SHALLOTPORT_BATCH_PINNED_PAYLOADS_H_
+#define SHALLOTPORT_BATCH_PINNED_PAYLOADS_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batch/item_payloads.h"
+
+namespace shallotport {
+
+// The payload store as one replicated state uses it: what is released while a
+// snapshot is written stays readable until the snapshot is done. A pin may be
+// dropped by any thread; all else is for the thread that applies commands.
+class pinned_payloads {
+ public:
+  using pin = std::shared_ptr<void>;
+
+  explicit pinned_payloads(item_payloads& store)
+      : store_(store), pins_(std::make_shared<std::atomic<int>>(0)) {}
+
+  result<item_payload> Append(std::string_view bytes) {
+    ReleaseDeferred();
+    return store_.Append(bytes);
+  }
+
+  void Release(const item_payload& payload) {
+    deferred_.push_back(payload);
+    ReleaseDeferred();
+  }
+
+  // While the pin lives, everything readable now stays readable.
+  pin Pin() const {
+    pins_->fetch_add(1);
+    return pin(nullptr, [pins = pins_](void*) { pins->fetch_sub(1); });
+  }
+
+  item_payloads& store() const { return store_; }
+
+ private:
+  void ReleaseDeferred() {
+    if (pins_->load() > 0) {
+      return;
+    }
+    for (const item_payload& payload : deferred_) {
+      store_.Release(payload);
+    }
+    deferred_.clear();
+  }
+
+  item_payloads& store_;
+  std::shared_ptr<std::atomic<int>> pins_;
+  std::vector<item_payload> deferred_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_PINNED_PAYLOADS_H_
