--- a/src/libshallotport/routing/testing/online_request_world.h
+++ b/src/libshallotport/routing/testing/online_request_world.h
@@ -105,7 +105,7 @@
                           std::holds_alternative<outcome_learned>(event);
     open_asks_ -= is_reply ? 1 : 0;
     if (const auto* claim = std::get_if<claim_decided>(&event)) {
-      is_claim_held_ = claim->verdict == claim_verdict::kGranted;
+      is_claim_held_ = claim->verdict == claim_ruling::kGranted;
     }
     if (const auto* route = std::get_if<route_decided>(&event)) {
       if (IsOk(route->choice)) {
@@ -146,10 +146,10 @@
     claim_decided reply;
     const uint64_t dice = UniformBelow(random_, 10);
     if (dice == 0) {
-      reply.verdict = claim_verdict::kRecorded;
+      reply.verdict = claim_ruling::kRecorded;
       reply.recorded = {200, "", text_};
     } else if (dice == 1) {
-      reply.verdict = claim_verdict::kRefused;
+      reply.verdict = claim_ruling::kRefused;
       reply.reason.kind =
           Chance(2) ? error_kind::kNoQuorum : error_kind::kInProgress;
     }
