routing: call what another domain can take an offer

Cause: membership summarises domains under the same type names. Change: routing says domain_offer and service_offer. Conclusion: both can be used in one program.

--- a/src/libshallotport/routing/domain_summary.h
+++ b/src/libshallotport/routing/domain_offer.h
@@ -1,5 +1,5 @@
-#ifndef SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
-#define SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
+#ifndef SHALLOTPORT_ROUTING_DOMAIN_OFFER_H_
+#define SHALLOTPORT_ROUTING_DOMAIN_OFFER_H_
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -12,7 +12,7 @@
 namespace shallotport {
 
 // What one failure domain can take for one service, seen by one of its hosts.
-struct service_summary {
+struct service_offer {
   service_id service;
   uint32_t free_slots = 0;
   uint32_t endpoints = 0;         // Choosable ones.
@@ -26,13 +26,13 @@
 
 // Sent on peer_channel::kSummaries to hosts of other failure domains. Absolute
 // state: a later sequence of the same host replaces an earlier one.
-struct domain_summary {
+struct domain_offer {
   domain_id domain;
   host_id host;
   incarnation started = 0;
   uint64_t sequence = 0;
   std::string address;  // "IP:port" where the host takes spilled requests.
-  std::vector<service_summary> services;
+  std::vector<service_offer> services;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -42,4 +42,4 @@
 
 }  // namespace shallotport
 
-#endif  // SHALLOTPORT_ROUTING_DOMAIN_SUMMARY_H_
+#endif  // SHALLOTPORT_ROUTING_DOMAIN_OFFER_H_
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -17,7 +17,7 @@
 #include "control/configuration.h"
 #include "membership/endpoint_record.h"
 #include "routing/account_limiter.h"
-#include "routing/domain_summary.h"
+#include "routing/domain_offer.h"
 #include "routing/route_query.h"
 #include "routing/routed_service.h"
 #include "routing/spill_directory.h"
@@ -51,9 +51,9 @@
   void RemoveEndpoint(steady_time now, const endpoint_id& id);
 
   // Takes a summary of another failure domain; stale ones are ignored.
-  void OnDomainSummary(steady_time now, const domain_summary& summary);
+  void OnDomainOffer(steady_time now, const domain_offer& summary);
   // What the own failure domain can take, for the hosts of other domains.
-  domain_summary MakeDomainSummary(steady_time now);
+  domain_offer MakeDomainOffer(steady_time now);
 
   // Admits one attempt and chooses where it goes. Fails, as not run, with
   // kNotFound, kOverLimit, kDeadlineUnreachable or kNoCapacity; the last three
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -174,15 +174,15 @@
   }
 }
 
-void request_router::OnDomainSummary(steady_time now,
-                                     const domain_summary& summary) {
+void request_router::OnDomainOffer(steady_time now,
+                                   const domain_offer& summary) {
   if (summary.domain != options_.domain) {
     spill_.Update(now, summary);
   }
 }
 
-domain_summary request_router::MakeDomainSummary(steady_time now) {
-  domain_summary summary;
+domain_offer request_router::MakeDomainOffer(steady_time now) {
+  domain_offer summary;
   summary.domain = options_.domain;
   summary.host = options_.host;
   summary.started = options_.started;
@@ -192,7 +192,7 @@
     route_query query;
     query.service = id;
     CollectCandidates(now, *service, query);
-    service_summary row;
+    service_offer row;
     row.service = id;
     row.endpoints = static_cast<uint32_t>(candidates_.size());
     double shortest = 0;
--- a/src/libshallotport/routing/spill_directory.cc
+++ b/src/libshallotport/routing/spill_directory.cc
@@ -13,7 +13,7 @@
   return nullptr;
 }
 
-void spill_directory::Update(steady_time now, const domain_summary& summary) {
+void spill_directory::Update(steady_time now, const domain_offer& summary) {
   std::erase_if(hosts_, [now](const remote_host& host) {
     return now - host.received_at > kSummaryLifetime;
   });
@@ -38,7 +38,7 @@
     if (now - host.received_at > kSummaryLifetime) {
       continue;
     }
-    for (const service_summary& row : host.summary.services) {
+    for (const service_offer& row : host.summary.services) {
       const duration expected = kHopCost + duration(row.expected_time_us);
       if (row.service != service || expected >= time_to_beat) {
         continue;
--- a/src/libshallotport/routing/spill_directory.h
+++ b/src/libshallotport/routing/spill_directory.h
@@ -9,7 +9,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "routing/domain_summary.h"
+#include "routing/domain_offer.h"
 
 namespace shallotport {
 
@@ -30,7 +30,7 @@
   };
 
   // Ignores summaries that are older than the one known of the same host.
-  void Update(steady_time now, const domain_summary& summary);
+  void Update(steady_time now, const domain_offer& summary);
 
   // The host with the most free slots for the service, whose expected time is
   // below `time_to_beat`; nothing if no other domain has any.
@@ -45,7 +45,7 @@
 
  private:
   struct remote_host {
-    domain_summary summary;
+    domain_offer summary;
     steady_time received_at;
     std::unordered_map<service_id, uint32_t> sent_since;
   };
--- a/src/libshallotport/serving/routing_duty.cc
+++ b/src/libshallotport/serving/routing_duty.cc
@@ -71,14 +71,14 @@
   Push(host_count_message{hosts});
 }
 
-void routing_duty::OnDomainSummary(domain_summary summary) {
+void routing_duty::OnDomainOffer(domain_offer summary) {
   Push(std::move(summary));
 }
 
-domain_summary routing_duty::MakeDomainSummary() {
-  std::promise<domain_summary> reply;
-  std::future<domain_summary> made = reply.get_future();
-  Push(summary_message{&reply});
+domain_offer routing_duty::MakeDomainOffer() {
+  std::promise<domain_offer> reply;
+  std::future<domain_offer> made = reply.get_future();
+  Push(offer_message{&reply});
   return made.get();
 }
 
@@ -97,7 +97,7 @@
       // The thread has ended, so its state is safe to touch from here.
       if (auto* state = std::get_if<state_message>(&pushed)) {
         state->reply->set_value("{}");
-      } else if (auto* summary = std::get_if<summary_message>(&pushed)) {
+      } else if (auto* summary = std::get_if<offer_message>(&pushed)) {
         summary->reply->set_value({});
       }
       return;
@@ -143,8 +143,8 @@
   router_.limiter().SetHostCount(message.hosts);
 }
 
-void routing_duty::On(steady_time now, const domain_summary& summary) {
-  router_.OnDomainSummary(now, summary);
+void routing_duty::On(steady_time now, const domain_offer& summary) {
+  router_.OnDomainOffer(now, summary);
 }
 
 void routing_duty::On(steady_time /*now*/, const state_message& message) {
@@ -153,8 +153,8 @@
   message.reply->set_value(state.dump());
 }
 
-void routing_duty::On(steady_time now, const summary_message& message) {
-  message.reply->set_value(router_.MakeDomainSummary(now));
+void routing_duty::On(steady_time now, const offer_message& message) {
+  message.reply->set_value(router_.MakeDomainOffer(now));
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/serving/routing_duty.h
+++ b/src/libshallotport/serving/routing_duty.h
@@ -12,7 +12,7 @@
 #include "base/duty_thread.h"
 #include "base/result.h"
 #include "membership/endpoint_record.h"
-#include "routing/domain_summary.h"
+#include "routing/domain_offer.h"
 #include "routing/request_router.h"
 
 namespace shallotport {
@@ -46,10 +46,10 @@
   void RemoveEndpoint(endpoint_id id);
   void SetConfiguration(std::shared_ptr<const configuration_snapshot> settings);
   void SetHostCount(uint32_t hosts);
-  void OnDomainSummary(domain_summary summary);
+  void OnDomainOffer(domain_offer summary);
 
   // Asks the routing thread and waits for its answer.
-  domain_summary MakeDomainSummary();
+  domain_offer MakeDomainOffer();
   void WriteState(nlohmann::json& out);
 
  private:
@@ -73,8 +73,8 @@
   struct state_message {
     std::promise<std::string>* reply;
   };
-  struct summary_message {
-    std::promise<domain_summary>* reply;
+  struct offer_message {
+    std::promise<domain_offer>* reply;
   };
   using message = std::variant<admit_message,
                                report_message,
@@ -82,9 +82,9 @@
                                remove_message,
                                std::shared_ptr<const configuration_snapshot>,
                                host_count_message,
-                               domain_summary,
+                               domain_offer,
                                state_message,
-                               summary_message>;
+                               offer_message>;
 
   // Waits while the ring is full: these messages must not be lost.
   void Push(message pushed);
@@ -96,9 +96,9 @@
   void On(steady_time now,
           const std::shared_ptr<const configuration_snapshot>& settings);
   void On(steady_time now, const host_count_message& message);
-  void On(steady_time now, const domain_summary& summary);
+  void On(steady_time now, const domain_offer& summary);
   void On(steady_time now, const state_message& message);
-  void On(steady_time now, const summary_message& message);
+  void On(steady_time now, const offer_message& message);
 
   request_router router_;
   duty_thread<message> thread_;
