--- a/src/libshallotport/serving/online_claims.h
+++ b/src/libshallotport/serving/online_claims.h
@@ -26,11 +26,13 @@
   virtual ~online_claims() = default;
 
   // Has the claim committed before `deadline`. When that is not known in time
-  // the claim is given up: it is never granted later.
+  // the claim is given up: it is never granted later. The call itself ends by
+  // `call_deadline`.
   virtual claim_decided Begin(const claim_subject& subject,
                               const endpoint_id& endpoint,
                               incarnation started,
-                              steady_time deadline) = 0;
+                              steady_time deadline,
+                              steady_time call_deadline) = 0;
 
   // Records the answer. False when it could not be recorded in time; it is
   // then tried further in the background.
--- a/src/libshallotport/serving/online_exchange.cc
+++ b/src/libshallotport/serving/online_exchange.cc
@@ -244,8 +244,8 @@
 void online_exchange::Do(const begin_claim& action) {
   const steady_time limit = std::min(
       request_.deadline, services_.clock->Now() + services_.claim_timeout);
-  mailbox_->Push(services_.claims->Begin(subject_, action.endpoint,
-                                         action.started, limit));
+  mailbox_->Push(services_.claims->Begin(
+      subject_, action.endpoint, action.started, limit, request_.deadline));
 }
 
 void online_exchange::Do(const finish_claim& action) {
--- a/src/libshallotport/settings/host_settings.cc
+++ b/src/libshallotport/settings/host_settings.cc
@@ -41,6 +41,9 @@
     peer.domain = domain_id(entry.Text("domain"));
     peer.address = entry.Address("address");
     peer.is_control_member = entry.Flag("control", false);
+    if (entry.Has("caller_address")) {
+      peer.caller_address = entry.Address("caller_address");
+    }
     if (!hosts.insert(peer.host.text()).second) {
       entry.AddProblem("host", "named twice: " + peer.host.text(),
                        "each host once");
@@ -103,6 +106,9 @@
   settings.operator_lane = ReadLane(top, "operator_lane", 32, 4 * kMegabyte);
   settings.operator_token = top.Text("operator_token");
   settings.endpoint_token = top.Text("endpoint_token");
+  settings.drain_notice =
+      top.Milliseconds("drain_notice_ms", milliseconds(2000), milliseconds(0),
+                       milliseconds(60'000));
   settings.drain_timeout =
       top.Milliseconds("drain_timeout_ms", milliseconds(30'000),
                        milliseconds(0), milliseconds(600'000));
--- a/src/libshallotport/settings/host_settings.h
+++ b/src/libshallotport/settings/host_settings.h
@@ -18,6 +18,7 @@
   domain_id domain;
   std::string address;             // "IP:port" for TCP and UDP.
   bool is_control_member = false;  // Founding member of the replicated log.
+  std::string caller_address;  // "IP:port" for spilled requests; may be empty.
 };
 
 // Bounds of one HTTP interface.
@@ -43,6 +44,9 @@
   std::string operator_token;
   std::string endpoint_token;
 
+  // After SIGTERM: how long the host, no longer ready, still takes requests,
+  // and then how long it waits for those under way.
+  std::chrono::milliseconds drain_notice{0};
   std::chrono::milliseconds drain_timeout{0};
   uint32_t online_calls = 0;  // Calls to endpoints at the same time.
   uint32_t batch_calls = 0;
--- /dev/null
+++ b/src/shallotportd/log_claims.cc
@@ -0,0 +1,83 @@
+#include "log_claims.h"
+
+#include "http/http_message.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::string_view kContentType = "Content-Type";
+
+endpoint_answer AnswerOf(const claim_answer& recorded) {
+  endpoint_answer answer;
+  answer.http_status = recorded.http_status;
+  for (const claim_header& header : recorded.headers) {
+    if (header.name == kContentType) {
+      answer.content_type = header.value;
+    }
+  }
+  answer.body = recorded.body;
+  return answer;
+}
+
+claim_decided Refused(error reason) {
+  claim_decided decided;
+  decided.verdict = claim_ruling::kRefused;
+  decided.reason = std::move(reason);
+  return decided;
+}
+
+}  // namespace
+
+claim_decided log_claims::Begin(const claim_subject& subject,
+                                const endpoint_id& endpoint,
+                                incarnation /*started*/,
+                                steady_time deadline,
+                                steady_time call_deadline) {
+  claim_request request;
+  request.account = subject.account;
+  request.idempotency_key = subject.key;
+  request.request =
+      MakeRequestDigest(subject.method, subject.path, subject.body);
+  request.attempt = subject.attempt;
+  request.endpoint = endpoint;
+  const result<claim_permission> permission =
+      coordinator_.Begin(request, deadline, call_deadline);
+  if (!IsOk(permission)) {
+    return Refused(ErrorOf(permission));
+  }
+  claim_decided decided;
+  if (const auto* recorded = std::get_if<claim_answer>(&ValueOf(permission))) {
+    if (recorded->is_body_dropped) {
+      return Refused(MakeError(
+          error_kind::kOutcomeUnknown,
+          "the call was run; its answer was too large to be recorded"));
+    }
+    decided.verdict = claim_ruling::kRecorded;
+    decided.recorded = AnswerOf(*recorded);
+    return decided;
+  }
+  decided.verdict = claim_ruling::kGranted;
+  return decided;
+}
+
+bool log_claims::Finish(const claim_subject& subject,
+                        const endpoint_answer& answer) {
+  claim_answer recorded;
+  recorded.http_status = static_cast<uint16_t>(answer.http_status);
+  recorded.headers.push_back({std::string(kContentType), answer.content_type});
+  recorded.body = answer.body;
+  return coordinator_.Finish(subject.attempt, std::move(recorded),
+                             clock_.Now() + record_timeout_);
+}
+
+void log_claims::Release(const claim_subject& subject) {
+  // The caller is told "not run" at once; the release goes on behind it.
+  coordinator_.Release(subject.attempt, clock_.Now());
+}
+
+void log_claims::Abandon(const claim_subject& subject) {
+  coordinator_.Forget(subject.attempt);
+}
+
+}  // namespace shallotport
