--- a/src/libshallotport/base/bounded_ring.h
+++ b/src/libshallotport/base/bounded_ring.h
@@ -37,6 +37,16 @@
     return true;
   }
 
+  // As TryPush(), but gives a refused item back.
+  std::optional<T> Offer(T item) {
+    std::optional<T> refused;
+    if (!TryPush(std::move(item))) {
+      // TryPush() has left the item as it was.
+      refused.emplace(std::move(item));  // NOLINT(bugprone-use-after-move)
+    }
+    return refused;
+  }
+
   // Waits for an item until `until`. Nothing on timeout, or when the ring is
   // closed and drained.
   std::optional<T> PopUntil(steady_time until) {
--- a/src/libshallotport/base/duty_thread.h
+++ b/src/libshallotport/base/duty_thread.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_BASE_DUTY_THREAD_H_
 
 #include <functional>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -45,6 +46,11 @@
 
   bool TryPush(Message&& message) { return ring_.TryPush(std::move(message)); }
 
+  // As TryPush(), but gives a refused message back.
+  std::optional<Message> Offer(Message message) {
+    return ring_.Offer(std::move(message));
+  }
+
   const bounded_ring<Message>& ring() const { return ring_; }
 
  private:
--- a/src/libshallotport/serving/exchange_finisher.cc
+++ b/src/libshallotport/serving/exchange_finisher.cc
@@ -23,8 +23,10 @@
 }
 
 void exchange_finisher::Adopt(std::shared_ptr<online_exchange> exchange) {
-  if (!ring_.TryPush(std::move(exchange))) {
-    exchange->RunToEnd();
+  const std::optional<std::shared_ptr<online_exchange>> refused =
+      ring_.Offer(std::move(exchange));
+  if (refused) {
+    (*refused)->RunToEnd();
   }
 }
 
--- a/src/libshallotport/serving/route_table.cc
+++ b/src/libshallotport/serving/route_table.cc
@@ -45,7 +45,9 @@
 
 }  // namespace
 
-void route_table::Add(std::string method, std::string pattern, handler handle) {
+void route_table::Add(std::string method,
+                      const std::string& pattern,
+                      handler handle) {
   route added;
   added.method = std::move(method);
   for (const std::string_view segment : PathSegments(pattern)) {
--- a/src/libshallotport/serving/route_table.h
+++ b/src/libshallotport/serving/route_table.h
@@ -24,7 +24,7 @@
   // `pattern` is a path whose segments may be '*' (any one segment) or, as
   // the last one, '**' (the rest, captured as one text, maybe empty). An empty
   // method takes any.
-  void Add(std::string method, std::string pattern, handler handle);
+  void Add(std::string method, const std::string& pattern, handler handle);
 
   // Runs the first matching handler; 404 when there is none.
   http_reply Handle(const http_request& request) const;
--- a/src/libshallotport/serving/routing_duty.cc
+++ b/src/libshallotport/serving/routing_duty.cc
@@ -32,9 +32,10 @@
 }
 
 void routing_duty::Admit(route_query query, admit_reply reply) {
-  message pushed = admit_message{std::move(query), std::move(reply)};
-  if (!thread_.TryPush(std::move(pushed))) {
-    std::get<admit_message>(pushed).reply(
+  std::optional<message> refused =
+      thread_.Offer(admit_message{std::move(query), std::move(reply)});
+  if (refused) {
+    std::get<admit_message>(*refused).reply(
         error{error_kind::kNoCapacity, "the host has too many requests waiting",
               std::chrono::milliseconds(100)});
   }
@@ -92,17 +93,19 @@
 }
 
 void routing_duty::Push(message pushed) {
-  while (!thread_.TryPush(std::move(pushed))) {
-    if (thread_.ring().IsClosed()) {
-      // The thread has ended, so its state is safe to touch from here.
-      if (auto* state = std::get_if<state_message>(&pushed)) {
-        state->reply->set_value("{}");
-      } else if (auto* summary = std::get_if<offer_message>(&pushed)) {
-        summary->reply->set_value({});
-      }
-      return;
-    }
+  std::optional<message> refused = thread_.Offer(std::move(pushed));
+  while (refused && !thread_.ring().IsClosed()) {
     std::this_thread::sleep_for(kFullRingPause);
+    refused = thread_.Offer(*std::move(refused));
+  }
+  if (!refused) {
+    return;
+  }
+  // The thread has ended: whoever waits for an answer gets an empty one.
+  if (auto* state = std::get_if<state_message>(&*refused)) {
+    state->reply->set_value("{}");
+  } else if (auto* offer = std::get_if<offer_message>(&*refused)) {
+    offer->reply->set_value({});
   }
 }
 
--- a/src/shallotctl/configuration_commands.cc
+++ b/src/shallotctl/configuration_commands.cc
@@ -66,6 +66,7 @@
       {"note", required_argument, nullptr, 'n'},
       {nullptr, 0, nullptr, 0}};
   std::vector<char*> words;
+  words.reserve(arguments.size() + 1);
   for (std::string& word : arguments) {
     words.push_back(word.data());
   }
