--- /dev/null
+++ b/src/libshallotport/consensus/consensus_membership.cc
@@ -0,0 +1,211 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "consensus/consensus_core.h"
+
+namespace shallotport {
+
+namespace {
+
+// A learner this close to the end of the log can vote at once.
+constexpr log_index kMaxPromotionLag = 1'000;
+
+error Refuse(std::string reason) {
+  return MakeError(error_kind::kConflict, std::move(reason));
+}
+
+}  // namespace
+
+void consensus_core::UseMembership(log_index index,
+                                   group_membership membership) {
+  memberships_.emplace_back(index, std::move(membership));
+  SyncPeers();
+}
+
+void consensus_core::DropMembershipsFrom(log_index index) {
+  while (memberships_.size() > 1 && memberships_.back().first >= index) {
+    memberships_.pop_back();
+  }
+}
+
+// Gives each other member of the list a progress record, and only those.
+void consensus_core::SyncPeers() {
+  if (role_ != member_role::kLeader) {
+    return;
+  }
+  for (const group_member& member : membership().members) {
+    if (member.host == options_.host || peers_.contains(member.host)) {
+      continue;
+    }
+    peers_[member.host].StartProbe(log_.last_index() + 1);
+  }
+  std::erase_if(peers_, [this](const auto& each) {
+    return membership().Find(each.first) == nullptr;
+  });
+}
+
+// A leader that was removed leads until its removal is committed.
+void consensus_core::LeaveWhenRemoved(steady_time now) {
+  if (!IsEligible() && memberships_.back().first <= commit_index_) {
+    StartRound(now);
+    Broadcast(now, true);
+    StepDown(now);
+  }
+}
+
+bool consensus_core::IsInContact(steady_time now,
+                                 const group_member& member) const {
+  if (member.host == options_.host) {
+    return true;
+  }
+  const auto peer = peers_.find(member.host);
+  return peer != peers_.end() && peer->second.acked_round > 0 &&
+         now < peer->second.last_ack + options_.election;
+}
+
+result<log_index> consensus_core::ChangeMembership(steady_time now,
+                                                   wall_milliseconds wall,
+                                                   membership_step step,
+                                                   const host_id& host) {
+  if (role_ != member_role::kLeader || !transfer_target_.IsEmpty()) {
+    return MakeError(error_kind::kNotLeader, "not the leader");
+  }
+  if (status checked = CheckStep(now, step, host); !IsOk(checked)) {
+    return ErrorOf(checked);
+  }
+  proposal content;
+  content.command = EncodeMembership(Changed(step, host));
+  AppendOwn(wall, entry_kind::kMembership, std::move(content));
+  return log_.last_index();
+}
+
+status consensus_core::CheckStep(steady_time now,
+                                 membership_step step,
+                                 const host_id& host) const {
+  if (!HasOwnCommit()) {
+    return Refuse("the leader has not committed an entry of its term yet");
+  }
+  if (memberships_.back().first > commit_index_) {
+    return Refuse("the membership change before this is not committed yet");
+  }
+  const group_member* member = membership().Find(host);
+  if (step == membership_step::kAddLearner) {
+    if (member != nullptr) {
+      return Refuse(host.text() + " is a member already");
+    }
+    if (membership().members.size() >= kMaxGroupMembers) {
+      return Refuse("the group has " + std::to_string(kMaxGroupMembers) +
+                    " members already");
+    }
+    return success{};
+  }
+  if (member == nullptr) {
+    return Refuse(host.text() + " is no member");
+  }
+  if (step == membership_step::kPromote) {
+    if (member->is_voter) {
+      return Refuse(host.text() + " is a voter already");
+    }
+    const peer_progress& peer = peers_.at(host);
+    if (!IsInContact(now, *member) || peer.seen_disk == 0) {
+      return Refuse(host.text() + " does not answer");
+    }
+    if (peer.state != feeding::kReplicate ||
+        peer.match + kMaxPromotionLag < log_.last_index()) {
+      return Refuse(host.text() + " is not caught up: it has entry " +
+                    std::to_string(peer.match) + " of " +
+                    std::to_string(log_.last_index()));
+    }
+  }
+  return CheckQuorumKept(now, Changed(step, host));
+}
+
+// The changed list must have a quorum among the members that answer now.
+status consensus_core::CheckQuorumKept(steady_time now,
+                                       const group_membership& changed) const {
+  size_t in_contact = 0;
+  std::string silent;
+  for (const group_member& member : changed.members) {
+    if (!member.is_voter) {
+      continue;
+    }
+    if (IsInContact(now, member)) {
+      ++in_contact;
+    } else {
+      silent += " " + member.host.text();
+    }
+  }
+  if (in_contact > 0 && in_contact >= changed.Quorum()) {
+    return success{};
+  }
+  return Refuse("it would lose the quorum: " + std::to_string(in_contact) +
+                " of " + std::to_string(changed.VoterCount()) +
+                " voters would be left that answer, " +
+                std::to_string(changed.Quorum()) +
+                " are needed; silent:" + silent);
+}
+
+group_membership consensus_core::Changed(membership_step step,
+                                         const host_id& host) const {
+  group_membership changed = membership();
+  const auto at = std::find_if(
+      changed.members.begin(), changed.members.end(),
+      [&](const group_member& member) { return member.host == host; });
+  if (step == membership_step::kAddLearner) {
+    changed.members.push_back({host, 0, false});
+  } else if (step == membership_step::kPromote) {
+    at->is_voter = true;
+    at->disk = peers_.at(host).seen_disk;
+  } else {
+    changed.members.erase(at);
+  }
+  return changed;
+}
+
+void consensus_core::WriteState(nlohmann::json& out) const {
+  constexpr const char* kRoles[] = {"follower", "pre_candidate", "candidate",
+                                    "leader"};
+  out["group"] = options_.group;
+  out["host"] = options_.host.text();
+  out["disk"] = options_.disk;
+  out["role"] = kRoles[static_cast<size_t>(role_)];
+  out["leader"] = leader_.text();
+  out["term"] = state_.term;
+  out["last_index"] = log_.last_index();
+  out["commit_index"] = commit_index_;
+  out["snapshot_index"] = snapshot_index_;
+  for (const group_member& member : membership().members) {
+    nlohmann::json entry = {{"host", member.host.text()},
+                            {"disk", member.disk},
+                            {"voter", member.is_voter}};
+    const auto peer = peers_.find(member.host);
+    if (peer != peers_.end()) {
+      entry["stored_index"] = peer->second.match;
+      entry["has_other_disk"] = member.disk != 0 &&
+                                peer->second.seen_disk != 0 &&
+                                peer->second.seen_disk != member.disk;
+      entry["gets_snapshot"] = peer->second.state == feeding::kSnapshot;
+    }
+    out["members"].push_back(std::move(entry));
+  }
+  nlohmann::json& values = out["counters"];
+  values["log_memory_bytes"] = log_.held_bytes();
+  values["pre_votes"] = counters_.pre_votes;
+  values["elections"] = counters_.elections;
+  values["terms_led"] = counters_.terms_led;
+  values["quorum_losses"] = counters_.quorum_losses;
+  values["proposals"] = counters_.proposals;
+  values["proposals_refused"] = counters_.proposals_refused;
+  values["messages_received"] = counters_.messages_received;
+  values["messages_misaddressed"] = counters_.messages_misaddressed;
+  values["foreign_disk_messages"] = counters_.foreign_disk_messages;
+  values["messages_sent"] = counters_.messages_sent;
+  values["entries_received"] = counters_.entries_received;
+  values["log_conflicts"] = counters_.log_conflicts;
+  values["snapshots_sent"] = counters_.snapshots_sent;
+  values["snapshots_installed"] = counters_.snapshots_installed;
+  values["lease_reads"] = counters_.lease_reads;
+  values["index_reads"] = counters_.index_reads;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/consensus_message.h
@@ -0,0 +1,120 @@
+#ifndef SHALLOTPORT_CONSENSUS_CONSENSUS_MESSAGE_H_
+#define SHALLOTPORT_CONSENSUS_CONSENSUS_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "consensus/log_entry.h"
+
+namespace shallotport {
+
+// Asks for a vote. A pre-vote changes nothing at the receiver: it asks whether
+// an election could be won.
+struct vote_request {
+  bool is_pre_vote = false;
+  bool is_transfer = false;  // The leader itself asked for this election.
+  log_index last_index = 0;
+  uint64_t last_term = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(is_pre_vote, is_transfer, last_index, last_term);
+  }
+};
+
+struct vote_reply {
+  bool is_pre_vote = false;
+  bool is_granted = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(is_pre_vote, is_granted);
+  }
+};
+
+// Entries after `previous_index`; none of them: a heartbeat.
+struct append_request {
+  uint64_t round = 0;  // Echoed, so that the leader can date the answer.
+  log_index previous_index = 0;
+  uint64_t previous_term = 0;
+  log_index commit_index = 0;
+  std::vector<log_entry_pointer> entries;
+};
+
+struct append_reply {
+  uint64_t round = 0;
+  bool is_accepted = false;
+  // Accepted: last entry known to be equal. Refused: where to try again.
+  log_index last_index = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(round, is_accepted, last_index);
+  }
+};
+
+// A part of the leader's snapshot file.
+struct snapshot_chunk {
+  uint64_t round = 0;
+  log_index snapshot_index = 0;
+  uint64_t snapshot_term = 0;
+  uint64_t offset = 0;
+  uint64_t total = 0;
+  std::string bytes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(round, snapshot_index, snapshot_term, offset, total, bytes);
+  }
+};
+
+struct snapshot_reply {
+  uint64_t round = 0;
+  log_index snapshot_index = 0;
+  uint64_t next_offset = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(round, snapshot_index, next_offset);
+  }
+};
+
+// Tells the receiver to start an election at once.
+struct election_order {
+  template <typename Archive>
+  void serialize(Archive&) {}
+};
+
+using consensus_body = std::variant<vote_request,
+                                    vote_reply,
+                                    append_request,
+                                    append_reply,
+                                    snapshot_chunk,
+                                    snapshot_reply,
+                                    election_order>;
+
+// One message between two members of a group.
+struct consensus_message {
+  uint32_t group = 0;
+  host_id from;
+  incarnation from_incarnation = 0;
+  host_id to;
+  incarnation to_incarnation = 0;  // 0: whichever the receiver has.
+  uint64_t term = 0;
+  consensus_body body;
+};
+
+std::string EncodeMessage(const consensus_message& message);
+result<consensus_message> DecodeMessage(std::string_view bytes);
+
+std::string EncodeEntry(const log_entry& entry);
+result<log_entry> DecodeEntry(std::string_view bytes);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_CONSENSUS_MESSAGE_H_
--- /dev/null
+++ b/src/libshallotport/consensus/consensus_replication.cc
@@ -0,0 +1,401 @@
+#include <algorithm>
+#include <utility>
+
+#include "consensus/consensus_core.h"
+
+namespace shallotport {
+
+namespace {
+
+uint64_t BytesOf(const log_entry& entry) {
+  return sizeof(log_entry) + entry.content.command.size();
+}
+
+}  // namespace
+
+result<log_index> consensus_core::Propose(steady_time,
+                                          wall_milliseconds wall,
+                                          proposal proposed) {
+  if (role_ != member_role::kLeader || !transfer_target_.IsEmpty()) {
+    ++counters_.proposals_refused;
+    return MakeError(error_kind::kNotLeader, "not proposed");
+  }
+  if (uncommitted_bytes_ > options_.uncommitted_bytes) {
+    ++counters_.proposals_refused;
+    return MakeError(error_kind::kNoCapacity, "too much is not committed yet");
+  }
+  ++counters_.proposals;
+  AppendOwn(wall, entry_kind::kCommand, std::move(proposed));
+  return log_.last_index();
+}
+
+void consensus_core::AppendOwn(wall_milliseconds wall,
+                               entry_kind kind,
+                               proposal content) {
+  auto entry = std::make_shared<log_entry>();
+  entry->index = log_.last_index() + 1;
+  entry->term = state_.term;
+  entry->kind = kind;
+  entry->leader_time = std::max(wall, log_.last_time());
+  entry->content = std::move(content);
+  uncommitted_bytes_ += BytesOf(*entry);
+  StoreEntry(std::move(entry));
+}
+
+void consensus_core::StoreEntry(log_entry_pointer entry) {
+  if (entry->kind == entry_kind::kMembership) {
+    auto decoded = DecodeMembership(entry->content.command);
+    if (!IsOk(decoded)) {
+      Fault("member list of entry " + std::to_string(entry->index) +
+            " cannot be read");
+      return;
+    }
+    if (entry->index > memberships_.front().first) {
+      UseMembership(entry->index, std::move(ValueOf(decoded)));
+    }
+  }
+  actions_.entries.push_back(entry);
+  log_.Append(std::move(entry));
+}
+
+void consensus_core::StartRound(steady_time now) {
+  ++round_;
+  rounds_.emplace_back(round_, now);
+  heartbeat_due_ = now + options_.heartbeat;
+}
+
+void consensus_core::Broadcast(steady_time now, bool is_heartbeat) {
+  for (const auto& [host, peer] : peers_) {
+    Feed(now, host, is_heartbeat);
+  }
+}
+
+// Sends what the member lacks as far as its window allows; as a heartbeat at
+// least an empty message.
+void consensus_core::Feed(steady_time now,
+                          const host_id& to,
+                          bool is_heartbeat) {
+  peer_progress& peer = peers_.at(to);
+  if (is_heartbeat) {
+    peer.is_probe_sent = false;
+  }
+  if (peer.next <= log_.base_index()) {
+    FeedSnapshot(now, to, peer);
+  }
+  bool has_sent = false;
+  while (peer.state != feeding::kSnapshot && !peer.is_loading &&
+         peer.next <= log_.last_index() && !peer.is_probe_sent &&
+         peer.flight_bytes < options_.flight_bytes) {
+    std::vector<log_entry_pointer> entries;
+    uint64_t bytes = 0;
+    for (log_index at = peer.next;
+         at <= log_.last_index() && bytes < options_.message_bytes; ++at) {
+      log_entry_pointer entry = log_.EntryAt(at);
+      if (entry == nullptr) {
+        break;
+      }
+      bytes += BytesOf(*entry);
+      entries.push_back(std::move(entry));
+    }
+    if (entries.empty()) {
+      peer.is_loading = true;
+      actions_.load_requests.push_back({to, peer.next, options_.message_bytes});
+      break;
+    }
+    SendEntries(to, peer, std::move(entries));
+    has_sent = true;
+  }
+  if (is_heartbeat && !has_sent) {
+    SendHeartbeat(to, peer);
+  }
+}
+
+void consensus_core::SendEntries(const host_id& to,
+                                 peer_progress& peer,
+                                 std::vector<log_entry_pointer> entries) {
+  append_request request;
+  request.round = round_;
+  request.previous_index = peer.next - 1;
+  request.previous_term = log_.TermAt(peer.next - 1).value_or(0);
+  request.commit_index = commit_index_;
+  uint64_t bytes = 0;
+  for (const log_entry_pointer& entry : entries) {
+    bytes += BytesOf(*entry);
+  }
+  const log_index last = entries.back()->index;
+  request.entries = std::move(entries);
+  SendEarly(to, std::move(request));
+  if (peer.state == feeding::kProbe) {
+    peer.is_probe_sent = true;
+    return;
+  }
+  peer.flights.push_back({last, bytes});
+  peer.flight_bytes += bytes;
+  peer.next = last + 1;
+}
+
+void consensus_core::SendHeartbeat(const host_id& to,
+                                   const peer_progress& peer) {
+  append_request request;
+  request.round = round_;
+  // Any log agrees with the empty beginning.
+  const bool is_known =
+      peer.state != feeding::kSnapshot && log_.TermAt(peer.next - 1);
+  request.previous_index = is_known ? peer.next - 1 : 0;
+  request.previous_term = is_known ? *log_.TermAt(peer.next - 1) : 0;
+  request.commit_index = std::min(commit_index_, request.previous_index);
+  SendEarly(to, std::move(request));
+}
+
+void consensus_core::EntriesLoaded(const host_id& to,
+                                   std::vector<log_entry_pointer> entries) {
+  const auto found = peers_.find(to);
+  if (role_ != member_role::kLeader || found == peers_.end()) {
+    return;
+  }
+  peer_progress& peer = found->second;
+  const bool is_wanted = peer.is_loading && !entries.empty() &&
+                         entries.front()->index == peer.next &&
+                         log_.TermAt(peer.next) == entries.front()->term;
+  peer.is_loading = false;
+  if (is_wanted && peer.state != feeding::kSnapshot && !peer.is_probe_sent) {
+    SendEntries(to, peer, std::move(entries));
+  }
+}
+
+void consensus_core::FeedSnapshot(steady_time now,
+                                  const host_id& to,
+                                  peer_progress& peer) {
+  const bool is_new = peer.state != feeding::kSnapshot ||
+                      peer.snapshot_index < log_.base_index();
+  if (is_new) {
+    ++counters_.snapshots_sent;
+    peer.StartProbe(peer.next);
+    peer.state = feeding::kSnapshot;
+    peer.snapshot_index = snapshot_index_;
+    peer.snapshot_offset = 0;
+  } else if (now < peer.snapshot_sent + options_.election) {
+    return;  // The chunk's answer is awaited.
+  }
+  peer.snapshot_sent = now;
+  actions_.chunk_requests.push_back(
+      {to, peer.snapshot_index, peer.snapshot_offset});
+}
+
+void consensus_core::SendChunk(const host_id& to, snapshot_chunk chunk) {
+  const auto term = log_.TermAt(chunk.snapshot_index);
+  if (role_ != member_role::kLeader || !peers_.contains(to) || !term) {
+    return;
+  }
+  chunk.round = round_;
+  chunk.snapshot_term = *term;
+  SendEarly(to, std::move(chunk));
+}
+
+void consensus_core::OnAppendRequest(steady_time now,
+                                     const consensus_message& message,
+                                     const append_request& request) {
+  if (role_ == member_role::kLeader) {
+    Fault("two leaders in term " + std::to_string(state_.term));
+    return;
+  }
+  NoteLeader(now, message.from);
+  const auto term = log_.TermAt(request.previous_index);
+  // Before the base everything is committed and thus equal.
+  const bool is_equal = request.previous_index < log_.base_index() ||
+                        (term && *term == request.previous_term);
+  if (!is_equal) {
+    Send(message.from, append_reply{request.round, false, RetryPoint(request)});
+    return;
+  }
+  if (!StoreRequested(request)) {
+    return;
+  }
+  const log_index last = request.previous_index + request.entries.size();
+  commit_index_ = std::max(commit_index_, std::min(request.commit_index, last));
+  Send(message.from, append_reply{request.round, true, last});
+}
+
+// Skips the whole term of the first entry that differs.
+log_index consensus_core::RetryPoint(const append_request& request) const {
+  if (request.previous_index > log_.last_index()) {
+    return log_.last_index();
+  }
+  const auto term = log_.TermAt(request.previous_index);
+  log_index at = request.previous_index - 1;
+  while (at > commit_index_ && log_.TermAt(at) == term) {
+    --at;
+  }
+  return at;
+}
+
+bool consensus_core::StoreRequested(const append_request& request) {
+  for (const log_entry_pointer& entry : request.entries) {
+    const auto held = log_.TermAt(entry->index);
+    if (entry->index <= log_.base_index() || held == entry->term) {
+      continue;
+    }
+    if (held && entry->index <= commit_index_) {
+      Fault("committed entry " + std::to_string(entry->index) +
+            " differs from the leader's");
+      return false;
+    }
+    if (held) {
+      ++counters_.log_conflicts;
+      log_.TruncateFrom(entry->index);
+      DropMembershipsFrom(entry->index);
+      persisted_index_ = std::min(persisted_index_, log_.last_index());
+      while (!actions_.entries.empty() &&
+             actions_.entries.back()->index >= entry->index) {
+        actions_.entries.pop_back();
+      }
+    }
+    ++counters_.entries_received;
+    StoreEntry(entry);
+  }
+  return true;
+}
+
+// Books an answer; null when its sender does not count.
+peer_progress* consensus_core::NoteReply(steady_time now,
+                                         const consensus_message& message,
+                                         uint64_t round) {
+  const auto found = peers_.find(message.from);
+  const group_member* member = membership().Find(message.from);
+  if (role_ != member_role::kLeader || found == peers_.end() ||
+      member == nullptr) {
+    return nullptr;
+  }
+  peer_progress& peer = found->second;
+  const bool is_other_disk =
+      peer.seen_disk != 0 && peer.seen_disk != message.from_incarnation;
+  peer.seen_disk = message.from_incarnation;
+  if (member->disk != 0 && member->disk != message.from_incarnation) {
+    ++counters_.foreign_disk_messages;
+    return nullptr;
+  }
+  if (is_other_disk && member->disk == 0) {
+    peer.match = 0;
+    peer.StartProbe(log_.last_index() + 1);
+  }
+  peer.last_ack = now;
+  peer.acked_round = std::max(peer.acked_round, std::min(round, round_));
+  return &peer;
+}
+
+void consensus_core::OnAppendReply(steady_time now,
+                                   const consensus_message& message,
+                                   const append_reply& reply) {
+  peer_progress* peer = NoteReply(now, message, reply.round);
+  if (peer == nullptr || reply.last_index > log_.last_index()) {
+    return;
+  }
+  if (!reply.is_accepted) {
+    if (peer->state != feeding::kSnapshot) {
+      peer->StartProbe(std::max(peer->match, reply.last_index) + 1);
+      Feed(now, message.from, false);
+    }
+    return;
+  }
+  peer->match = std::max(peer->match, reply.last_index);
+  peer->AcknowledgeFlights(reply.last_index);
+  const bool is_fed_by_snapshot =
+      peer->state == feeding::kSnapshot && peer->match < log_.base_index();
+  if (is_fed_by_snapshot) {
+    return;
+  }
+  peer->next = std::max(peer->next, peer->match + 1);
+  if (peer->state != feeding::kReplicate &&
+      reply.last_index + 1 >= peer->next) {
+    peer->StartProbe(peer->match + 1);
+    peer->state = feeding::kReplicate;
+  }
+  AdvanceCommit();
+}
+
+void consensus_core::AdvanceCommit() {
+  if (role_ != member_role::kLeader) {
+    return;
+  }
+  std::vector<log_index> stored;
+  for (const group_member& member : membership().members) {
+    if (!member.is_voter) {
+      continue;
+    }
+    const auto peer = peers_.find(member.host);
+    stored.push_back(peer == peers_.end() ? persisted_index_
+                                          : peer->second.match);
+  }
+  const size_t quorum = membership().Quorum();
+  if (quorum == 0 || stored.size() < quorum) {
+    return;
+  }
+  std::sort(stored.rbegin(), stored.rend());
+  const log_index reached = stored[quorum - 1];
+  if (reached <= commit_index_ || log_.TermAt(reached) != state_.term) {
+    return;
+  }
+  for (log_index at = commit_index_ + 1; at <= reached; ++at) {
+    const log_entry_pointer entry = log_.EntryAt(at);
+    const uint64_t bytes = entry == nullptr ? 0 : BytesOf(*entry);
+    uncommitted_bytes_ -= std::min(uncommitted_bytes_, bytes);
+  }
+  commit_index_ = reached;
+}
+
+void consensus_core::OnSnapshotChunk(steady_time now,
+                                     const consensus_message& message,
+                                     const snapshot_chunk& chunk) {
+  if (role_ == member_role::kLeader) {
+    Fault("two leaders in term " + std::to_string(state_.term));
+    return;
+  }
+  NoteLeader(now, message.from);
+  if (!NeedsSnapshot(chunk.snapshot_index, chunk.snapshot_term)) {
+    commit_index_ = std::max(commit_index_, chunk.snapshot_index);
+    Send(message.from, append_reply{chunk.round, true, chunk.snapshot_index});
+    return;
+  }
+  actions_.received_chunks.push_back({message.from, chunk});
+}
+
+bool consensus_core::NeedsSnapshot(log_index index, uint64_t term) const {
+  return index > commit_index_ && log_.TermAt(index) != term;
+}
+
+void consensus_core::ChunkStored(const received_chunk& chunk,
+                                 uint64_t next_offset) {
+  Send(chunk.from, snapshot_reply{chunk.chunk.round, chunk.chunk.snapshot_index,
+                                  next_offset});
+}
+
+void consensus_core::SnapshotInstalled(const received_chunk& last_chunk,
+                                       const snapshot_point& point) {
+  ++counters_.snapshots_installed;
+  log_.Reset(point.index, point.term, point.leader_time);
+  memberships_.clear();
+  memberships_.emplace_back(point.index, point.membership);
+  commit_index_ = point.index;
+  persisted_index_ = point.index;
+  snapshot_index_ = point.index;
+  Send(last_chunk.from,
+       append_reply{last_chunk.chunk.round, true, point.index});
+}
+
+void consensus_core::OnSnapshotReply(steady_time now,
+                                     const consensus_message& message,
+                                     const snapshot_reply& reply) {
+  peer_progress* peer = NoteReply(now, message, reply.round);
+  const bool is_wanted = peer != nullptr && peer->state == feeding::kSnapshot &&
+                         peer->snapshot_index == reply.snapshot_index &&
+                         peer->snapshot_offset != reply.next_offset;
+  if (!is_wanted) {
+    return;
+  }
+  peer->snapshot_offset = reply.next_offset;
+  peer->snapshot_sent = now;
+  actions_.chunk_requests.push_back(
+      {message.from, peer->snapshot_index, peer->snapshot_offset});
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -0,0 +1,479 @@
+#include "consensus/forwarding_log.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "base/codec.h"
+#include "base/random_source.h"
+#include "consensus/blocking_reply.h"
+#include "consensus/consensus_core.h"
+#include "consensus/forwarding_message.h"
+#include "consensus/replica.h"
+#include "consensus/session_table.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kFirstBackoff{10};
+constexpr std::chrono::milliseconds kLongestBackoff{200};
+
+// How a call that is under way stands.
+struct call_progress {
+  bool may_be_proposed = false;
+  host_id target;
+  host_id silent;  // Did not answer the last attempt.
+  duration backoff = kFirstBackoff;
+  error last_error = MakeError(error_kind::kNotLeader, "no member answered");
+};
+
+// Kinds after which another member, or the same one later, may do better.
+bool IsWorthRetry(error_kind kind) {
+  return kind == error_kind::kNotLeader || kind == error_kind::kNoQuorum ||
+         kind == error_kind::kStorageFull || kind == error_kind::kNoCapacity;
+}
+
+// Kinds with which a member promises that it did not propose the command.
+bool IsSurelyNotProposed(error_kind kind) {
+  return Answer(kind).run == run_outcome::kNotRun;
+}
+
+}  // namespace
+
+class forwarding_log::implementation
+    : public std::enable_shared_from_this<implementation> {
+ public:
+  implementation(forwarding_options options,
+                 const clock_source& clock,
+                 send_function send)
+      : options_(std::move(options)),
+        clock_(clock),
+        send_(std::move(send)),
+        random_(options_.seed) {
+    for (uint32_t lane = options_.lanes; lane > 0; --lane) {
+      free_lanes_.push_back(lane - 1);
+    }
+    sequences_.resize(options_.lanes);
+  }
+
+  void OnPeerMessage(const host_id& from, std::string_view bytes);
+  result<std::string> Propose(replicated_slice slice,
+                              std::string command,
+                              steady_time deadline);
+  result<std::string> Call(forwarding_request request, steady_time deadline);
+  void Stop();
+  host_id leader() const;
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  std::optional<proposal_origin> TakeLane(steady_time deadline);
+  void ReturnLane(const proposal_origin& origin);
+  std::optional<result<std::string>> Attempt(forwarding_request& request,
+                                             call_progress& progress,
+                                             steady_time deadline);
+  void StartAttempt(const forwarding_request& request,
+                    const host_id& target,
+                    const std::shared_ptr<blocking_reply>& waiting);
+  void SubmitLocally(const forwarding_request& request,
+                     replica::reply_function reply);
+  void PauseUntil(steady_time until);
+  void ChooseTarget(call_progress& progress);
+  void Serve(const host_id& from, const forwarding_request& request);
+  void TakeReply(const host_id& from, forwarding_reply reply);
+  void NoteLeader(const host_id& leader);
+  bool IsStopped() const;
+  uint64_t Count(uint64_t& counter, uint64_t by = 1);
+
+  const forwarding_options options_;
+  const clock_source& clock_;
+  const send_function send_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  bool is_stopped_ = false;
+  random_source random_;
+  host_id leader_;
+  size_t next_member_ = 0;
+  uint64_t next_call_ = 1;
+  std::vector<uint32_t> free_lanes_;
+  std::vector<uint64_t> sequences_;
+  std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting_;
+
+  uint64_t calls_ = 0;
+  uint64_t attempts_ = 0;
+  uint64_t served_ = 0;
+  uint64_t unanswered_ = 0;
+  uint64_t unknown_replies_ = 0;
+};
+
+bool forwarding_log::implementation::IsStopped() const {
+  const std::lock_guard lock(mutex_);
+  return is_stopped_;
+}
+
+uint64_t forwarding_log::implementation::Count(uint64_t& counter, uint64_t by) {
+  const std::lock_guard lock(mutex_);
+  counter += by;
+  return counter;
+}
+
+// Waits for a free lane; the sequence of its next proposal comes with it.
+std::optional<proposal_origin> forwarding_log::implementation::TakeLane(
+    steady_time deadline) {
+  std::unique_lock lock(mutex_);
+  changed_.wait_until(lock, deadline,
+                      [this] { return !free_lanes_.empty() || is_stopped_; });
+  if (free_lanes_.empty() || is_stopped_) {
+    return std::nullopt;
+  }
+  proposal_origin origin;
+  origin.host = options_.host;
+  origin.started = options_.started;
+  origin.lane = free_lanes_.back();
+  origin.sequence = ++sequences_[origin.lane];
+  free_lanes_.pop_back();
+  return origin;
+}
+
+void forwarding_log::implementation::ReturnLane(const proposal_origin& origin) {
+  {
+    const std::lock_guard lock(mutex_);
+    free_lanes_.push_back(origin.lane);
+  }
+  changed_.notify_all();
+}
+
+result<std::string> forwarding_log::implementation::Propose(
+    replicated_slice slice,
+    std::string command,
+    steady_time deadline) {
+  const auto origin = TakeLane(deadline);
+  if (!origin) {
+    return MakeError(error_kind::kNotLeader, "no lane was free in time");
+  }
+  forwarding_request request;
+  request.content = {*origin, slice, std::move(command)};
+  result<std::string> outcome = Call(std::move(request), deadline);
+  ReturnLane(*origin);
+  return outcome;
+}
+
+// Resends until an answer is final or the deadline passes.
+result<std::string> forwarding_log::implementation::Call(
+    forwarding_request request,
+    steady_time deadline) {
+  Count(calls_);
+  call_progress progress;
+  while (clock_.Now() < deadline && !IsStopped()) {
+    if (auto outcome = Attempt(request, progress, deadline)) {
+      return *std::move(outcome);
+    }
+  }
+  if (progress.may_be_proposed) {
+    return MakeError(error_kind::kNoQuorum, progress.last_error.detail);
+  }
+  const bool is_refused =
+      progress.last_error.kind == error_kind::kStorageFull ||
+      progress.last_error.kind == error_kind::kNoCapacity;
+  return is_refused
+             ? progress.last_error
+             : MakeError(error_kind::kNotLeader, progress.last_error.detail);
+}
+
+std::optional<result<std::string>> forwarding_log::implementation::Attempt(
+    forwarding_request& request,
+    call_progress& progress,
+    steady_time deadline) {
+  ChooseTarget(progress);
+  const auto waiting = std::make_shared<blocking_reply>();
+  {
+    const std::lock_guard lock(mutex_);
+    request.call = next_call_++;
+    waiting_[request.call] = waiting;
+    ++attempts_;
+  }
+  StartAttempt(request, progress.target, waiting);
+  const steady_time until =
+      std::min(deadline, clock_.Now() + options_.attempt_timeout);
+  auto reply = waiting->WaitUntil(until);
+  {
+    const std::lock_guard lock(mutex_);
+    waiting_.erase(request.call);
+  }
+  const bool has_effect = request.kind != forwarded_call::kQuery;
+  if (!reply) {
+    Count(unanswered_);
+    progress.may_be_proposed |= has_effect;
+    progress.last_error = MakeError(error_kind::kNoQuorum,
+                                    progress.target.text() + " did not answer");
+    progress.silent = std::exchange(progress.target, host_id());
+    return std::nullopt;
+  }
+  if (IsOk(*reply)) {
+    NoteLeader(progress.target);
+    return reply;
+  }
+  progress.last_error = ErrorOf(*reply);
+  progress.may_be_proposed |=
+      has_effect && !IsSurelyNotProposed(progress.last_error.kind);
+  if (!IsWorthRetry(progress.last_error.kind)) {
+    return reply;
+  }
+  progress.silent = host_id();
+  const host_id known = leader();
+  const bool is_redirected = !known.IsEmpty() && known != progress.target;
+  progress.target = is_redirected ? known : host_id();
+  if (!is_redirected) {
+    duration pause;
+    {
+      const std::lock_guard lock(mutex_);
+      pause = progress.backoff / 2 +
+              duration(UniformBelow(
+                  random_, static_cast<uint64_t>(progress.backoff.count())));
+    }
+    progress.backoff =
+        std::min<duration>(2 * progress.backoff, kLongestBackoff);
+    PauseUntil(std::min(deadline, clock_.Now() + pause));
+  }
+  return std::nullopt;
+}
+
+void forwarding_log::implementation::PauseUntil(steady_time until) {
+  std::unique_lock lock(mutex_);
+  changed_.wait_until(lock, until, [this] { return is_stopped_; });
+}
+
+// The known leader first; else the members in turn.
+void forwarding_log::implementation::ChooseTarget(call_progress& progress) {
+  if (!progress.target.IsEmpty()) {
+    return;
+  }
+  const host_id local_view =
+      options_.local == nullptr ? host_id() : options_.local->leader();
+  const std::lock_guard lock(mutex_);
+  if (!local_view.IsEmpty()) {
+    leader_ = local_view;
+  }
+  if (!leader_.IsEmpty() && leader_ != progress.silent) {
+    progress.target = leader_;
+  } else if (!options_.members.empty()) {
+    progress.target =
+        options_.members[next_member_++ % options_.members.size()];
+  } else {
+    progress.target = options_.host;
+  }
+}
+
+void forwarding_log::implementation::StartAttempt(
+    const forwarding_request& request,
+    const host_id& target,
+    const std::shared_ptr<blocking_reply>& waiting) {
+  if (target != options_.host) {
+    send_(target, Encode(forwarding_message(request)));
+    return;
+  }
+  if (options_.local == nullptr) {
+    waiting->Set(MakeError(error_kind::kNotLeader, "no member on this host"));
+    return;
+  }
+  SubmitLocally(request,
+                [waiting](auto reply) { waiting->Set(std::move(reply)); });
+}
+
+void forwarding_log::implementation::SubmitLocally(
+    const forwarding_request& request,
+    replica::reply_function reply) {
+  switch (request.kind) {
+    case forwarded_call::kProposal:
+      options_.local->SubmitProposal(request.content, std::move(reply));
+      return;
+    case forwarded_call::kQuery:
+      options_.local->SubmitQuery(request.content.slice,
+                                  request.content.command, std::move(reply));
+      return;
+    case forwarded_call::kMembership:
+      options_.local->SubmitStep(static_cast<membership_step>(request.step),
+                                 request.subject, std::move(reply));
+      return;
+  }
+  reply(MakeError(error_kind::kInvalidRequest, "unknown kind of call"));
+}
+
+void forwarding_log::implementation::OnPeerMessage(const host_id& from,
+                                                   std::string_view bytes) {
+  auto message = Decode<forwarding_message>(bytes);
+  if (!IsOk(message)) {
+    return;
+  }
+  if (auto* reply = std::get_if<forwarding_reply>(&ValueOf(message))) {
+    TakeReply(from, std::move(*reply));
+  } else {
+    Serve(from, std::get<forwarding_request>(ValueOf(message)));
+  }
+}
+
+// Answers another host's call from the local member.
+void forwarding_log::implementation::Serve(const host_id& from,
+                                           const forwarding_request& request) {
+  Count(served_);
+  const auto answer = [self = weak_from_this(), from,
+                       call = request.call](result<std::string> outcome) {
+    const auto alive = self.lock();
+    if (alive == nullptr) {
+      return;
+    }
+    forwarding_reply reply;
+    reply.call = call;
+    reply.is_ok = IsOk(outcome);
+    reply.kind = IsOk(outcome) ? error_kind::kInternal : ErrorOf(outcome).kind;
+    reply.text =
+        IsOk(outcome) ? std::move(ValueOf(outcome)) : ErrorOf(outcome).detail;
+    if (alive->options_.local != nullptr) {
+      reply.leader = alive->options_.local->leader();
+    }
+    alive->send_(from, Encode(forwarding_message(reply)));
+  };
+  if (options_.local == nullptr) {
+    answer(MakeError(error_kind::kNotLeader, "no member on this host"));
+    return;
+  }
+  SubmitLocally(request, answer);
+}
+
+void forwarding_log::implementation::TakeReply(const host_id&,
+                                               forwarding_reply reply) {
+  std::shared_ptr<blocking_reply> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = waiting_.find(reply.call);
+    if (found == waiting_.end()) {
+      ++unknown_replies_;
+      return;
+    }
+    waiting = found->second;
+    leader_ = reply.leader;
+  }
+  const bool is_known_kind = static_cast<size_t>(reply.kind) < kErrorKindCount;
+  const error_kind kind = is_known_kind ? reply.kind : error_kind::kInternal;
+  waiting->Set(reply.is_ok ? result<std::string>(std::move(reply.text))
+                           : result<std::string>(MakeError(kind, reply.text)));
+}
+
+void forwarding_log::implementation::NoteLeader(const host_id& leader) {
+  const std::lock_guard lock(mutex_);
+  leader_ = leader;
+}
+
+host_id forwarding_log::implementation::leader() const {
+  if (options_.local != nullptr) {
+    host_id known = options_.local->leader();
+    if (!known.IsEmpty()) {
+      return known;
+    }
+  }
+  const std::lock_guard lock(mutex_);
+  return leader_;
+}
+
+void forwarding_log::implementation::Stop() {
+  std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopped_ = true;
+    waiting = waiting_;
+  }
+  changed_.notify_all();
+  for (const auto& [call, reply] : waiting) {
+    reply->Set(MakeError(error_kind::kNoQuorum, "the host is shutting down"));
+  }
+}
+
+void forwarding_log::implementation::WriteState(nlohmann::json& out) const {
+  out["leader"] = leader().text();
+  const std::lock_guard lock(mutex_);
+  nlohmann::json& counters = out["counters"];
+  counters["log_calls"] = calls_;
+  counters["log_attempts"] = attempts_;
+  counters["log_calls_served"] = served_;
+  counters["log_attempts_unanswered"] = unanswered_;
+  counters["log_replies_unknown"] = unknown_replies_;
+  counters["log_calls_waiting"] = waiting_.size();
+}
+
+result<std::unique_ptr<forwarding_log>> forwarding_log::Create(
+    forwarding_options options,
+    const clock_source& clock,
+    send_function send) {
+  const bool is_reachable =
+      options.local != nullptr || !options.members.empty();
+  if (options.host.IsEmpty() || !is_reachable) {
+    return MakeError(error_kind::kInvalidRequest,
+                     "a forwarding log needs a host id and members");
+  }
+  if (options.lanes == 0 || options.lanes > session_table::kMaxLanes) {
+    return MakeError(error_kind::kInvalidRequest, "too many lanes");
+  }
+  return std::unique_ptr<forwarding_log>(
+      new forwarding_log(std::make_shared<implementation>(
+          std::move(options), clock, std::move(send))));
+}
+
+forwarding_log::forwarding_log(std::shared_ptr<implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+forwarding_log::~forwarding_log() {
+  Stop();
+}
+
+void forwarding_log::OnPeerMessage(const host_id& from, std::string bytes) {
+  implementation_->OnPeerMessage(from, bytes);
+}
+
+result<std::string> forwarding_log::Propose(replicated_slice slice,
+                                            std::string command,
+                                            steady_time deadline) {
+  return implementation_->Propose(slice, std::move(command), deadline);
+}
+
+result<std::string> forwarding_log::Query(replicated_slice slice,
+                                          std::string query,
+                                          steady_time deadline) {
+  forwarding_request request;
+  request.kind = forwarded_call::kQuery;
+  request.content.slice = slice;
+  request.content.command = std::move(query);
+  return implementation_->Call(std::move(request), deadline);
+}
+
+status forwarding_log::ChangeMembership(membership_step step,
+                                        const host_id& host,
+                                        steady_time deadline) {
+  forwarding_request request;
+  request.kind = forwarded_call::kMembership;
+  request.step = static_cast<uint8_t>(step);
+  request.subject = host;
+  const auto reply = implementation_->Call(std::move(request), deadline);
+  if (!IsOk(reply)) {
+    return ErrorOf(reply);
+  }
+  return success{};
+}
+
+void forwarding_log::Stop() {
+  implementation_->Stop();
+}
+
+host_id forwarding_log::leader() const {
+  return implementation_->leader();
+}
+
+void forwarding_log::WriteState(nlohmann::json& out) const {
+  implementation_->WriteState(out);
+}
+
+}  // namespace shallotport
--- a/src/libshallotport/consensus/forwarding_log.h
+++ b/src/libshallotport/consensus/forwarding_log.h
@@ -17,13 +17,14 @@
 namespace shallotport {
 
 class replica;
+enum class membership_step : uint8_t;
 
 // How a host reaches the replicated log.
 struct forwarding_options {
   host_id host;
   incarnation started = 0;       // Higher at each start of this host.
   std::vector<host_id> members;  // Where to look for the leader.
-  replica* local = nullptr;      // This host's own member, if it has one.
+  replica* local = nullptr;      // This host's own member; outlives the log.
   uint64_t seed = 1;
   duration attempt_timeout = std::chrono::milliseconds(500);
   uint32_t lanes = 256;  // Proposals of this host under way at once.
@@ -57,7 +58,13 @@
                             std::string query,
                             steady_time deadline) override;
 
-  // Ends all waiting calls. Idempotent; stop the local replica first.
+  // One step of a membership change, taken by the leader. kConflict with the
+  // reason when it is refused.
+  status ChangeMembership(membership_step step,
+                          const host_id& host,
+                          steady_time deadline);
+
+  // Ends all waiting calls. Idempotent.
   void Stop();
 
   // The member that last led, as far as known here.
--- /dev/null
+++ b/src/libshallotport/consensus/forwarding_message.h
@@ -0,0 +1,53 @@
+#ifndef SHALLOTPORT_CONSENSUS_FORWARDING_MESSAGE_H_
+#define SHALLOTPORT_CONSENSUS_FORWARDING_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "consensus/log_entry.h"
+
+namespace shallotport {
+
+// Numbers of the message format; never reused.
+enum class forwarded_call : uint8_t {
+  kProposal = 1,
+  kQuery = 2,
+  kMembership = 3,
+};
+
+// A call on its way to a member of the log. Matched with its reply by `call`.
+struct forwarding_request {
+  uint64_t call = 0;
+  forwarded_call kind = forwarded_call::kProposal;
+  proposal content;  // For a query the command is the query.
+  uint8_t step = 0;  // membership_step, for kMembership.
+  host_id subject;   // Whom the step is about.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, kind, content, step, subject);
+  }
+};
+
+// The answer of a member, with the leader as it knows it.
+struct forwarding_reply {
+  uint64_t call = 0;
+  bool is_ok = false;
+  error_kind kind = error_kind::kInternal;
+  std::string text;  // The reply, or the error's detail.
+  host_id leader;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, is_ok, kind, text, leader);
+  }
+};
+
+using forwarding_message = std::variant<forwarding_request, forwarding_reply>;
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_FORWARDING_MESSAGE_H_
--- a/src/libshallotport/consensus/log_entry.h
+++ b/src/libshallotport/consensus/log_entry.h
@@ -27,8 +27,6 @@
   uint32_t lane = 0;
   uint64_t sequence = 0;
 
-  auto operator<=>(const proposal_origin&) const = default;
-
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(host, started, lane, sequence);
--- /dev/null
+++ b/src/libshallotport/consensus/log_window.h
@@ -0,0 +1,72 @@
+#ifndef SHALLOTPORT_CONSENSUS_LOG_WINDOW_H_
+#define SHALLOTPORT_CONSENSUS_LOG_WINDOW_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "base/ids.h"
+#include "consensus/log_entry.h"
+
+namespace shallotport {
+
+// The part of the log after the last compaction: the term of each entry, and
+// the entries themselves as far as a byte budget allows. Others are read back
+// from the log files by the driver.
+class log_window {
+ public:
+  explicit log_window(uint64_t budget_bytes) : budget_bytes_(budget_bytes) {}
+
+  // Entry before the first one; 0 when nothing was compacted.
+  log_index base_index() const { return base_index_; }
+  uint64_t base_term() const { return base_term_; }
+  log_index last_index() const { return base_index_ + slots_.size(); }
+  uint64_t last_term() const;
+  wall_milliseconds last_time() const { return last_time_; }
+  uint64_t held_bytes() const { return held_bytes_; }
+  // Entries up to this one may have left memory.
+  log_index evicted_to() const { return evicted_to_; }
+
+  // Nothing when the entry was compacted away or does not exist.
+  std::optional<uint64_t> TermAt(log_index index) const;
+
+  // The leader's time in the entry; 0 when it was compacted away.
+  wall_milliseconds TimeAt(log_index index) const;
+
+  // Null when the entry is not held in memory.
+  log_entry_pointer EntryAt(log_index index) const;
+
+  void Append(log_entry_pointer entry);
+  // Removes the entries from `index` on.
+  void TruncateFrom(log_index index);
+  // Removes the entries up to `index`, which is in the window.
+  void CompactTo(log_index index);
+  // Drops everything: the log continues after a snapshot.
+  void Reset(log_index index, uint64_t term, wall_milliseconds time);
+
+  // Gives up entries up to `index` from memory while above the budget.
+  void Evict(log_index index);
+
+ private:
+  struct slot {
+    uint64_t term;
+    wall_milliseconds time;
+    log_entry_pointer entry;
+  };
+
+  const slot* SlotAt(log_index index) const;
+  void Drop(slot& dropped);
+
+  const uint64_t budget_bytes_;
+  log_index base_index_ = 0;
+  uint64_t base_term_ = 0;
+  wall_milliseconds base_time_ = 0;
+  wall_milliseconds last_time_ = 0;
+  std::deque<slot> slots_;
+  uint64_t held_bytes_ = 0;
+  log_index evicted_to_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_LOG_WINDOW_H_
--- a/src/libshallotport/consensus/replica.h
+++ b/src/libshallotport/consensus/replica.h
@@ -20,6 +20,7 @@
 
 class file_system;
 class replica_driver;
+enum class membership_step : uint8_t;
 
 // How one member of a consensus group runs.
 struct replica_options {
@@ -96,12 +97,21 @@
   status AddLearner(const host_id& host, steady_time deadline);
   status Promote(const host_id& host, steady_time deadline);
   status Remove(const host_id& host, steady_time deadline);
+  // One step, as the three above.
+  status Change(membership_step step,
+                const host_id& host,
+                steady_time deadline);
   // All steps to put `added` in the place of `removed`; they may be the same
   // host when it lost its disk.
   status Replace(const host_id& removed,
                  const host_id& added,
                  steady_time deadline);
 
+  // Without waiting, as above.
+  void SubmitStep(membership_step step,
+                  const host_id& host,
+                  reply_function reply);
+
   // Dumps the state, asked from the duty thread. Thread-safe.
   void WriteState(nlohmann::json& out) const;
 
@@ -109,6 +119,7 @@
   explicit replica(std::unique_ptr<replica_driver> driver);
 
   std::unique_ptr<replica_driver> driver_;
+  bool is_started_ = false;
 };
 
 }  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -0,0 +1,185 @@
+#ifndef SHALLOTPORT_CONSENSUS_REPLICA_DRIVER_H_
+#define SHALLOTPORT_CONSENSUS_REPLICA_DRIVER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/duty_thread.h"
+#include "base/ids.h"
+#include "base/result.h"
+#include "consensus/consensus_core.h"
+#include "consensus/log_entry.h"
+#include "consensus/replica.h"
+#include "consensus/replica_storage.h"
+#include "consensus/state_machine_set.h"
+#include "storage/incoming_snapshot.h"
+
+namespace shallotport {
+
+class file_system;
+
+// What reaches a replica's duty thread.
+struct peer_bytes {
+  std::string bytes;
+};
+struct submitted_proposal {
+  proposal content;
+  replica::reply_function reply;
+};
+struct submitted_query {
+  replicated_slice slice = replicated_slice::kConfiguration;
+  std::string query;
+  replica::reply_function reply;
+};
+struct submitted_step {
+  membership_step step = membership_step::kAddLearner;
+  host_id host;
+  replica::reply_function reply;
+};
+struct state_dump {
+  std::shared_ptr<std::promise<std::string>> text;
+};
+struct stop_order {
+  std::shared_ptr<std::promise<void>> done;
+};
+using replica_event = std::variant<peer_bytes,
+                                   submitted_proposal,
+                                   submitted_query,
+                                   submitted_step,
+                                   state_dump,
+                                   stop_order>;
+
+// Runs one member: feeds the core from the ring and does what it says. Events
+// that are waiting in the ring together share one sync. All state but the
+// published part belongs to the duty thread.
+class replica_driver {
+ public:
+  replica_driver(replica_options options,
+                 const clock_source& clock,
+                 replica::send_function send);
+  ~replica_driver();
+
+  state_machine_set& states() { return states_; }
+  const clock_source& clock() const { return clock_; }
+
+  // Recovers files and states.
+  status Open();
+  // Starts the duty thread; without it Handle() and Flush() are called in
+  // turn by whoever owns the driver.
+  void Start();
+  void Stop();
+
+  bool TryPush(replica_event event);
+  void Handle(steady_time now, replica_event event);
+  // Does all that is due; returns when to be called again.
+  steady_time Flush(steady_time now);
+  // Waits for the snapshot that is being written, if any.
+  void FinishSnapshot();
+
+  host_id published_leader() const;
+  steady_time published_lease_end() const;
+  uint64_t published_term() const;
+
+  const consensus_core* core() const { return core_.get(); }
+  log_index applied_index() const { return applied_; }
+  bool is_failed() const { return !failure_.empty(); }
+  // Called with each committed entry that is applied.
+  std::function<void(const log_entry& entry)> on_applied;
+
+ private:
+  struct waiting_proposal {
+    uint64_t term = 0;
+    replica::reply_function reply;
+  };
+  struct waiting_query {
+    replicated_slice slice = replicated_slice::kConfiguration;
+    std::string query;
+    replica::reply_function reply;
+  };
+
+  // replica_driver.cc
+  void OnEvent(steady_time now, peer_bytes& event);
+  void OnEvent(steady_time now, submitted_proposal& event);
+  void OnEvent(steady_time now, submitted_query& event);
+  void OnEvent(steady_time now, submitted_step& event);
+  void OnEvent(steady_time now, state_dump& event);
+  void OnEvent(steady_time now, stop_order& event);
+  void Await(const result<log_index>& index, replica::reply_function reply);
+  void Fail(const std::string& reason);
+  void FailWaiting(const error& cause);
+  void Publish();
+  void FinishStop(steady_time now);
+  void WriteState(nlohmann::json& out) const;
+
+  // replica_execution.cc
+  bool RunActions(steady_time now);
+  bool Store(steady_time now, const consensus_actions& actions);
+  bool RetryStore(steady_time now);
+  void SendAll(const std::vector<consensus_message>& messages);
+  void SendChunks(const std::vector<chunk_request>& requests);
+  void LoadEntries(const std::vector<load_request>& requests);
+  void TakeChunk(steady_time now, const received_chunk& received);
+  void InstallSnapshot(const received_chunk& last);
+  void ApplyCommitted();
+  void ApplyEntry(const log_entry& entry);
+  result<log_entry_pointer> EntryAt(log_index index) const;
+  void AnswerReads(const consensus_actions& actions);
+  void AnswerRead(uint64_t read);
+  void StartSnapshotWhenDue();
+  void TakeSnapshotResult(steady_time now);
+
+  const replica_options options_;
+  const clock_source& clock_;
+  const replica::send_function send_;
+  file_system& files_;
+  state_machine_set states_;
+  std::unique_ptr<replica_storage> storage_;
+  std::unique_ptr<consensus_core> core_;
+
+  log_index applied_ = 0;
+  bool was_leader_ = false;
+  std::string failure_;
+  bool is_disk_full_ = false;
+  steady_time disk_retry_{};
+  bool is_nearly_full_ = false;
+  steady_time space_check_{};
+  uint64_t next_read_ = 1;
+  std::map<log_index, waiting_proposal> proposals_;
+  std::map<uint64_t, waiting_query> queries_;
+  std::multimap<log_index, uint64_t> granted_;  // Read by needed index.
+  std::unique_ptr<incoming_snapshot> incoming_;
+
+  uint64_t bytes_since_snapshot_ = 0;
+  log_index snapshot_index_ = 0;
+  uint64_t snapshot_bytes_ = 0;
+  uint64_t snapshots_taken_ = 0;
+  uint64_t snapshots_failed_ = 0;
+  uint64_t sent_bytes_ = 0;
+  std::future<std::pair<log_index, result<uint64_t>>> snapshot_;
+
+  std::shared_ptr<std::promise<void>> stopping_;
+  steady_time stop_due_{};
+
+  mutable std::mutex published_mutex_;
+  host_id published_leader_;
+  std::atomic<duration::rep> published_lease_end_{0};
+  std::atomic<uint64_t> published_term_{0};
+
+  duty_thread<replica_event> duty_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_REPLICA_DRIVER_H_
--- /dev/null
+++ b/src/libshallotport/consensus/replica_execution.cc
@@ -0,0 +1,315 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "consensus/replica_driver.h"
+#include "storage/file_system.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::string_view kDuty = "consensus";
+constexpr uint64_t kChunkBytes = 256u << 10;
+constexpr log_index kMaxApplyBatch = 512;
+constexpr std::chrono::milliseconds kDiskRetryInterval{500};
+
+}  // namespace
+
+// Does one round of the core's actions; true when there may be more.
+bool replica_driver::RunActions(steady_time now) {
+  const consensus_actions actions = core_->TakeActions(now);
+  if (!actions.fault.empty()) {
+    Fail(actions.fault);
+    return false;
+  }
+  SendAll(actions.early_messages);
+  if (!Store(now, actions)) {
+    return false;
+  }
+  SendAll(actions.messages);
+  SendChunks(actions.chunk_requests);
+  LoadEntries(actions.load_requests);
+  for (const received_chunk& chunk : actions.received_chunks) {
+    TakeChunk(now, chunk);
+  }
+  const log_index before = applied_;
+  ApplyCommitted();
+  AnswerReads(actions);
+  return !is_failed() &&
+         (applied_ != before || !actions.entries.empty() || actions.state ||
+          !actions.load_requests.empty() || !actions.received_chunks.empty());
+}
+
+bool replica_driver::Store(steady_time now, const consensus_actions& actions) {
+  if (actions.state) {
+    storage_->PutState(*actions.state);
+  }
+  for (const log_entry_pointer& entry : actions.entries) {
+    storage_->PutEntry(*entry);
+    bytes_since_snapshot_ += entry->content.command.size();
+  }
+  const status synced = storage_->Sync();
+  if (IsOk(synced)) {
+    core_->Persisted(core_->log().last_index());
+    return true;
+  }
+  if (ErrorOf(synced).kind != error_kind::kStorageFull) {
+    Fail(ErrorOf(synced).detail);
+    return false;
+  }
+  // Nothing that depends on this write is said; it is tried again later.
+  LogWarning(kDuty, "the disk is full; this member pauses");
+  is_disk_full_ = true;
+  disk_retry_ = now + kDiskRetryInterval;
+  core_->StepDown(now);
+  return false;
+}
+
+bool replica_driver::RetryStore(steady_time now) {
+  if (now < disk_retry_) {
+    return false;
+  }
+  disk_retry_ = now + kDiskRetryInterval;
+  const status synced = storage_->Sync();
+  if (IsOk(synced)) {
+    LogStateChange(kDuty, "the disk has space again");
+    is_disk_full_ = false;
+    core_->Persisted(core_->log().last_index());
+    return true;
+  }
+  if (ErrorOf(synced).kind != error_kind::kStorageFull) {
+    is_disk_full_ = false;
+    Fail(ErrorOf(synced).detail);
+  }
+  return false;
+}
+
+void replica_driver::SendAll(const std::vector<consensus_message>& messages) {
+  for (const consensus_message& message : messages) {
+    std::string bytes = EncodeMessage(message);
+    sent_bytes_ += bytes.size();
+    send_(message.to, std::move(bytes));
+  }
+}
+
+void replica_driver::SendChunks(const std::vector<chunk_request>& requests) {
+  for (const chunk_request& request : requests) {
+    const std::string path =
+        storage_->snapshots().PathOf(request.snapshot_index);
+    const auto total = files_.SizeOf(path);
+    auto bytes = files_.Read(path, request.offset, kChunkBytes);
+    if (!IsOk(total) || !IsOk(bytes)) {
+      continue;  // Asked for again, with a newer snapshot in time.
+    }
+    snapshot_chunk chunk;
+    chunk.snapshot_index = request.snapshot_index;
+    chunk.offset = request.offset;
+    chunk.total = ValueOf(total);
+    chunk.bytes = std::move(ValueOf(bytes));
+    core_->SendChunk(request.to, std::move(chunk));
+  }
+}
+
+void replica_driver::LoadEntries(const std::vector<load_request>& requests) {
+  for (const load_request& request : requests) {
+    std::vector<log_entry_pointer> entries;
+    uint64_t bytes = 0;
+    for (log_index at = request.first;
+         at <= core_->log().last_index() && bytes < request.max_bytes; ++at) {
+      const auto entry = storage_->ReadEntry(at);
+      if (!IsOk(entry)) {
+        break;
+      }
+      entries.push_back(ValueOf(entry));
+      bytes += ValueOf(entry)->content.command.size() + sizeof(log_entry);
+    }
+    core_->EntriesLoaded(request.to, std::move(entries));
+  }
+}
+
+void replica_driver::TakeChunk(steady_time now,
+                               const received_chunk& received) {
+  const snapshot_chunk& chunk = received.chunk;
+  if (!core_->NeedsSnapshot(chunk.snapshot_index, chunk.snapshot_term)) {
+    return;
+  }
+  const bool is_other =
+      incoming_ == nullptr || incoming_->index() != chunk.snapshot_index;
+  if (is_other) {
+    incoming_.reset();
+    auto created = incoming_snapshot::Create(
+        storage_->snapshots(), options_.group, chunk.snapshot_index);
+    if (!IsOk(created)) {
+      return;
+    }
+    incoming_ = std::move(ValueOf(created));
+  }
+  if (status stored = incoming_->Append(chunk.offset, chunk.bytes);
+      !IsOk(stored)) {
+    return;
+  }
+  if (incoming_->size() < chunk.total) {
+    core_->ChunkStored(received, incoming_->size());
+    return;
+  }
+  InstallSnapshot(received);
+  (void)now;
+}
+
+// Publishes the received file first: a crash before the log's reset record
+// leaves a log that does not contain the snapshot, which recovery drops.
+void replica_driver::InstallSnapshot(const received_chunk& last) {
+  const std::unique_ptr<incoming_snapshot> whole = std::move(incoming_);
+  if (status committed = whole->Commit(); !IsOk(committed)) {
+    LogWarning(kDuty, "received snapshot: " + ErrorOf(committed).detail);
+    core_->ChunkStored(last, 0);
+    return;
+  }
+  const auto point =
+      states_.Load(storage_->snapshots(), options_.group, whole->index());
+  if (!IsOk(point)) {
+    Fail(ErrorOf(point).detail);
+    return;
+  }
+  storage_->PutReset(ValueOf(point));
+  if (status synced = storage_->Sync(); !IsOk(synced)) {
+    Fail(ErrorOf(synced).detail);
+    return;
+  }
+  core_->SnapshotInstalled(last, ValueOf(point));
+  applied_ = ValueOf(point).index;
+  snapshot_index_ = applied_;
+  bytes_since_snapshot_ = 0;
+  storage_->RemoveBefore(applied_ + 1, applied_);
+  LogStateChange(kDuty,
+                 "loaded the snapshot of entry " + std::to_string(applied_));
+}
+
+result<log_entry_pointer> replica_driver::EntryAt(log_index index) const {
+  log_entry_pointer held = core_->log().EntryAt(index);
+  if (held != nullptr) {
+    return held;
+  }
+  return storage_->ReadEntry(index);
+}
+
+void replica_driver::ApplyCommitted() {
+  const log_index end =
+      std::min(core_->commit_index(), applied_ + kMaxApplyBatch);
+  while (applied_ < end) {
+    const auto entry = EntryAt(applied_ + 1);
+    if (!IsOk(entry)) {
+      Fail(ErrorOf(entry).detail);
+      return;
+    }
+    ApplyEntry(*ValueOf(entry));
+  }
+  core_->Applied(applied_);
+  while (!granted_.empty() && granted_.begin()->first <= applied_) {
+    AnswerRead(granted_.begin()->second);
+    granted_.erase(granted_.begin());
+  }
+}
+
+void replica_driver::ApplyEntry(const log_entry& entry) {
+  result<std::string> reply = std::string();
+  if (entry.kind == entry_kind::kCommand) {
+    reply = states_.Apply(entry);
+  }
+  applied_ = entry.index;
+  if (on_applied) {
+    on_applied(entry);
+  }
+  const auto waiting = proposals_.find(entry.index);
+  if (waiting == proposals_.end()) {
+    return;
+  }
+  const waiting_proposal answered = std::move(waiting->second);
+  proposals_.erase(waiting);
+  if (answered.term != entry.term) {
+    reply = MakeError(error_kind::kNotLeader, "overwritten by a later leader");
+  }
+  answered.reply(std::move(reply));
+}
+
+void replica_driver::AnswerReads(const consensus_actions& actions) {
+  for (const read_grant& grant : actions.granted_reads) {
+    if (grant.index <= applied_) {
+      AnswerRead(grant.read);
+    } else {
+      granted_.emplace(grant.index, grant.read);
+    }
+  }
+  for (const uint64_t read : actions.failed_reads) {
+    const auto found = queries_.find(read);
+    if (found != queries_.end()) {
+      const waiting_query failed = std::move(found->second);
+      queries_.erase(found);
+      failed.reply(MakeError(error_kind::kNotLeader, "leadership was lost"));
+    }
+  }
+}
+
+void replica_driver::AnswerRead(uint64_t read) {
+  const auto found = queries_.find(read);
+  if (found == queries_.end()) {
+    return;
+  }
+  const waiting_query answered = std::move(found->second);
+  queries_.erase(found);
+  answered.reply(states_.Query(answered.slice, answered.query));
+}
+
+void replica_driver::StartSnapshotWhenDue() {
+  const bool is_due =
+      applied_ > snapshot_index_ &&
+      (bytes_since_snapshot_ >=
+           std::max(options_.snapshot_after_bytes, snapshot_bytes_) ||
+       applied_ - snapshot_index_ >= options_.snapshot_after_entries);
+  if (!is_due || snapshot_.valid()) {
+    return;
+  }
+  snapshot_point point;
+  point.index = applied_;
+  point.term = core_->log().TermAt(applied_).value_or(0);
+  point.membership = core_->MembershipAt(applied_);
+  point.leader_time = core_->log().TimeAt(applied_);
+  auto copy = std::make_shared<state_snapshot>(states_.BeginSnapshot(point));
+  bytes_since_snapshot_ = 0;
+  snapshot_index_ = applied_;
+  snapshot_ = std::async(
+      std::launch::async,
+      [copy, folder = storage_->snapshots(), group = options_.group] {
+        return std::pair(copy->point.index,
+                         WriteSnapshotFile(folder, group, *copy));
+      });
+}
+
+void replica_driver::FinishSnapshot() {
+  if (snapshot_.valid()) {
+    snapshot_.wait();
+  }
+}
+
+void replica_driver::TakeSnapshotResult(steady_time now) {
+  const bool is_done =
+      snapshot_.valid() &&
+      snapshot_.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  if (!is_done) {
+    return;
+  }
+  const auto [index, size] = snapshot_.get();
+  if (!IsOk(size)) {
+    ++snapshots_failed_;
+    LogWarning(kDuty, "snapshot: " + ErrorOf(size).detail);
+    return;
+  }
+  ++snapshots_taken_;
+  snapshot_bytes_ = ValueOf(size);
+  core_->SnapshotTaken(now, index);
+  storage_->RemoveBefore(core_->log().base_index() + 1,
+                         core_->OldestNeededSnapshot(now));
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/replica_test.cc
@@ -0,0 +1,131 @@
+#include "consensus/replica.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "consensus/consensus_core.h"
+#include "consensus/forwarding_log.h"
+#include "consensus/register_state_test_util.h"
+
+namespace shallotport {
+namespace {
+
+// Three replicas in one process on real files, linked by direct calls, and a
+// forwarding log beside each; host-4 has no replica.
+class replica_test : public testing::Test {
+ protected:
+  struct node {
+    register_state state;
+    std::unique_ptr<replica> member;
+    std::unique_ptr<forwarding_log> log;
+  };
+
+  void SetUp() override {
+    folder_ = std::filesystem::temp_directory_path() /
+              ("shallotport-replica-" + std::to_string(::getpid()));
+    for (const host_id& host : hosts_) {
+      MakeMember(host);
+    }
+    nodes_.try_emplace(host_id("host-4"));
+    for (const host_id& host : hosts_) {
+      StartLog(host);
+    }
+    StartLog(host_id("host-4"));
+    for (const host_id& host : hosts_) {
+      ASSERT_TRUE(IsOk(nodes_[host].member->Start()));
+    }
+  }
+
+  void TearDown() override {
+    for (auto& [host, each] : nodes_) {
+      each.log->Stop();
+    }
+    for (auto& [host, each] : nodes_) {
+      if (each.member != nullptr) {
+        each.member->Stop();
+      }
+    }
+    nodes_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void MakeMember(const host_id& host) {
+    replica_options options;
+    options.host = host;
+    options.folder = folder_ / host.text();
+    options.initial_members = hosts_;
+    options.heartbeat = std::chrono::milliseconds(20);
+    options.election = std::chrono::milliseconds(200);
+    options.lease = std::chrono::milliseconds(150);
+    node& started = nodes_[host];
+    auto member = replica::Create(
+        options, clock_, [this, host](const host_id& to, std::string bytes) {
+          const auto found = nodes_.find(to);
+          if (found != nodes_.end() && found->second.member != nullptr) {
+            found->second.member->OnPeerMessage(host, std::move(bytes));
+          }
+        });
+    ASSERT_TRUE(IsOk(member));
+    started.member = std::move(ValueOf(member));
+    started.member->Register(replicated_slice::kOrders, &started.state);
+  }
+
+  void StartLog(const host_id& host) {
+    forwarding_options options;
+    options.host = host;
+    options.started = 1;
+    options.members = hosts_;
+    options.local = nodes_[host].member.get();
+    auto log = forwarding_log::Create(
+        options, clock_, [this, host](const host_id& to, std::string bytes) {
+          const auto found = nodes_.find(to);
+          if (found != nodes_.end() && found->second.log != nullptr) {
+            found->second.log->OnPeerMessage(host, std::move(bytes));
+          }
+        });
+    ASSERT_TRUE(IsOk(log));
+    nodes_[host].log = std::move(ValueOf(log));
+  }
+
+  steady_time Soon() const { return clock_.Now() + std::chrono::seconds(20); }
+
+  const std::vector<host_id> hosts_ = {host_id("host-1"), host_id("host-2"),
+                                       host_id("host-3")};
+  system_clock_source clock_;
+  std::filesystem::path folder_;
+  std::map<host_id, node> nodes_;
+};
+
+TEST_F(replica_test, EveryHostReachesTheLog) {
+  constexpr int kCommands = 20;
+  for (auto& [host, each] : nodes_) {
+    for (int i = 0; i < kCommands; ++i) {
+      const auto reply =
+          each.log->Propose(replicated_slice::kOrders, "add 1", Soon());
+      ASSERT_TRUE(IsOk(reply)) << ErrorOf(reply).detail;
+    }
+  }
+  const auto total = nodes_[host_id("host-4")].log->Query(
+      replicated_slice::kOrders, "", Soon());
+  ASSERT_TRUE(IsOk(total));
+  EXPECT_EQ(ValueOf(total), std::to_string(kCommands * 4));
+}
+
+TEST_F(replica_test, StoppedLeaderHandsOver) {
+  forwarding_log& log = *nodes_[host_id("host-4")].log;
+  ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  const host_id leader = log.leader();
+  nodes_[leader].member->Stop();
+  ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  EXPECT_NE(log.leader(), leader);
+  const auto total = log.Query(replicated_slice::kOrders, "", Soon());
+  ASSERT_TRUE(IsOk(total));
+  EXPECT_EQ(ValueOf(total), "2");
+}
+
+}  // namespace
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/session_table.h
@@ -0,0 +1,82 @@
+#ifndef SHALLOTPORT_CONSENSUS_SESSION_TABLE_H_
+#define SHALLOTPORT_CONSENSUS_SESSION_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "consensus/log_entry.h"
+
+namespace shallotport {
+
+// Part of the replicated state: which proposals were applied, so that a resend
+// is answered and not applied again. For each origin host it keeps the latest
+// incarnation, and for each of its lanes the last sequence with its reply.
+// Bounded by kMaxOrigins hosts, kMaxLanes lanes each and kMaxKeptReply bytes a
+// reply; the host that has been silent longest gives way to a new one.
+class session_table {
+ public:
+  static constexpr size_t kMaxOrigins = 2'048;
+  static constexpr uint32_t kMaxLanes = 256;
+  static constexpr size_t kMaxKeptReply = 4'096;
+
+  enum class verdict : uint8_t {
+    kNew,        // Apply it.
+    kDuplicate,  // Applied before: ReplyTo() has the reply.
+    kOvertaken,  // Older than what is remembered: refuse it.
+  };
+
+  verdict Check(const proposal_origin& origin) const;
+
+  // The reply of a duplicate; kOutcomeUnknown when it was too long to keep.
+  result<std::string> ReplyTo(const proposal_origin& origin) const;
+
+  // Remembers the reply of a new proposal that was applied at `index`.
+  void Record(const proposal_origin& origin,
+              log_index index,
+              std::string_view reply);
+
+  size_t size() const { return sessions_.size(); }
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sessions_);
+  }
+
+ private:
+  struct lane {
+    uint64_t sequence = 0;
+    bool is_kept = true;
+    std::string reply;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(sequence, is_kept, reply);
+    }
+  };
+
+  struct session {
+    incarnation started = 0;
+    log_index last_use = 0;
+    std::map<uint32_t, lane> lanes;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(started, last_use, lanes);
+    }
+  };
+
+  void MakeRoom();
+
+  std::map<host_id, session> sessions_;
+};
+
+std::string EncodeSessions(const session_table& sessions);
+result<session_table> DecodeSessions(std::string_view bytes);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_SESSION_TABLE_H_
