consensus: focused tests of isolation, one-way cuts, lost disks and full disks

Members run on fake files, drifting clocks and links in one thread, with an oracle for lost changes, order of commits, stale reads and double leases.

--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -321,8 +321,8 @@
 void forwarding_log::implementation::Serve(const host_id& from,
                                            const forwarding_request& request) {
   Count(served_);
-  const auto answer = [self = weak_from_this(), from,
-                       call = request.call](result<std::string> outcome) {
+  const auto answer = [self = weak_from_this(), from, call = request.call](
+                          const result<std::string>& outcome) {
     const auto alive = self.lock();
     if (alive == nullptr) {
       return;
@@ -331,8 +331,7 @@
     reply.call = call;
     reply.is_ok = IsOk(outcome);
     reply.kind = IsOk(outcome) ? error_kind::kInternal : ErrorOf(outcome).kind;
-    reply.text =
-        IsOk(outcome) ? std::move(ValueOf(outcome)) : ErrorOf(outcome).detail;
+    reply.text = IsOk(outcome) ? ValueOf(outcome) : ErrorOf(outcome).detail;
     if (alive->options_.local != nullptr) {
       reply.leader = alive->options_.local->leader();
     }
@@ -430,7 +429,8 @@
   Stop();
 }
 
-void forwarding_log::OnPeerMessage(const host_id& from, std::string bytes) {
+void forwarding_log::OnPeerMessage(const host_id& from,
+                                   std::string_view bytes) {
   implementation_->OnPeerMessage(from, bytes);
 }
 
--- a/src/libshallotport/consensus/forwarding_log.h
+++ b/src/libshallotport/consensus/forwarding_log.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -47,7 +48,7 @@
   ~forwarding_log() override;
 
   // A message of the peer channel kLogForwarding. Thread-safe.
-  void OnPeerMessage(const host_id& from, std::string bytes);
+  void OnPeerMessage(const host_id& from, std::string_view bytes);
 
   // kNotLeader: surely not proposed anywhere. kNoQuorum: it may still commit.
   // kOutcomeUnknown: a later proposal of its lane overtook it.
--- /dev/null
+++ b/src/libshallotport/consensus/replica_group_test.cc
@@ -0,0 +1,182 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "consensus/replica_group_test_util.h"
+
+namespace shallotport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class replica_group_test : public testing::TestWithParam<int> {
+ protected:
+  host_id OtherThan(const host_id& host) const {
+    for (const auto& [other, each] : group_.members_) {
+      if (other != host) {
+        return other;
+      }
+    }
+    return host_id();
+  }
+
+  replica_group group_{7, Hosts(3)};
+};
+
+TEST_F(replica_group_test, CommitsAndReads) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  EXPECT_TRUE(group_.Commit("a", seconds(1)));
+  group_.Read(group_.Leader());
+  group_.Run(seconds(1));
+  EXPECT_EQ(group_.reads_answered, 1u);
+  group_.CheckConverged();
+}
+
+TEST_F(replica_group_test, LongSilentIsolationAndReturn) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  ASSERT_TRUE(group_.Commit("a", seconds(1)));
+  const host_id old_leader = group_.Leader();
+  const uint64_t old_term = group_.members_[old_leader].driver->core()->term();
+  group_.Isolate(old_leader);
+  group_.Run(seconds(3));
+  ASSERT_NE(group_.Leader(), old_leader);
+  for (int i = 0; i < 200; ++i) {
+    ASSERT_TRUE(group_.Commit("b" + std::to_string(i), seconds(1)));
+  }
+  group_.Run(seconds(600));
+  const host_id leader = group_.Leader();
+  const uint64_t term = group_.members_[leader].driver->core()->term();
+  EXPECT_GT(term, old_term);
+  group_.Heal();
+  group_.Run(seconds(5));
+  // The returning member neither deposes the leader nor raises the term.
+  EXPECT_EQ(group_.Leader(), leader);
+  EXPECT_EQ(group_.members_[leader].driver->core()->term(), term);
+  group_.CheckConverged();
+}
+
+// A member that reaches the others but hears nobody must not depose a leader.
+TEST_F(replica_group_test, OneWayCutDoesNotDeposeTheLeader) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  const host_id leader = group_.Leader();
+  const uint64_t term = group_.members_[leader].driver->core()->term();
+  const host_id deaf = OtherThan(leader);
+  for (const auto& [other, each] : group_.members_) {
+    group_.Cut(other, deaf, false);
+  }
+  group_.Run(seconds(60));
+  EXPECT_EQ(group_.Leader(), leader);
+  EXPECT_EQ(group_.members_[leader].driver->core()->term(), term);
+}
+
+// A leader that is heard but hears nobody gives way.
+TEST_F(replica_group_test, DeafLeaderGivesWay) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  const host_id leader = group_.Leader();
+  for (const auto& [other, each] : group_.members_) {
+    group_.Cut(other, leader, false);
+  }
+  group_.Run(seconds(5));
+  EXPECT_FALSE(group_.Leader().IsEmpty());
+  EXPECT_NE(group_.Leader(), leader);
+  EXPECT_TRUE(group_.Commit("a", seconds(1)));
+}
+
+TEST_F(replica_group_test, SecondHostLostRightAfterRepair) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  for (int i = 0; i < 120; ++i) {
+    ASSERT_TRUE(group_.Commit("a" + std::to_string(i), seconds(1)));
+  }
+  const host_id first = OtherThan(group_.Leader());
+  group_.Crash(first, seconds(1));
+  group_.members_[first].files.Wipe();
+  group_.Run(seconds(3));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kRemove, first, seconds(5))));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kAddLearner, first, seconds(5))));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kPromote, first, seconds(10))));
+  // The leader is lost with its disk the moment the repair is done.
+  const host_id second = group_.Leader();
+  group_.Crash(second, seconds(1));
+  group_.members_[second].files.Wipe();
+  ASSERT_TRUE(group_.Commit("b", seconds(10)));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kRemove, second, seconds(5))));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kAddLearner, second, seconds(5))));
+  ASSERT_TRUE(
+      IsOk(group_.RunChange(membership_step::kPromote, second, seconds(10))));
+  group_.Run(seconds(2));
+  group_.CheckConverged();
+}
+
+// Two emptied disks of three must not found the group a second time.
+TEST_F(replica_group_test, EmptiedDisksDoNotVote) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  ASSERT_TRUE(group_.Commit("a", seconds(1)));
+  const host_id leader = group_.Leader();
+  for (auto& [host, each] : group_.members_) {
+    if (host != leader) {
+      group_.Crash(host, milliseconds(100));
+      each.files.Wipe();
+    }
+  }
+  group_.Run(seconds(60));
+  EXPECT_TRUE(group_.Leader().IsEmpty());
+  // The emptied two alone neither.
+  group_.Isolate(leader);
+  group_.Run(seconds(60));
+  EXPECT_TRUE(group_.Leader().IsEmpty());
+}
+
+TEST_F(replica_group_test, RefusesAStepThatWouldLoseTheQuorum) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  ASSERT_TRUE(group_.Commit("a", seconds(1)));
+  const host_id leader = group_.Leader();
+  const host_id silent = OtherThan(leader);
+  group_.Crash(silent, seconds(1000));
+  group_.Run(seconds(2));
+  host_id third;
+  for (const auto& [host, each] : group_.members_) {
+    third = host != leader && host != silent ? host : third;
+  }
+  const status refused =
+      group_.RunChange(membership_step::kRemove, third, seconds(1));
+  ASSERT_FALSE(IsOk(refused));
+  EXPECT_EQ(ErrorOf(refused).kind, error_kind::kConflict);
+  EXPECT_NE(ErrorOf(refused).detail.find("lose the quorum"), std::string::npos)
+      << ErrorOf(refused).detail;
+  EXPECT_TRUE(
+      IsOk(group_.RunChange(membership_step::kRemove, silent, seconds(5))));
+}
+
+TEST_F(replica_group_test, FailedSyncSilencesTheMember) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  const host_id leader = group_.Leader();
+  group_.members_[leader].files.FailSyncs(1);
+  ASSERT_TRUE(group_.Commit("a", seconds(10)));
+  EXPECT_TRUE(group_.members_[leader].driver->is_failed());
+  EXPECT_NE(group_.Leader(), leader);
+  group_.Run(seconds(10));
+  EXPECT_NE(group_.Leader(), leader);
+}
+
+TEST_F(replica_group_test, FullDiskLosesNothing) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  ASSERT_TRUE(group_.Commit("a", seconds(1)));
+  const host_id leader = group_.Leader();
+  fake_file_system& files = group_.members_[leader].files;
+  files.SetCapacity(files.used_bytes() + 20);
+  ASSERT_TRUE(group_.Commit("b", seconds(10)));
+  EXPECT_NE(group_.Leader(), leader);
+  files.SetCapacity(UINT64_MAX);
+  group_.Run(seconds(10));
+  EXPECT_FALSE(group_.members_[leader].driver->is_failed());
+  group_.CheckConverged();
+}
+
+}  // namespace
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/consensus/replica_group_test_util.h
@@ -0,0 +1,397 @@
+#ifndef SHALLOTPORT_CONSENSUS_REPLICA_GROUP_TEST_UTIL_H_
+#define SHALLOTPORT_CONSENSUS_REPLICA_GROUP_TEST_UTIL_H_
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random_source.h"
+#include "consensus/register_state_test_util.h"
+#include "consensus/replica_driver.h"
+#include "storage/fake_file_system_test_util.h"
+
+namespace shallotport {
+
+// Members of one group on fake files, clocks and links, driven by one thread,
+// with the oracle of what was acknowledged and committed.
+class replica_group {
+ public:
+  static constexpr auto kStep = std::chrono::milliseconds(5);
+
+  // A monotonic clock that drifts against the others.
+  class drifting_clock final : public clock_source {
+   public:
+    drifting_clock(const replica_group& group, double rate, int64_t offset)
+        : group_(group), rate_(rate), offset_(offset) {}
+    steady_time Now() const override {
+      const auto elapsed = static_cast<double>(group_.elapsed_.count());
+      return steady_time(
+          duration(offset_ + static_cast<int64_t>(rate_ * elapsed)));
+    }
+    wall_milliseconds WallNow() const override {
+      return offset_ + group_.elapsed_.count() / 1000;
+    }
+
+   private:
+    const replica_group& group_;
+    const double rate_;
+    const int64_t offset_;
+  };
+
+  struct member {
+    fake_file_system files;
+    std::unique_ptr<drifting_clock> clock;
+    std::unique_ptr<register_state> state;
+    std::unique_ptr<replica_driver> driver;  // Null while it is down.
+    steady_time due{};
+    duration restart_at{};
+  };
+
+  struct packet {
+    host_id from;
+    host_id to;
+    std::string bytes;
+    duration due;
+  };
+
+  // One client's command; resent until it is answered.
+  struct client {
+    proposal content;
+    bool is_open = false;
+    int attempts = 0;
+    duration retry_at{};
+  };
+
+  replica_group(uint64_t seed, std::vector<host_id> founders)
+      : random_(seed), founders_(std::move(founders)) {
+    for (const host_id& host : founders_) {
+      AddHost(host);
+    }
+  }
+
+  ~replica_group() {
+    for (auto& [host, each] : members_) {
+      each.driver.reset();
+    }
+  }
+
+  void AddHost(const host_id& host) {
+    member& added = members_[host];
+    const double rate = 0.95 + 0.1 * UniformUnit(random_);
+    added.clock = std::make_unique<drifting_clock>(
+        *this, rate,
+        1'000'000 + static_cast<int64_t>(UniformBelow(random_, 1'000'000)));
+    Start(host);
+  }
+
+  void Start(const host_id& host) {
+    member& started = members_.at(host);
+    replica_options options;
+    options.host = host;
+    options.folder = "/data";
+    options.initial_members = founders_;
+    options.seed = random_();
+    options.snapshot_after_entries = snapshot_after_entries;
+    options.files = &started.files;
+    started.state = std::make_unique<register_state>();
+    started.driver = std::make_unique<replica_driver>(
+        options, *started.clock,
+        [this, host](const host_id& to, std::string bytes) {
+          Send(host, to, std::move(bytes));
+        });
+    started.driver->states().Register(replicated_slice::kOrders,
+                                      started.state.get());
+    started.driver->on_applied = [this, host](const log_entry& entry) {
+      CheckApplied(host, entry);
+    };
+    const status opened = started.driver->Open();
+    ASSERT_TRUE(IsOk(opened)) << host.text() << ": " << ErrorOf(opened).detail;
+    started.due = started.clock->Now();
+  }
+
+  // Ends the process; unsynced bytes are lost in part.
+  void Crash(const host_id& host, duration down_time) {
+    member& crashed = members_.at(host);
+    crashed.driver.reset();
+    crashed.files.Crash(random_);
+    crashed.restart_at = elapsed_ + down_time;
+  }
+
+  void Send(const host_id& from, const host_id& to, std::string bytes) {
+    if (!members_.contains(to) || cuts_.contains({from, to}) ||
+        UniformUnit(random_) < drop_share) {
+      return;
+    }
+    const int copies = UniformUnit(random_) < duplicate_share ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      const auto delay = duration(UniformBelow(random_, max_delay.count()));
+      packets_.push_back({from, to, bytes, elapsed_ + delay});
+    }
+  }
+
+  void Cut(const host_id& a, const host_id& b, bool is_both_ways) {
+    cuts_.insert({a, b});
+    if (is_both_ways) {
+      cuts_.insert({b, a});
+    }
+  }
+  void Isolate(const host_id& host) {
+    for (const auto& [other, each] : members_) {
+      Cut(host, other, true);
+    }
+  }
+  void Heal() { cuts_.clear(); }
+
+  // Lets one step of time pass: packets, restarts, members and clients.
+  void Step() {
+    elapsed_ += kStep;
+    std::vector<packet> due;
+    std::erase_if(packets_, [&](packet& each) {
+      const bool is_due = each.due <= elapsed_;
+      if (is_due) {
+        due.push_back(std::move(each));
+      }
+      return is_due;
+    });
+    std::shuffle(due.begin(), due.end(), random_);
+    for (packet& each : due) {
+      member& to = members_.at(each.to);
+      const bool is_cut = cuts_.contains({each.from, each.to});
+      if (to.driver != nullptr && !is_cut) {
+        to.driver->Handle(to.clock->Now(), peer_bytes{std::move(each.bytes)});
+        to.due = to.clock->Now();
+      }
+    }
+    for (auto& [host, each] : members_) {
+      if (each.driver == nullptr && elapsed_ >= each.restart_at) {
+        Start(host);
+      }
+      if (each.driver != nullptr && each.clock->Now() >= each.due) {
+        each.due = each.driver->Flush(each.clock->Now());
+        each.driver->FinishSnapshot();
+      }
+    }
+    CheckLeases();
+  }
+
+  void Run(duration time) {
+    const duration until = elapsed_ + time;
+    while (elapsed_ < until && !testing::Test::HasFailure()) {
+      Step();
+    }
+  }
+
+  // The member that holds the lease, or the empty id.
+  host_id Leader() const {
+    for (const auto& [host, each] : members_) {
+      if (HoldsLease(each)) {
+        return host;
+      }
+    }
+    return host_id();
+  }
+
+  bool RunUntilLeader(duration limit) {
+    const duration until = elapsed_ + limit;
+    while (Leader().IsEmpty() && elapsed_ < until) {
+      Step();
+    }
+    return !Leader().IsEmpty();
+  }
+
+  // Proposes through `host`; the outcome is booked by the oracle.
+  void Propose(const host_id& host, client& from) {
+    member& to = members_.at(host);
+    if (to.driver == nullptr) {
+      return;
+    }
+    to.driver->Handle(
+        to.clock->Now(),
+        submitted_proposal{from.content, [this, &from, sent = from.content](
+                                             const result<std::string>& reply) {
+                             OnReply(from, sent, reply);
+                           }});
+    to.due = to.clock->Now();
+  }
+
+  void OnReply(client& from,
+               const proposal& sent,
+               const result<std::string>& reply) {
+    if (IsOk(reply)) {
+      const auto [known, is_first] =
+          acknowledged_.try_emplace(sent.command, ValueOf(reply));
+      EXPECT_EQ(known->second, ValueOf(reply))
+          << sent.command << " was answered in two ways";
+      EXPECT_TRUE(committed_commands_.contains(sent.command)) << sent.command;
+      newest_acknowledged_ =
+          std::max(newest_acknowledged_, std::stoul(ValueOf(reply)));
+    }
+    const bool is_current = from.content.command == sent.command;
+    if (is_current && IsOk(reply)) {
+      from.is_open = false;
+    }
+  }
+
+  // A linearizable read must see every change acknowledged before it began.
+  void Read(const host_id& host) {
+    member& at = members_.at(host);
+    if (at.driver == nullptr) {
+      return;
+    }
+    const uint64_t least = newest_acknowledged_;
+    at.driver->Handle(
+        at.clock->Now(),
+        submitted_query{replicated_slice::kOrders, "",
+                        [this, least, host](const result<std::string>& reply) {
+                          if (IsOk(reply)) {
+                            ++reads_answered;
+                            EXPECT_GE(std::stoul(ValueOf(reply)), least)
+                                << host.text() << " answered a stale read at "
+                                << elapsed_.count();
+                          }
+                        }});
+    at.due = at.clock->Now();
+  }
+
+  // Takes one membership step at the leader; the outcome reaches `reply`.
+  void Change(membership_step step,
+              const host_id& host,
+              replica::reply_function reply) {
+    const host_id leader = Leader();
+    if (leader.IsEmpty()) {
+      reply(MakeError(error_kind::kNotLeader, "no leader"));
+      return;
+    }
+    member& at = members_.at(leader);
+    at.driver->Handle(at.clock->Now(),
+                      submitted_step{step, host, std::move(reply)});
+    at.due = at.clock->Now();
+  }
+
+  // Retries a membership step until it is committed.
+  status RunChange(membership_step step, const host_id& host, duration limit) {
+    const duration until = elapsed_ + limit;
+    status outcome = MakeError(error_kind::kInternal, "not tried");
+    while (elapsed_ < until) {
+      auto reply = std::make_shared<std::optional<status>>();
+      Change(step, host, [reply](const result<std::string>& answer) {
+        *reply = IsOk(answer) ? status(success{}) : status(ErrorOf(answer));
+      });
+      for (int i = 0; i < 20 && !reply->has_value(); ++i) {
+        Step();
+      }
+      Step();
+      outcome = reply->value_or(MakeError(error_kind::kNoQuorum, "no answer"));
+      if (IsOk(outcome)) {
+        return outcome;
+      }
+    }
+    return outcome;
+  }
+
+  // Proposes a new command until it is acknowledged.
+  bool Commit(const std::string& command, duration limit) {
+    client once;
+    once.content.origin = {host_id("client-once"), 1, 0, ++once_sequence_};
+    once.content.slice = replicated_slice::kOrders;
+    once.content.command = command;
+    once.is_open = true;
+    const duration until = elapsed_ + limit;
+    while (once.is_open && elapsed_ < until) {
+      const host_id leader = Leader();
+      if (!leader.IsEmpty()) {
+        Propose(leader, once);
+      }
+      Run(20 * kStep);
+    }
+    Run(2 * kStep);
+    kept_clients_.push_back(std::make_unique<client>(once));
+    return !once.is_open;
+  }
+
+  // One order of commits everywhere.
+  void CheckApplied(const host_id& host, const log_entry& entry) {
+    const auto [known, is_first] =
+        committed_.try_emplace(entry.index, entry.term, entry.content.command);
+    EXPECT_EQ(known->second.first, entry.term) << host.text();
+    EXPECT_EQ(known->second.second, entry.content.command) << host.text();
+    if (entry.kind == entry_kind::kCommand) {
+      committed_commands_.insert(entry.content.command);
+    }
+  }
+
+  bool HoldsLease(const member& each) const {
+    return each.driver != nullptr &&
+           each.clock->Now() < each.driver->published_lease_end();
+  }
+
+  // At no time two members may answer reads or issue orders.
+  void CheckLeases() {
+    std::string holders;
+    int count = 0;
+    for (const auto& [host, each] : members_) {
+      if (HoldsLease(each)) {
+        holders += " " + host.text();
+        ++count;
+      }
+    }
+    EXPECT_LE(count, 1) << "leases held by" << holders;
+  }
+
+  // After everything healed: same state everywhere, each acknowledged change
+  // in it, none twice.
+  void CheckConverged() {
+    const host_id leader = Leader();
+    ASSERT_FALSE(leader.IsEmpty()) << "no leader after healing";
+    const auto& expected = members_.at(leader).state->commands();
+    std::set<std::string> seen;
+    for (const std::string& command : expected) {
+      EXPECT_TRUE(seen.insert(command).second) << command << " applied twice";
+    }
+    for (const auto& [command, reply] : acknowledged_) {
+      EXPECT_TRUE(seen.contains(command)) << command << " was lost";
+    }
+    const auto& membership = members_.at(leader).driver->core()->membership();
+    for (const group_member& each : membership.members) {
+      const member& holder = members_.at(each.host);
+      EXPECT_TRUE(holder.state->times_are_rising());
+      EXPECT_EQ(holder.state->commands(), expected) << each.host.text();
+    }
+  }
+
+  random_source random_;
+  const std::vector<host_id> founders_;
+  duration elapsed_{0};
+  std::map<host_id, member> members_;
+  std::vector<packet> packets_;
+  std::set<std::pair<host_id, host_id>> cuts_;
+  double drop_share = 0;
+  double duplicate_share = 0;
+  duration max_delay = std::chrono::milliseconds(4);
+  uint32_t snapshot_after_entries = 50;
+  uint64_t reads_answered = 0;
+
+  std::map<log_index, std::pair<uint64_t, std::string>> committed_;
+  std::set<std::string> committed_commands_;
+  std::map<std::string, std::string> acknowledged_;
+  uint64_t newest_acknowledged_ = 0;
+  uint64_t once_sequence_ = 0;
+  std::vector<std::unique_ptr<client>> kept_clients_;
+};
+
+inline std::vector<host_id> Hosts(int count) {
+  std::vector<host_id> hosts;
+  for (int i = 1; i <= count; ++i) {
+    hosts.emplace_back("host-" + std::to_string(i));
+  }
+  return hosts;
+}
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CONSENSUS_REPLICA_GROUP_TEST_UTIL_H_
--- a/src/libshallotport/storage/incoming_snapshot.cc
+++ b/src/libshallotport/storage/incoming_snapshot.cc
@@ -8,7 +8,7 @@
 namespace shallotport {
 
 result<std::unique_ptr<incoming_snapshot>> incoming_snapshot::Create(
-    snapshot_folder folder,
+    const snapshot_folder& folder,
     uint32_t group,
     uint64_t index) {
   const std::string path = folder.TemporaryPathOf(index, "received");
@@ -24,12 +24,12 @@
   return incoming;
 }
 
-incoming_snapshot::incoming_snapshot(snapshot_folder folder,
+incoming_snapshot::incoming_snapshot(const snapshot_folder& folder,
                                      uint32_t group,
                                      uint64_t index,
                                      std::string path,
                                      std::unique_ptr<appendable_file> file)
-    : folder_(std::move(folder)),
+    : folder_(folder),
       group_(group),
       index_(index),
       path_(std::move(path)),
--- a/src/libshallotport/storage/incoming_snapshot.h
+++ b/src/libshallotport/storage/incoming_snapshot.h
@@ -18,7 +18,7 @@
 class incoming_snapshot {
  public:
   static result<std::unique_ptr<incoming_snapshot>>
-  Create(snapshot_folder folder, uint32_t group, uint64_t index);
+  Create(const snapshot_folder& folder, uint32_t group, uint64_t index);
   ~incoming_snapshot();
 
   // Takes the bytes at `offset`; those already here are skipped and a gap is
@@ -32,7 +32,7 @@
   uint64_t size() const;
 
  private:
-  incoming_snapshot(snapshot_folder folder,
+  incoming_snapshot(const snapshot_folder& folder,
                     uint32_t group,
                     uint64_t index,
                     std::string path,
--- a/src/libshallotport/storage/payload_store.cc
+++ b/src/libshallotport/storage/payload_store.cc
@@ -12,7 +12,9 @@
 constexpr std::string_view kSegmentSuffix = ".payloads";
 
 std::string PathOf(const std::string& folder, uint32_t number) {
-  return folder + "/" + std::to_string(number) + std::string(kSegmentSuffix);
+  std::string path = folder;
+  path.append("/").append(std::to_string(number)).append(kSegmentSuffix);
+  return path;
 }
 
 }  // namespace
--- a/src/libshallotport/storage/snapshot_file_writer.cc
+++ b/src/libshallotport/storage/snapshot_file_writer.cc
@@ -9,7 +9,7 @@
 namespace shallotport {
 
 result<std::unique_ptr<snapshot_file_writer>> snapshot_file_writer::Create(
-    snapshot_folder folder,
+    const snapshot_folder& folder,
     uint32_t group,
     uint64_t index) {
   const std::string path = folder.TemporaryPathOf(index, "taken");
@@ -30,11 +30,11 @@
 }
 
 snapshot_file_writer::snapshot_file_writer(
-    snapshot_folder folder,
+    const snapshot_folder& folder,
     uint64_t index,
     std::string path,
     std::unique_ptr<appendable_file> file)
-    : folder_(std::move(folder)),
+    : folder_(folder),
       index_(index),
       path_(std::move(path)),
       file_(std::move(file)) {}
--- a/src/libshallotport/storage/snapshot_file_writer.h
+++ b/src/libshallotport/storage/snapshot_file_writer.h
@@ -22,7 +22,7 @@
 class snapshot_file_writer {
  public:
   static result<std::unique_ptr<snapshot_file_writer>>
-  Create(snapshot_folder folder, uint32_t group, uint64_t index);
+  Create(const snapshot_folder& folder, uint32_t group, uint64_t index);
   ~snapshot_file_writer();
 
   status Append(uint8_t kind, std::string_view payload);
@@ -31,7 +31,7 @@
   uint64_t size() const;
 
  private:
-  snapshot_file_writer(snapshot_folder folder,
+  snapshot_file_writer(const snapshot_folder& folder,
                        uint64_t index,
                        std::string path,
                        std::unique_ptr<appendable_file> file);
--- a/src/libshallotport/storage/write_ahead_log.cc
+++ b/src/libshallotport/storage/write_ahead_log.cc
@@ -56,7 +56,7 @@
 result<std::unique_ptr<write_ahead_log>> write_ahead_log::Open(
     file_system& files,
     write_ahead_log_options options,
-    visitor visit) {
+    const visitor& visit) {
   if (status made = files.CreateFolder(options.folder); !IsOk(made)) {
     return ErrorOf(made);
   }
--- a/src/libshallotport/storage/write_ahead_log.h
+++ b/src/libshallotport/storage/write_ahead_log.h
@@ -47,8 +47,10 @@
   using visitor = std::function<status(const log_record& record)>;
 
   // Calls `visit` for each record in order; its error ends the opening.
-  static result<std::unique_ptr<write_ahead_log>>
-  Open(file_system& files, write_ahead_log_options options, visitor visit);
+  static result<std::unique_ptr<write_ahead_log>> Open(
+      file_system& files,
+      write_ahead_log_options options,
+      const visitor& visit);
   ~write_ahead_log();
 
   // Gathers a record for the next Sync().
