--- a/src/libshallotport/batch/job_snapshot.cc
+++ b/src/libshallotport/batch/job_snapshot.cc
@@ -217,7 +217,7 @@
     return ErrorOf(loaded);
   }
   job_record& job = catalogue.Insert(std::move(ValueOf(loaded).job));
-  const status items =
+  status items =
       LoadItems(in, generation, ValueOf(loaded).item_count, job, payloads);
   if (!IsOk(items) || !job.IsEnded()) {
     return items;
--- /dev/null
+++ b/src/libshallotport/batch/stored_payloads.h
@@ -0,0 +1,65 @@
+#ifndef SHALLOTPORT_BATCH_STORED_PAYLOADS_H_
+#define SHALLOTPORT_BATCH_STORED_PAYLOADS_H_
+
+#include <limits>
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "batch/item_payloads.h"
+#include "storage/payload_store.h"
+
+namespace shallotport {
+
+// Payloads in the segment files of a payload_store, whose segments must stay
+// below 4 GiB. Lets other threads read while the applying thread appends.
+class stored_payloads final : public item_payloads {
+ public:
+  explicit stored_payloads(std::unique_ptr<payload_store> store)
+      : store_(std::move(store)) {}
+
+  result<item_payload> Append(std::string_view bytes) override {
+    const std::unique_lock lock(mutex_);
+    const result<payload_ref> stored = store_->Append(bytes);
+    if (!IsOk(stored)) {
+      return ErrorOf(stored);
+    }
+    const payload_ref& ref = ValueOf(stored);
+    if (ref.offset > std::numeric_limits<uint32_t>::max()) {
+      store_->Release(ref);
+      return MakeError(error_kind::kStorageFailed,
+                       "payload segments are larger than 4 GiB");
+    }
+    return item_payload{ref.segment, static_cast<uint32_t>(ref.offset),
+                        ref.length};
+  }
+
+  result<std::string> Read(const item_payload& payload) const override {
+    const std::shared_lock lock(mutex_);
+    return store_->Read(ReferenceTo(payload));
+  }
+
+  void Release(const item_payload& payload) override {
+    const std::unique_lock lock(mutex_);
+    store_->Release(ReferenceTo(payload));
+  }
+
+ private:
+  static payload_ref ReferenceTo(const item_payload& payload) {
+    payload_ref ref;
+    ref.segment = payload.segment;
+    ref.length = payload.length;
+    ref.offset = payload.offset;
+    return ref;
+  }
+
+  mutable std::shared_mutex mutex_;
+  const std::unique_ptr<payload_store> store_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_STORED_PAYLOADS_H_
