--- /dev/null
+++ b/src/libshallotport/membership/membership_core.h
@@ -0,0 +1,187 @@
+#ifndef SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_CORE_H_
+#define SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random_source.h"
+#include "base/result.h"
+#include "membership/host_record.h"
+#include "membership/membership_message.h"
+
+namespace shallotport {
+
+struct membership_seed {
+  host_id id;
+  std::string address;
+};
+
+struct membership_options {
+  host_id self;
+  domain_id domain;
+  std::string address;
+  incarnation started = 1;
+  std::vector<membership_seed> seeds;
+
+  duration period{1'000'000};          // One direct probe in each.
+  duration direct_timeout{300'000};    // Then indirect probes are sent.
+  duration suspicion_time{3'000'000};  // From suspect to down.
+  duration rejoin_period{3'000'000};   // Between probes of hosts that are down.
+  duration forget_time{3'600'000'000LL};  // Hosts that are down or left.
+  uint32_t indirect_probes = 2;
+  uint32_t records_per_message = 5;
+  uint32_t max_hosts = 64;
+};
+
+struct send_membership {
+  host_id to;
+  std::string address;
+  membership_message message;
+};
+
+enum class host_event_kind : uint8_t { kUp, kSuspect, kDown, kLeft };
+
+// A change of what this host knows about another one.
+struct host_event {
+  host_event_kind kind = host_event_kind::kUp;
+  host_record host;
+};
+
+using membership_action = std::variant<send_membership, host_event>;
+
+// Which hosts of this failure domain are up, by a SWIM-like protocol: each
+// period a host probes one other host, directly and then through others, so
+// that loss in one direction only does not count as a failure. Suspicions and
+// refutations travel on the probes. A host that is declared down is still
+// probed now and then, so that a healed partition is noticed; a host without
+// peers goes on alone. Pure; membership_duty drives it.
+class membership_core {
+ public:
+  // Fails with kInvalidRequest for options that cannot work.
+  static result<membership_core> Create(membership_options options,
+                                        steady_time now,
+                                        uint64_t seed);
+
+  std::vector<membership_action> OnTimer(steady_time now);
+  std::vector<membership_action> OnMessage(steady_time now,
+                                           const host_id& from,
+                                           const membership_message& message);
+
+  // Tells all others that this host leaves. Final for this incarnation.
+  std::vector<membership_action> BeginLeave(steady_time now);
+
+  // When OnTimer() has something to do next.
+  steady_time next_timer() const;
+
+  // Hosts that are up or suspect, without this one.
+  std::vector<host_id> LiveHosts() const;
+  std::optional<host_record> Find(const host_id& id) const;
+  const host_record& self() const { return self_; }
+  const domain_id& domain() const { return options_.domain; }
+
+  // Messages that need an operator: another process uses this host's name.
+  uint64_t id_conflicts() const { return counters_.id_conflicts; }
+
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  struct known_host {
+    host_record record;
+    steady_time changed_at;
+    uint32_t sends_left = 0;  // Further messages that carry this record.
+    bool is_seed = false;
+  };
+  struct probe {
+    host_id target;
+    uint64_t sequence = 0;
+    steady_time sent_at;
+    bool is_indirect = false;
+    bool is_acked = false;
+  };
+  struct forwarded_probe {
+    host_id requester;
+    uint64_t requester_sequence = 0;
+    steady_time sent_at;
+  };
+  struct counters {
+    uint64_t probes = 0;
+    uint64_t indirect_probes = 0;
+    uint64_t suspicions = 0;
+    uint64_t refutations = 0;
+    uint64_t downs = 0;
+    uint64_t stalls = 0;
+    uint64_t refused_messages = 0;
+    uint64_t id_conflicts = 0;
+  };
+  using actions = std::vector<membership_action>;
+
+  membership_core(membership_options options, steady_time now, uint64_t seed);
+
+  void BeginPeriod(steady_time now, actions& out);
+  void EndProbe(steady_time now, actions& out);
+  void SendIndirectProbes(steady_time now, actions& out);
+  void ExpireSuspicions(steady_time now, actions& out);
+  void ProbeDownHost(steady_time now, actions& out);
+  void ForgetOldHosts(steady_time now);
+  void SkipStall(steady_time now);
+  void SendLeaveNotices(steady_time now, actions& out);
+
+  void HandlePing(const host_id& from,
+                  const membership_message& message,
+                  actions& out);
+  void HandlePingRequest(steady_time now,
+                         const host_id& from,
+                         const membership_message& message,
+                         actions& out);
+  void HandleAck(const membership_message& message, actions& out);
+  void Merge(steady_time now, const host_record& record, actions& out);
+  void MergeNewer(steady_time now,
+                  known_host& host,
+                  host_record record,
+                  actions& out);
+  void MergeSelf(const host_record& record);
+  void Change(steady_time now,
+              known_host& host,
+              const host_record& record,
+              actions& out);
+
+  std::optional<host_id> NextTarget();
+  std::vector<host_id> HostsIn(host_state first, host_state last) const;
+  std::vector<host_id> PickLive(size_t count, const host_id& except);
+  void Send(const host_id& to, membership_message message, actions& out);
+  void AddRecords(const host_id& to,
+                  size_t limit,
+                  size_t rotated,
+                  membership_message& message);
+  uint32_t SendsPerRecord() const;
+  duration Jittered(duration base);
+
+  membership_options options_;
+  random_source random_;
+  host_record self_;
+  std::map<host_id, known_host> hosts_;
+  std::vector<host_id> probe_order_;
+  std::optional<probe> probe_;
+  std::map<uint64_t, forwarded_probe> forwarded_;
+  host_id rotation_;  // The last record sent in rotation.
+  uint64_t next_sequence_ = 1;
+  bool has_joined_ = false;
+  uint32_t leave_notices_left_ = 0;
+  steady_time next_period_;
+  steady_time next_rejoin_;
+  steady_time next_leave_notice_;
+  steady_time last_timer_;
+  counters counters_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_CORE_H_
--- /dev/null
+++ b/src/libshallotport/membership/membership_network_test.cc
@@ -0,0 +1,221 @@
+#include <gtest/gtest.h>
+
+#include "membership/membership_test_network.h"
+
+namespace shallotport {
+namespace {
+
+using namespace std::chrono_literals;
+using network = membership_test_network;
+
+// After healing all live hosts agree within this time: rejoin probes of each
+// host that was down, then suspicion and refutation, then the digests.
+constexpr duration kAgreementTime = 45s;
+
+void AddEndpoints(network& net, size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    net.AddEndpoint("runner-" + std::to_string(i), i % net.nodes().size());
+  }
+}
+
+struct size_case {
+  size_t hosts;
+  size_t endpoints;
+};
+
+class membership_sizes : public testing::TestWithParam<size_case> {};
+
+TEST_P(membership_sizes, AgreeFromACleanStart) {
+  network net(GetParam().hosts, 1);
+  AddEndpoints(net, GetParam().endpoints);
+  net.Run(20s);
+  EXPECT_EQ(net.Disagreement(), "");
+  EXPECT_EQ(net.Violations(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         membership_sizes,
+                         testing::Values(size_case{1, 3},
+                                         size_case{2, 5},
+                                         size_case{6, 20},
+                                         size_case{13, 56}));
+
+TEST(membership_network, DeadHostIsDownWithinTenSeconds) {
+  network net(13, 2);
+  net.Run(15s);
+  net.StopHost(4);
+  net.Run(10s);
+  EXPECT_EQ(net.Disagreement(), "");
+}
+
+TEST(membership_network, LossInOneDirectionIsNoFailure) {
+  network net(5, 3);
+  net.Run(15s);
+  net.Cut(0, 1);
+  net.Cut(2, 1);
+  net.Run(60s);
+  EXPECT_EQ(net.Disagreement(), "");
+  for (const network::node& node : net.nodes()) {
+    EXPECT_EQ(node.down_events, 0u);
+  }
+}
+
+TEST(membership_network, StalledHostDoesNotSuspectTheOthers) {
+  network net(5, 4);
+  AddEndpoints(net, 10);
+  net.Run(15s);
+  net.nodes()[2].is_stalled = true;
+  net.Run(30s);
+  net.nodes()[2].is_stalled = false;
+  net.Run(200ms);
+  EXPECT_EQ(net.nodes()[2].registry->size(), 10u);
+  net.Run(20s);
+  EXPECT_EQ(net.Disagreement(), "");
+  EXPECT_EQ(net.nodes()[2].down_events, 0u);
+}
+
+TEST(membership_network, HostWithoutPeersKeepsItsOwnEndpoints) {
+  network net(4, 5);
+  AddEndpoints(net, 8);
+  net.Run(15s);
+  for (size_t other = 1; other < 4; ++other) {
+    net.Cut(0, other);
+    net.Cut(other, 0);
+  }
+  net.Run(60s);
+  EXPECT_TRUE(net.nodes()[0].core->LiveHosts().empty());
+  EXPECT_TRUE(net.nodes()[0].registry->Find(endpoint_id("runner-0")));
+  EXPECT_TRUE(net.nodes()[0].registry->Find(endpoint_id("runner-4")));
+  net.Heal();
+  net.Run(kAgreementTime);
+  EXPECT_EQ(net.Disagreement(), "");
+}
+
+struct leaving_case {
+  const char* name;
+  double drop_share;
+  bool cuts_one_way;
+  bool cuts_both_ways;
+};
+
+class endpoint_leaving : public testing::TestWithParam<leaving_case> {};
+
+TEST_P(endpoint_leaving, IsKnownInTheDomainWithinThreeSeconds) {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    network net(13, seed);
+    AddEndpoints(net, 56);
+    net.Run(15s);
+    net.drop_share = GetParam().drop_share;
+    if (GetParam().cuts_one_way || GetParam().cuts_both_ways) {
+      net.Cut(0, 5);
+    }
+    if (GetParam().cuts_both_ways) {
+      net.Cut(5, 0);
+    }
+    net.endpoints().at("runner-0").record.is_leaving = true;
+    net.Run(3s);
+    for (const network::node& node : net.nodes()) {
+      const auto seen = node.registry->Find(endpoint_id("runner-0"));
+      EXPECT_TRUE(seen && seen->is_leaving) << "seed " << seed;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    endpoint_leaving,
+    testing::Values(leaving_case{"no_loss", 0, false, false},
+                    leaving_case{"loss", 0.3, false, false},
+                    leaving_case{"one_way_cut", 0.1, true, false},
+                    leaving_case{"cut", 0.1, true, true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(membership_network, ControlBytesStayWithinTheBudget) {
+  network net(13, 6);
+  AddEndpoints(net, 56);
+  net.Run(30s);
+  net.counts_bytes = true;
+  net.Run(60s);
+  for (const network::node& node : net.nodes()) {
+    EXPECT_LT(node.sent_bytes / 60, 2'000u);
+  }
+  EXPECT_EQ(net.Disagreement(), "");
+}
+
+// Random faults against the oracle in membership_test_network: what has left
+// stays so during the faults, and all agree with the truth after healing.
+class membership_random : public testing::TestWithParam<uint64_t> {};
+
+void DoRandomStep(network& net) {
+  random_source& random = net.random();
+  const size_t host = UniformBelow(random, net.nodes().size());
+  const size_t other = UniformBelow(random, net.nodes().size());
+  const std::string endpoint =
+      "runner-" + std::to_string(UniformBelow(random, net.endpoints().size()));
+  switch (UniformBelow(random, 10)) {
+    case 0:
+    case 1:
+      net.Cut(host, other);
+      break;
+    case 2:
+      net.Cut(host, other);
+      net.Cut(other, host);
+      break;
+    case 3:
+      net.Heal();
+      break;
+    case 4:
+      net.drop_share = 0.3;
+      net.duplicate_share = 0.3;
+      break;
+    case 5:
+      if (net.nodes()[host].is_running) {
+        net.StopHost(host);
+      } else {
+        net.StartHost(host);
+      }
+      break;
+    case 6:
+      if (net.nodes()[host].is_running && UniformBelow(random, 3) == 0) {
+        net.Leave(host);
+      }
+      break;
+    case 7:
+      net.endpoints().at(endpoint).record.is_leaving = true;
+      break;
+    case 8:
+      net.RestartEndpoint(endpoint);
+      break;
+    case 9:
+      net.endpoints().at(endpoint).is_running = false;
+      break;
+  }
+}
+
+TEST_P(membership_random, AgreeAfterHealing) {
+  network net(7, GetParam());
+  AddEndpoints(net, 12);
+  net.Run(10s);
+  for (int step = 0; step < 40; ++step) {
+    DoRandomStep(net);
+    net.Run(
+        duration(static_cast<int64_t>(UniformBelow(net.random(), 4'000'000))));
+    ASSERT_EQ(net.Violations(), "");
+  }
+  net.Heal();
+  for (size_t host = 0; host < net.nodes().size(); ++host) {
+    if (!net.nodes()[host].is_running) {
+      net.StartHost(host);
+    }
+  }
+  net.Run(kAgreementTime);
+  EXPECT_EQ(net.Disagreement(), "");
+  EXPECT_EQ(net.Violations(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         membership_random,
+                         testing::Range<uint64_t>(1, 31));
+
+}  // namespace
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/membership/membership_test_network.h
@@ -0,0 +1,337 @@
+#ifndef SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_TEST_NETWORK_H_
+#define SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_TEST_NETWORK_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "membership/endpoint_registry.h"
+#include "membership/membership_core.h"
+
+namespace shallotport {
+
+// The hosts of one failure domain and their endpoints in virtual time, joined
+// by a bag of messages that loses, doubles and reorders them. For tests.
+class membership_test_network {
+ public:
+  using host_number = size_t;
+
+  struct node {
+    std::unique_ptr<membership_core> core;
+    std::unique_ptr<endpoint_registry> registry;
+    incarnation started = 1;
+    bool is_running = false;
+    bool is_stalled = false;
+    // Incarnations of hosts and endpoints that this process saw leave.
+    std::set<std::pair<std::string, incarnation>> seen_leaving;
+    std::vector<std::string> violations;
+    size_t sent_bytes = 0;
+    size_t sent_messages = 0;
+    size_t down_events = 0;
+  };
+  struct endpoint_state {
+    endpoint_record record;
+    bool is_running = true;
+    steady_time next_announcement;
+  };
+
+  membership_test_network(size_t hosts, uint64_t seed) : random_(seed) {
+    nodes_.resize(hosts);
+    for (host_number i = 0; i < hosts; ++i) {
+      StartHost(i);
+    }
+  }
+
+  static host_id IdOf(host_number number) {
+    const std::string digits = std::to_string(100 + number);
+    return host_id("host-" + digits.substr(1));
+  }
+
+  void StartHost(host_number number) {
+    node& started = nodes_[number];
+    membership_options options;
+    options.self = IdOf(number);
+    options.domain = domain_id("a");
+    options.address = "127.0.0.1:" + std::to_string(7000 + number);
+    options.started = started.started;
+    for (host_number seed = 0; seed < 3 && seed < nodes_.size(); ++seed) {
+      options.seeds.push_back({IdOf(seed), "127.0.0.1:7000"});
+    }
+    endpoint_registry_options registry;
+    registry.self = options.self;
+    registry.domain = options.domain;
+    started.core = std::make_unique<membership_core>(
+        ValueOf(membership_core::Create(std::move(options), now_, random_())));
+    started.registry =
+        std::make_unique<endpoint_registry>(registry, now_, random_());
+    started.is_running = true;
+    started.seen_leaving.clear();
+  }
+
+  void StopHost(host_number number) {
+    nodes_[number].is_running = false;
+    ++nodes_[number].started;
+  }
+
+  void Leave(host_number number) {
+    node& leaving = nodes_[number];
+    Perform(number, leaving.core->BeginLeave(now_));
+  }
+
+  void AddEndpoint(const std::string& name, host_number host) {
+    endpoint_state& added = endpoints_[name];
+    added.record.id = endpoint_id(name);
+    added.record.domain = domain_id("a");
+    added.record.address = "127.0.0.1:9000";
+    added.record.services = {service_id("assistant")};
+    added.record.is_runner = true;
+    added.record.started = 1;
+    added.record.load.slots = 8;
+    added.next_announcement =
+        now_ + duration(static_cast<int64_t>(UniformBelow(random_, 500'000)));
+    home_[name] = host;
+  }
+
+  void RestartEndpoint(const std::string& name) {
+    endpoint_state& endpoint = endpoints_.at(name);
+    ++endpoint.record.started;
+    endpoint.record.is_leaving = false;
+    endpoint.record.load.sequence = 0;
+    endpoint.is_running = true;
+  }
+
+  void Run(duration time) {
+    const steady_time end = now_ + time;
+    while (now_ < end) {
+      now_ += kStep;
+      DeliverDue();
+      AnnounceDue();
+      for (host_number i = 0; i < nodes_.size(); ++i) {
+        if (nodes_[i].is_running && !nodes_[i].is_stalled) {
+          if (now_ >= nodes_[i].core->next_timer()) {
+            Perform(i, nodes_[i].core->OnTimer(now_));
+          }
+          Perform(i, nodes_[i].registry->OnTimer(now_));
+        }
+      }
+    }
+  }
+
+  // Empty when all running hosts agree with the truth; else what differs.
+  std::string Disagreement() const {
+    std::set<host_id> live;
+    for (host_number i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].is_running && !HasLeft(i)) {
+        live.insert(IdOf(i));
+      }
+    }
+    for (host_number i = 0; i < nodes_.size(); ++i) {
+      if (!nodes_[i].is_running || HasLeft(i)) {
+        continue;
+      }
+      const std::vector<host_id> seen = nodes_[i].core->LiveHosts();
+      std::set<host_id> expected = live;
+      expected.erase(IdOf(i));
+      if (std::set<host_id>(seen.begin(), seen.end()) != expected) {
+        return IdOf(i).text() + " sees " + std::to_string(seen.size()) +
+               " live hosts of " + std::to_string(expected.size());
+      }
+      if (std::string text = EndpointDisagreement(i); !text.empty()) {
+        return text;
+      }
+    }
+    return {};
+  }
+
+  std::string Violations() const {
+    std::string all;
+    for (const node& each : nodes_) {
+      for (const std::string& violation : each.violations) {
+        all += violation + "\n";
+      }
+    }
+    return all;
+  }
+
+  bool HasLeft(host_number number) const {
+    return nodes_[number].core->self().state == host_state::kLeft;
+  }
+
+  void Cut(host_number from, host_number to) { cuts_.insert({from, to}); }
+  void Heal() {
+    cuts_.clear();
+    drop_share = 0;
+    duplicate_share = 0;
+  }
+
+  std::vector<node>& nodes() { return nodes_; }
+  std::map<std::string, endpoint_state>& endpoints() { return endpoints_; }
+  steady_time now() const { return now_; }
+  random_source& random() { return random_; }
+
+  double drop_share = 0;
+  double duplicate_share = 0;
+  bool counts_bytes = false;
+
+ private:
+  using any_message = std::variant<membership_message, registry_message>;
+  struct packet {
+    host_number from;
+    host_number to;
+    any_message message;
+  };
+  static constexpr duration kStep{20'000};
+  // What the envelope, the frame, UDP and IP add to a payload.
+  static constexpr size_t kEnvelopeBytes = 41 + 12 + 8 + 28;
+
+  static host_number NumberOf(const host_id& id) {
+    return std::stoul(id.text().substr(5));
+  }
+
+  void Perform(host_number from,
+               const std::vector<membership_action>& actions) {
+    node& actor = nodes_[from];
+    for (const membership_action& action : actions) {
+      if (const auto* event = std::get_if<host_event>(&action)) {
+        Note(actor, event->host.id.text(), event->host.started,
+             event->kind == host_event_kind::kLeft);
+        actor.down_events += event->kind == host_event_kind::kDown ? 1 : 0;
+        continue;
+      }
+      const auto& send = std::get<send_membership>(action);
+      Post(from, send.to, send.message);
+    }
+    actor.registry->SetPeers(actor.core->LiveHosts());
+  }
+
+  void Perform(host_number from, const std::vector<registry_action>& actions) {
+    for (const registry_action& action : actions) {
+      if (const auto* event = std::get_if<endpoint_event>(&action)) {
+        if (event->kind != endpoint_event_kind::kRemoved) {
+          Note(nodes_[from], event->endpoint.id.text(), event->endpoint.started,
+               event->endpoint.is_leaving);
+        }
+        continue;
+      }
+      const auto& send = std::get<send_registry>(action);
+      Post(from, send.to, send.message);
+    }
+  }
+
+  void Note(node& observer,
+            const std::string& name,
+            incarnation started,
+            bool is_leaving) {
+    const std::pair<std::string, incarnation> key(name, started);
+    if (is_leaving) {
+      observer.seen_leaving.insert(key);
+    } else if (observer.seen_leaving.contains(key)) {
+      observer.violations.push_back(name + " came back after leaving");
+    }
+  }
+
+  void Post(host_number from,
+            const host_id& to_id,
+            const any_message& message) {
+    const host_number to = NumberOf(to_id);
+    node& sender = nodes_[from];
+    ++sender.sent_messages;
+    if (counts_bytes) {
+      sender.sent_bytes += kEnvelopeBytes + EncodedSize(message);
+    }
+    if (cuts_.contains({from, to}) || UniformUnit(random_) < drop_share) {
+      return;
+    }
+    const bool is_doubled = UniformUnit(random_) < duplicate_share;
+    for (int copy = 0; copy < (is_doubled ? 2 : 1); ++copy) {
+      const auto delay = static_cast<int64_t>(
+          1'000 + UniformBelow(random_, duplicate_share > 0 ? 400'000 : 2'000));
+      in_flight_.emplace(now_ + duration(delay), packet{from, to, message});
+    }
+  }
+
+  static size_t EncodedSize(const any_message& message) {
+    if (const auto* typed = std::get_if<membership_message>(&message)) {
+      return EncodeMembershipMessage(*typed).size();
+    }
+    return EncodeRegistryMessage(std::get<registry_message>(message)).size();
+  }
+
+  void DeliverDue() {
+    while (!in_flight_.empty() && in_flight_.begin()->first <= now_) {
+      const packet due = std::move(in_flight_.begin()->second);
+      in_flight_.erase(in_flight_.begin());
+      node& receiver = nodes_[due.to];
+      if (!receiver.is_running || receiver.is_stalled) {
+        continue;
+      }
+      const host_id from = IdOf(due.from);
+      if (const auto* typed = std::get_if<membership_message>(&due.message)) {
+        Perform(due.to, receiver.core->OnMessage(now_, from, *typed));
+      } else {
+        Perform(due.to,
+                receiver.registry->OnMessage(
+                    now_, from, std::get<registry_message>(due.message)));
+      }
+    }
+  }
+
+  void AnnounceDue() {
+    for (auto& [name, endpoint] : endpoints_) {
+      if (!endpoint.is_running || now_ < endpoint.next_announcement) {
+        continue;
+      }
+      endpoint.next_announcement = now_ + duration(500'000);
+      ++endpoint.record.load.sequence;
+      endpoint.record.load.running =
+          static_cast<uint32_t>(UniformBelow(random_, 9));
+      host_number& home = home_[name];
+      for (size_t tries = 0; tries < nodes_.size(); ++tries) {
+        if (nodes_[home].is_running && !nodes_[home].is_stalled &&
+            !HasLeft(home)) {
+          std::vector<registry_action> actions;
+          nodes_[home].registry->Announce(now_, endpoint.record, actions);
+          Perform(home, actions);
+          break;
+        }
+        home = (home + 1) % nodes_.size();
+      }
+    }
+  }
+
+  std::string EndpointDisagreement(host_number number) const {
+    const endpoint_registry& registry = *nodes_[number].registry;
+    size_t running = 0;
+    for (const auto& [name, endpoint] : endpoints_) {
+      if (!endpoint.is_running) {
+        continue;
+      }
+      ++running;
+      const auto seen = registry.Find(endpoint_id(name));
+      if (!seen || seen->started != endpoint.record.started ||
+          seen->is_leaving != endpoint.record.is_leaving ||
+          seen->services != endpoint.record.services) {
+        return IdOf(number).text() + " is wrong about " + name;
+      }
+    }
+    return running == registry.size() ? std::string()
+                                      : IdOf(number).text() + " keeps the dead";
+  }
+
+  random_source random_;
+  steady_time now_{duration(3'600'000'000LL)};
+  std::vector<node> nodes_;
+  std::map<std::string, endpoint_state> endpoints_;
+  std::map<std::string, host_number> home_;
+  std::multimap<steady_time, packet> in_flight_;
+  std::set<std::pair<host_number, host_number>> cuts_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_TEST_NETWORK_H_
