serving: batch jobs over HTTP

Cause: callers had no way to the job catalogue. Change: batch_interface creates, fills, seals, shows, lists, cancels and deletes jobs and streams results; JSONL bodies are checked line by line before anything is proposed. Conclusion: the batch senders can be wired behind it.

--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -17,6 +17,7 @@
 #include "incarnation_file.h"
 #include "log_claims.h"
 #include "membership/membership_duty.h"
+#include "serving/batch_interface.h"
 #include "serving/caller_interface.h"
 #include "serving/configuration_operations.h"
 #include "serving/configuration_view.h"
@@ -124,6 +125,7 @@
   std::unique_ptr<configuration_poller> poller;
   std::unique_ptr<configuration_operations> configuration_routes;
   exchange_services services;
+  std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
   std::unique_ptr<endpoint_interface> endpoints;
   std::unique_ptr<operator_interface> operators;
@@ -278,6 +280,11 @@
   callers = std::make_unique<caller_interface>(
       caller_interface::options{settings.host, started}, services,
       configuration);
+  batches = std::make_unique<batch_interface>(*log, clock);
+  callers->SetBatchHandler(
+      [this](const http_request& request, const authenticated_caller& caller) {
+        return batches->Handle(request, caller);
+      });
   endpoints = std::make_unique<endpoint_interface>(
       settings.endpoint_token,
       [this](const endpoint_record& record) { return Announce(record); });
