consensus: seeded runs of random faults against an oracle

A run draws cuts one way and both, drops, doubles, delays, crashes that lose unsynced bytes, handovers, membership steps and emptied disks, heals and compares. It found that a handover whose order was lost left a leader without a lease for the rest of its term (CHAOS_SEED=1053): such a leader now steps down.

CHAOS_SEED and CHAOS_RUNS choose others.

--- a/src/libshallotport/consensus/consensus_core.cc
+++ b/src/libshallotport/consensus/consensus_core.cc
@@ -234,6 +234,12 @@
   }
   if (!transfer_target_.IsEmpty() && now >= transfer_due_) {
     transfer_target_ = host_id();
+    if (is_order_sent_) {
+      // The order may still arrive, so this term has no lease any more; a new
+      // term gives one.
+      StepDown(now);
+      return;
+    }
   }
   if (now >= heartbeat_due_) {
     StartRound(now);
--- /dev/null
+++ b/src/libshallotport/consensus/replica_chaos_test.cc
@@ -0,0 +1,281 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "consensus/replica_group_test_util.h"
+
+namespace shallotport {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kClients = 4;
+constexpr int kAttemptsPerCommand = 12;
+constexpr uint64_t kRunsPerShard = 25;
+constexpr int kShards = 8;
+
+// One seeded run: random faults under load, then everything heals and the
+// oracle compares.
+class chaos_run {
+ public:
+  explicit chaos_run(uint64_t seed)
+      : seed_(seed),
+        random_(seed),
+        group_(seed * 7 + 1, Hosts(UniformBelow(random_, 2) == 0 ? 3 : 5)) {
+    group_.drop_share = 0.08 * UniformUnit(random_);
+    group_.duplicate_share = 0.1 * UniformUnit(random_);
+    group_.max_delay = milliseconds(1 + UniformBelow(random_, 60));
+    group_.snapshot_after_entries = 10 + UniformBelow(random_, 80);
+    for (int i = 0; i < kClients; ++i) {
+      clients_[i].content.origin = {host_id("client-" + std::to_string(i)), 1,
+                                    0, 0};
+      clients_[i].content.slice = replicated_slice::kOrders;
+    }
+  }
+
+  void Run() {
+    const duration until = group_.elapsed_ + seconds(20);
+    while (group_.elapsed_ < until && !testing::Test::HasFailure()) {
+      Disturb();
+      for (replica_group::client& each : clients_) {
+        Drive(each);
+      }
+      if (UniformBelow(random_, 10) == 0) {
+        group_.Read(AnyHost());
+      }
+      Repair();
+      group_.Step();
+    }
+    Settle();
+  }
+
+  uint64_t acknowledged() const { return group_.acknowledged_.size(); }
+  uint64_t reads() const { return group_.reads_answered; }
+
+ private:
+  host_id AnyHost() {
+    auto at = group_.members_.begin();
+    std::advance(at, UniformBelow(random_, group_.members_.size()));
+    return at->first;
+  }
+
+  void Drive(replica_group::client& each) {
+    if (!each.is_open || each.attempts >= kAttemptsPerCommand) {
+      if (UniformBelow(random_, 5) != 0) {
+        return;
+      }
+      // An incarnation ends now and then; its resends are still under way.
+      if (UniformBelow(random_, 50) == 0) {
+        ++each.content.origin.started;
+        each.content.origin.sequence = 0;
+      }
+      ++each.content.origin.sequence;
+      each.content.command = each.content.origin.host.text() + "/" +
+                             std::to_string(each.content.origin.started) + "/" +
+                             std::to_string(each.content.origin.sequence);
+      each.is_open = true;
+      each.attempts = 0;
+      each.retry_at = group_.elapsed_;
+    }
+    if (group_.elapsed_ < each.retry_at) {
+      return;
+    }
+    ++each.attempts;
+    each.retry_at =
+        group_.elapsed_ + milliseconds(20 + UniformBelow(random_, 400));
+    const host_id leader = group_.Leader();
+    const bool is_guess = leader.IsEmpty() || UniformBelow(random_, 5) == 0;
+    group_.Propose(is_guess ? AnyHost() : leader, each);
+  }
+
+  void Disturb() {
+    switch (UniformBelow(random_, 400)) {
+      case 0:
+      case 1:
+        group_.Cut(AnyHost(), AnyHost(), false);
+        return;
+      case 2:
+        group_.Cut(AnyHost(), AnyHost(), true);
+        return;
+      case 3:
+        group_.Isolate(AnyHost());
+        return;
+      case 4:
+      case 5:
+      case 6:
+        group_.Heal();
+        return;
+      case 7:
+      case 8:
+        CrashIfUp(AnyHost());
+        return;
+      case 9:
+        if (!group_.Leader().IsEmpty()) {
+          CrashIfUp(group_.Leader());
+        }
+        return;
+      case 10:
+        ChangeAtRandom();
+        return;
+      case 11:
+        EmptyADisk();
+        return;
+      case 12:
+        HandOver();
+        return;
+      default:
+        return;
+    }
+  }
+
+  void CrashIfUp(const host_id& host) {
+    if (group_.members_.at(host).driver != nullptr) {
+      group_.Crash(host, milliseconds(UniformBelow(random_, 3'000)));
+    }
+  }
+
+  void HandOver() {
+    const host_id leader = group_.Leader();
+    if (leader.IsEmpty()) {
+      return;
+    }
+    replica_group::member& at = group_.members_.at(leader);
+    at.driver->Handle(at.clock->Now(),
+                      stop_order{std::make_shared<std::promise<void>>()});
+    at.due = at.clock->Now();
+  }
+
+  void ChangeAtRandom() {
+    const auto step = static_cast<membership_step>(UniformBelow(random_, 3));
+    if (step == membership_step::kAddLearner && group_.members_.size() < 7 &&
+        UniformBelow(random_, 2) == 0) {
+      group_.AddHost(
+          host_id("host-" + std::to_string(group_.members_.size() + 1)));
+    }
+    group_.Change(step, AnyHost(), [](const result<std::string>&) {});
+  }
+
+  // One disk at a time, and only after the one before was repaired.
+  void EmptyADisk() {
+    if (!emptied_.IsEmpty()) {
+      return;
+    }
+    const host_id leader = group_.Leader();
+    if (leader.IsEmpty()) {
+      return;
+    }
+    const group_membership& members =
+        group_.members_.at(leader).driver->core()->membership();
+    const host_id host = AnyHost();
+    const group_member* found = members.Find(host);
+    if (found == nullptr || !found->is_voter || members.VoterCount() < 3) {
+      return;
+    }
+    CrashIfUp(host);
+    group_.members_.at(host).files.Wipe();
+    emptied_ = host;
+    next_step_ = membership_step::kRemove;
+  }
+
+  // Replaces the emptied member step by step, as an operator does.
+  void Repair() {
+    if (emptied_.IsEmpty() || group_.elapsed_ < next_step_at_) {
+      return;
+    }
+    next_step_at_ = group_.elapsed_ + milliseconds(300);
+    group_.Change(next_step_, emptied_,
+                  [this, step = next_step_](const result<std::string>& reply) {
+                    if (step == next_step_ && !emptied_.IsEmpty()) {
+                      OnStep(reply);
+                    }
+                  });
+  }
+
+  void OnStep(const result<std::string>& reply) {
+    const std::string detail = IsOk(reply) ? "" : ErrorOf(reply).detail;
+    last_refusal_ = detail;
+    const bool is_done = IsOk(reply) ||
+                         detail.find("is a member already") != detail.npos ||
+                         detail.find("is a voter already") != detail.npos ||
+                         detail.find("is no member") != detail.npos;
+    if (!is_done) {
+      return;
+    }
+    switch (next_step_) {
+      case membership_step::kRemove:
+        next_step_ = membership_step::kAddLearner;
+        return;
+      case membership_step::kAddLearner:
+        next_step_ = membership_step::kPromote;
+        return;
+      case membership_step::kPromote:
+        if (detail.find("is no member") != detail.npos) {
+          next_step_ = membership_step::kAddLearner;
+        } else {
+          emptied_ = host_id();
+        }
+        return;
+    }
+  }
+
+  void Settle() {
+    group_.Heal();
+    group_.drop_share = 0;
+    group_.duplicate_share = 0;
+    group_.max_delay = milliseconds(4);
+    for (auto& [host, each] : group_.members_) {
+      each.restart_at = std::min(each.restart_at, group_.elapsed_);
+    }
+    const duration until = group_.elapsed_ + seconds(8);
+    while (group_.elapsed_ < until || !emptied_.IsEmpty()) {
+      ASSERT_LT(group_.elapsed_, until + seconds(30))
+          << emptied_.text() << " could not be replaced: " << last_refusal_
+          << "\n"
+          << group_.Dump();
+      Repair();
+      group_.Step();
+    }
+    EXPECT_TRUE(group_.Commit("last", seconds(8))) << "no commit after healing";
+    group_.Run(seconds(2));
+    group_.CheckConverged();
+  }
+
+  const uint64_t seed_;
+  random_source random_;
+  replica_group group_;
+  replica_group::client clients_[kClients];
+  host_id emptied_;
+  membership_step next_step_ = membership_step::kRemove;
+  std::string last_refusal_;
+  duration next_step_at_{};
+};
+
+class replica_chaos_test : public testing::TestWithParam<int> {};
+
+// CHAOS_SEED and CHAOS_RUNS choose other and longer runs by hand.
+TEST_P(replica_chaos_test, NothingAcknowledgedIsLost) {
+  const char* first = std::getenv("CHAOS_SEED");
+  const char* count = std::getenv("CHAOS_RUNS");
+  const uint64_t base = first == nullptr ? 1'000 : std::stoull(first);
+  const uint64_t runs = count == nullptr ? kRunsPerShard : std::stoull(count);
+  uint64_t acknowledged = 0;
+  uint64_t reads = 0;
+  for (uint64_t i = 0; i < runs; ++i) {
+    const uint64_t seed = base + runs * static_cast<uint64_t>(GetParam()) + i;
+    chaos_run run(seed);
+    run.Run();
+    acknowledged += run.acknowledged();
+    reads += run.reads();
+    ASSERT_FALSE(HasFailure()) << "CHAOS_SEED=" << seed << " CHAOS_RUNS=1";
+  }
+  RecordProperty("acknowledged", std::to_string(acknowledged));
+  RecordProperty("reads", std::to_string(reads));
+  EXPECT_GT(acknowledged, 10 * runs);
+  EXPECT_GT(reads, runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, replica_chaos_test, testing::Range(0, kShards));
+
+}  // namespace
+}  // namespace shallotport
--- a/src/libshallotport/consensus/replica_group_test_util.h
+++ b/src/libshallotport/consensus/replica_group_test_util.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <utility>
@@ -364,6 +365,20 @@
     }
   }
 
+  // The members' states, for the message of a failed check.
+  std::string Dump() const {
+    std::string text;
+    for (const auto& [host, each] : members_) {
+      nlohmann::json state;
+      if (each.driver != nullptr) {
+        each.driver->core()->WriteState(state);
+        state.erase("counters");
+      }
+      text += host.text() + " " + state.dump() + "\n";
+    }
+    return text;
+  }
+
   random_source random_;
   const std::vector<host_id> founders_;
   duration elapsed_{0};
