routing: hold account limits over hosts by lent shares

Cause: recomputing shares from usage counters lets every host take the whole limit at once, or each side of a cut take it. Change: each host owns limit / N; a loan to another host is deducted before it is announced, lasts 2 s from the borrower's request and longer at the lender. Messages are absolute and sent only for accounts that need more. Not caught by a test: the check that a loan answers this life of the host.

--- a/src/libshallotport/routing/account_limiter.cc
+++ b/src/libshallotport/routing/account_limiter.cc
@@ -5,50 +5,93 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/digest.h"
+
 namespace shallotport {
 
 namespace {
 
-// Seconds of unused rate that an account may save up.
-constexpr double kBurstSeconds = 1.0;
 constexpr std::chrono::milliseconds kShortestRetryAfter{10};
 constexpr std::chrono::milliseconds kConcurrencyRetryAfter{200};
+// Peers asked in each period for one account, besides those that lend already.
+constexpr size_t kAskedPeers = 3;
+// Accounts in one message at most, so that it fits a datagram.
+constexpr size_t kLongestMessage = 40;
+// Needs below this are not worth a message.
+constexpr double kSmallestNeed = 0.5;
 
-double SecondsOf(duration time) {
-  return static_cast<double>(time.count()) / 1e6;
+bool IsWorthAsking(const limit_amount& need) {
+  return need.rate >= kSmallestNeed || need.concurrency >= 1;
 }
 
 }  // namespace
 
-account_limiter::account_limiter(host_id self) : self_(std::move(self)) {}
+account_limiter::account_limiter(host_id self, incarnation started)
+    : self_(std::move(self)), started_(started) {}
 
 void account_limiter::SetConfiguration(const configuration& settings) {
-  std::unordered_map<account_id, account_state> next;
+  std::unordered_map<account_id, limited_account> next;
   for (const account_configuration& account : settings.accounts) {
+    limited_account entry;
     const auto known = accounts_.find(account.id);
-    account_state state;
     if (known != accounts_.end()) {
-      state = known->second;
-    } else {
-      state.tokens = account.requests_per_second * kBurstSeconds;
+      entry = std::move(known->second);
     }
-    state.rate = account.requests_per_second;
-    state.concurrency = account.concurrent_requests;
-    next.emplace(account.id, state);
+    entry.id = account.id;
+    entry.limit = {static_cast<double>(account.requests_per_second),
+                   static_cast<double>(account.concurrent_requests)};
+    entry.hash = HashOf(account.id.text());
+    next.emplace(account.id, std::move(entry));
   }
   accounts_ = std::move(next);
+  by_hash_.clear();
+  for (auto& [id, account] : accounts_) {
+    by_hash_[account.hash] = &account;
+  }
+  std::erase_if(active_, [this](const account_id& id) {
+    return !accounts_.contains(id);
+  });
+}
+
+void account_limiter::SetHosts(std::span<const host_id> hosts) {
+  std::vector<peer_state> next;
+  for (const host_id& host : hosts) {
+    if (host == self_) {
+      continue;
+    }
+    peer_state* known = FindPeer(host);
+    next.push_back(known == nullptr ? peer_state{host, 0, 0, {}}
+                                    : std::move(*known));
+  }
+  peers_ = std::move(next);
 }
 
-void account_limiter::SetHostCount(uint32_t hosts) {
-  hosts_ = std::max<uint32_t>(hosts, 1);
+account_limiter::peer_state* account_limiter::FindPeer(const host_id& id) {
+  for (peer_state& peer : peers_) {
+    if (peer.id == id) {
+      return &peer;
+    }
+  }
+  return nullptr;
 }
 
-void account_limiter::Refill(steady_time now, account_state& account) const {
-  const double share = account.rate / hosts_;
-  const double most = std::max(1.0, share * kBurstSeconds);
-  const double added = share * SecondsOf(now - account.refilled_at);
-  account.tokens = std::min(most, account.tokens + added);
-  account.refilled_at = now;
+limit_amount account_limiter::BaseOf(const limited_account& account) const {
+  const double hosts = static_cast<double>(peers_.size() + 1);
+  return {account.limit.rate / hosts, account.limit.concurrency / hosts};
+}
+
+account_share& account_limiter::ShareOf(steady_time now,
+                                        limited_account& account) {
+  if (!loans_unknown_until_) {
+    loans_unknown_until_ =
+        peers_.empty() ? now : now + account_share::kLenderTime;
+  }
+  if (!account.share) {
+    active_.push_back(account.id);
+    account.share.emplace(BaseOf(account), now, *loans_unknown_until_);
+  }
+  account.share->SetBase(now, BaseOf(account));
+  return *account.share;
 }
 
 status account_limiter::Acquire(steady_time now, const account_id& account) {
@@ -56,38 +99,136 @@
   if (found == accounts_.end()) {
     return success{};
   }
-  account_state& state = found->second;
-  Refill(now, state);
-  if (state.in_flight >=
-      std::max(1.0, std::floor(state.concurrency / hosts_))) {
-    ++refused_;
+  account_share& share = ShareOf(now, found->second);
+  if (share.TryAcquire(now)) {
+    return success{};
+  }
+  ++refused_;
+  const duration wait = share.WaitForToken(now);
+  if (wait.count() == 0) {
     return error{error_kind::kOverLimit, "too many concurrent requests",
                  kConcurrencyRetryAfter};
   }
-  if (state.tokens < 1) {
-    ++refused_;
-    const double share = std::max(1e-3, state.rate / hosts_);
-    const auto wait = std::chrono::milliseconds(
-        static_cast<int64_t>(std::ceil((1 - state.tokens) / share * 1e3)));
-    return error{error_kind::kOverLimit, "request rate above the limit",
-                 std::max(kShortestRetryAfter, wait)};
-  }
-  state.tokens -= 1;
-  ++state.in_flight;
-  return success{};
+  return error{error_kind::kOverLimit, "request rate above the limit",
+               std::max(kShortestRetryAfter,
+                        std::chrono::ceil<std::chrono::milliseconds>(wait))};
 }
 
 void account_limiter::Release(const account_id& account) {
   const auto found = accounts_.find(account);
-  if (found != accounts_.end() && found->second.in_flight > 0) {
-    --found->second.in_flight;
+  if (found != accounts_.end() && found->second.share) {
+    found->second.share->Release();
+  }
+}
+
+limit_amount account_limiter::ShareAt(steady_time now,
+                                      const account_id& account) const {
+  const auto found = accounts_.find(account);
+  const bool has_share = found != accounts_.end() && found->second.share;
+  return has_share ? found->second.share->ShareAt(now) : limit_amount{};
+}
+
+bool account_limiter::IsAsked(steady_time now,
+                              const account_share& share,
+                              size_t peer) const {
+  const size_t turn = (peer + peers_.size() - first_asked_) % peers_.size();
+  return turn < kAskedPeers || share.IsBorrowingFrom(now, peers_[peer].id);
+}
+
+std::vector<std::pair<host_id, limits_message>> account_limiter::MakeMessages(
+    steady_time now) {
+  std::vector<std::pair<host_id, limits_message>> messages;
+  if (peers_.empty()) {
+    return messages;
+  }
+  ++sequence_;
+  sent_at_.emplace_back(sequence_, now);
+  while (now - sent_at_.front().second > account_share::kLoanTime) {
+    sent_at_.pop_front();
+  }
+  first_asked_ = (first_asked_ + kAskedPeers) % peers_.size();
+  for (size_t i = 0; i < peers_.size(); ++i) {
+    limits_message message;
+    message.sequence = sequence_;
+    message.to_started = peers_[i].started;
+    for (const open_loan& loan : std::exchange(peers_[i].loans, {})) {
+      message.loans.push_back({loan.account_hash, loan.echo,
+                               static_cast<float>(loan.amount.rate),
+                               static_cast<uint16_t>(loan.amount.concurrency)});
+    }
+    for (const account_id& id : active_) {
+      const limited_account& account = accounts_.at(id);
+      const limit_amount need = account.share->NeedAt(now);
+      if (message.needs.size() < kLongestMessage && IsWorthAsking(need) &&
+          IsAsked(now, *account.share, i)) {
+        message.needs.push_back(
+            {account.hash, static_cast<float>(need.rate),
+             static_cast<uint16_t>(std::min(need.concurrency, 65'535.0))});
+      }
+    }
+    if (!message.needs.empty() || !message.loans.empty()) {
+      messages.emplace_back(peers_[i].id, std::move(message));
+    }
+  }
+  messages_ += messages.size();
+  return messages;
+}
+
+void account_limiter::OnMessage(steady_time now,
+                                const host_id& from,
+                                incarnation from_started,
+                                const limits_message& message) {
+  peer_state* peer = FindPeer(from);
+  if (peer == nullptr || from_started < peer->started) {
+    return;
+  }
+  if (from_started > peer->started) {
+    *peer = {from, from_started, 0, {}};
+  }
+  for (const limit_loan& loan : message.loans) {
+    const auto asked = std::find_if(
+        sent_at_.begin(), sent_at_.end(),
+        [&loan](const auto& row) { return row.first == loan.echo; });
+    const auto account = by_hash_.find(loan.account_hash);
+    const bool is_known = message.to_started == started_ &&
+                          asked != sent_at_.end() && account != by_hash_.end();
+    if (!is_known || !account->second->share) {
+      continue;
+    }
+    ++loans_taken_;
+    account->second->share->Borrow(now, from,
+                                   {loan.rate, 1.0 * loan.concurrency},
+                                   asked->second + account_share::kLoanTime);
+  }
+  if (message.sequence <= peer->last_sequence) {
+    return;
+  }
+  peer->last_sequence = message.sequence;
+  peer->loans.clear();
+  for (const limit_need& need : message.needs) {
+    const auto account = by_hash_.find(need.account_hash);
+    if (account == by_hash_.end()) {
+      continue;
+    }
+    const limit_amount amount =
+        ShareOf(now, *account->second)
+            .Lend(now, from, {need.rate, 1.0 * need.concurrency});
+    if (amount.rate > 0 || amount.concurrency > 0) {
+      ++loans_given_;
+      peer->loans.push_back({need.account_hash, message.sequence, amount});
+    }
   }
 }
 
 void account_limiter::WriteState(nlohmann::json& out) const {
-  out["hosts"] = hosts_;
+  out["hosts"] = peers_.size() + 1;
   out["accounts"] = accounts_.size();
-  out["counters"]["refused"] = refused_;
+  out["active_accounts"] = active_.size();
+  nlohmann::json& counters = out["counters"];
+  counters["refused"] = refused_;
+  counters["messages"] = messages_;
+  counters["loans_given"] = loans_given_;
+  counters["loans_taken"] = loans_taken_;
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/routing/account_limiter.h
+++ b/src/libshallotport/routing/account_limiter.h
@@ -2,27 +2,43 @@
 #define SHALLOTPORT_ROUTING_ACCOUNT_LIMITER_H_
 
 #include <cstdint>
+#include <deque>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <span>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/result.h"
 #include "control/configuration.h"
+#include "routing/account_share.h"
+#include "routing/limits_message.h"
 
 namespace shallotport {
 
-// Holds each account to its request rate and concurrency. Every host enforces
-// its own share of the limit, so that the sum over hosts keeps the limit
-// without any message. Pure; owned by the request_router.
+// Holds each account to its request rate and concurrency over all hosts. A host
+// enforces its own account_share; hosts lend each other what they do not use.
+// Without messages, as in a cut, each host keeps to its base share. Pure; owned
+// by the request_router.
+//
+// Bound, under any loss, delay, cut and heal: the requests of an account that
+// all N hosts admit within a time W are at most rate x (W + 1 s) + N, and each
+// restart of a host within W adds at most rate / N + 1.
 class account_limiter {
  public:
-  explicit account_limiter(host_id self);
+  // How often MakeMessages() is due.
+  static constexpr duration kExchangePeriod{500'000};
+
+  account_limiter(host_id self, incarnation started);
 
   void SetConfiguration(const configuration& settings);
 
-  // Number of hosts, of all failure domains, that share the limits.
-  void SetHostCount(uint32_t hosts);
+  // All hosts, of all failure domains, that share the limits; the own one is
+  // among them or not. A host that cannot be reached still counts.
+  void SetHosts(std::span<const host_id> hosts);
 
   // Takes one request of the account's rate and concurrency. Fails with
   // kOverLimit and retry_after; accounts without configuration are not limited.
@@ -31,23 +47,59 @@
   // Ends what Acquire() began.
   void Release(const account_id& account);
 
+  // This host's present share of the account's limits; zero before its first
+  // request.
+  limit_amount ShareAt(steady_time now, const account_id& account) const;
+
+  // The messages that are due to other hosts. None while every account's share
+  // suffices everywhere.
+  std::vector<std::pair<host_id, limits_message>> MakeMessages(steady_time now);
+
+  void OnMessage(steady_time now,
+                 const host_id& from,
+                 incarnation from_started,
+                 const limits_message& message);
+
   void WriteState(nlohmann::json& out) const;
 
  private:
-  struct account_state {
-    double rate = 0;  // Requests per second, over all hosts.
-    double concurrency = 0;
-    double tokens = 0;
-    steady_time refilled_at;
-    uint32_t in_flight = 0;
+  struct limited_account {
+    account_id id;
+    limit_amount limit;  // Over all hosts.
+    uint64_t hash = 0;
+    std::optional<account_share> share;  // Made by the first request.
+  };
+  struct open_loan {
+    uint64_t account_hash = 0;
+    uint32_t echo = 0;
+    limit_amount amount;
+  };
+  struct peer_state {
+    host_id id;
+    incarnation started = 0;
+    uint32_t last_sequence = 0;    // Of the peer's needs.
+    std::vector<open_loan> loans;  // To be sent with the next message.
   };
 
-  void Refill(steady_time now, account_state& account) const;
+  limit_amount BaseOf(const limited_account& account) const;
+  account_share& ShareOf(steady_time now, limited_account& account);
+  peer_state* FindPeer(const host_id& id);
+  bool IsAsked(steady_time now, const account_share& share, size_t peer) const;
 
   host_id self_;
-  uint32_t hosts_ = 1;
-  std::unordered_map<account_id, account_state> accounts_;
+  incarnation started_;
+  std::optional<steady_time> loans_unknown_until_;
+  std::vector<peer_state> peers_;
+  std::unordered_map<account_id, limited_account> accounts_;
+  std::unordered_map<uint64_t, limited_account*> by_hash_;
+  std::vector<account_id> active_;  // Those with a share.
+  uint32_t sequence_ = 0;
+  std::deque<std::pair<uint32_t, steady_time>> sent_at_;
+  size_t first_asked_ = 0;
   uint64_t refused_ = 0;
+  uint64_t messages_ = 0;
+  uint64_t loans_given_ = 0;
+  uint64_t loans_taken_ = 0;
 };
 
 }  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/routing/account_share.cc
@@ -0,0 +1,203 @@
+#include "routing/account_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotport {
+
+namespace {
+
+// Time constant of the measured demand.
+constexpr double kDemandSeconds = 1.0;
+// A host keeps this multiple of its own demand before it lends.
+constexpr double kOwnDemandFactor = 1.25;
+// A host asks for this multiple of what it lacks.
+constexpr double kNeedFactor = 1.1;
+// A loan of which less than this part is wanted is not renewed.
+constexpr double kLeastUse = 0.5;
+// Loans below this rate are not worth a message.
+constexpr double kSmallestLoan = 0.05;
+
+double SecondsOf(duration time) {
+  return static_cast<double>(time.count()) / 1e6;
+}
+
+}  // namespace
+
+account_share::account_share(const limit_amount& base,
+                             steady_time now,
+                             steady_time loans_unknown_until)
+    : base_(base),
+      loans_unknown_until_(loans_unknown_until),
+      refilled_at_(now),
+      demand_at_(now) {
+  tokens_ = std::max(1.0, OwnAt(now).rate * kBurstSeconds);
+}
+
+void account_share::SetBase(steady_time now, const limit_amount& base) {
+  Refill(now);
+  base_ = base;
+}
+
+limit_amount account_share::Sum(const std::vector<loan>& loans,
+                                steady_time now) {
+  limit_amount sum;
+  for (const loan& entry : loans) {
+    if (now < entry.until) {
+      sum += entry.amount;
+    }
+  }
+  return sum;
+}
+
+limit_amount account_share::OwnAt(steady_time now) const {
+  if (now < loans_unknown_until_) {
+    return {base_.rate * kKeptShare, base_.concurrency * kKeptShare};
+  }
+  limit_amount own = base_;
+  own -= Sum(lent_, now);
+  return {std::max(0.0, own.rate), std::max(0.0, own.concurrency)};
+}
+
+limit_amount account_share::ShareAt(steady_time now) const {
+  limit_amount share = OwnAt(now);
+  share += Sum(borrowed_, now);
+  return share;
+}
+
+void account_share::Refill(steady_time now) {
+  // Between two calls loans only end. The lower share of the period counts: the
+  // lent amounts as at its begin, the borrowed ones as at its end.
+  const double share = OwnAt(refilled_at_).rate + Sum(borrowed_, now).rate;
+  const double most = std::max(1.0, share * kBurstSeconds);
+  const double added = share * SecondsOf(now - refilled_at_);
+  tokens_ = std::min(most, tokens_ + added);
+  refilled_at_ = now;
+}
+
+double account_share::DemandAt(steady_time now) const {
+  return demand_ * std::exp(-SecondsOf(now - demand_at_) / kDemandSeconds);
+}
+
+void account_share::CountDemand(steady_time now) {
+  const double kept = std::exp(-SecondsOf(now - demand_at_) / kDemandSeconds);
+  demand_ = demand_ * kept + 1 / kDemandSeconds;
+  const double in_flight = in_flight_;
+  peak_in_flight_ = std::max(peak_in_flight_ * kept, in_flight + 1);
+  demand_at_ = now;
+}
+
+bool account_share::TryAcquire(steady_time now) {
+  CountDemand(now);
+  Refill(now);
+  const double places = std::max(1.0, std::floor(ShareAt(now).concurrency));
+  if (in_flight_ >= places) {
+    peak_in_flight_ = std::max(peak_in_flight_, 2.0 * in_flight_ + 1);
+    return false;
+  }
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  ++in_flight_;
+  return true;
+}
+
+void account_share::Release() {
+  if (in_flight_ > 0) {
+    --in_flight_;
+  }
+}
+
+duration account_share::WaitForToken(steady_time now) const {
+  if (tokens_ >= 1) {
+    return duration{0};
+  }
+  const double rate = std::max(1e-3, ShareAt(now).rate);
+  return duration(static_cast<int64_t>((1 - tokens_) / rate * 1e6));
+}
+
+limit_amount account_share::Lend(steady_time now,
+                                 const host_id& peer,
+                                 const limit_amount& wanted) {
+  if (now < loans_unknown_until_) {
+    return {};
+  }
+  Refill(now);
+  std::erase_if(lent_, [now](const loan& entry) { return now >= entry.until; });
+  auto known =
+      std::find_if(lent_.begin(), lent_.end(),
+                   [&peer](const loan& entry) { return entry.peer == peer; });
+  if (known == lent_.end()) {
+    lent_.push_back({peer, {}, now});
+    known = lent_.end() - 1;
+  }
+  limit_amount others = Sum(lent_, now);
+  others -= known->until > now ? known->amount : limit_amount{};
+  const double kept_rate =
+      std::max(kKeptShare * base_.rate, kOwnDemandFactor * DemandAt(now));
+  const double kept_places =
+      std::max(kKeptShare * base_.concurrency,
+               std::max<double>(in_flight_, peak_in_flight_));
+  const limit_amount spare{
+      std::max(0.0, base_.rate - others.rate - kept_rate),
+      std::max(0.0, base_.concurrency - others.concurrency - kept_places)};
+  limit_amount amount{
+      std::min(wanted.rate, spare.rate),
+      std::floor(std::min(wanted.concurrency, spare.concurrency))};
+  if (now < known->until) {
+    // The borrower may hold the earlier loan until its end, so a renewal can't
+    // be smaller. If the amount is needed here, the loan runs out instead.
+    const bool is_needed_here = spare.rate < known->amount.rate ||
+                                spare.concurrency < known->amount.concurrency;
+    if (is_needed_here || wanted.rate < kLeastUse * known->amount.rate) {
+      return {};
+    }
+    amount.rate = std::max(amount.rate, known->amount.rate);
+    amount.concurrency =
+        std::max(amount.concurrency, known->amount.concurrency);
+  }
+  if (amount.rate < kSmallestLoan && amount.concurrency < 1) {
+    return {};
+  }
+  known->amount = amount;
+  known->until = now + kLenderTime;
+  return amount;
+}
+
+void account_share::Borrow(steady_time now,
+                           const host_id& peer,
+                           const limit_amount& amount,
+                           steady_time until) {
+  Refill(now);
+  std::erase_if(borrowed_,
+                [now](const loan& entry) { return now >= entry.until; });
+  for (loan& entry : borrowed_) {
+    if (entry.peer == peer) {
+      if (until > entry.until) {
+        entry = {peer, amount, until};
+      }
+      return;
+    }
+  }
+  borrowed_.push_back({peer, amount, until});
+}
+
+limit_amount account_share::NeedAt(steady_time now) const {
+  limit_amount need{kNeedFactor * DemandAt(now), peak_in_flight_ + 1};
+  const double kept = std::exp(-SecondsOf(now - demand_at_) / kDemandSeconds);
+  need.concurrency *= kept;
+  const limit_amount own = OwnAt(now);
+  return {std::max(0.0, need.rate - own.rate),
+          std::ceil(std::max(0.0, need.concurrency - own.concurrency))};
+}
+
+bool account_share::IsBorrowingFrom(steady_time now,
+                                    const host_id& peer) const {
+  return std::any_of(borrowed_.begin(), borrowed_.end(),
+                     [&](const loan& entry) {
+                       return entry.peer == peer && now < entry.until;
+                     });
+}
+
+}  // namespace shallotport
--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -39,7 +39,7 @@
 request_router::request_router(request_router_options options)
     : options_(std::move(options)),
       random_(options_.seed),
-      limiter_(options_.host) {}
+      limiter_(options_.host, options_.started) {}
 
 void request_router::SetConfiguration(const configuration& settings,
                                       uint64_t revision) {
