--- a/src/libshallotport/serving/routing_duty.cc
+++ b/src/libshallotport/serving/routing_duty.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/codec.h"
 #include "serving/configuration_view.h"
 
 namespace shallotport {
@@ -12,20 +13,21 @@
 
 constexpr size_t kRingCapacity = 8192;
 constexpr duration kFullRingPause = std::chrono::microseconds(200);
-constexpr duration kTimerPeriod = std::chrono::seconds(1);
 
 }  // namespace
 
 routing_duty::routing_duty(const request_router_options& options,
-                           const clock_source& clock)
+                           const clock_source& clock,
+                           limits_sender send_limits)
     : router_(options),
+      send_limits_(std::move(send_limits)),
       thread_(
           clock,
           kRingCapacity,
           [this](steady_time now, message received) {
             std::visit([this, now](auto& kind) { On(now, kind); }, received);
           },
-          [](steady_time now) { return now + kTimerPeriod; }) {}
+          [this](steady_time now) { return ExchangeLimits(now); }) {}
 
 routing_duty::~routing_duty() {
   Stop();
@@ -68,8 +70,12 @@
   Push(std::move(settings));
 }
 
-void routing_duty::SetHostCount(uint32_t hosts) {
-  Push(host_count_message{hosts});
+void routing_duty::SetHosts(std::vector<host_id> hosts) {
+  Push(hosts_message{std::move(hosts)});
+}
+
+void routing_duty::OnLimitsMessage(peer_message message) {
+  thread_.TryPush(std::move(message));
 }
 
 void routing_duty::OnDomainOffer(domain_offer summary) {
@@ -142,8 +148,27 @@
   router_.SetConfiguration(settings->settings(), settings->revision());
 }
 
-void routing_duty::On(steady_time /*now*/, const host_count_message& message) {
-  router_.limiter().SetHostCount(message.hosts);
+void routing_duty::On(steady_time /*now*/, const hosts_message& message) {
+  router_.limiter().SetHosts(message.hosts);
+}
+
+void routing_duty::On(steady_time now, const peer_message& limits) {
+  const result<limits_message> message = Decode<limits_message>(limits.payload);
+  if (IsOk(message)) {
+    router_.limiter().OnMessage(now, limits.from, limits.from_incarnation,
+                                ValueOf(message));
+  }
+}
+
+steady_time routing_duty::ExchangeLimits(steady_time now) {
+  if (now < next_exchange_) {
+    return next_exchange_;
+  }
+  for (const auto& [to, message] : router_.limiter().MakeMessages(now)) {
+    send_limits_(to, Encode(message));
+  }
+  next_exchange_ = now + account_limiter::kExchangePeriod;
+  return next_exchange_;
 }
 
 void routing_duty::On(steady_time now, const domain_offer& summary) {
--- a/src/libshallotport/serving/routing_duty.h
+++ b/src/libshallotport/serving/routing_duty.h
@@ -5,6 +5,7 @@
 #include <future>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "membership/endpoint_record.h"
 #include "routing/domain_offer.h"
 #include "routing/request_router.h"
+#include "transport/peer_message.h"
 
 namespace shallotport {
 
@@ -25,8 +27,14 @@
  public:
   using admit_reply = std::function<void(result<route_choice> choice)>;
 
+  // Sends a payload to the peer channel kLimits; runs on the routing thread and
+  // must not block.
+  using limits_sender =
+      std::function<void(const host_id& to, std::string payload)>;
+
   routing_duty(const request_router_options& options,
-               const clock_source& clock);
+               const clock_source& clock,
+               limits_sender send_limits);
   ~routing_duty();
 
   void Start() { thread_.Start(); }
@@ -45,7 +53,10 @@
   void UpdateEndpoint(endpoint_record record);
   void RemoveEndpoint(endpoint_id id);
   void SetConfiguration(std::shared_ptr<const configuration_snapshot> settings);
-  void SetHostCount(uint32_t hosts);
+  // All hosts that share the accounts' limits.
+  void SetHosts(std::vector<host_id> hosts);
+  // A message of the peer channel kLimits. Dropped when the ring is full.
+  void OnLimitsMessage(peer_message message);
   void OnDomainOffer(domain_offer summary);
 
   // Asks the routing thread and waits for its answer.
@@ -67,8 +78,8 @@
   struct remove_message {
     endpoint_id id;
   };
-  struct host_count_message {
-    uint32_t hosts = 1;
+  struct hosts_message {
+    std::vector<host_id> hosts;
   };
   struct state_message {
     std::promise<std::string>* reply;
@@ -81,8 +92,9 @@
                                endpoint_record,
                                remove_message,
                                std::shared_ptr<const configuration_snapshot>,
-                               host_count_message,
+                               hosts_message,
                                domain_offer,
+                               peer_message,
                                state_message,
                                offer_message>;
 
@@ -95,12 +107,17 @@
   void On(steady_time now, const remove_message& message);
   void On(steady_time now,
           const std::shared_ptr<const configuration_snapshot>& settings);
-  void On(steady_time now, const host_count_message& message);
+  void On(steady_time now, const hosts_message& message);
   void On(steady_time now, const domain_offer& summary);
+  void On(steady_time now, const peer_message& limits);
   void On(steady_time now, const state_message& message);
   void On(steady_time now, const offer_message& message);
 
+  steady_time ExchangeLimits(steady_time now);
+
   request_router router_;
+  limits_sender send_limits_;
+  steady_time next_exchange_{};
   duty_thread<message> thread_;
 };
 
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -261,8 +261,15 @@
   options.started = started;
   options.address = settings.caller_lane.address;
   options.seed = HashOf(settings.host.text(), started + 3);
-  routing = std::make_unique<routing_duty>(options, clock);
-  routing->SetHostCount(static_cast<uint32_t>(settings.peers.size()));
+  routing = std::make_unique<routing_duty>(
+      options, clock, [this](const host_id& to, std::string payload) {
+        network->SendDatagram(peer_channel::kLimits, to, std::move(payload));
+      });
+  std::vector<host_id> hosts;
+  for (const peer_settings& peer : settings.peers) {
+    hosts.push_back(peer.host);
+  }
+  routing->SetHosts(std::move(hosts));
   online_caller =
       std::move(ValueOf(endpoint_caller::Create(settings.online_calls)));
   finisher = std::make_unique<exchange_finisher>();
@@ -302,10 +309,13 @@
   network->SetReceiver(peer_channel::kMembership, to_membership);
   network->SetReceiver(peer_channel::kEndpoints, to_membership);
   network->SetReceiver(peer_channel::kSummaries, to_membership);
-  network->SetReceiver(
-      peer_channel::kLogForwarding, [this](peer_message message) {
-        log->OnPeerMessage(message.from, std::move(message.payload));
-      });
+  network->SetReceiver(peer_channel::kLimits, [this](peer_message message) {
+    routing->OnLimitsMessage(std::move(message));
+  });
+  network->SetReceiver(peer_channel::kLogForwarding,
+                       [this](const peer_message& message) {
+                         log->OnPeerMessage(message.from, message.payload);
+                       });
   if (member) {
     network->SetReceiver(peer_channel::kConsensus,
                          [this](peer_message message) {
@@ -424,7 +434,7 @@
 
 status daemon::Start() {
   if (parts_->member) {
-    const status started = parts_->member->Start();
+    status started = parts_->member->Start();
     if (!IsOk(started)) {
       return started;
     }
@@ -434,7 +444,7 @@
   parts_->membership->Start();
   parts_->coordinator->Start();
   parts_->poller->Start();
-  const status listening = parts_->Listen();
+  status listening = parts_->Listen();
   if (!IsOk(listening)) {
     return listening;
   }
