serving: offer other domains' free slots to the router

Cause: the router spills by offers of hosts, membership knows summaries of domains. Change: MakeSpillOffers splits a domain's free slots over its contacts. Conclusion: a request goes one hop when the own domain is full or has no endpoint.

--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -27,6 +27,7 @@
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
 #include "serving/serving_metrics.h"
+#include "serving/spill_offers.h"
 #include "serving/state_registry.h"
 #include "transport/peer_network.h"
 
@@ -108,6 +109,7 @@
   host_settings settings;
   system_clock_source clock;
   incarnation started = 0;
+  std::vector<spill_contact> contacts;  // Hosts of other failure domains.
   std::atomic<bool> is_draining{false};
 
   serving_metrics metrics;
@@ -218,6 +220,11 @@
 }
 
 status daemon::parts::ComposeMembership() {
+  for (const peer_settings& peer : settings.peers) {
+    if (peer.domain != settings.domain && !peer.caller_address.empty()) {
+      contacts.push_back({peer.host, peer.domain, peer.caller_address});
+    }
+  }
   membership_duty_callbacks callbacks;
   callbacks.send = [this](peer_channel channel, const host_id& to,
                           const std::string& address, std::string payload) {
@@ -243,7 +250,14 @@
     }
     routing->UpdateEndpoint(event.endpoint);
   };
-  callbacks.on_summaries = [](const std::vector<service_summary>&) {};
+  callbacks.on_summaries =
+      [this, sequence = uint64_t{0}](
+          const std::vector<service_summary>& summaries) mutable {
+        for (domain_offer& offer :
+             MakeSpillOffers(summaries, contacts, ++sequence)) {
+          routing->OnDomainOffer(std::move(offer));
+        }
+      };
   result<std::unique_ptr<membership_duty>> made = membership_duty::Create(
       MembershipOptions(settings, started), clock,
       HashOf(settings.host.text(), started + 2), std::move(callbacks));
