routing: smooth the load of other hosts and ignore small time differences

Cause: each host followed the same stale reports; noise of request times drew work to endpoints that were only lucky.

--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -252,7 +252,8 @@
     }
     ++total;
     const bool is_ejected = now < member.ejected_until;
-    const bool is_usable = !is_ejected && endpoint.breaker().Allows(now);
+    const bool is_usable =
+        !options_.uses_merit || (!is_ejected && endpoint.breaker().Allows(now));
     usable += is_usable ? 1 : 0;
     if (!query.excluded.empty() && IsExcluded(query, record.id)) {
       continue;
@@ -263,7 +264,7 @@
     candidate.reported_load = record.load.running + record.load.queued;
     candidate.load = endpoint.LoadAt(now);
     candidate.slots = endpoint.slots();
-    candidate.weight = endpoint.WeightAt(now);
+    candidate.weight = options_.uses_merit ? endpoint.WeightAt(now) : 1;
     candidate.service_time_us = service.TimeAt(now, member);
     const bool is_full = query.lane == request_lane::kBatch &&
                          candidate.load + 1 > candidate.slots;
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -30,6 +30,8 @@
   incarnation started = 0;
   std::string address;  // "IP:port" where the host takes spilled requests.
   uint64_t seed = 1;
+  // Breakers, ejection, slow start. Off only to measure what they bring.
+  bool uses_merit = true;
 };
 
 // Decides, for one host, which attempt may be sent now and to which endpoint:
--- a/src/libshallotport/routing/routed_endpoint.cc
+++ b/src/libshallotport/routing/routed_endpoint.cc
@@ -8,8 +8,9 @@
 
 namespace {
 
-// Share of a new report in the smoothed load of other hosts.
-constexpr double kReportWeight = 0.5;
+// Share of a new report in the smoothed load of other hosts. Reports are older
+// than most requests in the endpoint, so a single one says little about now.
+constexpr double kReportWeight = 0.1;
 
 }  // namespace
 
@@ -35,20 +36,21 @@
 
 void routed_endpoint::TakeReport(steady_time now, const load_report& report) {
   const double total = report.running + report.queued;
-  const double others = std::max(0.0, total - own_outstanding_);
+  const double others = total - own_outstanding_;
   others_ = (1 - kReportWeight) * others_ + kReportWeight * others;
   reported_at_ = now;
 }
 
 double routed_endpoint::LoadAt(steady_time now) const {
   const duration age = now - reported_at_;
+  const double others = std::max(0.0, others_);
   if (age <= kReportHalfLife) {
-    return own_outstanding_ + others_;
+    return own_outstanding_ + others;
   }
   const double half_lives =
       static_cast<double>((age - kReportHalfLife).count()) /
       static_cast<double>(kReportHalfLife.count());
-  return own_outstanding_ + others_ * std::exp2(-half_lives);
+  return own_outstanding_ + others * std::exp2(-half_lives);
 }
 
 double routed_endpoint::WeightAt(steady_time now) const {
--- a/src/libshallotport/routing/routed_service.cc
+++ b/src/libshallotport/routing/routed_service.cc
@@ -12,6 +12,9 @@
 constexpr duration kLongestEjection{30'000'000};
 constexpr double kOutlierFactor = 3;
 constexpr uint64_t kSamplesToJudge = 5;
+// Smaller differences between endpoints are noise of the requests themselves.
+constexpr double kNotableRatio = 1.6;
+constexpr double kLeastNotableRatio = 0.6;
 // An estimate without new samples loses half of its distance to the service's
 // mean in each of these periods, so that a slow endpoint is tried again.
 constexpr duration kEstimateHalfLife{5'000'000};
@@ -68,6 +71,10 @@
     return overall_.mean_us();
   }
   const double own = member.estimate.mean_us();
+  const double ratio = own / overall_.mean_us();
+  if (ratio > kLeastNotableRatio && ratio < kNotableRatio) {
+    return overall_.mean_us();
+  }
   const duration age = member.estimate.AgeAt(now);
   if (age <= kEstimateHalfLife) {
     return own;
