--- a/util/cluster.sh
+++ b/util/cluster.sh
@@ -12,11 +12,18 @@
 ctl_program=$(shallotport_programs shallotctl shallotctl)
 fake_program=$(shallotport_programs fakes fake_endpoint)
 
-# Port of one interface of host number $2: peer, caller, endpoint, operator.
+# Ports from here to port_base + 999 are used.
+port_base=${SHALLOTPORT_PORT_BASE:-21000}
+
+# Port of one interface of host number $2: peer, caller, endpoint, operator; or
+# of endpoint number $2: runner, plain.
 host_port() {
-  local base
-  case $1 in peer) base=21100 ;; caller) base=21200 ;; endpoint) base=21300 ;; operator) base=21400 ;; esac
-  echo $((base + $2))
+  local offset
+  case $1 in
+    peer) offset=100 ;; caller) offset=200 ;; endpoint) offset=300 ;; operator) offset=400 ;;
+    runner) offset=500 ;; plain) offset=600 ;;
+  esac
+  echo $((port_base + offset + $2))
 }
 
 # write_settings NUMBER HOST DOMAIN "HOST:DOMAIN:CONTROL ..." - all hosts in order.
@@ -80,6 +87,68 @@
   done
 }
 
+# start_three_hosts: a1, b1 and c1 in domains a, b and c, all control members.
+start_three_hosts() {
+  local hosts="a1:a:true b1:b:true c1:c:true"
+  write_settings 0 a1 a "$hosts"
+  write_settings 1 b1 b "$hosts"
+  write_settings 2 c1 c "$hosts"
+  start_host a1
+  start_host b1
+  start_host c1
+}
+
+# start_endpoints_of DOMAIN NUMBER: a runner and an unlock service.
+start_endpoints_of() {
+  start_endpoint "runner-$1" "$(host_port runner "$2")" "$1" "$2" assistant --runner --can-resume --slots 4 --ttft-ms 30 --token-ms 10
+  start_endpoint "unlock-$1" "$(host_port plain "$2")" "$1" "$2" unlock --remembers-outcomes --service-ms 20
+}
+
+# Puts the demo's configuration into force and waits until all hosts have it.
+apply_demo_configuration() {
+  local number
+  "$build/examples/demo_configuration" >"$work/configuration.yaml"
+  wait_for 30 ctl 0 get
+  ctl 0 apply --author demo "$work/configuration.yaml"
+  for number in 0 1 2; do wait_for 20 ctl "$number" ready; done
+}
+
+# knows HOST_NUMBER ENDPOINT...: whether the host has heard of the endpoints.
+knows() {
+  local number=$1 state endpoint
+  shift
+  state=$(ctl "$number" dump) || return 1
+  for endpoint in "$@"; do grep -q "\"$endpoint\"" <<<"$state" || return 1; done
+}
+
+url() { echo "http://127.0.0.1:$(host_port caller "$1")$2"; }
+
+# call HOST_NUMBER PATH [curl option...]: a request of the demo's account.
+call() {
+  local target
+  target=$(url "$1" "$2")
+  shift 2
+  curl -sS --max-time 30 -H "Authorization: Bearer lysberg-token" -H "Content-Type: application/json" "$@" "$target"
+}
+
+# unlock HOST_NUMBER KEY: a non-idempotent call.
+unlock() { call "$1" /v1/services/unlock/issue -H "Idempotency-Key: $2" -d '{"lantern":17}'; }
+
+# Sum of the executions that the unlock endpoints have started.
+unlock_runs() {
+  local number
+  for number in "$@"; do curl -sS --max-time 5 "http://127.0.0.1:$(host_port plain "$number")/control/runs"; echo; done |
+    grep -o '"started":[0-9]*' | awk -F: '{sum += $2} END {print sum + 0}'
+}
+
+# kill_host NAME: as if the machine were lost.
+kill_host() {
+  local id
+  eval "id=\$pid_$1"
+  kill -KILL "$id"
+  wait "$id" 2>/dev/null || true
+}
+
 # Ends everything that was started here: SIGTERM, then a bounded wait.
 stop_cluster() {
   local pid
