--- /dev/null
+++ b/src/libshallotport/claims/claim_coordinator.cc
@@ -0,0 +1,189 @@
+#include "claims/claim_coordinator.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace shallotport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kWakeUps = 64;
+constexpr milliseconds kLongestSleep{1'000};
+
+// Nothing is known about earlier tries under the key when the log could not
+// be asked.
+error ErrorOfProposal(const error& failure) {
+  if (failure.kind == error_kind::kNotLeader ||
+      failure.kind == error_kind::kOutcomeUnknown ||
+      failure.kind == error_kind::kDeadlineExceeded) {
+    return MakeError(error_kind::kNoQuorum, failure.detail);
+  }
+  return failure;
+}
+
+bool IsVerdict(const result<claim_reply>& reply, claim_verdict verdict) {
+  return IsOk(reply) && ValueOf(reply).verdict == verdict;
+}
+
+}  // namespace
+
+claim_coordinator::claim_coordinator(claim_coordinator_options options,
+                                     replicated_log& log,
+                                     const clock_source& clock)
+    : options_(std::move(options)),
+      client_(log),
+      clock_(clock),
+      tracker_(options_.tracker),
+      host_incarnation_(options_.started),
+      duty_(
+          clock,
+          kWakeUps,
+          [](steady_time, wake_up) {},
+          [this](steady_time now) { return SettleDue(now); }) {}
+
+claim_coordinator::~claim_coordinator() {
+  Stop();
+}
+
+void claim_coordinator::Start() {
+  duty_.Start();
+}
+
+void claim_coordinator::Stop() {
+  duty_.Stop();
+}
+
+claim_begin claim_coordinator::CommandOf(const claim_request& request,
+                                         steady_time now,
+                                         steady_time call_deadline) const {
+  const auto remaining = std::chrono::duration_cast<milliseconds>(
+      std::max(call_deadline - now, duration(0)));
+  claim_begin begin;
+  begin.key = MakeClaimKey(request.account, request.idempotency_key);
+  begin.request = request.request;
+  begin.host = options_.host;
+  begin.attempt = request.attempt;
+  begin.endpoint = request.endpoint;
+  begin.open_limit_ms = (remaining + options_.open_margin).count();
+  begin.horizon_ms = options_.horizon.count();
+  const std::lock_guard lock(mutex_);
+  begin.host_incarnation = host_incarnation_;
+  return begin;
+}
+
+result<claim_permission> claim_coordinator::Begin(const claim_request& request,
+                                                  steady_time send_deadline,
+                                                  steady_time call_deadline) {
+  claim_begin begin = CommandOf(request, clock_.Now(), call_deadline);
+  {
+    const std::lock_guard lock(mutex_);
+    const status begun =
+        tracker_.Begin(request.attempt, begin.key, send_deadline);
+    if (!IsOk(begun)) {
+      return ErrorOf(begun);
+    }
+  }
+  result<claim_reply> reply = client_.Begin(begin, send_deadline);
+  if (IsVerdict(reply, claim_verdict::kStaleHost)) {
+    {
+      const std::lock_guard lock(mutex_);
+      host_incarnation_ =
+          std::max(host_incarnation_, ValueOf(reply).known_incarnation);
+      begin.host_incarnation = host_incarnation_;
+    }
+    reply = client_.Begin(begin, send_deadline);
+  }
+  if (MaySend(request.attempt, reply)) {
+    return claim_permission{claim_granted{}};
+  }
+  if (!IsOk(reply)) {
+    return ErrorOfProposal(ErrorOf(reply));
+  }
+  if (ValueOf(reply).answer) {
+    return claim_permission{*std::move(ValueOf(reply).answer)};
+  }
+  if (IsVerdict(reply, claim_verdict::kGranted)) {
+    return MakeError(error_kind::kDeadlineUnreachable,
+                     "claimed too late to be sent");
+  }
+  return ErrorOfVerdict(ValueOf(reply));
+}
+
+bool claim_coordinator::MaySend(const attempt_id& attempt,
+                                const result<claim_reply>& reply) {
+  bool may_send = false;
+  {
+    const std::lock_guard lock(mutex_);
+    may_send = tracker_.MaySend(clock_.Now(), attempt, reply);
+  }
+  if (!may_send) {
+    duty_.TryPush(wake_up{});
+  }
+  return may_send;
+}
+
+bool claim_coordinator::Finish(const attempt_id& attempt,
+                               claim_answer answer,
+                               steady_time wait_until) {
+  {
+    const std::lock_guard lock(mutex_);
+    tracker_.Finish(clock_.Now(), attempt, std::move(answer));
+  }
+  return SettleNow(attempt, wait_until);
+}
+
+bool claim_coordinator::Release(const attempt_id& attempt,
+                                steady_time wait_until) {
+  {
+    const std::lock_guard lock(mutex_);
+    tracker_.Release(clock_.Now(), attempt);
+  }
+  return SettleNow(attempt, wait_until);
+}
+
+void claim_coordinator::Forget(const attempt_id& attempt) {
+  const std::lock_guard lock(mutex_);
+  tracker_.Forget(attempt);
+}
+
+bool claim_coordinator::SettleNow(const attempt_id& attempt,
+                                  steady_time wait_until) {
+  std::optional<claim_settlement> due;
+  {
+    const std::lock_guard lock(mutex_);
+    due = tracker_.TakeDue(clock_.Now(), attempt);
+  }
+  if (!due) {
+    return false;
+  }
+  const auto reply = client_.Propose(due->command, wait_until);
+  duty_.TryPush(wake_up{});
+  const std::lock_guard lock(mutex_);
+  tracker_.OnSettled(attempt, reply);
+  return tracker_.IsSettled(attempt);
+}
+
+steady_time claim_coordinator::SettleDue(steady_time now) {
+  std::vector<claim_settlement> due;
+  {
+    const std::lock_guard lock(mutex_);
+    due = tracker_.Due(now);
+  }
+  for (const claim_settlement& settlement : due) {
+    const auto reply = client_.Propose(settlement.command,
+                                       clock_.Now() + options_.settle_timeout);
+    const std::lock_guard lock(mutex_);
+    tracker_.OnSettled(settlement.attempt, reply);
+  }
+  const std::lock_guard lock(mutex_);
+  return std::min(tracker_.next_due(), clock_.Now() + kLongestSleep);
+}
+
+void claim_coordinator::WriteState(nlohmann::json& out) const {
+  const std::lock_guard lock(mutex_);
+  out["host_incarnation"] = host_incarnation_;
+  tracker_.WriteState(out);
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/claims/claim_history_test.cc
@@ -0,0 +1,307 @@
+// Hosts with their trackers, a bag of commands that are delayed, reordered,
+// repeated and lost, crashes, wrong suspicions and reloaded snapshots, against
+// an oracle that counts how often the call of each key ran.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <sstream>
+
+#include "base/random_source.h"
+#include "claims/claim_state.h"
+#include "claims/claim_tracker.h"
+
+namespace shallotport {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kHosts = 4;
+constexpr int kKeys = 6;
+constexpr int kSteps = 1'500;
+constexpr int64_t kOpenLimitMs = 400;
+constexpr int64_t kHorizonMs = 3'600'000;
+constexpr milliseconds kSendWindow{60};
+
+struct key_oracle {
+  int runs = 0;
+  std::string answer;  // What the run answered.
+  host_id runner;
+  bool is_recorded = false;  // A finish was confirmed.
+  bool is_lost = false;      // A host died, or forgot the call, after a grant.
+};
+
+struct host_under_test {
+  host_id id;
+  incarnation started = 1;
+  claim_tracker tracker;
+  std::map<attempt_id, int> executing;  // Sent calls by key number.
+};
+
+// A command on its way to the log, or a reply on its way back.
+struct parcel {
+  int host = 0;
+  incarnation started = 0;
+  attempt_id attempt;
+  int key_number = 0;
+  claim_command command;
+  std::optional<claim_reply> reply;
+};
+
+class claim_history {
+ public:
+  explicit claim_history(uint64_t seed) : random_(seed) {
+    for (int i = 0; i < kHosts; ++i) {
+      hosts_[i].id = host_id("h" + std::to_string(i));
+    }
+  }
+
+  void Run() {
+    for (int step = 0; step < kSteps && !testing::Test::HasFatalFailure();
+         ++step) {
+      Step();
+    }
+    Settle();
+    CheckEnd();
+  }
+
+ private:
+  bool OneIn(uint64_t n) { return UniformBelow(random_, n) == 0; }
+  int AnyHost() { return static_cast<int>(UniformBelow(random_, kHosts)); }
+  steady_time Now() const { return steady_time(milliseconds(now_)); }
+
+  void Step() {
+    now_ += static_cast<int64_t>(UniformBelow(random_, 8));
+    switch (UniformBelow(random_, 16)) {
+      case 0:
+      case 1:
+      case 2:
+        return Request(AnyHost());
+      case 3:
+        return EndCall(hosts_[AnyHost()]);
+      case 4:
+        return OneIn(12) ? Crash(hosts_[AnyHost()]) : Propose();
+      case 5:
+        return OneIn(25) ? Suspect(hosts_[AnyHost()]) : Propose();
+      case 6:
+        return OneIn(12) ? Reload() : Propose();
+      default:
+        return Deliver();
+    }
+  }
+
+  claim_begin BeginOf(int host, int key_number, const attempt_id& attempt) {
+    claim_begin begin;
+    begin.key = MakeClaimKey(account_id("a"), std::to_string(key_number));
+    begin.host = hosts_[host].id;
+    begin.host_incarnation = hosts_[host].started;
+    begin.attempt = attempt;
+    begin.open_limit_ms = kOpenLimitMs;
+    begin.horizon_ms = kHorizonMs;
+    return begin;
+  }
+
+  void Request(int host) {
+    const int key_number = static_cast<int>(UniformBelow(random_, kKeys));
+    const attempt_id attempt("t" + std::to_string(++attempts_));
+    const claim_begin begin = BeginOf(host, key_number, attempt);
+    ASSERT_TRUE(IsOk(
+        hosts_[host].tracker.Begin(attempt, begin.key, Now() + kSendWindow)));
+    Send({host, hosts_[host].started, attempt, key_number, begin, {}});
+  }
+
+  // Loses one parcel in eight and sends one in eight twice.
+  void Send(const parcel& sent) {
+    const uint64_t fate = UniformBelow(random_, 8);
+    if (fate != 0) {
+      bag_.push_back(sent);
+    }
+    if (fate == 1) {
+      bag_.push_back(sent);
+    }
+  }
+
+  void Deliver() {
+    if (bag_.empty()) {
+      return;
+    }
+    const size_t chosen = UniformBelow(random_, bag_.size());
+    std::swap(bag_[chosen], bag_.back());
+    parcel taken = std::move(bag_.back());
+    bag_.pop_back();
+    if (taken.reply) {
+      return OnReply(taken);
+    }
+    taken.reply = state_.ApplyCommand(now_, taken.command);
+    if (taken.reply->answer) {
+      ASSERT_EQ(taken.reply->answer->body, oracle_[taken.key_number].answer);
+    }
+    Send(taken);
+  }
+
+  void OnReply(const parcel& taken) {
+    host_under_test& host = hosts_[taken.host];
+    if (taken.started != host.started &&
+        !host.tracker.IsSettled(taken.attempt)) {
+      return;
+    }
+    if (!std::holds_alternative<claim_begin>(taken.command)) {
+      oracle_[taken.key_number].is_recorded |=
+          std::holds_alternative<claim_finish>(taken.command) &&
+          taken.reply->verdict == claim_verdict::kDone;
+      return host.tracker.OnSettled(taken.attempt, *taken.reply);
+    }
+    if (taken.reply->verdict == claim_verdict::kStaleHost) {
+      host.started = std::max(host.started, taken.reply->known_incarnation);
+    }
+    if (host.tracker.MaySend(Now(), taken.attempt, *taken.reply)) {
+      host.executing.emplace(taken.attempt, taken.key_number);
+      key_oracle& key = oracle_[taken.key_number];
+      ++key.runs;
+      key.answer = taken.attempt.text();
+      key.runner = host.id;
+      ASSERT_EQ(key.runs, 1) << "key " << taken.key_number;
+    }
+  }
+
+  void EndCall(host_under_test& host) {
+    if (host.executing.empty()) {
+      return;
+    }
+    const auto [attempt, key_number] = *host.executing.begin();
+    host.executing.erase(host.executing.begin());
+    key_oracle& key = oracle_[key_number];
+    if (OneIn(3)) {  // Refused before it ran: nothing happened.
+      key.runs = 0;
+      key.answer.clear();
+      host.tracker.Release(Now(), attempt);
+    } else if (OneIn(6)) {
+      key.is_lost = true;
+      host.tracker.Forget(attempt);
+    } else {
+      host.tracker.Finish(Now(), attempt, {200, {}, key.answer, false});
+    }
+  }
+
+  // The hosts' callers give up, and what is due is proposed.
+  void Propose() {
+    const int number = AnyHost();
+    host_under_test& host = hosts_[number];
+    if (attempts_ > 0 && OneIn(4)) {
+      const attempt_id attempt(
+          "t" + std::to_string(UniformBelow(random_, attempts_) + 1));
+      if (!host.executing.contains(attempt)) {
+        host.tracker.MaySend(Now(), attempt,
+                             MakeError(error_kind::kNoQuorum, "timeout"));
+      }
+    }
+    for (claim_settlement& due : host.tracker.Due(Now())) {
+      const int key_number = KeyNumberOf(due.command);
+      Send({number,
+            host.started,
+            due.attempt,
+            key_number,
+            std::move(due.command),
+            {}});
+    }
+  }
+
+  static int KeyNumberOf(const claim_command& command) {
+    const auto* finish = std::get_if<claim_finish>(&command);
+    const claim_key key =
+        finish ? finish->key : std::get<claim_release>(command).key;
+    int number = 0;
+    while (MakeClaimKey(account_id("a"), std::to_string(number)) != key) {
+      ++number;
+    }
+    return number;
+  }
+
+  void Crash(host_under_test& host) {
+    for (auto& [number, key] : oracle_) {
+      key.is_lost |= key.runner == host.id && !key.is_recorded;
+    }
+    host.executing.clear();
+    host.tracker = claim_tracker();
+    host.started += 1;
+  }
+
+  void Suspect(host_under_test& host) {
+    state_.ApplyCommand(now_, claim_abandon{host.id, host.started});
+  }
+
+  void Reload() {
+    std::stringstream bytes;
+    ASSERT_TRUE(IsOk(state_.BeginSnapshot()->Write(bytes)));
+    claim_state loaded;
+    ASSERT_TRUE(IsOk(loaded.LoadSnapshot(bytes)));
+    state_ = std::move(loaded);
+  }
+
+  // No more losses: every host ends its calls and settles what it began.
+  void Settle() {
+    for (int round = 0; round < 400; ++round) {
+      now_ += 100;
+      for (host_under_test& host : hosts_) {
+        EndCall(host);
+      }
+      Propose();
+      for (int i = 0; i < 40; ++i) {
+        Deliver();
+      }
+    }
+    for (int i = 0; i < kHosts; ++i) {
+      for (const claim_settlement& due :
+           hosts_[i].tracker.Due(steady_time::max() - std::chrono::hours(1))) {
+        hosts_[i].tracker.OnSettled(due.attempt,
+                                    state_.ApplyCommand(now_, due.command));
+      }
+    }
+  }
+
+  void CheckEnd() {
+    for (int number = 0; number < kKeys; ++number) {
+      const claim_begin begin = BeginOf(0, number, attempt_id("end"));
+      const claim_reply reply = state_.Lookup({begin.key, begin.request});
+      const key_oracle& key = oracle_[number];
+      EXPECT_NE(reply.verdict, claim_verdict::kInProgress) << number;
+      if (key.is_recorded) {
+        ASSERT_EQ(reply.verdict, claim_verdict::kAnswered) << number;
+      }
+      if (key.runs == 1 && !key.is_lost) {
+        ASSERT_EQ(reply.verdict, claim_verdict::kAnswered) << number;
+        EXPECT_EQ(reply.answer->body, key.answer);
+      }
+      if (key.runs == 1) {
+        EXPECT_NE(reply.verdict, claim_verdict::kUnclaimed) << number;
+      }
+    }
+  }
+
+  random_source random_;
+  int64_t now_ = 0;
+  claim_state state_;
+  host_under_test hosts_[kHosts];
+  std::vector<parcel> bag_;
+  std::map<int, key_oracle> oracle_;
+  uint64_t attempts_ = 0;
+};
+
+class claim_histories : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(claim_histories, RunEachKeyAtMostOnce) {
+  for (uint64_t part = 0; part < 10; ++part) {
+    SCOPED_TRACE("seed " + std::to_string(GetParam() * 1000 + part));
+    claim_history(GetParam() * 1000 + part).Run();
+    if (HasFailure()) {
+      return;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         claim_histories,
+                         testing::Range<uint64_t>(1, 11));
+
+}  // namespace
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/claims/claim_state.cc
@@ -0,0 +1,405 @@
+#include "claims/claim_state.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/codec.h"
+#include "base/digest.h"
+
+namespace shallotport {
+namespace {
+
+constexpr int64_t kMinuteMs = 60'000;
+constexpr int64_t kHostHorizonMs = 24LL * 3600 * 1000;
+
+int64_t ExpiryMinute(wall_milliseconds expires_at) {
+  return (expires_at + kMinuteMs - 1) / kMinuteMs;
+}
+
+uint64_t HashOfAttempt(const attempt_id& attempt) {
+  return HashOf(attempt.text());
+}
+
+uint64_t HashOfRelease(const claim_key& key, const attempt_id& attempt) {
+  return HashOf(attempt.text(), key.low);
+}
+
+// What anybody but the holder is told about a claim.
+claim_reply Describe(const claim_entry& entry, const claim_digest& request) {
+  claim_reply reply;
+  if (entry.request != request) {
+    reply.verdict = claim_verdict::kRequestDiffers;
+    return reply;
+  }
+  if (entry.phase == claim_phase::kAnswered) {
+    reply.verdict = claim_verdict::kAnswered;
+    reply.answer = *entry.answer;
+    return reply;
+  }
+  reply.verdict = entry.phase == claim_phase::kOpen
+                      ? claim_verdict::kInProgress
+                      : claim_verdict::kOutcomeUnknown;
+  reply.holder = entry.holder->host;
+  reply.endpoint = entry.holder->endpoint;
+  return reply;
+}
+
+claim_reply ReplyOf(claim_verdict verdict) {
+  claim_reply reply;
+  reply.verdict = verdict;
+  return reply;
+}
+
+void DropBody(claim_answer& answer) {
+  answer.headers.clear();
+  answer.body.clear();
+  answer.is_body_dropped = true;
+}
+
+}  // namespace
+
+claim_state::claim_state(claim_limits limits)
+    : limits_(limits), expired_(limits.expired_horizon_ms) {}
+
+std::string claim_state::Apply(const apply_context& context,
+                               std::string_view command) {
+  const auto decoded = Decode<claim_command>(command);
+  if (!IsOk(decoded)) {
+    return Encode(ReplyOf(claim_verdict::kMalformed));
+  }
+  return Encode(ApplyCommand(context.leader_time, ValueOf(decoded)));
+}
+
+claim_reply claim_state::ApplyCommand(wall_milliseconds now,
+                                      const claim_command& command) {
+  Advance(now);
+  return std::visit([&](const auto& typed) { return On(now_, typed); },
+                    command);
+}
+
+claim_reply claim_state::On(wall_milliseconds now, const claim_begin& begin) {
+  const auto epoch = hosts_.find(begin.host);
+  if (epoch != hosts_.end() &&
+      begin.host_incarnation > epoch->second.lowest_live) {
+    AbandonBelow(now, begin.host, begin.host_incarnation);
+  }
+  if (const claim_entry* entry = table_.Find(begin.key)) {
+    const bool is_same_attempt =
+        entry->attempt_hash == HashOfAttempt(begin.attempt) &&
+        entry->request == begin.request;
+    if (is_same_attempt && entry->phase == claim_phase::kOpen) {
+      return ReplyOf(claim_verdict::kGranted);
+    }
+    claim_reply reply = Describe(*entry, begin.request);
+    Count(reply.verdict);
+    return reply;
+  }
+  if (expired_.Contains(begin.key)) {
+    return Refuse(claim_verdict::kExpired);
+  }
+  if (released_hashes_.contains(HashOfRelease(begin.key, begin.attempt))) {
+    return Refuse(claim_verdict::kAttemptReleased);
+  }
+  if (epoch != hosts_.end() &&
+      begin.host_incarnation < epoch->second.lowest_live) {
+    claim_reply reply = Refuse(claim_verdict::kStaleHost);
+    reply.known_incarnation = epoch->second.lowest_live;
+    return reply;
+  }
+  if (!HasRoom()) {
+    return Refuse(claim_verdict::kStorageFull);
+  }
+  return Grant(now, begin);
+}
+
+claim_reply claim_state::Grant(wall_milliseconds now,
+                               const claim_begin& begin) {
+  const int64_t open_limit =
+      std::clamp<int64_t>(begin.open_limit_ms, 1, limits_.longest_horizon_ms);
+  const int64_t horizon = std::clamp<int64_t>(begin.horizon_ms, open_limit,
+                                              limits_.longest_horizon_ms);
+  claim_entry entry;
+  entry.request = begin.request;
+  entry.attempt_hash = HashOfAttempt(begin.attempt);
+  entry.expires_at = now + horizon;
+  entry.holder = std::make_shared<const claim_holder_record>(
+      claim_holder_record{begin.host, begin.host_incarnation, begin.endpoint,
+                          now + open_limit});
+  IndexOpen(begin.key, entry);
+  IndexExpiry(begin.key, entry);
+  table_.Put(begin.key, std::move(entry));
+  host_epoch& epoch = hosts_[begin.host];
+  epoch.lowest_live = std::max(epoch.lowest_live, begin.host_incarnation);
+  epoch.forget_at = now + kHostHorizonMs;
+  Count(claim_verdict::kGranted);
+  return ReplyOf(claim_verdict::kGranted);
+}
+
+bool claim_state::HasRoom() const {
+  const uint64_t reserved = (open_.size() + 1) * kMostAnswerBytes;
+  return table_.size() < limits_.most_claims &&
+         table_.size() + expired_.size() < limits_.most_keys &&
+         released_.size() < limits_.most_released_attempts &&
+         answer_bytes_ + reserved <= limits_.most_answer_bytes;
+}
+
+claim_reply claim_state::On(wall_milliseconds, const claim_finish& finish) {
+  const claim_entry* entry = table_.Find(finish.key);
+  if (entry == nullptr ||
+      entry->attempt_hash != HashOfAttempt(finish.attempt)) {
+    return ReplyOf(claim_verdict::kNotHolder);
+  }
+  if (entry->phase != claim_phase::kAnswered) {
+    ++counters_.finished;
+    StoreAnswer(finish.key, *entry, finish.answer);
+  }
+  return ReplyOf(claim_verdict::kDone);
+}
+
+claim_reply claim_state::On(wall_milliseconds now,
+                            const claim_release& release) {
+  const claim_entry* entry = table_.Find(release.key);
+  const bool is_holder =
+      entry != nullptr && entry->attempt_hash == HashOfAttempt(release.attempt);
+  if (is_holder && entry->phase == claim_phase::kAnswered) {
+    return ReplyOf(claim_verdict::kNotHolder);
+  }
+  if (is_holder) {
+    Erase(release.key, *entry);
+  }
+  ++counters_.released;
+  MarkReleased(now, release.key, release.attempt);
+  return ReplyOf(claim_verdict::kDone);
+}
+
+claim_reply claim_state::On(wall_milliseconds now,
+                            const claim_abandon& abandon) {
+  AbandonBelow(now, abandon.host, abandon.host_incarnation + 1);
+  return ReplyOf(claim_verdict::kDone);
+}
+
+claim_reply claim_state::On(wall_milliseconds, const claim_resolve& resolve) {
+  const claim_entry* entry = table_.Find(resolve.key);
+  if (entry == nullptr) {
+    return ReplyOf(claim_verdict::kNotHolder);
+  }
+  if (entry->phase == claim_phase::kOpen) {
+    return Describe(*entry, entry->request);
+  }
+  if (entry->phase == claim_phase::kUnknown) {
+    ++counters_.resolved;
+    StoreAnswer(resolve.key, *entry, resolve.answer);
+    entry = table_.Find(resolve.key);
+  }
+  return Describe(*entry, entry->request);
+}
+
+claim_reply claim_state::Lookup(const claim_lookup& lookup) const {
+  if (const claim_entry* entry = table_.Find(lookup.key)) {
+    return Describe(*entry, lookup.request);
+  }
+  return ReplyOf(expired_.Contains(lookup.key) ? claim_verdict::kExpired
+                                               : claim_verdict::kUnclaimed);
+}
+
+std::string claim_state::Query(std::string_view query) const {
+  const auto decoded = Decode<claim_lookup>(query);
+  if (!IsOk(decoded)) {
+    return Encode(ReplyOf(claim_verdict::kMalformed));
+  }
+  return Encode(Lookup(ValueOf(decoded)));
+}
+
+void claim_state::Advance(wall_milliseconds now) {
+  now_ = std::max(now_, now);
+  while (!open_limits_.empty() && open_limits_.begin()->at <= now_) {
+    const claim_key key = open_limits_.begin()->key;
+    MakeUnknown(key, *table_.Find(key));
+  }
+  ExpireClaims(now_);
+  expired_.Advance(now_);
+  ForgetAttemptsAndHosts(now_);
+}
+
+void claim_state::ExpireClaims(wall_milliseconds now) {
+  while (!expiry_minutes_.empty() &&
+         expiry_minutes_.begin()->first * kMinuteMs <= now) {
+    const auto due = expiry_minutes_.extract(expiry_minutes_.begin());
+    for (const claim_key& key : due.mapped()) {
+      Expire(now, key);
+    }
+  }
+}
+
+void claim_state::Expire(wall_milliseconds now, const claim_key& key) {
+  const claim_entry* entry = table_.Find(key);
+  if (entry->phase == claim_phase::kOpen) {
+    UnindexOpen(key, *entry);
+  }
+  if (entry->answer) {
+    answer_bytes_ -= SizeOf(*entry->answer);
+  }
+  table_.Erase(key);
+  expired_.Add(key, now);
+}
+
+void claim_state::ForgetAttemptsAndHosts(wall_milliseconds now) {
+  while (!released_.empty() && released_.front().forget_at <= now) {
+    released_hashes_.erase(released_.front().hash);
+    released_.pop_front();
+  }
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kMinuteMs;
+  std::erase_if(hosts_,
+                [&](const auto& host) { return host.second.forget_at <= now; });
+}
+
+void claim_state::MarkReleased(wall_milliseconds now,
+                               const claim_key& key,
+                               const attempt_id& attempt) {
+  const uint64_t hash = HashOfRelease(key, attempt);
+  if (released_hashes_.insert(hash).second) {
+    released_.push_back({now + limits_.released_horizon_ms, hash});
+  }
+}
+
+void claim_state::AbandonBelow(wall_milliseconds now,
+                               const host_id& host,
+                               incarnation limit) {
+  host_epoch& epoch = hosts_[host];
+  epoch.lowest_live = std::max(epoch.lowest_live, limit);
+  epoch.forget_at = now + kHostHorizonMs;
+  auto claim = open_.lower_bound({host, 0, {}});
+  while (claim != open_.end() && claim->host == host &&
+         claim->host_incarnation < limit) {
+    const claim_key key = claim->key;
+    ++claim;
+    MakeUnknown(key, *table_.Find(key));
+  }
+}
+
+void claim_state::MakeUnknown(const claim_key& key, const claim_entry& entry) {
+  ++counters_.became_unknown;
+  UnindexOpen(key, entry);
+  claim_entry changed = entry;
+  changed.phase = claim_phase::kUnknown;
+  table_.Put(key, std::move(changed));
+}
+
+void claim_state::StoreAnswer(const claim_key& key,
+                              const claim_entry& entry,
+                              claim_answer answer) {
+  if (entry.phase == claim_phase::kOpen) {
+    UnindexOpen(key, entry);
+  }
+  const uint64_t size = SizeOf(answer);
+  const uint64_t reserved = open_.size() * kMostAnswerBytes;
+  if (size > kMostAnswerBytes ||
+      answer_bytes_ + reserved + size > limits_.most_answer_bytes) {
+    ++counters_.bodies_dropped;
+    DropBody(answer);
+  }
+  answer_bytes_ += SizeOf(answer);
+  claim_entry changed = entry;
+  changed.phase = claim_phase::kAnswered;
+  changed.holder.reset();
+  changed.answer = std::make_shared<const claim_answer>(std::move(answer));
+  table_.Put(key, std::move(changed));
+}
+
+void claim_state::Erase(const claim_key& key, const claim_entry& entry) {
+  if (entry.phase == claim_phase::kOpen) {
+    UnindexOpen(key, entry);
+  }
+  UnindexExpiry(key, entry);
+  table_.Erase(key);
+}
+
+void claim_state::IndexOpen(const claim_key& key, const claim_entry& entry) {
+  open_.insert({entry.holder->host, entry.holder->host_incarnation, key});
+  open_limits_.insert({entry.holder->open_until, key});
+}
+
+void claim_state::UnindexOpen(const claim_key& key, const claim_entry& entry) {
+  open_.erase({entry.holder->host, entry.holder->host_incarnation, key});
+  open_limits_.erase({entry.holder->open_until, key});
+}
+
+void claim_state::IndexExpiry(const claim_key& key, const claim_entry& entry) {
+  expiry_minutes_[ExpiryMinute(entry.expires_at)].push_back(key);
+}
+
+void claim_state::UnindexExpiry(const claim_key& key,
+                                const claim_entry& entry) {
+  const auto minute = expiry_minutes_.find(ExpiryMinute(entry.expires_at));
+  std::vector<claim_key>& keys = minute->second;
+  // Claims are released soon after their grant: the key is near the end.
+  const auto found = std::find(keys.rbegin(), keys.rend(), key);
+  *found = keys.back();
+  keys.pop_back();
+  if (keys.empty()) {
+    expiry_minutes_.erase(minute);
+  }
+}
+
+claim_reply claim_state::Refuse(claim_verdict verdict) {
+  Count(verdict);
+  return ReplyOf(verdict);
+}
+
+void claim_state::Count(claim_verdict verdict) {
+  switch (verdict) {
+    case claim_verdict::kGranted:
+      ++counters_.granted;
+      return;
+    case claim_verdict::kAnswered:
+      ++counters_.answered;
+      return;
+    case claim_verdict::kInProgress:
+      ++counters_.in_progress;
+      return;
+    case claim_verdict::kOutcomeUnknown:
+      ++counters_.unknown;
+      return;
+    case claim_verdict::kRequestDiffers:
+      ++counters_.differing;
+      return;
+    case claim_verdict::kExpired:
+      ++counters_.expired;
+      return;
+    case claim_verdict::kStorageFull:
+      ++counters_.refused_full;
+      return;
+    default:
+      ++counters_.refused_stale;
+      return;
+  }
+}
+
+void claim_state::WriteState(nlohmann::json& out) const {
+  out["leader_time"] = now_;
+  out["hosts"] = hosts_.size();
+  nlohmann::json& values = out["counters"];
+  values["claims_held"] = table_.size();
+  values["claims_open"] = open_.size();
+  values["claims_answer_bytes"] = answer_bytes_;
+  values["claims_expired_keys"] = expired_.size();
+  values["claims_released_attempts_kept"] = released_.size();
+  values["claims_granted"] = counters_.granted;
+  values["claims_answered_again"] = counters_.answered;
+  values["claims_found_in_progress"] = counters_.in_progress;
+  values["claims_found_unknown"] = counters_.unknown;
+  values["claims_request_differs"] = counters_.differing;
+  values["claims_refused_expired"] = counters_.expired;
+  values["claims_refused_full"] = counters_.refused_full;
+  values["claims_refused_stale"] = counters_.refused_stale;
+  values["claims_finished"] = counters_.finished;
+  values["claims_released"] = counters_.released;
+  values["claims_became_unknown"] = counters_.became_unknown;
+  values["claims_resolved"] = counters_.resolved;
+  values["claims_bodies_dropped"] = counters_.bodies_dropped;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/claims/claim_state.h
@@ -0,0 +1,178 @@
+#ifndef SHALLOTPORT_CLAIMS_CLAIM_STATE_H_
+#define SHALLOTPORT_CLAIMS_CLAIM_STATE_H_
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <set>
+#include <unordered_set>
+#include <vector>
+
+#include "claims/claim_messages.h"
+#include "claims/claim_table.h"
+#include "claims/expired_keys.h"
+#include "consensus/replicated_state.h"
+
+namespace shallotport {
+
+// Bounds of a claim_state. They decide what is refused, so they must be equal
+// on all members of the log.
+struct claim_limits {
+  size_t most_claims = 500'000;
+  size_t most_keys = 4'000'000;  // Claims and expired keys together.
+  uint64_t most_answer_bytes = 96ULL << 20U;
+  size_t most_released_attempts = 100'000;
+  int64_t released_horizon_ms = 10LL * 60 * 1000;
+  int64_t expired_horizon_ms = 7LL * 24 * 3600 * 1000;
+  int64_t longest_horizon_ms = 7LL * 24 * 3600 * 1000;
+};
+
+// The claims slice of the replicated log: which attempt may send the call of an
+// idempotency key, and the answers for resends.
+//
+// A claim is open from its grant until it is finished or released. It becomes
+// unknown when its holder is abandoned or its open limit passes; the holder's
+// own answer still settles it then. A claim expires after its horizon and its
+// key is refused for the expired horizon after that. At a bound, new keys are
+// refused; nothing is forgotten early. All times are the leader's, as stamped
+// into the log.
+class claim_state final : public replicated_state {
+ public:
+  explicit claim_state(claim_limits limits = {});
+
+  std::string Apply(const apply_context& context,
+                    std::string_view command) override;
+  std::string Query(std::string_view query) const override;
+  std::unique_ptr<snapshot_writer> BeginSnapshot() const override;
+  status LoadSnapshot(std::istream& in) override;
+
+  // Typed forms of Apply() and Query().
+  claim_reply ApplyCommand(wall_milliseconds now, const claim_command& command);
+  claim_reply Lookup(const claim_lookup& lookup) const;
+
+  size_t claims() const { return table_.size(); }
+  size_t open_claims() const { return open_.size(); }
+  size_t expired() const { return expired_.size(); }
+
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  class writer;
+
+  // An open claim, in the order of its holder.
+  struct open_claim {
+    host_id host;
+    incarnation host_incarnation = 0;
+    claim_key key;
+    auto operator<=>(const open_claim&) const = default;
+  };
+
+  struct timed_key {
+    wall_milliseconds at = 0;
+    claim_key key;
+    auto operator<=>(const timed_key&) const = default;
+  };
+
+  struct released_attempt {
+    wall_milliseconds forget_at = 0;
+    uint64_t hash = 0;
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(forget_at, hash);
+    }
+  };
+
+  // Incarnations of a host below `lowest_live` are refused.
+  struct host_epoch {
+    incarnation lowest_live = 0;
+    wall_milliseconds forget_at = 0;
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(lowest_live, forget_at);
+    }
+  };
+
+  struct counters {
+    uint64_t granted = 0;
+    uint64_t answered = 0;
+    uint64_t in_progress = 0;
+    uint64_t unknown = 0;
+    uint64_t differing = 0;
+    uint64_t expired = 0;
+    uint64_t refused_full = 0;
+    uint64_t refused_stale = 0;
+    uint64_t finished = 0;
+    uint64_t released = 0;
+    uint64_t became_unknown = 0;
+    uint64_t resolved = 0;
+    uint64_t bodies_dropped = 0;
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(granted, answered, in_progress, unknown, differing, expired,
+              refused_full, refused_stale, finished, released, became_unknown,
+              resolved, bodies_dropped);
+    }
+  };
+
+  struct stored_claim;
+  struct stored_generation;
+  struct stored_header;
+
+  claim_reply On(wall_milliseconds now, const claim_begin& begin);
+  claim_reply On(wall_milliseconds now, const claim_finish& finish);
+  claim_reply On(wall_milliseconds now, const claim_release& release);
+  claim_reply On(wall_milliseconds now, const claim_abandon& abandon);
+  claim_reply On(wall_milliseconds now, const claim_resolve& resolve);
+
+  claim_reply Grant(wall_milliseconds now, const claim_begin& begin);
+  claim_reply Refuse(claim_verdict verdict);
+  bool HasRoom() const;
+  void Count(claim_verdict verdict);
+
+  // Moves time on: open limits, horizons, forgotten attempts and hosts.
+  void Advance(wall_milliseconds now);
+  void ExpireClaims(wall_milliseconds now);
+  void Expire(wall_milliseconds now, const claim_key& key);
+  void ForgetAttemptsAndHosts(wall_milliseconds now);
+  void MarkReleased(wall_milliseconds now,
+                    const claim_key& key,
+                    const attempt_id& attempt);
+
+  // Open claims of the host's incarnations below `limit` become unknown.
+  void AbandonBelow(wall_milliseconds now,
+                    const host_id& host,
+                    incarnation limit);
+  void MakeUnknown(const claim_key& key, const claim_entry& entry);
+  void StoreAnswer(const claim_key& key,
+                   const claim_entry& entry,
+                   claim_answer answer);
+  void Erase(const claim_key& key, const claim_entry& entry);
+  void IndexOpen(const claim_key& key, const claim_entry& entry);
+  void UnindexOpen(const claim_key& key, const claim_entry& entry);
+  void IndexExpiry(const claim_key& key, const claim_entry& entry);
+  void UnindexExpiry(const claim_key& key, const claim_entry& entry);
+
+  void Clear();
+  void Restore(stored_header header);
+  void Restore(const stored_claim& claim);
+
+  claim_limits limits_;
+  claim_table table_;
+  expired_keys expired_;
+  std::set<open_claim> open_;
+  std::set<timed_key> open_limits_;
+  // Keys by the minute of leader time in which they expire.
+  std::map<int64_t, std::vector<claim_key>> expiry_minutes_;
+  std::deque<released_attempt> released_;
+  std::unordered_set<uint64_t> released_hashes_;
+  std::map<host_id, host_epoch> hosts_;
+  uint64_t answer_bytes_ = 0;
+  wall_milliseconds now_ = 0;
+  wall_milliseconds next_sweep_ = 0;
+  counters counters_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CLAIMS_CLAIM_STATE_H_
--- /dev/null
+++ b/src/libshallotport/claims/claim_state_test.cc
@@ -0,0 +1,272 @@
+#include "claims/claim_state.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <sstream>
+
+#include "base/codec.h"
+
+namespace shallotport {
+namespace {
+
+constexpr int64_t kOpenLimit = 1'000;
+constexpr int64_t kHorizon = 600'000;
+constexpr int64_t kExpiredHorizon = 3'600'000;
+
+claim_begin BeginOf(const char* attempt,
+                    const char* host = "h1",
+                    incarnation started = 1,
+                    const char* body = "body") {
+  claim_begin begin;
+  begin.key = MakeClaimKey(account_id("acme"), "key");
+  begin.request = MakeRequestDigest("POST", "/unlock", body);
+  begin.host = host_id(host);
+  begin.host_incarnation = started;
+  begin.attempt = attempt_id(attempt);
+  begin.endpoint = endpoint_id("e1");
+  begin.open_limit_ms = kOpenLimit;
+  begin.horizon_ms = kHorizon;
+  return begin;
+}
+
+claim_key Key() {
+  return BeginOf("a").key;
+}
+
+claim_answer AnswerOf(std::string body) {
+  return {200, {{"Content-Type", "text/plain"}}, std::move(body), false};
+}
+
+claim_finish FinishOf(const char* attempt, std::string body = "token") {
+  return {Key(), attempt_id(attempt), AnswerOf(std::move(body))};
+}
+
+claim_release ReleaseOf(const char* attempt) {
+  return {Key(), attempt_id(attempt)};
+}
+
+struct claim_step {
+  int64_t at = 0;
+  claim_command command;
+  claim_verdict expected;
+};
+
+struct claim_case {
+  const char* name;
+  std::vector<claim_step> steps;
+};
+
+claim_limits TestLimits() {
+  claim_limits limits;
+  limits.expired_horizon_ms = kExpiredHorizon;
+  return limits;
+}
+
+claim_state Reloaded(const claim_state& state, const claim_limits& limits) {
+  std::stringstream bytes;
+  EXPECT_TRUE(IsOk(state.BeginSnapshot()->Write(bytes)));
+  claim_state loaded(limits);
+  EXPECT_TRUE(IsOk(loaded.LoadSnapshot(bytes)));
+  return loaded;
+}
+
+class claim_cases : public testing::TestWithParam<claim_case> {};
+
+// Each case also runs with the state written and read again before every step.
+TEST_P(claim_cases, GiveTheExpectedVerdicts) {
+  claim_state straight(TestLimits());
+  claim_state reloaded(TestLimits());
+  for (const claim_step& step : GetParam().steps) {
+    reloaded = Reloaded(reloaded, TestLimits());
+    EXPECT_EQ(straight.ApplyCommand(step.at, step.command).verdict,
+              step.expected)
+        << "at " << step.at;
+    EXPECT_EQ(reloaded.ApplyCommand(step.at, step.command).verdict,
+              step.expected)
+        << "reloaded, at " << step.at;
+  }
+}
+
+using enum claim_verdict;
+
+const claim_case kCases[] = {
+    {"ResendWhileOpen",
+     {{0, BeginOf("a1"), kGranted}, {1, BeginOf("a2", "h2"), kInProgress}}},
+    {"SameAttemptTwice",
+     {{0, BeginOf("a1"), kGranted}, {1, BeginOf("a1"), kGranted}}},
+    {"ResendAfterFinish",
+     {{0, BeginOf("a1"), kGranted},
+      {1, FinishOf("a1"), kDone},
+      {2, FinishOf("a1"), kDone},
+      {3, BeginOf("a2", "h2"), kAnswered},
+      {4, BeginOf("a1"), kAnswered}}},
+    {"OtherRequestUnderTheKey",
+     {{0, BeginOf("a1"), kGranted},
+      {1, BeginOf("a2", "h1", 1, "other"), kRequestDiffers},
+      {2, FinishOf("a1"), kDone},
+      {3, BeginOf("a3", "h1", 1, "other"), kRequestDiffers}}},
+    {"ReleasedKeyIsClaimedAnew",
+     {{0, BeginOf("a1"), kGranted},
+      {1, ReleaseOf("a1"), kDone},
+      {2, BeginOf("a2"), kGranted},
+      {3, ReleaseOf("a1"), kDone},
+      {4, BeginOf("a3"), kInProgress}}},
+    {"ReleaseBeforeItsBegin",
+     {{0, ReleaseOf("a1"), kDone},
+      {1, BeginOf("a1"), kAttemptReleased},
+      {2, BeginOf("a2"), kGranted}}},
+    {"AnsweredClaimIsNotReleased",
+     {{0, BeginOf("a1"), kGranted},
+      {1, FinishOf("a1"), kDone},
+      {2, ReleaseOf("a1"), kNotHolder},
+      {3, BeginOf("a2"), kAnswered}}},
+    {"OnlyTheHolderFinishes",
+     {{0, BeginOf("a1"), kGranted},
+      {1, FinishOf("a2"), kNotHolder},
+      {2, BeginOf("a3"), kInProgress}}},
+    {"HolderDies",
+     {{0, BeginOf("a1"), kGranted},
+      {1, claim_abandon{host_id("h1"), 1}, kDone},
+      {2, BeginOf("a2", "h2"), kOutcomeUnknown},
+      {3, BeginOf("a3", "h1", 1), kOutcomeUnknown}}},
+    {"BeginOfADeadHostComesLate",
+     {{0, claim_abandon{host_id("h1"), 1}, kDone},
+      {1, BeginOf("a1"), kStaleHost},
+      {2, BeginOf("a2", "h1", 2), kGranted}}},
+    {"HolderRestarts",
+     {{0, BeginOf("a1"), kGranted},
+      {1, BeginOf("a2", "h1", 2), kOutcomeUnknown}}},
+    {"HolderWasOnlySlow",
+     {{0, BeginOf("a1"), kGranted},
+      {1, claim_abandon{host_id("h1"), 1}, kDone},
+      {2, FinishOf("a1"), kDone},
+      {3, BeginOf("a2", "h2"), kAnswered}}},
+    {"OpenLimitPasses",
+     {{0, BeginOf("a1"), kGranted},
+      {kOpenLimit - 1, BeginOf("a2"), kInProgress},
+      {kOpenLimit, BeginOf("a3"), kOutcomeUnknown},
+      {kOpenLimit + 1, ReleaseOf("a1"), kDone},
+      {kOpenLimit + 2, BeginOf("a4"), kGranted}}},
+    {"EndpointRemembersTheOutcome",
+     {{0, BeginOf("a1"), kGranted},
+      {1, claim_resolve{Key(), AnswerOf("token")}, kInProgress},
+      {kOpenLimit, claim_resolve{Key(), AnswerOf("token")}, kAnswered},
+      {kOpenLimit + 1, BeginOf("a2"), kAnswered}}},
+    {"NothingToResolve",
+     {{0, claim_resolve{Key(), AnswerOf("token")}, kNotHolder}}},
+    {"ExpiredKeyIsRefused",
+     {{0, BeginOf("a1"), kGranted},
+      {1, FinishOf("a1"), kDone},
+      {kHorizon - 1, BeginOf("a2"), kAnswered},
+      {kHorizon + 60'000, BeginOf("a3"), kExpired},
+      {kHorizon + 60'001, FinishOf("a1"), kNotHolder},
+      {kHorizon + kExpiredHorizon, BeginOf("a4"), kExpired},
+      {2 * (kHorizon + kExpiredHorizon), BeginOf("a5"), kGranted}}},
+    {"LeaderTimeGoesBack",
+     {{kOpenLimit, BeginOf("a1"), kGranted},
+      {0, BeginOf("a2"), kInProgress},
+      {2 * kOpenLimit, BeginOf("a3"), kOutcomeUnknown}}},
+};
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         claim_cases,
+                         testing::ValuesIn(kCases),
+                         [](const auto& info) { return info.param.name; });
+
+claim_begin NumberedBegin(int number) {
+  claim_begin begin = BeginOf("a");
+  begin.key = MakeClaimKey(account_id("acme"), std::to_string(number));
+  begin.attempt = attempt_id(std::to_string(number));
+  return begin;
+}
+
+struct limit_case {
+  const char* name;
+  std::function<void(claim_limits&)> set;
+};
+
+class claim_bounds : public testing::TestWithParam<limit_case> {};
+
+TEST_P(claim_bounds, RefuseNewKeysAndForgetNothing) {
+  claim_limits limits = TestLimits();
+  GetParam().set(limits);
+  claim_state state(limits);
+  int granted = 0;
+  while (granted < 100 &&
+         state.ApplyCommand(0, NumberedBegin(granted)).verdict == kGranted) {
+    ++granted;
+  }
+  ASSERT_EQ(granted, 4);
+  EXPECT_EQ(state.ApplyCommand(0, NumberedBegin(50)).verdict, kStorageFull);
+  for (int i = 0; i < granted; ++i) {
+    const claim_begin begin = NumberedBegin(i);
+    const claim_finish finish{
+        begin.key, begin.attempt,
+        AnswerOf(std::string(kMostAnswerBytes - 30, 'x'))};
+    EXPECT_EQ(state.ApplyCommand(1, finish).verdict, kDone);
+    const claim_reply reply = state.ApplyCommand(2, begin);
+    ASSERT_EQ(reply.verdict, kAnswered);
+    EXPECT_FALSE(reply.answer->is_body_dropped);
+  }
+  claim_state loaded = Reloaded(state, limits);
+  EXPECT_EQ(loaded.ApplyCommand(3, NumberedBegin(50)).verdict, kStorageFull);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    claim_bounds,
+    testing::Values(
+        limit_case{"Claims", [](claim_limits& l) { l.most_claims = 4; }},
+        limit_case{"Keys", [](claim_limits& l) { l.most_keys = 4; }},
+        limit_case{"AnswerBytes",
+                   [](claim_limits& l) {
+                     l.most_answer_bytes = 4 * kMostAnswerBytes;
+                   }}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(ClaimState, AnAnswerThatIsTooLargeIsRecordedWithoutItsBody) {
+  claim_state state;
+  state.ApplyCommand(0, BeginOf("a1"));
+  state.ApplyCommand(1, FinishOf("a1", std::string(kMostAnswerBytes + 1, 'x')));
+  const claim_reply reply = state.ApplyCommand(2, BeginOf("a2"));
+  ASSERT_EQ(reply.verdict, kAnswered);
+  EXPECT_TRUE(reply.answer->is_body_dropped);
+  EXPECT_EQ(reply.answer->http_status, 200);
+}
+
+TEST(ClaimState, ASnapshotKeepsTheMomentItWasTakenAt) {
+  claim_state state;
+  state.ApplyCommand(0, BeginOf("a1"));
+  const auto writer = state.BeginSnapshot();
+  state.ApplyCommand(1, FinishOf("a1"));
+  std::stringstream bytes;
+  ASSERT_TRUE(IsOk(writer->Write(bytes)));
+  claim_state loaded;
+  ASSERT_TRUE(IsOk(loaded.LoadSnapshot(bytes)));
+  const claim_lookup lookup{Key(), BeginOf("a").request};
+  EXPECT_EQ(loaded.Lookup(lookup).verdict, kInProgress);
+  EXPECT_EQ(state.Lookup(lookup).verdict, kAnswered);
+}
+
+TEST(ClaimState, MalformedBytesChangeNothing) {
+  claim_state state;
+  state.ApplyCommand(0, BeginOf("a1"));
+  const auto reply = Decode<claim_reply>(state.Apply({2, 1}, "junk"));
+  EXPECT_EQ(ValueOf(reply).verdict, kMalformed);
+  EXPECT_EQ(state.open_claims(), 1U);
+  std::stringstream junk("junk that is no snapshot");
+  EXPECT_FALSE(IsOk(state.LoadSnapshot(junk)));
+}
+
+TEST(ClaimKeys, DifferByAccountAndByTheSplitBetweenParts) {
+  EXPECT_NE(MakeClaimKey(account_id("a"), "bc"),
+            MakeClaimKey(account_id("ab"), "c"));
+  EXPECT_NE(MakeRequestDigest("POST", "/a", "b"),
+            MakeRequestDigest("POST", "/ab", ""));
+  EXPECT_EQ(MakeClaimKey(account_id("a"), "b"),
+            MakeClaimKey(account_id("a"), "b"));
+}
+
+}  // namespace
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/claims/claim_table.h
@@ -0,0 +1,73 @@
+#ifndef SHALLOTPORT_CLAIMS_CLAIM_TABLE_H_
+#define SHALLOTPORT_CLAIMS_CLAIM_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "claims/claim_messages.h"
+
+namespace shallotport {
+
+// Who holds an open claim, or held one whose outcome is unknown.
+struct claim_holder_record {
+  host_id host;
+  incarnation host_incarnation = 0;
+  endpoint_id endpoint;
+  wall_milliseconds open_until = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(host, host_incarnation, endpoint, open_until);
+  }
+};
+
+enum class claim_phase : uint8_t { kOpen = 0, kUnknown = 1, kAnswered = 2 };
+
+// One claim. Immutable parts are shared between the table and its snapshots.
+struct claim_entry {
+  claim_digest request;
+  uint64_t attempt_hash = 0;
+  wall_milliseconds expires_at = 0;
+  claim_phase phase = claim_phase::kOpen;
+  std::shared_ptr<const claim_holder_record> holder;  // Open and unknown.
+  std::shared_ptr<const claim_answer> answer;         // Answered.
+};
+
+// The claims by key, in shards that a snapshot shares with the table until the
+// table next changes them. Taking a snapshot costs one pointer a shard.
+class claim_table {
+ public:
+  using shard = std::unordered_map<claim_key, claim_entry>;
+  static constexpr size_t kShards = 1024;
+  using snapshot = std::array<std::shared_ptr<const shard>, kShards>;
+
+  claim_table();
+
+  // Null when there is no claim. Valid until the next change.
+  const claim_entry* Find(const claim_key& key) const;
+
+  void Put(const claim_key& key, claim_entry entry);
+  void Erase(const claim_key& key);
+
+  size_t size() const { return size_; }
+
+  std::unique_ptr<snapshot> TakeSnapshot() const;
+
+ private:
+  // The shard of `key`, copied first if a snapshot has it.
+  shard& ShardForChange(const claim_key& key);
+  static size_t IndexOf(const claim_key& key) { return key.high % kShards; }
+
+  std::array<std::shared_ptr<shard>, kShards> shards_;
+  // Number of the last snapshot, and of the last one before each shard's copy.
+  mutable uint64_t snapshots_ = 0;
+  std::array<uint64_t, kShards> shard_snapshots_{};
+  size_t size_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CLAIMS_CLAIM_TABLE_H_
--- /dev/null
+++ b/src/libshallotport/claims/claim_tracker.cc
@@ -0,0 +1,157 @@
+#include "claims/claim_tracker.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace shallotport {
+namespace {
+
+// Whether the log is sure to hold no open claim of the attempt, now or later.
+bool IsCertainlyUnclaimed(const result<claim_reply>& reply) {
+  if (!IsOk(reply)) {
+    return ErrorOf(reply).kind == error_kind::kNotLeader;
+  }
+  return ValueOf(reply).verdict != claim_verdict::kGranted;
+}
+
+}  // namespace
+
+status claim_tracker::Begin(const attempt_id& attempt,
+                            const claim_key& key,
+                            steady_time send_deadline) {
+  if (attempts_.size() >= options_.most_attempts) {
+    return MakeError(error_kind::kOverLimit, "too many unsettled claims");
+  }
+  tracked_attempt tracked;
+  tracked.key = key;
+  tracked.send_deadline = send_deadline;
+  if (!attempts_.emplace(attempt, tracked).second) {
+    return MakeError(error_kind::kConflict, "the attempt is already known");
+  }
+  ++begun_;
+  return success{};
+}
+
+bool claim_tracker::MaySend(steady_time now,
+                            const attempt_id& attempt,
+                            const result<claim_reply>& reply) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || found->second.at != phase::kProposing) {
+    return false;
+  }
+  tracked_attempt& tracked = found->second;
+  if (IsCertainlyUnclaimed(reply)) {
+    attempts_.erase(found);
+    return false;
+  }
+  if (IsOk(reply) && now < tracked.send_deadline) {
+    tracked.at = phase::kSent;
+    ++sent_;
+    return true;
+  }
+  ++given_up_;
+  Settle(now, tracked, claim_release{tracked.key, attempt});
+  return false;
+}
+
+void claim_tracker::Finish(steady_time now,
+                           const attempt_id& attempt,
+                           claim_answer answer) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || found->second.at != phase::kSent) {
+    return;
+  }
+  Settle(now, found->second,
+         claim_finish{found->second.key, attempt, std::move(answer)});
+}
+
+void claim_tracker::Release(steady_time now, const attempt_id& attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || found->second.at == phase::kSettling) {
+    return;
+  }
+  Settle(now, found->second, claim_release{found->second.key, attempt});
+}
+
+void claim_tracker::Forget(const attempt_id& attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end() && found->second.at == phase::kSent) {
+    attempts_.erase(found);
+    ++forgotten_;
+  }
+}
+
+void claim_tracker::Settle(steady_time now,
+                           tracked_attempt& attempt,
+                           claim_command settlement) {
+  attempt.at = phase::kSettling;
+  attempt.settlement = std::move(settlement);
+  attempt.due = now;
+  attempt.retry = options_.first_retry;
+}
+
+claim_settlement claim_tracker::Take(steady_time now,
+                                     const attempt_id& id,
+                                     tracked_attempt& attempt) {
+  attempt.due = now + attempt.retry;
+  attempt.retry = std::min(2 * attempt.retry, options_.longest_retry);
+  ++proposals_;
+  return {id, attempt.settlement};
+}
+
+std::vector<claim_settlement> claim_tracker::Due(steady_time now) {
+  std::vector<claim_settlement> due;
+  for (auto& [id, attempt] : attempts_) {
+    if (attempt.at == phase::kSettling && attempt.due <= now) {
+      due.push_back(Take(now, id, attempt));
+    }
+  }
+  return due;
+}
+
+std::optional<claim_settlement> claim_tracker::TakeDue(
+    steady_time now,
+    const attempt_id& attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end() || found->second.at != phase::kSettling ||
+      found->second.due > now) {
+    return std::nullopt;
+  }
+  return Take(now, attempt, found->second);
+}
+
+steady_time claim_tracker::next_due() const {
+  steady_time next = steady_time::max();
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.at == phase::kSettling) {
+      next = std::min(next, attempt.due);
+    }
+  }
+  return next;
+}
+
+void claim_tracker::OnSettled(const attempt_id& attempt,
+                              const result<claim_reply>& reply) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end() && found->second.at == phase::kSettling &&
+      IsOk(reply)) {
+    attempts_.erase(found);
+  }
+}
+
+void claim_tracker::WriteState(nlohmann::json& out) const {
+  size_t settling = 0;
+  for (const auto& [id, attempt] : attempts_) {
+    settling += attempt.at == phase::kSettling ? 1 : 0;
+  }
+  nlohmann::json& counters = out["counters"];
+  counters["claim_attempts_tracked"] = attempts_.size();
+  counters["claim_attempts_settling"] = settling;
+  counters["claim_attempts_begun"] = begun_;
+  counters["claim_attempts_sent"] = sent_;
+  counters["claim_attempts_given_up"] = given_up_;
+  counters["claim_attempts_forgotten"] = forgotten_;
+  counters["claim_settlements_proposed"] = proposals_;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/claims/expired_keys.h
@@ -0,0 +1,54 @@
+#ifndef SHALLOTPORT_CLAIMS_EXPIRED_KEYS_H_
+#define SHALLOTPORT_CLAIMS_EXPIRED_KEYS_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "base/clock.h"
+#include "claims/claim_messages.h"
+
+namespace shallotport {
+
+// Hashes of keys whose claims have expired, so that they are refused and not
+// claimed anew. Kept in generations by time: a closed one is a sorted vector of
+// 8 bytes a key and is dropped as a whole once its youngest key is older than
+// the horizon.
+class expired_keys {
+ public:
+  static constexpr int64_t kGenerations = 8;
+
+  explicit expired_keys(int64_t horizon_ms) : horizon_ms_(horizon_ms) {}
+
+  void Add(const claim_key& key, wall_milliseconds now);
+  bool Contains(const claim_key& key) const;
+
+  // Closes and drops generations; `now` never decreases.
+  void Advance(wall_milliseconds now);
+
+  size_t size() const { return closed_size_ + open_.size(); }
+
+  // The closed generations are shared with copies of this object.
+  struct generation {
+    wall_milliseconds closed_at = 0;
+    std::shared_ptr<const std::vector<uint64_t>> hashes;
+  };
+  // Everything held, as generations; the last one is open.
+  std::vector<generation> Generations() const;
+  void Restore(const std::vector<generation>& generations,
+               wall_milliseconds opened_at);
+  wall_milliseconds opened_at() const { return opened_at_; }
+
+ private:
+  int64_t horizon_ms_;
+  std::deque<generation> closed_;  // Oldest first.
+  size_t closed_size_ = 0;
+  std::set<uint64_t> open_;
+  wall_milliseconds opened_at_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_CLAIMS_EXPIRED_KEYS_H_
