--- a/src/libshallotport/consensus/replica_storage.cc
+++ b/src/libshallotport/consensus/replica_storage.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/codec.h"
-#include "base/log.h"
 #include "storage/file_system.h"
 #include "storage/record_frame.h"
 
@@ -13,8 +12,6 @@
 
 namespace {
 
-constexpr std::string_view kDuty = "consensus";
-
 // Record kinds of the log files; never reused.
 constexpr uint8_t kStateRecord = 1;
 constexpr uint8_t kEntryRecord = 2;
