routing: flatten small differences in the load that others cause

Cause: with late reports every host followed the same small differences; the more hosts, the worse. Change: the others' load is averaged slower (0.05) and counts only where it is more than 1.5 requests from the mean; among equals the endpoint chosen longest ago is taken.

--- a/src/libshallotport/routing/choice_strategy.cc
+++ b/src/libshallotport/routing/choice_strategy.cc
@@ -92,6 +92,7 @@
   }
 
  private:
+  // Among equals the one that was chosen longest ago.
   static size_t FindCheapest(std::span<const choice_candidate> candidates,
                              random_source& random) {
     const size_t offset = UniformBelow(random, candidates.size());
@@ -102,7 +103,9 @@
       const size_t index =
           sum < candidates.size() ? sum : sum - candidates.size();
       const double cost = CostOf(candidates[index]);
-      if (cost < best_cost) {
+      const bool is_older =
+          candidates[index].last_chosen < candidates[best].last_chosen;
+      if (cost < best_cost || (cost == best_cost && is_older)) {
         best_cost = cost;
         best = index;
       }
--- a/src/libshallotport/routing/choice_strategy.h
+++ b/src/libshallotport/routing/choice_strategy.h
@@ -17,10 +17,12 @@
   uint32_t member = 0;         // Index among the service's members.
   uint64_t hash = 0;           // Of the endpoint's id.
   double reported_load = 0;    // Running and queued, as last reported.
+  double own_load = 0;         // Sent by this host and not yet ended.
   double load = 0;             // Corrected for lag, own work included.
   double slots = 1;            // Concurrent requests.
   double service_time_us = 0;  // Learned time of one request.
   double weight = 1;           // Below 1 during slow start.
+  uint64_t last_chosen = 0;    // Lower: longer ago.
 };
 
 // Queue and service time that a new request would see, in microseconds.
--- a/src/libshallotport/routing/fleet_model_benchmark.cc
+++ b/src/libshallotport/routing/fleet_model_benchmark.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<fleet_scenario, 10> kScenarios = {{
+constexpr std::array<fleet_scenario, 12> kScenarios = {{
     {.name = "steady"},
     {.name = "slow_endpoint", .slow_factor = 5},
     {.name = "lost_endpoint", .lost_endpoints = 1},
@@ -19,6 +19,12 @@
     {.name = "burst_3x_overload", .utilization = 0.5, .burst_factor = 3},
     {.name = "lagging_reports", .report_lag_ms = 3'000},
     {.name = "lagging_and_slow", .slow_factor = 5, .report_lag_ms = 3'000},
+    {.name = "large_steady", .endpoints = 56, .hosts = 13, .seconds = 60},
+    {.name = "large_lagging",
+     .endpoints = 56,
+     .hosts = 13,
+     .report_lag_ms = 1'000,
+     .seconds = 60},
     {.name = "shared_prefixes", .utilization = 0.6, .prefixes = 200},
     {.name = "third_fails", .utilization = 0.4, .failing_endpoints = 7},
     {.name = "third_lost", .utilization = 0.4, .lost_endpoints = 7},
--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -13,6 +13,10 @@
 
 constexpr std::chrono::milliseconds kCapacityRetryAfter{500};
 constexpr std::chrono::milliseconds kShortestRetryAfter{50};
+// Differences between the load that other hosts put on endpoints count only
+// beyond this number of requests: smaller ones are gone before a report of them
+// arrives, and all hosts would follow them at once.
+constexpr double kLoadNoise = 1.5;
 // Weight of an endpoint that is choosable only because of the floor.
 constexpr double kSpareWeight = 0.2;
 // A request leaves its failure domain only if that saves this share of its
@@ -262,7 +266,9 @@
     candidate.member = static_cast<uint32_t>(i);
     candidate.hash = endpoint.hash();
     candidate.reported_load = record.load.running + record.load.queued;
-    candidate.load = endpoint.LoadAt(now);
+    candidate.own_load = endpoint.own_outstanding();
+    candidate.load = candidate.own_load + endpoint.OthersAt(now);
+    candidate.last_chosen = endpoint.last_chosen();
     candidate.slots = endpoint.slots();
     candidate.weight = options_.uses_merit ? endpoint.WeightAt(now) : 1;
     candidate.service_time_us = service.TimeAt(now, member);
@@ -280,6 +286,21 @@
     spares_.push_back({candidate, until});
   }
   KeepFloor(usable, total);
+  FlattenLoad();
+}
+
+void request_router::FlattenLoad() {
+  double sum = 0;
+  for (const choice_candidate& candidate : candidates_) {
+    sum += candidate.load - candidate.own_load;
+  }
+  const double mean = sum / static_cast<double>(candidates_.size());
+  for (choice_candidate& candidate : candidates_) {
+    const double others = candidate.load - candidate.own_load;
+    const double excess = others - mean;
+    const double kept = std::max(0.0, std::abs(excess) - kLoadNoise);
+    candidate.load = candidate.own_load + mean + std::copysign(kept, excess);
+  }
 }
 
 void request_router::KeepFloor(size_t usable, size_t total) {
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -110,6 +110,8 @@
                          const routed_service& service,
                          const route_query& query);
   void KeepFloor(size_t usable, size_t total);
+  // Evens out small differences in the load that other hosts cause.
+  void FlattenLoad();
   // The chosen candidate, or nothing if none can meet the deadline; then
   // `shortest` is the least expected time.
   std::optional<size_t> ChooseLocal(steady_time now,
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -44,7 +44,7 @@
   const std::shared_ptr<service_member>& member =
       service.members()[chosen.member];
   routed_endpoint& endpoint = *member->endpoint;
-  endpoint.OnSent();
+  endpoint.OnSent(++last_ticket_);
   endpoint.breaker().OnSent(now);
   open_attempt attempt;
   attempt.account = query.account;
@@ -59,7 +59,7 @@
   choice.started = endpoint.record().started;
   choice.can_resume = endpoint.record().can_resume;
   choice.remembers_outcomes = endpoint.record().remembers_outcomes;
-  choice.ticket = ++last_ticket_;
+  choice.ticket = last_ticket_;
   open_.emplace(choice.ticket, std::move(attempt));
   return choice;
 }
--- a/src/libshallotport/routing/routed_endpoint.cc
+++ b/src/libshallotport/routing/routed_endpoint.cc
@@ -10,7 +10,7 @@
 
 // Share of a new report in the smoothed load of other hosts. Reports are older
 // than most requests in the endpoint, so a single one says little about now.
-constexpr double kReportWeight = 0.1;
+constexpr double kReportWeight = 0.05;
 
 }  // namespace
 
@@ -41,16 +41,16 @@
   reported_at_ = now;
 }
 
-double routed_endpoint::LoadAt(steady_time now) const {
+double routed_endpoint::OthersAt(steady_time now) const {
   const duration age = now - reported_at_;
   const double others = std::max(0.0, others_);
   if (age <= kReportHalfLife) {
-    return own_outstanding_ + others;
+    return others;
   }
   const double half_lives =
       static_cast<double>((age - kReportHalfLife).count()) /
       static_cast<double>(kReportHalfLife.count());
-  return own_outstanding_ + others * std::exp2(-half_lives);
+  return others * std::exp2(-half_lives);
 }
 
 double routed_endpoint::WeightAt(steady_time now) const {
--- a/src/libshallotport/routing/routed_endpoint.h
+++ b/src/libshallotport/routing/routed_endpoint.h
@@ -27,18 +27,23 @@
   // load, and leaving is never undone.
   void Update(steady_time now, const endpoint_record& record);
 
-  // Requests in the endpoint: those of this host as counted now, those of
-  // others as last reported.
-  double LoadAt(steady_time now) const;
+  // Requests in the endpoint that other hosts sent: an average over the last
+  // reports.
+  double OthersAt(steady_time now) const;
   double WeightAt(steady_time now) const;
   double slots() const;
 
-  void OnSent() { ++own_outstanding_; }
+  // `order` rises with each attempt that the router sends.
+  void OnSent(uint64_t order) {
+    ++own_outstanding_;
+    last_chosen_ = order;
+  }
   void OnEnded() { --own_outstanding_; }
 
   const endpoint_record& record() const { return record_; }
   uint64_t hash() const { return hash_; }
   uint32_t own_outstanding() const { return own_outstanding_; }
+  uint64_t last_chosen() const { return last_chosen_; }
 
   circuit_breaker& breaker() { return breaker_; }
   const circuit_breaker& breaker() const { return breaker_; }
@@ -52,6 +57,7 @@
   steady_time reported_at_;
   double others_ = 0;  // Load that does not come from this host.
   uint32_t own_outstanding_ = 0;
+  uint64_t last_chosen_ = 0;
   circuit_breaker breaker_;
 };
 
