--- a/src/libshallotport/routing/account_limiter_test.cc
+++ b/src/libshallotport/routing/account_limiter_test.cc
@@ -22,7 +22,7 @@
 
 configuration MakeConfiguration() {
   configuration settings;
-  settings.accounts.push_back({kAccount, "", kRate, kConcurrency, 1});
+  settings.accounts.push_back({kAccount, "", kRate, kConcurrency, 1, {}});
   return settings;
 }
 
--- a/src/libshallotport/routing/choice_strategy.cc
+++ b/src/libshallotport/routing/choice_strategy.cc
@@ -30,11 +30,14 @@
   return candidate.load / (candidate.slots * candidate.weight);
 }
 
-// Expected time, with the load as a tie-breaker among endpoints with free
-// slots and raised for endpoints in slow start.
+// Expected time with the load as a tie-breaker among endpoints with free slots.
+// In slow start an endpoint counts as one with fewer slots. Without a learned
+// time all endpoints count as equally fast.
 double CostOf(const choice_candidate& candidate) {
-  return ExpectedTime(candidate) *
-         (1 + 0.5 * (candidate.load + 1) / candidate.slots) / candidate.weight;
+  choice_candidate seen = candidate;
+  seen.slots = std::max(1.0, candidate.slots * candidate.weight);
+  seen.service_time_us = std::max(1.0, candidate.service_time_us);
+  return ExpectedTime(seen) * (1 + 0.5 * (seen.load + 1) / seen.slots);
 }
 
 class round_robin final : public choice_strategy {
--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -33,6 +33,10 @@
   if (phase_ != phase::kDone) {
     std::visit([this](const auto& value) { On(value); }, event);
   }
+  // A busy handler may have no other moment for a timer that is due.
+  if (now >= next_timer()) {
+    On(timer_expired{});
+  }
   return std::exchange(out_, {});
 }
 
@@ -225,6 +229,11 @@
         OnDeadline();
       }
       return;
+    case remembered_outcome::kNotRun:
+      attempts_unproven_ = 0;
+      CancelAttempts(attempt_outcome::kTimedOut, 0);
+      RetryOrGiveUp(true);
+      return;
     case remembered_outcome::kUnknown:
       GiveUp(MakeFailure());
       return;
--- a/src/libshallotport/routing/online_request.h
+++ b/src/libshallotport/routing/online_request.h
@@ -92,6 +92,7 @@
   void OnAttemptFailed(attempt_number number,
                        attempt_outcome outcome,
                        bool is_proven_not_run);
+  void RetryOrGiveUp(bool is_proven_not_run);
   void OnAnswerLost(const route_choice& route);
   void OnOverdue(attempt& call);
   void AskOutcome();
--- a/src/libshallotport/routing/online_request_attempts.cc
+++ b/src/libshallotport/routing/online_request_attempts.cc
@@ -138,6 +138,10 @@
     OnAnswerLost(route);
     return;
   }
+  RetryOrGiveUp(is_proven_not_run);
+}
+
+void online_request::RetryOrGiveUp(bool is_proven_not_run) {
   if (!MayTryAgain(is_proven_not_run)) {
     GiveUp(MakeFailure());
     return;
--- a/src/libshallotport/routing/online_request_fuzz_test.cc
+++ b/src/libshallotport/routing/online_request_fuzz_test.cc
@@ -27,8 +27,8 @@
   }
   for (const char* name :
        {"whole", "recorded", "resumed", "restarted", "retry", "hedge",
-        "outcome_asked", "claim_finished", "claim_released", "claim_abandoned",
-        "outcome_unknown", "endpoint_failed", "no_capacity",
+        "outcome_asked", "outcome_not_run", "claim_finished", "claim_released",
+        "claim_abandoned", "outcome_unknown", "endpoint_failed", "no_capacity",
         "deadline_unreachable", "deadline_exceeded"}) {
     EXPECT_GT(counts.by_name[name], 0) << name << " was never reached";
   }
--- a/src/libshallotport/routing/online_request_messages.h
+++ b/src/libshallotport/routing/online_request_messages.h
@@ -91,7 +91,12 @@
 };
 
 // The endpoint answered ask_outcome.
-enum class remembered_outcome : uint8_t { kAnswered, kInProgress, kUnknown };
+enum class remembered_outcome : uint8_t {
+  kAnswered,
+  kInProgress,
+  kNotRun,   // The same incarnation has not run the call and never will.
+  kUnknown,  // It cannot tell, or could not be asked.
+};
 struct outcome_learned {
   remembered_outcome outcome = remembered_outcome::kUnknown;
   endpoint_answer answer;
--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -52,6 +52,12 @@
   }
   revision_ = revision;
   limiter_.SetConfiguration(settings);
+  restricted_.clear();
+  for (const account_configuration& account : settings.accounts) {
+    if (!account.services.empty()) {
+      restricted_[account.id] = account.services;
+    }
+  }
   std::unordered_set<service_id> kept;
   for (const service_configuration& service : settings.services) {
     kept.insert(service.id);
@@ -146,11 +152,24 @@
   if (found == services_.end()) {
     return nullptr;
   }
-  const auto& allowed = found->second->settings().accounts;
-  const bool is_allowed =
-      allowed.empty() ||
-      std::find(allowed.begin(), allowed.end(), query.account) != allowed.end();
-  return is_allowed ? found->second.get() : nullptr;
+  routed_service& service = *found->second;
+  return MayUse(service, query.account) ? &service : nullptr;
+}
+
+bool request_router::MayUse(const routed_service& service,
+                            const account_id& account) const {
+  const auto& callers = service.settings().accounts;
+  if (!callers.empty() &&
+      std::find(callers.begin(), callers.end(), account) == callers.end()) {
+    return false;
+  }
+  const auto restricted = restricted_.find(account);
+  if (restricted == restricted_.end()) {
+    return true;
+  }
+  const std::vector<service_id>& usable = restricted->second;
+  return std::find(usable.begin(), usable.end(), service.settings().id) !=
+         usable.end();
 }
 
 result<route_choice> request_router::Admit(steady_time now,
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -106,6 +106,7 @@
   void Unlink(const routed_endpoint& endpoint);
   void Link(const std::shared_ptr<routed_endpoint>& endpoint);
   routed_service* FindService(const route_query& query);
+  bool MayUse(const routed_service& service, const account_id& account) const;
   void CollectCandidates(steady_time now,
                          const routed_service& service,
                          const route_query& query);
@@ -142,6 +143,8 @@
   spill_directory spill_;
   std::unordered_map<endpoint_id, std::shared_ptr<routed_endpoint>> endpoints_;
   std::unordered_map<service_id, std::unique_ptr<routed_service>> services_;
+  // Accounts that may call only the listed services.
+  std::unordered_map<account_id, std::vector<service_id>> restricted_;
   std::unordered_map<attempt_ticket, open_attempt> open_;
   attempt_ticket last_ticket_ = 0;
   uint64_t summary_sequence_ = 0;
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -67,7 +67,8 @@
 std::optional<route_choice> request_router::OpenSpill(steady_time now,
                                                       const route_query& query,
                                                       duration time_to_beat) {
-  const auto target = spill_.Find(now, query.service, time_to_beat);
+  const auto target =
+      spill_.Find(now, query.service, query.excluded, time_to_beat);
   if (!target) {
     return std::nullopt;
   }
--- a/src/libshallotport/routing/routed_service.cc
+++ b/src/libshallotport/routing/routed_service.cc
@@ -67,21 +67,19 @@
 
 double routed_service::TimeAt(steady_time now,
                               const service_member& member) const {
+  const double mean = overall_.mean_us();
   if (!member.estimate.IsKnown()) {
-    return overall_.mean_us();
-  }
-  const double own = member.estimate.mean_us();
-  const double ratio = own / overall_.mean_us();
-  if (ratio > kLeastNotableRatio && ratio < kNotableRatio) {
-    return overall_.mean_us();
+    return mean;
   }
+  double time = member.estimate.mean_us();
   const duration age = member.estimate.AgeAt(now);
-  if (age <= kEstimateHalfLife) {
-    return own;
+  if (age > kEstimateHalfLife) {
+    time = mean + (time - mean) * std::exp2(-Ratio(age - kEstimateHalfLife,
+                                                   kEstimateHalfLife));
   }
-  const double kept =
-      std::exp2(-Ratio(age - kEstimateHalfLife, kEstimateHalfLife));
-  return overall_.mean_us() + (own - overall_.mean_us()) * kept;
+  const bool is_notable =
+      time >= kNotableRatio * mean || time <= kLeastNotableRatio * mean;
+  return is_notable ? time : mean;
 }
 
 double routed_service::QuickTimeAt(steady_time now) const {
--- a/src/libshallotport/routing/spill_directory.cc
+++ b/src/libshallotport/routing/spill_directory.cc
@@ -1,9 +1,21 @@
 #include "routing/spill_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotport {
 
+namespace {
+
+// A spilled attempt is known by the name of its host.
+bool IsExcluded(std::span<const endpoint_id> excluded, const host_id& host) {
+  return std::any_of(
+      excluded.begin(), excluded.end(),
+      [&host](const endpoint_id& id) { return id.text() == host.text(); });
+}
+
+}  // namespace
+
 spill_directory::remote_host* spill_directory::FindHost(const host_id& id) {
   for (remote_host& host : hosts_) {
     if (host.summary.host == id) {
@@ -31,10 +43,14 @@
 std::optional<spill_directory::target> spill_directory::Find(
     steady_time now,
     const service_id& service,
+    std::span<const endpoint_id> excluded,
     duration time_to_beat) const {
   std::optional<target> best;
   uint32_t most_free = 0;
   for (const remote_host& host : hosts_) {
+    if (IsExcluded(excluded, host.summary.host)) {
+      continue;
+    }
     if (now - host.received_at > kSummaryLifetime) {
       continue;
     }
--- a/src/libshallotport/routing/spill_directory.h
+++ b/src/libshallotport/routing/spill_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,9 +34,11 @@
   void Update(steady_time now, const domain_offer& summary);
 
   // The host with the most free slots for the service, whose expected time is
-  // below `time_to_beat`; nothing if no other domain has any.
+  // below `time_to_beat` and whose name is not among `excluded`; nothing if no
+  // other domain has any.
   std::optional<target> Find(steady_time now,
                              const service_id& service,
+                             std::span<const endpoint_id> excluded,
                              duration time_to_beat) const;
 
   // Counts a request sent there, until the host's next summary.
--- a/src/libshallotport/routing/testing/online_request_world.h
+++ b/src/libshallotport/routing/testing/online_request_world.h
@@ -184,7 +184,10 @@
     const uint64_t dice = UniformBelow(random_, 4);
     if (dice == 0) {
       reply.outcome = remembered_outcome::kInProgress;
-    } else if (runs_ > 0 && dice != 1) {
+    } else if (runs_ == 0) {
+      reply.outcome = remembered_outcome::kNotRun;
+      ++counts_["outcome_not_run"];
+    } else if (dice != 1) {
       reply.outcome = remembered_outcome::kAnswered;
       reply.answer = {200, "", text_};
     }
@@ -294,6 +297,9 @@
     Schedule(at, attempt_ended{start.attempt, end, duration{0}});
     return;
   }
+  if (fault == 2 && Chance(2)) {
+    return;  // The connection is silent and the call never arrives.
+  }
   ++runs_;
   if (fault == 2) {
     return;  // The connection is silent for good.
