routing: bound the bytes of the limits exchange, measure it

Cause: a host with many accounts above their share sent without bound. Change: at most 40 needs a period, the peers in turn; ejection is tested with round_robin too, where it is seen red when switched off.

--- a/src/libshallotport/routing/account_limiter.cc
+++ b/src/libshallotport/routing/account_limiter.cc
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds kConcurrencyRetryAfter{200};
 // Peers asked in each period for one account, besides those that lend already.
 constexpr size_t kAskedPeers = 3;
-// Accounts in one message at most, so that it fits a datagram.
-constexpr size_t kLongestMessage = 40;
+// Needs that one host sends in a period at most, over all peers and accounts.
+constexpr size_t kMostNeeds = 40;
 // Needs below this are not worth a message.
 constexpr double kSmallestNeed = 0.5;
 
@@ -135,6 +135,19 @@
   return turn < kAskedPeers || share.IsBorrowingFrom(now, peers_[peer].id);
 }
 
+std::vector<account_limiter::hungry_account> account_limiter::FindHungry(
+    steady_time now) const {
+  std::vector<hungry_account> hungry;
+  for (const account_id& id : active_) {
+    const limited_account& account = accounts_.at(id);
+    const limit_amount need = account.share->NeedAt(now);
+    if (IsWorthAsking(need)) {
+      hungry.push_back({&account, need});
+    }
+  }
+  return hungry;
+}
+
 std::vector<std::pair<host_id, limits_message>> account_limiter::MakeMessages(
     steady_time now) {
   std::vector<std::pair<host_id, limits_message>> messages;
@@ -146,8 +159,12 @@
   while (now - sent_at_.front().second > account_share::kLoanTime) {
     sent_at_.pop_front();
   }
+  const std::vector<hungry_account> hungry = FindHungry(now);
+  size_t needs = 0;
   first_asked_ = (first_asked_ + kAskedPeers) % peers_.size();
-  for (size_t i = 0; i < peers_.size(); ++i) {
+  // Another peer comes first each time, so that the bound hits none for ever.
+  for (size_t turn = 0; turn < peers_.size(); ++turn) {
+    const size_t i = (first_asked_ + turn) % peers_.size();
     limits_message message;
     message.sequence = sequence_;
     message.to_started = peers_[i].started;
@@ -156,13 +173,11 @@
                                static_cast<float>(loan.amount.rate),
                                static_cast<uint16_t>(loan.amount.concurrency)});
     }
-    for (const account_id& id : active_) {
-      const limited_account& account = accounts_.at(id);
-      const limit_amount need = account.share->NeedAt(now);
-      if (message.needs.size() < kLongestMessage && IsWorthAsking(need) &&
-          IsAsked(now, *account.share, i)) {
+    for (const auto& [account, need] : hungry) {
+      if (needs < kMostNeeds && IsAsked(now, *account->share, i)) {
+        ++needs;
         message.needs.push_back(
-            {account.hash, static_cast<float>(need.rate),
+            {account->hash, static_cast<float>(need.rate),
              static_cast<uint16_t>(std::min(need.concurrency, 65'535.0))});
       }
     }
--- a/src/libshallotport/routing/account_limiter.h
+++ b/src/libshallotport/routing/account_limiter.h
@@ -81,6 +81,13 @@
     std::vector<open_loan> loans;  // To be sent with the next message.
   };
 
+  struct hungry_account {
+    const limited_account* account;
+    limit_amount need;
+  };
+
+  // Accounts whose share does not suffice.
+  std::vector<hungry_account> FindHungry(steady_time now) const;
   limit_amount BaseOf(const limited_account& account) const;
   account_share& ShareOf(steady_time now, limited_account& account);
   peer_state* FindPeer(const host_id& id);
--- a/src/libshallotport/routing/request_router_test.cc
+++ b/src/libshallotport/routing/request_router_test.cc
@@ -36,12 +36,13 @@
   return record;
 }
 
-configuration MakeConfiguration() {
+configuration MakeConfiguration(const std::string& strategy) {
   configuration settings;
   settings.accounts.push_back({kAccount, "", 100, 50, 1, {}});
   settings.accounts.push_back({kStranger, "", 100, 50, 1, {kPrivate}});
   service_configuration service;
   service.id = kService;
+  service.routing_strategy = strategy;
   settings.services.push_back(service);
   service.id = kPrivate;
   service.accounts = {kStranger};
@@ -60,8 +61,9 @@
 // A router with some endpoints and shorthands.
 class router_fixture {
  public:
-  router_fixture() : router({host_id("h1"), domain_id("a"), 1, "", 7}) {
-    router.SetConfiguration(MakeConfiguration(), 1);
+  explicit router_fixture(const std::string& strategy = "adaptive")
+      : router({host_id("h1"), domain_id("a"), 1, "", 7}) {
+    router.SetConfiguration(MakeConfiguration(strategy), 1);
   }
 
   void AddEndpoints(int count, int64_t ms = 0) {
@@ -303,8 +305,10 @@
   EXPECT_GT(early["e1"], 4);
 }
 
-TEST(request_router, SlowEndpointIsEjectedAndTriedAgain) {
-  router_fixture fixture;
+class slow_endpoint_test : public testing::TestWithParam<const char*> {};
+
+TEST_P(slow_endpoint_test, IsEjectedAndTriedAgain) {
+  router_fixture fixture(GetParam());
   fixture.AddEndpoints(4);
   const auto count_slow = [&fixture](int64_t from, int64_t to) {
     int slow = 0;
@@ -323,6 +327,10 @@
   EXPECT_GT(count_slow(5'000, 40'000), 0) << "never tried again";
 }
 
+INSTANTIATE_TEST_SUITE_P(strategies,
+                         slow_endpoint_test,
+                         testing::Values("adaptive", "round_robin"));
+
 TEST(request_router, SpillsToTheOfferWithMostFreeSlotsAndNotTwice) {
   router_fixture fixture;
   fixture.router.OnDomainOffer(At(0), MakeOffer("b1", 1, 2));
--- a/src/libshallotport/routing/routing_benchmark.cc
+++ b/src/libshallotport/routing/routing_benchmark.cc
@@ -3,7 +3,13 @@
 #include <benchmark/benchmark.h>
 #include <malloc.h>
 
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+#include "base/codec.h"
 #include "routing/request_router.h"
+#include "transport/peer_message.h"
 
 namespace shallotport {
 
@@ -32,7 +38,8 @@
   service.id = service_id("assistant");
   service.routing_strategy = strategy;
   settings.services.push_back(service);
-  settings.accounts.push_back({account_id("a"), "", 1'000'000, 1'000'000, 1});
+  settings.accounts.push_back(
+      {account_id("a"), "", 1'000'000, 1'000'000, 1, {}});
   router.SetConfiguration(settings, 1);
 }
 
@@ -70,6 +77,75 @@
       bytes / static_cast<double>(state.range(0));
 }
 
+// Messages and memory of the account limits at 13 hosts and 3,300 accounts. The
+// argument is the number of accounts that want three times their share at one
+// host; every other account is active within its share.
+void LimitsExchange(benchmark::State& state) {
+  constexpr int kHosts = 13;
+  constexpr int kAccounts = 3'300;
+  constexpr int kSeconds = 10;
+  double bytes = 0;
+  double most = 0;
+  double memory = 0;
+  for (auto _ : state) {
+    configuration settings;
+    for (int i = 0; i < kAccounts; ++i) {
+      settings.accounts.push_back(
+          {account_id("account-" + std::to_string(i)), "", 130, 130, 1, {}});
+    }
+    std::vector<host_id> names;
+    std::vector<std::unique_ptr<account_limiter>> hosts;
+    for (int i = 0; i < kHosts; ++i) {
+      names.emplace_back("host-" + std::to_string(i));
+    }
+    const size_t before = mallinfo2().uordblks;
+    for (int i = 0; i < kHosts; ++i) {
+      hosts.push_back(
+          std::make_unique<account_limiter>(names[static_cast<size_t>(i)], 1));
+      hosts.back()->SetHosts(names);
+      hosts.back()->SetConfiguration(settings);
+    }
+    std::array<double, kHosts> sent{};
+    for (int step = 0; step < kSeconds * 10; ++step) {
+      const steady_time now = kNow + duration(step * 100'000);
+      for (size_t host = 0; host < hosts.size(); ++host) {
+        for (int i = 0; i < kAccounts; ++i) {
+          const bool is_hot = i < state.range(0) && host == 0;
+          const int calls = is_hot ? 3 : (i + step) % 10 == 0 ? 1 : 0;
+          for (int call = 0; call < calls; ++call) {
+            const account_id& id = settings.accounts[static_cast<size_t>(i)].id;
+            if (IsOk(hosts[host]->Acquire(now, id))) {
+              hosts[host]->Release(id);
+            }
+          }
+        }
+      }
+      for (size_t host = 0; step % 5 == 0 && host < hosts.size(); ++host) {
+        for (const auto& [to, message] : hosts[host]->MakeMessages(now)) {
+          const size_t index = std::stoul(to.text().substr(5));
+          sent[host] += static_cast<double>(
+              Encode(peer_message{peer_channel::kLimits, names[host], 1, to,
+                                  Encode(message)})
+                  .size());
+          hosts[index]->OnMessage(now, names[host], 1, message);
+        }
+      }
+    }
+    bytes = std::accumulate(sent.begin(), sent.end(), 0.0);
+    most = *std::max_element(sent.begin(), sent.end());
+    memory = static_cast<double>(mallinfo2().uordblks - before);
+  }
+  state.counters["sent_bytes_per_host_second"] = bytes / kHosts / kSeconds;
+  state.counters["most_bytes_per_host_second"] = most / kSeconds;
+  state.counters["bytes_per_account"] = memory / kHosts / kAccounts;
+}
+
+BENCHMARK(LimitsExchange)
+    ->Arg(0)
+    ->Arg(10)
+    ->Arg(100)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
 BENCHMARK_CAPTURE(Decide, adaptive, "adaptive", false)->Arg(56)->Arg(1'400);
 BENCHMARK_CAPTURE(Decide, adaptive_prefix, "adaptive", true)
     ->Arg(56)
