--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -13,6 +13,10 @@
 
 constexpr std::chrono::milliseconds kCapacityRetryAfter{500};
 constexpr std::chrono::milliseconds kShortestRetryAfter{50};
+// Differences between the load that other hosts put on endpoints count only
+// beyond this number of requests: smaller ones are gone before a report of them
+// arrives, and all hosts would follow them at once.
+constexpr double kLoadNoise = 1.5;
 // Weight of an endpoint that is choosable only because of the floor.
 constexpr double kSpareWeight = 0.2;
 // A request leaves its failure domain only if that saves this share of its
@@ -48,6 +52,12 @@
   }
   revision_ = revision;
   limiter_.SetConfiguration(settings);
+  restricted_.clear();
+  for (const account_configuration& account : settings.accounts) {
+    if (!account.services.empty()) {
+      restricted_[account.id] = account.services;
+    }
+  }
   std::unordered_set<service_id> kept;
   for (const service_configuration& service : settings.services) {
     kept.insert(service.id);
@@ -142,11 +152,24 @@
   if (found == services_.end()) {
     return nullptr;
   }
-  const auto& allowed = found->second->settings().accounts;
-  const bool is_allowed =
-      allowed.empty() ||
-      std::find(allowed.begin(), allowed.end(), query.account) != allowed.end();
-  return is_allowed ? found->second.get() : nullptr;
+  routed_service& service = *found->second;
+  return MayUse(service, query.account) ? &service : nullptr;
+}
+
+bool request_router::MayUse(const routed_service& service,
+                            const account_id& account) const {
+  const auto& callers = service.settings().accounts;
+  if (!callers.empty() &&
+      std::find(callers.begin(), callers.end(), account) == callers.end()) {
+    return false;
+  }
+  const auto restricted = restricted_.find(account);
+  if (restricted == restricted_.end()) {
+    return true;
+  }
+  const std::vector<service_id>& usable = restricted->second;
+  return std::find(usable.begin(), usable.end(), service.settings().id) !=
+         usable.end();
 }
 
 result<route_choice> request_router::Admit(steady_time now,
@@ -262,7 +285,9 @@
     candidate.member = static_cast<uint32_t>(i);
     candidate.hash = endpoint.hash();
     candidate.reported_load = record.load.running + record.load.queued;
-    candidate.load = endpoint.LoadAt(now);
+    candidate.own_load = endpoint.own_outstanding();
+    candidate.load = candidate.own_load + endpoint.OthersAt(now);
+    candidate.last_chosen = endpoint.last_chosen();
     candidate.slots = endpoint.slots();
     candidate.weight = options_.uses_merit ? endpoint.WeightAt(now) : 1;
     candidate.service_time_us = service.TimeAt(now, member);
@@ -280,6 +305,21 @@
     spares_.push_back({candidate, until});
   }
   KeepFloor(usable, total);
+  FlattenLoad();
+}
+
+void request_router::FlattenLoad() {
+  double sum = 0;
+  for (const choice_candidate& candidate : candidates_) {
+    sum += candidate.load - candidate.own_load;
+  }
+  const double mean = sum / static_cast<double>(candidates_.size());
+  for (choice_candidate& candidate : candidates_) {
+    const double others = candidate.load - candidate.own_load;
+    const double excess = others - mean;
+    const double kept = std::max(0.0, std::abs(excess) - kLoadNoise);
+    candidate.load = candidate.own_load + mean + std::copysign(kept, excess);
+  }
 }
 
 void request_router::KeepFloor(size_t usable, size_t total) {
