--- /dev/null
+++ b/src/libshallotport/batch/batch_sender.cc
@@ -0,0 +1,409 @@
+#include "batch/batch_sender.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration kNothingInterval = milliseconds(500);
+constexpr duration kFirstBackoff = milliseconds(100);
+constexpr duration kMaxBackoff = std::chrono::seconds(5);
+constexpr duration kBusyTick = milliseconds(10);
+constexpr duration kIdleTick = milliseconds(100);
+// Items kept ready beside those that can start now.
+constexpr uint32_t kMinPrefetch = 4;
+
+int64_t Milliseconds(duration span) {
+  return std::chrono::duration_cast<milliseconds>(span).count();
+}
+
+}  // namespace
+
+batch_sender::batch_sender(host_id self,
+                           incarnation started,
+                           const batch_sender_settings& settings,
+                           uint64_t seed)
+    : self_(std::move(self)),
+      started_(started),
+      settings_(settings),
+      random_(seed) {}
+
+bool batch_sender::IsFull() const {
+  return results_.size() + recording_.size() >= settings_.max_held_results ||
+         held_bytes_ >= settings_.max_held_bytes;
+}
+
+bool batch_sender::IsDrained() const {
+  return calls_.empty() && items_.empty() && results_.empty() &&
+         recording_.empty();
+}
+
+bool batch_sender::HoldsLease(steady_time now, lease_epoch epoch) const {
+  const auto found = leases_.find(epoch);
+  return found != leases_.end() && now < found->second.ends &&
+         now < found->second.confirmed + settings_.freshness;
+}
+
+std::vector<lease_epoch> batch_sender::HeldEpochs() const {
+  std::vector<lease_epoch> epochs;
+  for (const auto& [epoch, lease] : leases_) {
+    epochs.push_back(epoch);
+  }
+  return epochs;
+}
+
+// Exponential, with a random part so that hosts do not come back together.
+void batch_sender::Delay(retry_backoff& backoff, steady_time now) {
+  const duration longest = std::min(
+      kMaxBackoff, kFirstBackoff * (1 << std::min(backoff.failures, 8U)));
+  ++backoff.failures;
+  const uint64_t half = static_cast<uint64_t>(longest.count()) / 2;
+  backoff.until = now + duration(half + UniformBelow(random_, half + 1));
+}
+
+batch_sender::actions batch_sender::Step(steady_time now) {
+  EndLeases(now);
+  ReleaseDelayed(now);
+  YieldExcess(now);
+  if (is_draining_) {
+    ReturnQueued(now);
+  } else {
+    Dispatch(now);
+    AskForItems(now);
+  }
+  AskForChanges(now);
+  AskToRecord(now);
+  return std::exchange(actions_, {});
+}
+
+steady_time batch_sender::NextTimer(steady_time now) const {
+  const bool is_busy = !items_.empty() || !calls_.empty() || !results_.empty();
+  return now + (is_busy ? kBusyTick : kIdleTick);
+}
+
+// ---- Leases ----
+
+void batch_sender::EndLeases(steady_time now) {
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (now < lease->second.ends) {
+      ++lease;
+      continue;
+    }
+    ++counters_.lapsed_leases;
+    const lease_epoch epoch = lease->first;
+    lease = leases_.erase(lease);
+    std::vector<item_ref> lost;
+    for (const auto& [ref, item] : items_) {
+      if (item.epoch == epoch) {
+        lost.push_back(ref);
+      }
+    }
+    for (const item_ref& ref : lost) {
+      DropItem(ref);
+    }
+  }
+}
+
+// Forgets a held item. Its call, if any, is cancelled unless the item may not
+// be repeated.
+void batch_sender::DropItem(const item_ref& ref) {
+  const auto found = items_.find(ref);
+  if (found == items_.end()) {
+    return;
+  }
+  held_item& item = found->second;
+  if (item.phase == item_phase::kQueued) {
+    queues_[item.job->service].Remove(ref, item.prefix);
+  }
+  if (item.phase == item_phase::kCalling) {
+    running_call& running = calls_.at(item.call);
+    if (item.job->is_idempotent) {
+      CancelCall(item.call, running);
+    }
+  }
+  items_.erase(found);
+}
+
+void batch_sender::ApplyChanges(const lease_changes& changes) {
+  std::vector<item_ref> lost;
+  for (const lease_epoch epoch : changes.ended) {
+    leases_.erase(epoch);
+    for (const auto& [ref, item] : items_) {
+      if (item.epoch == epoch) {
+        lost.push_back(ref);
+      }
+    }
+  }
+  for (const item_ref& ref : lost) {
+    DropItem(ref);
+  }
+  for (const item_ref& ref : changes.revoked) {
+    const auto found = items_.find(ref);
+    if (found == items_.end()) {
+      continue;
+    }
+    ++counters_.revoked;
+    if (found->second.phase == item_phase::kCalling) {
+      running_call& running = calls_.at(found->second.call);
+      running.is_unwanted = found->second.job->is_idempotent;
+    }
+    DropItem(ref);
+  }
+}
+
+// Speaks only for the leases that the question named.
+void batch_sender::Confirm(const lease_ask& ask) {
+  for (const lease_epoch epoch : ask.epochs) {
+    const auto found = leases_.find(epoch);
+    if (found != leases_.end()) {
+      found->second.confirmed = std::max(found->second.confirmed, ask.asked);
+    }
+  }
+}
+
+void batch_sender::TakeLease(steady_time now, const leased_work& work) {
+  const steady_time asked = *lease_asked_;
+  const lease_epoch epoch = work.grant.epoch;
+  leases_[epoch] = {asked + settings_.lease, asked};
+  std::map<job_number, std::shared_ptr<const leased_job>> jobs;
+  for (const leased_job& job : work.grant.jobs) {
+    jobs[job.number] = std::make_shared<const leased_job>(job);
+  }
+  for (size_t i = 0; i < work.grant.items.size(); ++i) {
+    const leased_item& leased = work.grant.items[i];
+    if (work.bodies[i].empty()) {
+      continue;
+    }
+    const auto known = items_.find(leased.ref);
+    if (known != items_.end()) {
+      // The leader's clock ended the lease that this host still held.
+      known->second.epoch = epoch;
+      if (known->second.phase == item_phase::kCalling) {
+        calls_.at(known->second.call).epoch = epoch;
+      }
+      continue;
+    }
+    held_item& item = items_[leased.ref];
+    item.epoch = epoch;
+    item.job = jobs.at(leased.ref.job);
+    item.body = work.bodies[i];
+    item.prefix = PrefixOf(item.job->account, item.body);
+    item.is_suspect = leased.is_suspect;
+    Enqueue(leased.ref, item, false);
+  }
+  next_renewal_ = std::min(next_renewal_, now + settings_.renew_interval);
+}
+
+void batch_sender::OnLeased(steady_time now, const result<leased_work>& reply) {
+  if (!IsOk(reply)) {
+    Delay(lease_backoff_, now);
+  } else {
+    lease_backoff_ = {};
+    const leased_work& work = ValueOf(reply);
+    if (work.grant.items.empty()) {
+      nothing_until_[asked_service_] = now + kNothingInterval;
+    } else {
+      TakeLease(now, work);
+    }
+  }
+  lease_asked_.reset();
+}
+
+void batch_sender::OnRenewed(steady_time now,
+                             const result<lease_changes>& reply) {
+  const lease_ask ask = *std::exchange(renewal_, std::nullopt);
+  if (!IsOk(reply)) {
+    next_renewal_ = now + settings_.poll_interval;
+    return;
+  }
+  for (const lease_epoch epoch : ask.epochs) {
+    const auto found = leases_.find(epoch);
+    if (found != leases_.end()) {
+      found->second.ends =
+          std::max(found->second.ends, ask.asked + settings_.lease);
+    }
+  }
+  Confirm(ask);
+  ApplyChanges(ValueOf(reply));
+}
+
+void batch_sender::OnRevocations(steady_time,
+                                 const result<lease_changes>& reply) {
+  const lease_ask ask = *std::exchange(poll_, std::nullopt);
+  if (IsOk(reply)) {
+    Confirm(ask);
+    ApplyChanges(ValueOf(reply));
+  }
+}
+
+// ---- Asks ----
+
+void batch_sender::AskForItems(steady_time now) {
+  if (lease_asked_ || now < lease_backoff_.until || IsFull()) {
+    return;
+  }
+  std::map<service_id, uint32_t> wanted;
+  for (auto& [id, state] : endpoints_) {
+    if (!state.endpoint.may_start) {
+      continue;
+    }
+    const uint32_t prefetch = state.window.StartLimit(now) / 4;
+    for (const service_id& service : state.endpoint.services) {
+      wanted[service] += Room(now, state) + prefetch;
+    }
+  }
+  uint32_t most = 0;
+  for (const auto& [service, room] : wanted) {
+    const uint32_t queued = static_cast<uint32_t>(queues_[service].size());
+    const uint32_t aim = room == 0 ? 0 : std::max(room, kMinPrefetch);
+    if (aim <= queued + aim / 4 || now < nothing_until_[service]) {
+      continue;
+    }
+    if (aim - queued > most) {
+      most = aim - queued;
+      asked_service_ = service;
+    }
+  }
+  if (most == 0) {
+    return;
+  }
+  lease_asked_ = now;
+  actions_.push_back(ask_lease{{self_,
+                                started_,
+                                {asked_service_},
+                                std::min(most, settings_.max_lease_items),
+                                Milliseconds(settings_.lease)}});
+}
+
+// A lease is of use while an item or an unrecorded result of it is here.
+void batch_sender::ForgetIdleLeases() {
+  std::set<lease_epoch> used;
+  for (const auto& [ref, item] : items_) {
+    used.insert(item.epoch);
+  }
+  for (const item_result& each : results_) {
+    used.insert(each.epoch);
+  }
+  for (const item_result& each : recording_) {
+    used.insert(each.epoch);
+  }
+  std::erase_if(leases_,
+                [&](const auto& each) { return !used.contains(each.first); });
+}
+
+void batch_sender::AskForChanges(steady_time now) {
+  ForgetIdleLeases();
+  if (leases_.empty()) {
+    return;
+  }
+  if (!poll_ && now >= next_poll_) {
+    poll_ = {now, HeldEpochs()};
+    next_poll_ = now + settings_.poll_interval;
+    actions_.push_back(ask_revocations{{self_, started_, poll_->epochs}});
+  }
+  if (!renewal_ && now >= next_renewal_) {
+    renewal_ = {now, HeldEpochs()};
+    next_renewal_ = now + settings_.renew_interval;
+    actions_.push_back(ask_renewal{
+        {self_, started_, renewal_->epochs, Milliseconds(settings_.lease)}});
+  }
+}
+
+void batch_sender::AskToRecord(steady_time now) {
+  if (!recording_.empty() || results_.empty() || now < record_backoff_.until) {
+    return;
+  }
+  const bool is_due = results_.size() >= settings_.record_group ||
+                      now >= oldest_result_ + settings_.record_delay ||
+                      is_draining_;
+  if (!is_due) {
+    return;
+  }
+  while (!results_.empty() && recording_.size() < settings_.record_group) {
+    recording_.push_back(std::move(results_.front()));
+    results_.pop_front();
+  }
+  oldest_result_ = now;
+  actions_.push_back(ask_record{{self_, started_, recording_}});
+}
+
+void batch_sender::OnRecorded(steady_time now,
+                              const result<results_recorded>& reply) {
+  std::vector<item_result> sent = std::exchange(recording_, {});
+  if (!IsOk(reply)) {
+    // It may have been committed; the second time it is then a duplicate.
+    results_.insert(results_.begin(), std::make_move_iterator(sent.begin()),
+                    std::make_move_iterator(sent.end()));
+    Delay(record_backoff_, now);
+    return;
+  }
+  record_backoff_ = {};
+  for (size_t i = 0; i < sent.size(); ++i) {
+    held_bytes_ -= sent[i].body.size();
+    const record_verdict verdict = ValueOf(reply).verdicts[i];
+    counters_.duplicates += verdict == record_verdict::kDuplicate ? 1 : 0;
+  }
+  counters_.recorded += sent.size();
+}
+
+void batch_sender::AddResult(steady_time now,
+                             const item_ref& item,
+                             lease_epoch epoch,
+                             item_outcome outcome,
+                             error_kind kind,
+                             std::string body) {
+  if (results_.empty()) {
+    oldest_result_ = now;
+  }
+  held_bytes_ += body.size();
+  results_.push_back({item, epoch, outcome, kind, std::move(body)});
+  ++counters_.finished;
+}
+
+void batch_sender::ReturnQueued(steady_time now) {
+  std::vector<std::pair<item_ref, lease_epoch>> unstarted;
+  for (const auto& [ref, item] : items_) {
+    if (item.phase != item_phase::kCalling &&
+        item.phase != item_phase::kClaiming) {
+      unstarted.emplace_back(ref, item.epoch);
+    }
+  }
+  for (const auto& [ref, epoch] : unstarted) {
+    DropItem(ref);
+    AddResult(now, ref, epoch, item_outcome::kReturned,
+              error_kind::kShuttingDown, "");
+  }
+}
+
+void batch_sender::WriteState(nlohmann::json& out) const {
+  out["counters"] = {
+      {"batch_calls_started", counters_.started},
+      {"batch_calls_resumed", counters_.resumed},
+      {"batch_items_finished", counters_.finished},
+      {"batch_calls_yielded", counters_.yielded},
+      {"batch_items_revoked", counters_.revoked},
+      {"batch_results_recorded", counters_.recorded},
+      {"batch_results_duplicate", counters_.duplicates},
+      {"batch_leases_lapsed", counters_.lapsed_leases},
+      {"batch_prefix_hits", counters_.prefix_hits},
+      {"batch_sender_items", items_.size()},
+      {"batch_sender_calls", calls_.size()},
+      {"batch_results_held", results_.size() + recording_.size()},
+      {"batch_results_held_bytes", held_bytes_}};
+  out["is_draining"] = is_draining_;
+  out["leases"] = HeldEpochs();
+  for (const auto& [id, state] : endpoints_) {
+    nlohmann::json& entry = out["endpoints"][id.text()];
+    state.window.WriteState(entry["window"]);
+    entry["calls"] = state.calls.size();
+    entry["may_start"] = state.endpoint.may_start;
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/batch/batch_window.h
@@ -0,0 +1,128 @@
+#ifndef SHALLOTPORT_BATCH_BATCH_WINDOW_H_
+#define SHALLOTPORT_BATCH_BATCH_WINDOW_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/result.h"
+#include "membership/endpoint_record.h"
+
+namespace shallotport {
+
+struct window_strategy;
+
+struct window_settings {
+  std::string strategy = "guarded";  // Or "greedy", "fixed_share".
+  uint32_t reserve_slots = 1;        // Kept free of batch at all times.
+  uint32_t share_percent = 50;       // Of the slots, for fixed_share.
+};
+
+// What one host has under way of online requests at one endpoint. Absolute, so
+// that a lost message is made good by the next one.
+struct online_count {
+  uint64_t sequence = 0;  // Rises within one source; older ones are ignored.
+  uint32_t in_flight = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sequence, in_flight);
+  }
+};
+
+// How much batch work one endpoint may hold. The engine admits requests in
+// their order and knows no priority, so the only way to keep online requests
+// fast is to limit what is inside it. One window belongs to one batch sender.
+class batch_window {
+ public:
+  // Fails with kInvalidRequest for an unknown strategy.
+  static result<batch_window> Create(const window_settings& settings);
+
+  // The endpoint's own view, which lags. What runs there and is known to
+  // nobody here counts as online.
+  void OnReport(steady_time now, const load_report& report);
+
+  // Online work at the endpoint, from this host or, by message, from another.
+  void OnOnline(steady_time now,
+                const host_id& source,
+                incarnation source_incarnation,
+                const online_count& count);
+
+  // Time to the first byte of one online request that the endpoint answered.
+  void OnOnlineLatency(steady_time now, duration first_byte);
+
+  // The batch streams that are inside the endpoint now.
+  void SetOutstanding(steady_time now, uint32_t outstanding);
+
+  // Up to how many streams new ones may be started.
+  uint32_t StartLimit(steady_time now);
+
+  // Above how many streams the youngest must be cancelled.
+  uint32_t KeepLimit(steady_time now);
+
+  // When a limit may have risen although nothing arrived.
+  steady_time NextChange(steady_time now) const;
+
+  // Online requests that are inside as far as known.
+  uint32_t OnlineDemand(steady_time now);
+
+  uint32_t slots() const { return slots_; }
+  void WriteState(nlohmann::json& out) const;
+
+ private:
+  friend struct window_strategy;
+
+  struct source_count {
+    incarnation source_incarnation = 0;
+    online_count count;
+    steady_time heard;
+  };
+
+  batch_window(const window_settings& settings,
+               const window_strategy& strategy);
+
+  uint32_t GuardedStart();
+  uint32_t GuardedKeep();
+  uint32_t GreedyLimit();
+  uint32_t FixedShareLimit();
+
+  void Advance(steady_time now);
+  void RaisePeak(steady_time now);
+  void AdjustLimit(steady_time now);
+  uint32_t KnownOnline() const;
+  uint32_t Demand() const;
+
+  window_settings settings_;
+  const window_strategy* strategy_;
+  uint32_t slots_ = 0;
+  std::map<host_id, source_count> sources_;
+  // Work in the last report that nobody here accounts for.
+  uint32_t unexplained_ = 0;
+  steady_time report_heard_;
+  uint32_t outstanding_ = 0;
+  uint32_t most_outstanding_ = 0;  // Since the report before the last.
+  uint32_t most_online_ = 0;
+
+  // Decaying peak of the online demand.
+  double peak_ = 0;
+  steady_time peak_time_;
+  steady_time hold_until_;  // No starts after a burst.
+
+  // Additive increase, multiplicative decrease by the online tail.
+  double limit_ = 1;
+  double safe_limit_ = 1;  // Up to here the limit doubles.
+  double typical_us_ = 0;  // Median time to first byte with room.
+  uint32_t samples_ = 0;
+  uint32_t late_samples_ = 0;
+  steady_time interval_end_;
+
+  uint64_t bursts_ = 0;
+  uint64_t decreases_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_BATCH_WINDOW_H_
--- /dev/null
+++ b/src/libshallotport/batch/item_queue.h
@@ -0,0 +1,56 @@
+#ifndef SHALLOTPORT_BATCH_ITEM_QUEUE_H_
+#define SHALLOTPORT_BATCH_ITEM_QUEUE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "batch/job_messages.h"
+
+namespace shallotport {
+
+// Stands for the beginning of an item's prompt, within its account.
+using prefix_hash = uint64_t;
+
+prefix_hash PrefixOf(const account_id& account, std::string_view body);
+
+// The leased items of one service that wait for an endpoint, grouped by prompt
+// prefix so that an endpoint's prefix cache serves many of them in a row.
+class item_queue {
+ public:
+  void PushBack(const item_ref& item, prefix_hash prefix);
+  void PushFront(const item_ref& item, prefix_hash prefix);
+  void PushSuspect(const item_ref& item);
+  void Remove(const item_ref& item, prefix_hash prefix);
+
+  // An item that shares `prefix` if there is one, else one of the largest
+  // group; now and then the one that waits longest.
+  std::optional<item_ref> Pop(std::optional<prefix_hash> prefix);
+  std::optional<item_ref> PopSuspect();
+
+  size_t size() const { return size_; }
+  bool HasSuspects() const { return !suspects_.empty(); }
+
+ private:
+  struct waiting_item {
+    item_ref item;
+    uint64_t order = 0;
+  };
+  using group = std::deque<waiting_item>;
+  using group_map = std::map<prefix_hash, group>;
+
+  group_map::iterator Oldest();
+  group_map::iterator Largest();
+
+  group_map groups_;
+  std::deque<item_ref> suspects_;
+  uint64_t next_order_ = uint64_t{1} << 32;
+  uint64_t front_order_ = (uint64_t{1} << 32) - 1;
+  uint64_t popped_ = 0;
+  size_t size_ = 0;  // Suspects included.
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_ITEM_QUEUE_H_
--- /dev/null
+++ b/src/libshallotport/batch/yield_notifier.cc
@@ -0,0 +1,92 @@
+#include "batch/yield_notifier.h"
+
+#include <algorithm>
+
+#include "base/codec.h"
+#include "batch/window_ownership.h"
+
+namespace shallotport {
+
+namespace {
+
+// Well below the age at which a window forgets a source.
+constexpr duration kRepeatInterval = std::chrono::milliseconds(400);
+// Arrivals within this time go out in one message.
+constexpr duration kMinInterval = std::chrono::milliseconds(5);
+constexpr duration kEndDelay = std::chrono::milliseconds(50);
+constexpr uint32_t kRepeatsAtZero = 3;
+
+}  // namespace
+
+std::string EncodeYieldNotice(const yield_notice& notice) {
+  return Encode(notice);
+}
+
+result<yield_notice> DecodeYieldNotice(std::string_view bytes) {
+  return Decode<yield_notice>(bytes);
+}
+
+void yield_notifier::OnStarted(steady_time now, const endpoint_id& endpoint) {
+  entry& each = entries_[endpoint];
+  ++each.count.in_flight;
+  each.count.sequence = ++sequence_;
+  each.repeats_left = kRepeatsAtZero;
+  each.due = std::max(now, each.sent + kMinInterval);
+}
+
+void yield_notifier::OnEnded(steady_time now, const endpoint_id& endpoint) {
+  const auto found = entries_.find(endpoint);
+  if (found == entries_.end() || found->second.count.in_flight == 0) {
+    return;
+  }
+  entry& each = found->second;
+  --each.count.in_flight;
+  each.count.sequence = ++sequence_;
+  // Room that becomes free is not urgent.
+  each.due = std::min(each.due, now + kEndDelay);
+}
+
+std::vector<outgoing_notice> yield_notifier::TakeDue(
+    steady_time now,
+    const window_ownership& ownership) {
+  std::map<host_id, yield_notice> notices;
+  for (auto& [endpoint, each] : entries_) {
+    if (each.due > now) {
+      continue;
+    }
+    for (const host_id& host : ownership.Successors(endpoint)) {
+      if (host != self_) {
+        notices[host].endpoints.push_back({endpoint, each.count});
+      }
+    }
+    each.sent = now;
+    each.due = now + (each.count.in_flight > 0 ? kRepeatInterval : kEndDelay);
+    if (each.count.in_flight == 0) {
+      --each.repeats_left;
+    }
+  }
+  std::erase_if(entries_,
+                [](const auto& each) { return each.second.repeats_left == 0; });
+  std::vector<outgoing_notice> out;
+  out.reserve(notices.size());
+  for (auto& [host, notice] : notices) {
+    out.push_back({host, std::move(notice)});
+  }
+  return out;
+}
+
+std::optional<steady_time> yield_notifier::NextDue() const {
+  std::optional<steady_time> next;
+  for (const auto& [endpoint, each] : entries_) {
+    next = std::min(next.value_or(each.due), each.due);
+  }
+  return next;
+}
+
+online_count yield_notifier::CountOf(const endpoint_id& endpoint) const {
+  const auto found = entries_.find(endpoint);
+  return found == entries_.end() ? online_count{sequence_, 0}
+                                 : found->second.count;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/batch/yield_notifier.h
@@ -0,0 +1,80 @@
+#ifndef SHALLOTPORT_BATCH_YIELD_NOTIFIER_H_
+#define SHALLOTPORT_BATCH_YIELD_NOTIFIER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/result.h"
+#include "batch/batch_window.h"
+
+namespace shallotport {
+
+class window_ownership;
+
+struct endpoint_online {
+  endpoint_id endpoint;
+  online_count count;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, count);
+  }
+};
+
+// Sent on peer_channel::kBatchYield as a datagram.
+struct yield_notice {
+  std::vector<endpoint_online> endpoints;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoints);
+  }
+};
+
+std::string EncodeYieldNotice(const yield_notice& notice);
+result<yield_notice> DecodeYieldNotice(std::string_view bytes);
+
+struct outgoing_notice {
+  host_id to;
+  yield_notice notice;
+};
+
+// Tells the batch senders of the domain about the online requests that this
+// host has under way: at once on an arrival, again while any is under way, and
+// a few times after the last one, since datagrams get lost.
+class yield_notifier {
+ public:
+  explicit yield_notifier(host_id self) : self_(std::move(self)) {}
+
+  void OnStarted(steady_time now, const endpoint_id& endpoint);
+  void OnEnded(steady_time now, const endpoint_id& endpoint);
+
+  // What is due, to other hosts only. One message a host at most.
+  std::vector<outgoing_notice> TakeDue(steady_time now,
+                                       const window_ownership& ownership);
+  std::optional<steady_time> NextDue() const;
+
+  // The own count, for a window that this host owns.
+  online_count CountOf(const endpoint_id& endpoint) const;
+
+ private:
+  struct entry {
+    online_count count;
+    steady_time due;
+    steady_time sent;
+    uint32_t repeats_left = 0;  // After the count fell to zero.
+  };
+
+  const host_id self_;
+  uint64_t sequence_ = 0;  // Over all endpoints.
+  std::map<endpoint_id, entry> entries_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_YIELD_NOTIFIER_H_
