--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -27,6 +27,7 @@
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
 #include "serving/serving_metrics.h"
+#include "serving/spill_offers.h"
 #include "serving/state_registry.h"
 #include "transport/peer_network.h"
 
@@ -108,6 +109,7 @@
   host_settings settings;
   system_clock_source clock;
   incarnation started = 0;
+  std::vector<spill_contact> contacts;  // Hosts of other failure domains.
   std::atomic<bool> is_draining{false};
 
   serving_metrics metrics;
@@ -218,6 +220,11 @@
 }
 
 status daemon::parts::ComposeMembership() {
+  for (const peer_settings& peer : settings.peers) {
+    if (peer.domain != settings.domain && !peer.caller_address.empty()) {
+      contacts.push_back({peer.host, peer.domain, peer.caller_address});
+    }
+  }
   membership_duty_callbacks callbacks;
   callbacks.send = [this](peer_channel channel, const host_id& to,
                           const std::string& address, std::string payload) {
@@ -243,7 +250,14 @@
     }
     routing->UpdateEndpoint(event.endpoint);
   };
-  callbacks.on_summaries = [](const std::vector<service_summary>&) {};
+  callbacks.on_summaries =
+      [this, sequence = uint64_t{0}](
+          const std::vector<service_summary>& summaries) mutable {
+        for (domain_offer& offer :
+             MakeSpillOffers(summaries, contacts, ++sequence)) {
+          routing->OnDomainOffer(std::move(offer));
+        }
+      };
   result<std::unique_ptr<membership_duty>> made = membership_duty::Create(
       MembershipOptions(settings, started), clock,
       HashOf(settings.host.text(), started + 2), std::move(callbacks));
@@ -261,8 +275,15 @@
   options.started = started;
   options.address = settings.caller_lane.address;
   options.seed = HashOf(settings.host.text(), started + 3);
-  routing = std::make_unique<routing_duty>(options, clock);
-  routing->SetHostCount(static_cast<uint32_t>(settings.peers.size()));
+  routing = std::make_unique<routing_duty>(
+      options, clock, [this](const host_id& to, std::string payload) {
+        network->SendDatagram(peer_channel::kLimits, to, std::move(payload));
+      });
+  std::vector<host_id> hosts;
+  for (const peer_settings& peer : settings.peers) {
+    hosts.push_back(peer.host);
+  }
+  routing->SetHosts(std::move(hosts));
   online_caller =
       std::move(ValueOf(endpoint_caller::Create(settings.online_calls)));
   finisher = std::make_unique<exchange_finisher>();
@@ -302,10 +323,13 @@
   network->SetReceiver(peer_channel::kMembership, to_membership);
   network->SetReceiver(peer_channel::kEndpoints, to_membership);
   network->SetReceiver(peer_channel::kSummaries, to_membership);
-  network->SetReceiver(
-      peer_channel::kLogForwarding, [this](peer_message message) {
-        log->OnPeerMessage(message.from, std::move(message.payload));
-      });
+  network->SetReceiver(peer_channel::kLimits, [this](peer_message message) {
+    routing->OnLimitsMessage(std::move(message));
+  });
+  network->SetReceiver(peer_channel::kLogForwarding,
+                       [this](const peer_message& message) {
+                         log->OnPeerMessage(message.from, message.payload);
+                       });
   if (member) {
     network->SetReceiver(peer_channel::kConsensus,
                          [this](peer_message message) {
@@ -424,7 +448,7 @@
 
 status daemon::Start() {
   if (parts_->member) {
-    const status started = parts_->member->Start();
+    status started = parts_->member->Start();
     if (!IsOk(started)) {
       return started;
     }
@@ -434,7 +458,7 @@
   parts_->membership->Start();
   parts_->coordinator->Start();
   parts_->poller->Start();
-  const status listening = parts_->Listen();
+  status listening = parts_->Listen();
   if (!IsOk(listening)) {
     return listening;
   }
