--- /dev/null
+++ b/src/libshallotport/batch/batch_calls.h
@@ -0,0 +1,43 @@
+#ifndef SHALLOTPORT_BATCH_BATCH_CALLS_H_
+#define SHALLOTPORT_BATCH_BATCH_CALLS_H_
+
+#include <functional>
+#include <string>
+
+#include "batch/batch_sender_messages.h"
+
+namespace shallotport {
+
+// Carries the batch lane's calls to endpoints. Nothing here blocks.
+class batch_calls {
+ public:
+  using end_handler = std::function<void(batch_call_end end)>;
+
+  virtual ~batch_calls() = default;
+
+  // `ended` runs once, on any thread, also after a cancel or when the call
+  // could not be started.
+  virtual void Start(const start_batch_call& call, end_handler ended) = 0;
+
+  // The call ends soon with kCancelled, unless it ended before.
+  virtual void Cancel(batch_call call) = 0;
+};
+
+struct item_claim_reply {
+  item_claim claim = item_claim::kUnavailable;
+  std::string answer;  // If answered.
+};
+
+// The claims of items of non-idempotent services. Calls block a worker thread;
+// all calls for one item come from the same one, in order.
+class item_claims {
+ public:
+  virtual ~item_claims() = default;
+  virtual item_claim_reply Begin(const begin_item_claim& claim) = 0;
+  virtual void Finish(const finish_item_claim& claim) = 0;
+  virtual void Release(const release_item_claim& claim) = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_BATCH_BATCH_CALLS_H_
--- a/src/libshallotport/batch/batch_oracle_test.cc
+++ b/src/libshallotport/batch/batch_oracle_test.cc
@@ -37,7 +37,7 @@
 
 struct faults {
   bool are_on = true;
-  uint64_t one_in = 150;  // Ticks between two faults.
+  uint64_t one_in = 60;  // Ticks between two faults.
 };
 
 class batch_world {
@@ -197,7 +197,9 @@
       return;
     }
     hosts_[UniformBelow(random_, kHosts)].is_cut = true;
-    const job_record& job = catalogue().jobs.at(*catalogue().running.begin());
+    auto chosen = catalogue().running.begin();
+    std::advance(chosen, UniformBelow(random_, catalogue().running.size()));
+    const job_record& job = catalogue().jobs.at(*chosen);
     cancelled_[job.number] = now_;
     bench_.client.Cancel(
         {job.account, job_id("job-0-" + std::to_string(job.number))}, {});
--- a/src/libshallotport/batch/batch_window_test.cc
+++ b/src/libshallotport/batch/batch_window_test.cc
@@ -249,7 +249,7 @@
   ownership.SetHosts(kStart, Hosts("abc"));
   yield_notifier notifier(host_id("a"));
   const endpoint_id endpoint("e0");
-  notifier.OnStarted(kStart, endpoint);
+  notifier.SetInFlight(kStart, endpoint, 1);
   const auto first = notifier.TakeDue(kStart, ownership);
   ASSERT_GE(first.size(), 1U);
   EXPECT_EQ(first[0].notice.endpoints.at(0).count.in_flight, 1U);
@@ -257,7 +257,7 @@
   EXPECT_EQ(ValueOf(decoded).endpoints.at(0).endpoint, endpoint);
   EXPECT_TRUE(notifier.TakeDue(kStart + milliseconds(1), ownership).empty());
   EXPECT_FALSE(notifier.TakeDue(kStart + seconds(1), ownership).empty());
-  notifier.OnEnded(kStart + seconds(1), endpoint);
+  notifier.SetInFlight(kStart + seconds(1), endpoint, 0);
   uint32_t rounds = 0;
   steady_time now = kStart + seconds(1);
   uint64_t sequence = 0;
--- a/src/libshallotport/batch/job_client.cc
+++ b/src/libshallotport/batch/job_client.cc
@@ -133,6 +133,10 @@
   return Ask<lease_changes>(log_, query, deadline);
 }
 
+result<next_expiry> job_client::NextExpiry(steady_time deadline) {
+  return Ask<next_expiry>(log_, expiry_query{}, deadline);
+}
+
 result<waiting_items> job_client::Waiting(const waiting_query& query,
                                           steady_time deadline) {
   return Ask<waiting_items>(log_, query, deadline);
--- a/src/libshallotport/batch/job_client.h
+++ b/src/libshallotport/batch/job_client.h
@@ -47,6 +47,7 @@
                                steady_time deadline);
   result<lease_changes> Revocations(const revocations_query& query,
                                     steady_time deadline);
+  result<next_expiry> NextExpiry(steady_time deadline);
   result<waiting_items> Waiting(const waiting_query& query,
                                 steady_time deadline);
 
--- /dev/null
+++ b/src/libshallotport/batch/job_expiry.cc
@@ -0,0 +1,38 @@
+#include "batch/job_expiry.h"
+
+#include <utility>
+
+namespace shallotport {
+
+namespace {
+
+constexpr duration kInterval = std::chrono::milliseconds(250);
+constexpr duration kTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+job_expiry::job_expiry(replicated_log& log,
+                       const clock_source& clock,
+                       std::function<bool()> is_leader)
+    : client_(log),
+      clock_(clock),
+      is_leader_(std::move(is_leader)),
+      thread_(
+          clock,
+          1,
+          [](steady_time, wake_up) {},
+          [this](steady_time now) { return OnTimer(now); }) {}
+
+steady_time job_expiry::OnTimer(steady_time now) {
+  if (is_leader_()) {
+    const result<next_expiry> next = client_.NextExpiry(now + kTimeout);
+    const bool is_due = IsOk(next) && ValueOf(next).time != 0 &&
+                        ValueOf(next).time <= clock_.WallNow();
+    if (is_due) {
+      client_.Expire(now + kTimeout);
+    }
+  }
+  return now + kInterval;
+}
+
+}  // namespace shallotport
--- a/src/libshallotport/batch/job_messages.h
+++ b/src/libshallotport/batch/job_messages.h
@@ -463,13 +463,29 @@
   }
 };
 
+// Asked by the leader's host, which then proposes expire_jobs.
+struct expiry_query {
+  template <typename Archive>
+  void serialize(Archive&) {}
+};
+
+struct next_expiry {
+  wall_milliseconds time = 0;  // Leader time; 0: nothing will be due.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(time);
+  }
+};
+
 // The order of alternatives is part of the protocol: append only.
 using job_query = std::variant<job_status_query,
                                list_jobs_query,
                                results_query,
                                lease_bodies_query,
                                revocations_query,
-                               waiting_query>;
+                               waiting_query,
+                               expiry_query>;
 
 }  // namespace shallotport
 
--- a/src/libshallotport/batch/job_reports.h
+++ b/src/libshallotport/batch/job_reports.h
@@ -35,6 +35,10 @@
   job_reply<lease_bodies> Answer(const lease_bodies_query& query) const;
   job_reply<lease_changes> Answer(const revocations_query& query) const;
   job_reply<waiting_items> Answer(const waiting_query& query) const;
+  // Answered by job_state, which knows the times.
+  job_reply<next_expiry> Answer(const expiry_query&) const {
+    return next_expiry{};
+  }
 
  private:
   const job_record* FindJob(const account_id& account, const job_id& id) const;
--- a/src/libshallotport/batch/job_state.cc
+++ b/src/libshallotport/batch/job_state.cc
@@ -58,6 +58,10 @@
   }
   const job_reports reports(catalogue_, payloads_.store(), settings_.group,
                             leader_time_);
+  if (std::holds_alternative<expiry_query>(ValueOf(decoded))) {
+    return Encode(
+        job_reply<next_expiry>(next_expiry{NextExpiry().value_or(0)}));
+  }
   return std::visit(
       [&](const auto& each) { return Encode(reports.Answer(each)); },
       ValueOf(decoded));
--- a/src/libshallotport/batch/stored_payloads.h
+++ b/src/libshallotport/batch/stored_payloads.h
@@ -3,8 +3,6 @@
 
 #include <limits>
 #include <memory>
-#include <mutex>
-#include <shared_mutex>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,14 +13,13 @@
 namespace shallotport {
 
 // Payloads in the segment files of a payload_store, whose segments must stay
-// below 4 GiB. Lets other threads read while the applying thread appends.
+// below 4 GiB.
 class stored_payloads final : public item_payloads {
  public:
   explicit stored_payloads(std::unique_ptr<payload_store> store)
       : store_(std::move(store)) {}
 
   result<item_payload> Append(std::string_view bytes) override {
-    const std::unique_lock lock(mutex_);
     const result<payload_ref> stored = store_->Append(bytes);
     if (!IsOk(stored)) {
       return ErrorOf(stored);
@@ -38,12 +35,10 @@
   }
 
   result<std::string> Read(const item_payload& payload) const override {
-    const std::shared_lock lock(mutex_);
     return store_->Read(ReferenceTo(payload));
   }
 
   void Release(const item_payload& payload) override {
-    const std::unique_lock lock(mutex_);
     store_->Release(ReferenceTo(payload));
   }
 
@@ -56,7 +51,6 @@
     return ref;
   }
 
-  mutable std::shared_mutex mutex_;
   const std::unique_ptr<payload_store> store_;
 };
 
--- a/src/libshallotport/batch/window_ownership.h
+++ b/src/libshallotport/batch/window_ownership.h
@@ -45,6 +45,7 @@
   // When MaySend() turns true for a further endpoint.
   std::optional<steady_time> NextChange(steady_time now) const;
 
+  size_t endpoint_count() const { return endpoints_.size(); }
   void WriteState(nlohmann::json& out) const;
 
  private:
--- a/src/libshallotport/batch/yield_notifier.cc
+++ b/src/libshallotport/batch/yield_notifier.cc
@@ -26,24 +26,19 @@
   return Decode<yield_notice>(bytes);
 }
 
-void yield_notifier::OnStarted(steady_time now, const endpoint_id& endpoint) {
-  entry& each = entries_[endpoint];
-  ++each.count.in_flight;
-  each.count.sequence = ++sequence_;
-  each.repeats_left = kRepeatsAtZero;
-  each.due = std::max(now, each.sent + kMinInterval);
-}
-
-void yield_notifier::OnEnded(steady_time now, const endpoint_id& endpoint) {
-  const auto found = entries_.find(endpoint);
-  if (found == entries_.end() || found->second.count.in_flight == 0) {
+void yield_notifier::SetInFlight(steady_time now,
+                                 const endpoint_id& endpoint,
+                                 uint32_t in_flight) {
+  if (CountOf(endpoint).in_flight == in_flight) {
     return;
   }
-  entry& each = found->second;
-  --each.count.in_flight;
-  each.count.sequence = ++sequence_;
+  entry& each = entries_[endpoint];
+  const bool is_arrival = in_flight > each.count.in_flight;
+  each.count = {++sequence_, in_flight};
+  each.repeats_left = kRepeatsAtZero;
   // Room that becomes free is not urgent.
-  each.due = std::min(each.due, now + kEndDelay);
+  each.due = is_arrival ? std::max(now, each.sent + kMinInterval)
+                        : std::min(each.due, now + kEndDelay);
 }
 
 std::vector<outgoing_notice> yield_notifier::TakeDue(
--- a/src/libshallotport/batch/yield_notifier.h
+++ b/src/libshallotport/batch/yield_notifier.h
@@ -51,8 +51,10 @@
  public:
   explicit yield_notifier(host_id self) : self_(std::move(self)) {}
 
-  void OnStarted(steady_time now, const endpoint_id& endpoint);
-  void OnEnded(steady_time now, const endpoint_id& endpoint);
+  // The requests that this host has under way at the endpoint.
+  void SetInFlight(steady_time now,
+                   const endpoint_id& endpoint,
+                   uint32_t in_flight);
 
   // What is due, to other hosts only. One message a host at most.
   std::vector<outgoing_notice> TakeDue(steady_time now,
