--- a/src/libshallotport/batch/batch_duty_test.cc
+++ b/src/libshallotport/batch/batch_duty_test.cc
@@ -126,6 +126,9 @@
   EXPECT_TRUE(is_finished(plain));
   EXPECT_TRUE(is_finished(once));
   EXPECT_TRUE(claims.WaitForFinished(10));
+  while (notices == 0 && clock.Now() < end) {
+    std::this_thread::yield();
+  }
   duty.OnOnlineEnded(endpoint_id("e1"));
   nlohmann::json state;
   duty.WriteState(state);
