--- a/src/libshallotport/batch/batch_calls.h
+++ b/src/libshallotport/batch/batch_calls.h
@@ -36,6 +36,7 @@
   virtual item_claim_reply Begin(const begin_item_claim& claim) = 0;
   virtual void Finish(const finish_item_claim& claim) = 0;
   virtual void Release(const release_item_claim& claim) = 0;
+  virtual void Abandon(const abandon_item_claim& claim) = 0;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/batch/batch_dispatch.cc
+++ b/src/libshallotport/batch/batch_dispatch.cc
@@ -246,7 +246,7 @@
   counters_.resumed += item.partial.tokens > 0 ? 1 : 0;
   actions_.push_back(start_batch_call{
       call, state.endpoint.id, state.endpoint.started, state.endpoint.address,
-      ref, item.job, item.body, item.partial});
+      ref, item.job, item.body, item.partial, state.endpoint.can_resume});
 }
 
 void batch_sender::OnClaim(steady_time now,
@@ -312,6 +312,12 @@
   }
 }
 
+void batch_sender::CancelRunning() {
+  for (const auto& [id, state] : endpoints_) {
+    CancelAll(state);
+  }
+}
+
 // Cancels the youngest streams above the endpoint's limit.
 void batch_sender::YieldExcess(steady_time now) {
   for (auto& [id, state] : endpoints_) {
@@ -373,8 +379,8 @@
     end.kind = error_kind::kEndpointFailed;
   }
   LeaveEndpoint(now, end.call, running, end.outcome);
-  if (end.outcome == call_outcome::kDone && !running.job->is_idempotent) {
-    actions_.push_back(finish_item_claim{running.item, running.job, end.body});
+  if (!running.job->is_idempotent) {
+    SettleClaim(running, end);
   }
   const auto held = items_.find(running.item);
   const bool is_held = held != items_.end() &&
@@ -389,6 +395,17 @@
   }
 }
 
+void batch_sender::SettleClaim(const running_call& running,
+                               const batch_call_end& end) {
+  if (end.outcome == call_outcome::kDone) {
+    actions_.push_back(finish_item_claim{running.item, running.job, end.body});
+  } else if (end.outcome == call_outcome::kNotRun) {
+    actions_.push_back(release_item_claim{running.item, running.job});
+  } else {
+    actions_.push_back(abandon_item_claim{running.item, running.job});
+  }
+}
+
 void batch_sender::FinishCall(steady_time now,
                               const running_call& running,
                               const batch_call_end& end) {
@@ -405,9 +422,6 @@
     case call_outcome::kRejected:
       return finish(item_outcome::kFailed);
     case call_outcome::kNotRun:
-      if (!may_repeat) {
-        actions_.push_back(release_item_claim{running.item, running.job});
-      }
       return Postpone(now, running.item, item);
     case call_outcome::kCancelled:
       if (may_repeat) {
--- a/src/libshallotport/batch/batch_duty.cc
+++ b/src/libshallotport/batch/batch_duty.cc
@@ -136,6 +136,10 @@
   sender_.BeginDrain();
 }
 
+void batch_duty::On(steady_time, const cancel_request&) {
+  sender_.CancelRunning();
+}
+
 void batch_duty::On(steady_time now, const lease_reply& each) {
   sender_.OnLeased(now, each.reply);
 }
@@ -339,6 +343,10 @@
   ClaimWorker(action.item).TryPush([this, action] { claims_.Release(action); });
 }
 
+void batch_duty::Do(const abandon_item_claim& action) {
+  ClaimWorker(action.item).TryPush([this, action] { claims_.Abandon(action); });
+}
+
 void batch_duty::WriteState(nlohmann::json& out) {
   auto reply = std::make_shared<std::promise<std::string>>();
   std::future<std::string> dumped = reply->get_future();
--- a/src/libshallotport/batch/batch_duty.h
+++ b/src/libshallotport/batch/batch_duty.h
@@ -62,6 +62,8 @@
 
   // Leases nothing more and gives back what has not started.
   void BeginDrain() { Push(drain_request{}); }
+  // Cancels what may be repeated; while draining it is given back.
+  void CancelRunning() { Push(cancel_request{}); }
   bool IsDrained() const { return is_drained_; }
 
   void UpdateEndpoint(endpoint_record record) { Push(std::move(record)); }
@@ -86,6 +88,7 @@
  private:
   struct wake_up {};
   struct drain_request {};
+  struct cancel_request {};
   struct lease_reply {
     result<leased_work> reply;
   };
@@ -105,6 +108,7 @@
   using state_request = std::function<void(const batch_duty& duty)>;
   using message = std::variant<wake_up,
                                drain_request,
+                               cancel_request,
                                lease_reply,
                                record_reply,
                                renewal_reply,
@@ -127,6 +131,7 @@
 
   void On(steady_time now, const wake_up& each);
   void On(steady_time now, const drain_request& each);
+  void On(steady_time now, const cancel_request& each);
   void On(steady_time now, const lease_reply& each);
   void On(steady_time now, const record_reply& each);
   void On(steady_time now, const renewal_reply& each);
@@ -154,6 +159,7 @@
   void Do(const begin_item_claim& action);
   void Do(const finish_item_claim& action);
   void Do(const release_item_claim& action);
+  void Do(const abandon_item_claim& action);
   worker& ClaimWorker(const item_ref& item);
 
   const batch_duty_options options_;
--- a/src/libshallotport/batch/batch_duty_test.cc
+++ b/src/libshallotport/batch/batch_duty_test.cc
@@ -64,6 +64,7 @@
     changed_.notify_all();
   }
   void Release(const release_item_claim&) override {}
+  void Abandon(const abandon_item_claim&) override {}
 
   bool WaitForFinished(size_t count) {
     std::unique_lock lock(mutex_);
--- a/src/libshallotport/batch/batch_oracle_test.cc
+++ b/src/libshallotport/batch/batch_oracle_test.cc
@@ -286,6 +286,9 @@
       claims_.erase(released->item);
       return;
     }
+    if (std::holds_alternative<abandon_item_claim>(action)) {
+      return;
+    }
     letter each{now_ + milliseconds(UniformBelow(random_, 120)), host,
                 hosts_[host].started, std::move(action)};
     each.is_reply_lost = has_faults_ && Chance(25);
--- a/src/libshallotport/batch/batch_sender.cc
+++ b/src/libshallotport/batch/batch_sender.cc
@@ -41,7 +41,7 @@
 
 bool batch_sender::IsDrained() const {
   return calls_.empty() && items_.empty() && results_.empty() &&
-         recording_.empty();
+         recording_.empty() && !lease_asked_;
 }
 
 bool batch_sender::HoldsLease(steady_time now, lease_epoch epoch) const {
--- a/src/libshallotport/batch/batch_sender.h
+++ b/src/libshallotport/batch/batch_sender.h
@@ -82,6 +82,8 @@
 
   // Graceful stop: leases nothing more and gives back what has not started.
   void BeginDrain() { is_draining_ = true; }
+  // Cancels every stream that may be repeated.
+  void CancelRunning();
   // Nothing runs and everything is recorded.
   bool IsDrained() const;
 
@@ -185,6 +187,7 @@
                      const running_call& running,
                      call_outcome outcome);
   bool HasRestarted(const running_call& running) const;
+  void SettleClaim(const running_call& running, const batch_call_end& end);
   void FinishCall(steady_time now,
                   const running_call& running,
                   const batch_call_end& end);
--- a/src/libshallotport/batch/batch_sender_messages.h
+++ b/src/libshallotport/batch/batch_sender_messages.h
@@ -74,7 +74,8 @@
   item_ref item;
   std::shared_ptr<const leased_job> job;
   std::string body;
-  partial_answer resume;  // With tokens: continue after these.
+  partial_answer resume;    // With tokens: continue after these.
+  bool can_resume = false;  // The endpoint can, so its answer is streamed.
 };
 
 struct cancel_batch_call {
@@ -118,6 +119,12 @@
   std::shared_ptr<const leased_job> job;
 };
 
+// The claimed item's call broke off: nobody can tell whether it ran.
+struct abandon_item_claim {
+  item_ref item;
+  std::shared_ptr<const leased_job> job;
+};
+
 using batch_action = std::variant<start_batch_call,
                                   cancel_batch_call,
                                   ask_lease,
@@ -126,7 +133,8 @@
                                   ask_revocations,
                                   begin_item_claim,
                                   finish_item_claim,
-                                  release_item_claim>;
+                                  release_item_claim,
+                                  abandon_item_claim>;
 
 }  // namespace shallotport
 
--- a/src/libshallotport/batch/batch_sender_test.cc
+++ b/src/libshallotport/batch/batch_sender_test.cc
@@ -159,6 +159,7 @@
   EXPECT_EQ(bench.records[1].results.at(0).outcome, item_outcome::kDone);
   bench.sender.OnRecorded(bench.now,
                           results_recorded{{record_verdict::kRecorded}});
+  bench.sender.OnLeased(bench.now, leased_work{});
   EXPECT_TRUE(bench.sender.IsDrained());
 }
 
