--- a/src/libshallotport/membership/domain_summary.cc
+++ b/src/libshallotport/membership/domain_summary.cc
@@ -125,6 +125,7 @@
     return out;
   }
   next_round_ = now + options_.period;
+  ++rounds_;
   std::erase_if(items_, [this, now](const auto& entry) {
     return now - entry.second.computed_at >= options_.max_age;
   });
@@ -159,7 +160,7 @@
   for (size_t i = 0; i < count; ++i) {
     chosen.push_back(near[next_near_++ % near.size()]);
   }
-  if (!far.empty()) {
+  if (!far.empty() && rounds_ % options_.rounds_per_far == 0) {
     chosen.push_back(far[next_far_++ % far.size()]);
   }
   for (const summary_domain* other : chosen) {
@@ -186,11 +187,8 @@
 
 summary_message domain_summary_table::OwnItems(steady_time now) {
   summary_message message;
-  for (const auto& [key, known] : items_) {
-    if (key.first == self_key_) {
-      AddItem(now, known, message);
-    }
-  }
+  AddRotated(now, own_rotation_, message,
+             [this](const item_key& key) { return key.first == self_key_; });
   return message;
 }
 
@@ -198,26 +196,37 @@
 summary_message domain_summary_table::FreshItems(steady_time now,
                                                  bool with_own) {
   summary_message message;
+  // Half of the room is kept for the rotation.
+  const size_t limit = options_.items_per_message / 2;
   for (auto& [key, known] : items_) {
-    if (known.sends_left > 0 &&
-        message.items.size() < options_.items_per_message) {
+    if (known.sends_left > 0 && message.items.size() < limit) {
       --known.sends_left;
       AddItem(now, known, message);
     }
   }
-  const size_t rotated =
-      (std::min(items_.size(), options_.items_per_message) + 1) / 2;
-  for (size_t i = 0; i < rotated; ++i) {
-    auto next = items_.upper_bound(rotation_);
+  AddRotated(now, rotation_, message, [this, with_own](const item_key& key) {
+    return with_own || key.first != self_key_;
+  });
+  return message;
+}
+
+template <typename Predicate>
+void domain_summary_table::AddRotated(steady_time now,
+                                      item_key& rotation,
+                                      summary_message& message,
+                                      Predicate is_wanted) const {
+  for (size_t seen = 0; seen < items_.size() &&
+                        message.items.size() < options_.items_per_message;
+       ++seen) {
+    auto next = items_.upper_bound(rotation);
     if (next == items_.end()) {
       next = items_.begin();
     }
-    rotation_ = next->first;
-    if (with_own || rotation_.first != self_key_) {
+    rotation = next->first;
+    if (is_wanted(next->first)) {
       AddItem(now, next->second, message);
     }
   }
-  return message;
 }
 
 void domain_summary_table::AddItem(steady_time now,
--- a/src/libshallotport/membership/domain_summary.h
+++ b/src/libshallotport/membership/domain_summary.h
@@ -73,10 +73,11 @@
 
   uint32_t relays = 2;          // Hosts of a domain that talk to other domains.
   duration period{1'000'000};   // Between two rounds.
-  uint32_t near_per_round = 2;  // Domains told in one round.
-  uint32_t peers_per_round = 2;  // Hosts of the own domain told in one round.
+  uint32_t near_per_round = 1;  // Domains told in one round.
+  uint32_t rounds_per_far = 4;  // A far domain is told in every n-th round.
+  uint32_t peers_per_round = 1;  // Hosts of the own domain told in one round.
   uint32_t sends = 2;            // Rounds in which a change is passed on.
-  size_t items_per_message = 24;
+  size_t items_per_message = 12;
   duration max_age{60'000'000};
   size_t max_items = 4'096;
 };
@@ -130,6 +131,11 @@
   void SendToDomains(steady_time now, std::vector<send_summary>& out);
   summary_message OwnItems(steady_time now);
   summary_message FreshItems(steady_time now, bool with_own);
+  template <typename Predicate>
+  void AddRotated(steady_time now,
+                  item_key& rotation,
+                  summary_message& message,
+                  Predicate is_wanted) const;
   void AddItem(steady_time now,
                const known_item& known,
                summary_message& message) const;
@@ -142,6 +148,8 @@
   std::map<uint32_t, service_id> service_names_;
   std::map<item_key, known_item> items_;
   item_key rotation_{0, 0};
+  item_key own_rotation_{0, 0};
+  uint64_t rounds_ = 0;
   size_t next_near_ = 0;
   size_t next_far_;  // Relays of a domain start at different places.
   size_t next_contact_ = 0;
