--- a/src/libshallotport/membership/membership_test_network.h
+++ b/src/libshallotport/membership/membership_test_network.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_TEST_NETWORK_H_
 #define SHALLOTPORT_MEMBERSHIP_MEMBERSHIP_TEST_NETWORK_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -163,6 +164,13 @@
     return nodes_[number].core->self().state == host_state::kLeft;
   }
 
+  // An announcement of any content reaches a host.
+  void AnnounceAt(host_number host, const endpoint_record& record) {
+    std::vector<registry_action> actions;
+    nodes_[host].registry->Announce(now_, record, actions);
+    Perform(host, actions);
+  }
+
   void Cut(host_number from, host_number to) { cuts_.insert({from, to}); }
   void Heal() {
     cuts_.clear();
@@ -175,6 +183,8 @@
   steady_time now() const { return now_; }
   random_source& random() { return random_; }
 
+  // Told of every endpoint event of every host.
+  std::function<void(host_number, const endpoint_event&)> on_endpoint;
   double drop_share = 0;
   double duplicate_share = 0;
   bool counts_bytes = false;
@@ -215,6 +225,9 @@
   void Perform(host_number from, const std::vector<registry_action>& actions) {
     for (const registry_action& action : actions) {
       if (const auto* event = std::get_if<endpoint_event>(&action)) {
+        if (on_endpoint) {
+          on_endpoint(from, *event);
+        }
         if (event->kind != endpoint_event_kind::kRemoved) {
           Note(nodes_[from], event->endpoint.id.text(), event->endpoint.started,
                event->endpoint.is_leaving);
@@ -297,9 +310,7 @@
       for (size_t tries = 0; tries < nodes_.size(); ++tries) {
         if (nodes_[home].is_running && !nodes_[home].is_stalled &&
             !HasLeft(home)) {
-          std::vector<registry_action> actions;
-          nodes_[home].registry->Announce(now_, endpoint.record, actions);
-          Perform(home, actions);
+          AnnounceAt(home, endpoint.record);
           break;
         }
         home = (home + 1) % nodes_.size();
