serving: never call a key not run that has run

Cause: after a restart of everything, a resend that came before the endpoints had announced themselves was refused with no_capacity, run: not_run, although its key had a recorded answer: routing came before the claim. Ruled out: a lost record (the answer was there a second later). Change: an error that promises not_run is first checked against the log for keyed non-idempotent requests, also on a draining host; the recorded answer or the true reason takes its place. batch_host joins the daemon. Conclusion: not_run is said of a key only after the log was asked.

--- a/src/libshallotport/serving/caller_interface.cc
+++ b/src/libshallotport/serving/caller_interface.cc
@@ -95,16 +95,18 @@
     reply.headers.push_back({std::string(kNotRunHeader), "1"});
     return reply;
   };
-  if (is_draining_) {
-    return refuse({error_kind::kShuttingDown, "the host is shutting down",
-                   std::chrono::milliseconds(1)});
-  }
+  const error draining{error_kind::kShuttingDown, "the host is shutting down",
+                       std::chrono::milliseconds(1)};
   const result<authenticated_caller> caller = Authenticate(request);
   if (!IsOk(caller)) {
     return refuse(ErrorOf(caller));
   }
-  if (request.path == "/v1/batches" ||
-      request.path.starts_with("/v1/batches/")) {
+  const bool is_batch =
+      request.path == "/v1/batches" || request.path.starts_with("/v1/batches/");
+  if (is_batch && is_draining_) {
+    return refuse(draining);
+  }
+  if (is_batch) {
     if (!batches_) {
       return refuse(MakeError(error_kind::kNotFound, "no batch jobs here"));
     }
@@ -117,9 +119,9 @@
   if (!IsOk(exchange)) {
     return refuse(ErrorOf(exchange));
   }
-  return std::make_shared<online_exchange>(std::move(ValueOf(exchange)),
-                                           services_)
-      ->Serve();
+  const auto running = std::make_shared<online_exchange>(
+      std::move(ValueOf(exchange)), services_);
+  return is_draining_ ? running->Refuse(draining) : running->Serve();
 }
 
 result<authenticated_caller> caller_interface::Authenticate(
--- a/src/libshallotport/serving/interfaces_test.cc
+++ b/src/libshallotport/serving/interfaces_test.cc
@@ -19,6 +19,11 @@
     account.token_sha256 = Sha256Hex(std::string("token-") + name);
     settings.accounts.push_back(account);
   }
+  service_configuration unlock;
+  unlock.id = service_id("unlock");
+  unlock.kind = service_kind::kPlain;
+  unlock.is_idempotent = false;
+  settings.services.push_back(unlock);
   service_configuration advice;
   advice.id = service_id("advice-a");
   advice.accounts = {account_id("firm-a")};
@@ -27,11 +32,35 @@
   return settings;
 }
 
+// Knows one thing about every key.
+class known_claims final : public online_claims {
+ public:
+  claim_decided Begin(const claim_subject&,
+                      const endpoint_id&,
+                      incarnation,
+                      steady_time,
+                      steady_time) override {
+    return known;
+  }
+  claim_decided Lookup(const claim_subject&, steady_time) override {
+    return known;
+  }
+  bool Finish(const claim_subject&, const endpoint_answer&) override {
+    return true;
+  }
+  void Release(const claim_subject&) override {}
+  void Abandon(const claim_subject&) override {}
+
+  claim_decided known;
+};
+
 class caller_interface_test : public ::testing::Test {
  protected:
   caller_interface_test() {
     services_.clock = &clock_;
     services_.peer_secret = "secret";
+    services_.metrics = &metrics_;
+    services_.claims = &claims_;
   }
 
   http_reply Send(std::string path,
@@ -46,6 +75,8 @@
   }
 
   system_clock_source clock_;
+  serving_metrics metrics_;
+  known_claims claims_;
   exchange_services services_;
   configuration_view configuration_;
   caller_interface interface_{{host_id("a1"), 1}, services_, configuration_};
@@ -150,11 +181,58 @@
 TEST_F(caller_interface_test, RefusesAsNotRunWhileDraining) {
   configuration_.Update(1, TwoFirms());
   interface_.BeginDrain();
-  const http_reply reply = Send("/v1/completions", "{}", {kFirmA});
+  const http_reply reply =
+      Send("/v1/completions", R"({"model":"advice-a"})", {kFirmA});
   EXPECT_EQ(reply.status, 503);
   EXPECT_NE(reply.body.find("\"run\":\"not_run\""), std::string::npos);
 }
 
+struct known_key_case {
+  const char* name;
+  claim_decided known;
+  int status;
+  const char* part;
+};
+
+class known_key_test : public caller_interface_test,
+                       public ::testing::WithParamInterface<known_key_case> {};
+
+// A host that takes nothing new must not call a key "not run" that has run.
+TEST_P(known_key_test, IsNeverCalledNotRunWhenItMayHaveRun) {
+  configuration_.Update(1, TwoFirms());
+  claims_.known = GetParam().known;
+  interface_.BeginDrain();
+  const http_reply reply = Send("/v1/services/unlock/issue", "{}",
+                                {kFirmA, {"Idempotency-Key", "k"}});
+  EXPECT_EQ(reply.status, GetParam().status);
+  EXPECT_NE(reply.body.find(GetParam().part), std::string::npos) << reply.body;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    known_key_test,
+    ::testing::Values(
+        known_key_case{"Unclaimed", {}, 503, "\"run\":\"not_run\""},
+        known_key_case{"Recorded",
+                       {claim_ruling::kRecorded,
+                        {200, "application/json", "{\"token\":1}"},
+                        {}},
+                       200,
+                       "{\"token\":1}"},
+        known_key_case{"Unknown",
+                       {claim_ruling::kRefused,
+                        {},
+                        MakeError(error_kind::kOutcomeUnknown, "lost")},
+                       504,
+                       "\"run\":\"may_have_run\""},
+        known_key_case{"NoQuorum",
+                       {claim_ruling::kRefused,
+                        {},
+                        MakeError(error_kind::kNoQuorum, "cut off")},
+                       503,
+                       "\"run\":\"may_have_run\""}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(ConfigurationView, OnlyMovesUp) {
   configuration_view view;
   EXPECT_TRUE(view.Update(5, TwoFirms()));
--- a/src/libshallotport/serving/online_claims.h
+++ b/src/libshallotport/serving/online_claims.h
@@ -34,6 +34,12 @@
                               steady_time deadline,
                               steady_time call_deadline) = 0;
 
+  // What a resend would be told, without claiming: kRecorded, kRefused with the
+  // reason, or kGranted when nothing is known about the key, so that no call
+  // under it was ever sent.
+  virtual claim_decided Lookup(const claim_subject& subject,
+                               steady_time deadline) = 0;
+
   // Records the answer. False when it could not be recorded in time; it is
   // then tried further in the background.
   virtual bool Finish(const claim_subject& subject,
--- a/src/libshallotport/serving/online_exchange.cc
+++ b/src/libshallotport/serving/online_exchange.cc
@@ -119,6 +119,7 @@
       started_at_(services.clock->Now()) {}
 
 http_reply online_exchange::Serve() {
+  is_started_ = true;
   Perform(machine_.Start(services_.clock->Now()));
   while (!IsReplyReady() && !machine_.is_done()) {
     HandleNextEvent();
@@ -126,6 +127,29 @@
   return MakeReply();
 }
 
+http_reply online_exchange::Refuse(error reason) {
+  failure_ = std::move(reason);
+  CorrectRefusal();
+  return MakeReply();
+}
+
+void online_exchange::CorrectRefusal() {
+  const bool uses_claim =
+      !request_.is_idempotent && !request_.key.empty() && !request_.is_claimed;
+  if (!uses_claim || has_begun_claim_ ||
+      Answer(failure_->kind).run != run_outcome::kNotRun) {
+    return;
+  }
+  claim_decided known = services_.claims->Lookup(
+      subject_, services_.clock->Now() + services_.claim_timeout);
+  if (known.verdict == claim_ruling::kRecorded) {
+    failure_.reset();
+    Do(answer_recorded{std::move(known.recorded)});
+  } else if (known.verdict == claim_ruling::kRefused) {
+    failure_ = std::move(known.reason);
+  }
+}
+
 bool online_exchange::IsReplyReady() const {
   if (failure_ || is_out_ended_) {
     return true;
@@ -195,7 +219,7 @@
   services_.metrics->CountReply(
       failure_ ? Answer(failure_->kind).code : std::string_view("ok"),
       services_.clock->Now() - started_at_);
-  if (machine_.is_done()) {
+  if (machine_.is_done() || !is_started_) {
     return;
   }
   if (!is_out_ended_ && !failure_) {
@@ -242,6 +266,7 @@
 }
 
 void online_exchange::Do(const begin_claim& action) {
+  has_begun_claim_ = true;
   const steady_time limit = std::min(
       request_.deadline, services_.clock->Now() + services_.claim_timeout);
   mailbox_->Push(services_.claims->Begin(
@@ -396,6 +421,7 @@
 void online_exchange::Do(const answer_error& action) {
   failure_ = action.failure;
   if (!action.is_after_head) {
+    CorrectRefusal();
     return;
   }
   if (IsEventStream()) {
--- a/src/libshallotport/serving/online_exchange.h
+++ b/src/libshallotport/serving/online_exchange.h
@@ -69,6 +69,10 @@
   // Runs the request until the head of its reply is known. Call once.
   http_reply Serve();
 
+  // Answers without sending anything: `reason`, or what is recorded about the
+  // request's key. Instead of Serve().
+  http_reply Refuse(error reason);
+
   // Appends what has come for the caller; waits when there is nothing yet.
   body_stream::state ReadMore(std::string& out, size_t room);
 
@@ -103,6 +107,9 @@
   void Do(const answer_error& action);
   void Do(const request_done& action);
 
+  // An error that promises not_run is no answer to a key that has run before:
+  // asks the log and puts the recorded answer or the true reason in its place.
+  void CorrectRefusal();
   bool IsModel() const;
   bool IsEventStream() const;
   std::vector<http_field> HeadersOf(const start_attempt& action) const;
@@ -132,6 +139,8 @@
   bool is_out_ended_ = false;
   bool is_out_broken_ = false;
   bool is_reply_ended_ = false;
+  bool has_begun_claim_ = false;
+  bool is_started_ = false;
 };
 
 }  // namespace shallotport
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "batch_host.h"
 #include "claims/claim_coordinator.h"
 #include "configuration_poller.h"
 #include "consensus/forwarding_log.h"
@@ -122,8 +123,9 @@
   std::unique_ptr<log_claims> claims;
   std::unique_ptr<routing_duty> routing;
   std::unique_ptr<membership_duty> membership;
-  std::unique_ptr<endpoint_caller> online_caller;
+  std::unique_ptr<observed_caller> online_caller;
   std::unique_ptr<exchange_finisher> finisher;
+  std::unique_ptr<batch_host> batch;
   std::unique_ptr<configuration_poller> poller;
   std::unique_ptr<configuration_operations> configuration_routes;
   exchange_services services;
@@ -138,7 +140,8 @@
   status Compose();
   status ComposeLog();
   status ComposeMembership();
-  void ComposeOnline();
+  status ComposeOnline();
+  status ComposeBatch();
   void ComposeInterfaces();
   void ConnectNetwork();
   void AddStates();
@@ -160,14 +163,14 @@
     return ErrorOf(made);
   }
   network = std::move(ValueOf(made));
-  status composed = ComposeLog();
-  if (!IsOk(composed)) {
-    return composed;
-  }
-  ComposeOnline();
-  composed = ComposeMembership();
-  if (!IsOk(composed)) {
-    return composed;
+  using step = status (parts::*)();
+  constexpr step kSteps[] = {&parts::ComposeLog, &parts::ComposeOnline,
+                             &parts::ComposeBatch, &parts::ComposeMembership};
+  for (const step compose : kSteps) {
+    status composed = (this->*compose)();
+    if (!IsOk(composed)) {
+      return composed;
+    }
   }
   ComposeInterfaces();
   ConnectNetwork();
@@ -203,12 +206,13 @@
   options.host = settings.host;
   options.started = started;
   coordinator = std::make_unique<claim_coordinator>(options, *log, clock);
-  claims =
-      std::make_unique<log_claims>(*coordinator, clock, settings.claim_timeout);
+  claims = std::make_unique<log_claims>(*coordinator, *log, clock,
+                                        settings.claim_timeout);
   poller = std::make_unique<configuration_poller>(
       *log, clock, configuration,
       [this](const std::shared_ptr<const configuration_snapshot>& snapshot) {
         routing->SetConfiguration(snapshot);
+        batch->SetConfiguration(*snapshot);
         std::vector<service_id> names;
         for (const service_configuration& service :
              snapshot->settings().services) {
@@ -233,11 +237,13 @@
     }
     network->SendDatagram(channel, to, std::move(payload));
   };
-  callbacks.on_host = [](const host_event& event) {
+  callbacks.on_host = [this](const host_event& event) {
+    batch->OnHost(event);
     LogStateChange("membership", "host " + event.host.id.text() + " is " +
                                      std::string(NameOf(event.kind)));
   };
   callbacks.on_endpoint = [this](const endpoint_event& event) {
+    batch->OnEndpoint(event);
     if (event.kind == endpoint_event_kind::kRemoved) {
       routing->RemoveEndpoint(event.endpoint.id);
       LogStateChange("endpoints",
@@ -268,7 +274,18 @@
   return success{};
 }
 
-void daemon::parts::ComposeOnline() {
+status daemon::parts::ComposeBatch() {
+  result<std::unique_ptr<batch_host>> made = batch_host::Create(
+      settings, started, clock, *log, member ? &member->log_member() : nullptr,
+      *claims, *online_caller, *network);
+  if (!IsOk(made)) {
+    return ErrorOf(made);
+  }
+  batch = std::move(ValueOf(made));
+  return success{};
+}
+
+status daemon::parts::ComposeOnline() {
   request_router_options options;
   options.host = settings.host;
   options.domain = settings.domain;
@@ -284,8 +301,13 @@
     hosts.push_back(peer.host);
   }
   routing->SetHosts(std::move(hosts));
+  result<std::unique_ptr<endpoint_caller>> caller =
+      endpoint_caller::Create(settings.online_calls);
+  if (!IsOk(caller)) {
+    return ErrorOf(caller);
+  }
   online_caller =
-      std::move(ValueOf(endpoint_caller::Create(settings.online_calls)));
+      std::make_unique<observed_caller>(std::move(ValueOf(caller)), clock);
   finisher = std::make_unique<exchange_finisher>();
   services.clock = &clock;
   services.routing = routing.get();
@@ -295,6 +317,7 @@
   services.metrics = &metrics;
   services.peer_secret = settings.endpoint_token;
   services.claim_timeout = settings.claim_timeout;
+  return success{};
 }
 
 void daemon::parts::ComposeInterfaces() {
@@ -353,6 +376,7 @@
             [this](nlohmann::json& out) { routing->WriteState(out); });
   state.Add("membership",
             [this](nlohmann::json& out) { WriteMembership(out); });
+  state.Add("batch", [this](nlohmann::json& out) { batch->WriteState(out); });
   state.Add("network",
             [this](nlohmann::json& out) { network->WriteState(out); });
   state.Add("log", [this](nlohmann::json& out) { log->WriteState(out); });
@@ -457,6 +481,7 @@
   parts_->routing->Start();
   parts_->membership->Start();
   parts_->coordinator->Start();
+  parts_->batch->Start();
   parts_->poller->Start();
   status listening = parts_->Listen();
   if (!IsOk(listening)) {
@@ -476,10 +501,12 @@
   if (!parts_->caller_lane->WaitUntilIdle(parts_->settings.drain_timeout)) {
     LogWarning("host", "requests were still under way at the drain timeout");
   }
+  parts_->batch->Drain(parts_->settings.drain_timeout);
   parts_->finisher->Stop();
   parts_->caller_lane->Stop();
   parts_->endpoint_lane->Stop();
   parts_->poller->Stop();
+  parts_->batch->Stop();
   parts_->coordinator->Stop();
   if (parts_->member) {
     parts_->member->Stop();
--- a/src/shallotportd/log_claims.cc
+++ b/src/shallotportd/log_claims.cc
@@ -27,6 +27,19 @@
   return decided;
 }
 
+// The answer to a resend of a call that was run.
+claim_decided Recorded(const claim_answer& recorded) {
+  if (recorded.is_body_dropped) {
+    return Refused(
+        MakeError(error_kind::kOutcomeUnknown,
+                  "the call was run; its answer was too large to be recorded"));
+  }
+  claim_decided decided;
+  decided.verdict = claim_ruling::kRecorded;
+  decided.recorded = AnswerOf(recorded);
+  return decided;
+}
+
 }  // namespace
 
 claim_decided log_claims::Begin(const claim_subject& subject,
@@ -46,21 +59,35 @@
   if (!IsOk(permission)) {
     return Refused(ErrorOf(permission));
   }
-  claim_decided decided;
   if (const auto* recorded = std::get_if<claim_answer>(&ValueOf(permission))) {
-    if (recorded->is_body_dropped) {
-      return Refused(MakeError(
-          error_kind::kOutcomeUnknown,
-          "the call was run; its answer was too large to be recorded"));
-    }
-    decided.verdict = claim_ruling::kRecorded;
-    decided.recorded = AnswerOf(*recorded);
-    return decided;
+    return Recorded(*recorded);
   }
+  claim_decided decided;
   decided.verdict = claim_ruling::kGranted;
   return decided;
 }
 
+claim_decided log_claims::Lookup(const claim_subject& subject,
+                                 steady_time deadline) {
+  claim_lookup lookup;
+  lookup.key = MakeClaimKey(subject.account, subject.key);
+  lookup.request =
+      MakeRequestDigest(subject.method, subject.path, subject.body);
+  const result<claim_reply> reply = client_.Lookup(lookup, deadline);
+  if (!IsOk(reply)) {
+    // Without the log nobody can say that no earlier try has run.
+    return Refused(MakeError(error_kind::kNoQuorum, ErrorOf(reply).detail));
+  }
+  const claim_reply& known = ValueOf(reply);
+  if (known.verdict == claim_verdict::kAnswered && known.answer) {
+    return Recorded(*known.answer);
+  }
+  if (known.verdict == claim_verdict::kUnclaimed) {
+    return claim_decided{};
+  }
+  return Refused(ErrorOfVerdict(known));
+}
+
 bool log_claims::Finish(const claim_subject& subject,
                         const endpoint_answer& answer) {
   claim_answer recorded;
--- a/src/shallotportd/log_claims.h
+++ b/src/shallotportd/log_claims.h
@@ -9,11 +9,13 @@
 // The claims of online requests, kept in the replicated log.
 class log_claims final : public online_claims {
  public:
-  // `coordinator` and `clock` must outlive this.
+  // `coordinator`, `log` and `clock` must outlive this.
   log_claims(claim_coordinator& coordinator,
+             replicated_log& log,
              const clock_source& clock,
              duration record_timeout)
       : coordinator_(coordinator),
+        client_(log),
         clock_(clock),
         record_timeout_(record_timeout) {}
 
@@ -22,6 +24,8 @@
                       incarnation started,
                       steady_time deadline,
                       steady_time call_deadline) override;
+  claim_decided Lookup(const claim_subject& subject,
+                       steady_time deadline) override;
   bool Finish(const claim_subject& subject,
               const endpoint_answer& answer) override;
   void Release(const claim_subject& subject) override;
@@ -29,6 +33,7 @@
 
  private:
   claim_coordinator& coordinator_;
+  claim_client client_;
   const clock_source& clock_;
   duration record_timeout_;
 };
