--- a/src/libshallotport/consensus/consensus_core.cc
+++ b/src/libshallotport/consensus/consensus_core.cc
@@ -14,7 +14,8 @@
       log_(options_.log_memory_bytes),
       commit_index_(point.index),
       persisted_index_(point.index),
-      snapshot_index_(point.index) {
+      snapshot_index_(point.index),
+      oldest_snapshot_(point.index) {
   log_.Reset(point.index, point.term, point.leader_time);
   const bool has_snapshot = point.index > 0;
   memberships_.emplace_back(
@@ -300,7 +301,8 @@
   const log_index trailing =
       index > options_.trailing_entries ? index - options_.trailing_entries : 0;
   log_index cut = std::max(trailing, std::min(log_.evicted_to(), index));
-  cut = std::min(cut, OldestNeededSnapshot(now));
+  oldest_snapshot_ = OldestSentSnapshot(now);
+  cut = std::min(cut, oldest_snapshot_);
   if (cut <= log_.base_index()) {
     return;
   }
@@ -314,7 +316,8 @@
   }
 }
 
-log_index consensus_core::OldestNeededSnapshot(steady_time now) const {
+// The newest snapshot, or an older one that a member is still getting.
+log_index consensus_core::OldestSentSnapshot(steady_time now) const {
   log_index oldest = snapshot_index_;
   for (const auto& [host, peer] : peers_) {
     const bool is_sending = peer.state == feeding::kSnapshot &&
--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -27,7 +27,7 @@
   host_id host;
   incarnation disk = 0;  // Drawn when this member's files were created.
   std::vector<host_id> initial_members;
-  duration heartbeat = std::chrono::milliseconds(100);
+  duration heartbeat = std::chrono::milliseconds(200);
   duration election = std::chrono::milliseconds(800);
   // Shorter than `election` by the largest drift between two monotonic clocks
   // during that time.
@@ -136,7 +136,7 @@
   log_index commit_index() const { return commit_index_; }
   const log_window& log() const { return log_; }
   // Snapshot files below this index are needed no more.
-  log_index OldestNeededSnapshot(steady_time now) const;
+  log_index oldest_snapshot() const { return oldest_snapshot_; }
   const group_membership& membership() const;
   group_membership MembershipAt(log_index index) const;
 
@@ -219,6 +219,7 @@
   void OnAppendReply(steady_time now,
                      const consensus_message& message,
                      const append_reply& reply);
+  log_index OldestSentSnapshot(steady_time now) const;
   void OnSnapshotChunk(steady_time now,
                        const consensus_message& message,
                        const snapshot_chunk& chunk);
@@ -258,6 +259,7 @@
   log_index commit_index_ = 0;
   log_index persisted_index_ = 0;
   log_index snapshot_index_ = 0;
+  log_index oldest_snapshot_ = 0;
   // Each from the index of its entry on; the last one is in force.
   std::deque<std::pair<log_index, group_membership>> memberships_;
 
--- a/src/libshallotport/consensus/consensus_replication.cc
+++ b/src/libshallotport/consensus/consensus_replication.cc
@@ -167,7 +167,7 @@
                                   const host_id& to,
                                   peer_progress& peer) {
   const bool is_new = peer.state != feeding::kSnapshot ||
-                      peer.snapshot_index < log_.base_index();
+                      peer.snapshot_index < oldest_snapshot_;
   if (is_new) {
     ++counters_.snapshots_sent;
     peer.StartProbe(peer.next);
@@ -383,6 +383,7 @@
   commit_index_ = point.index;
   persisted_index_ = point.index;
   snapshot_index_ = point.index;
+  oldest_snapshot_ = point.index;
   Reply(last_chunk.from, last_chunk.from_disk,
         append_reply{last_chunk.chunk.round, true, point.index});
 }
--- a/src/libshallotport/consensus/replica.h
+++ b/src/libshallotport/consensus/replica.h
@@ -30,13 +30,15 @@
   // The same list on every member. Read only while the group is founded, for
   // which all of them have to be up once.
   std::vector<host_id> initial_members;
-  duration heartbeat = std::chrono::milliseconds(100);
+  duration heartbeat = std::chrono::milliseconds(200);
   duration election = std::chrono::milliseconds(800);  // Least timeout.
   duration lease = std::chrono::milliseconds(600);     // Less than `election`.
   uint64_t seed = 1;
   uint64_t snapshot_after_bytes = 64u << 20;
   uint32_t snapshot_after_entries = 20'000;
-  file_system* files = nullptr;  // Null: the operating system's.
+  uint32_t trailing_entries = 5'000;   // Kept in the log behind a snapshot.
+  uint32_t segment_bytes = 16u << 20;  // Of the log's files.
+  file_system* files = nullptr;        // Null: the operating system's.
 };
 
 // One member of a consensus group: a duty thread that owns the consensus core,
--- a/src/libshallotport/consensus/replica_chaos_test.cc
+++ b/src/libshallotport/consensus/replica_chaos_test.cc
@@ -27,6 +27,8 @@
     group_.duplicate_share = 0.1 * UniformUnit(random_);
     group_.max_delay = milliseconds(1 + UniformBelow(random_, 60));
     group_.snapshot_after_entries = 10 + UniformBelow(random_, 80);
+    group_.trailing_entries = UniformBelow(random_, 40);
+    group_.segment_bytes = 200 + UniformBelow(random_, 4'000);
     for (int i = 0; i < kClients; ++i) {
       clients_[i].content.origin = {host_id("client-" + std::to_string(i)), 1,
                                     0, 0};
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -37,6 +37,7 @@
   core.heartbeat = options.heartbeat;
   core.election = options.election;
   core.lease = options.lease;
+  core.trailing_entries = options.trailing_entries;
   core.seed = HashOf(options.host.text(), options.seed);
   return core;
 }
@@ -67,9 +68,9 @@
 }
 
 status replica_driver::Open() {
-  auto opened =
-      replica_storage::Open(files_, options_.folder, options_.group,
-                            options_.host, DrawDisk(options_, clock_));
+  auto opened = replica_storage::Open(
+      files_, {options_.folder, options_.group, options_.segment_bytes},
+      options_.host, DrawDisk(options_, clock_));
   if (!IsOk(opened)) {
     return ErrorOf(opened);
   }
--- a/src/libshallotport/consensus/replica_execution.cc
+++ b/src/libshallotport/consensus/replica_execution.cc
@@ -309,7 +309,7 @@
   snapshot_bytes_ = ValueOf(size);
   core_->SnapshotTaken(now, index);
   storage_->RemoveBefore(core_->log().base_index() + 1,
-                         core_->OldestNeededSnapshot(now));
+                         core_->oldest_snapshot());
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/consensus/replica_storage.cc
+++ b/src/libshallotport/consensus/replica_storage.cc
@@ -41,15 +41,14 @@
 
 result<std::unique_ptr<replica_storage>> replica_storage::Open(
     file_system& files,
-    std::string folder,
-    uint32_t group,
+    write_ahead_log_options options,
     const host_id& host,
     incarnation new_disk) {
-  if (status made = files.CreateFolder(folder); !IsOk(made)) {
+  if (status made = files.CreateFolder(options.folder); !IsOk(made)) {
     return ErrorOf(made);
   }
   std::unique_ptr<replica_storage> storage(
-      new replica_storage(files, std::move(folder), group));
+      new replica_storage(files, std::move(options)));
   if (status removed = storage->snapshots_.RemoveTemporaries();
       !IsOk(removed)) {
     return ErrorOf(removed);
@@ -61,11 +60,11 @@
 }
 
 replica_storage::replica_storage(file_system& files,
-                                 std::string folder,
-                                 uint32_t group)
+                                 write_ahead_log_options options)
     : files_(files),
-      folder_(std::move(folder)),
-      group_(group),
+      options_(std::move(options)),
+      folder_(options_.folder),
+      group_(options_.group),
       snapshots_(files, folder_) {}
 
 status replica_storage::ReadIdentity(const host_id& host,
@@ -146,7 +145,7 @@
 status replica_storage::Recover(consensus_core& core,
                                 const snapshot_point& point) {
   auto opened = write_ahead_log::Open(
-      files_, {folder_, group_},
+      files_, options_,
       [&](const log_record& record) { return OnRecord(core, record); });
   if (!IsOk(opened)) {
     return ErrorOf(opened);
--- a/src/libshallotport/consensus/replica_storage.h
+++ b/src/libshallotport/consensus/replica_storage.h
@@ -27,11 +27,11 @@
   // recognizes those that are there. Files of another host or group, or an
   // identity without its log, are kCorrupt: a member that lost part of its
   // files must not vote.
-  static result<std::unique_ptr<replica_storage>> Open(file_system& files,
-                                                       std::string folder,
-                                                       uint32_t group,
-                                                       const host_id& host,
-                                                       incarnation new_disk);
+  static result<std::unique_ptr<replica_storage>> Open(
+      file_system& files,
+      write_ahead_log_options options,
+      const host_id& host,
+      incarnation new_disk);
 
   incarnation disk() const { return disk_; }
   const snapshot_folder& snapshots() const { return snapshots_; }
@@ -62,7 +62,7 @@
   void WriteState(nlohmann::json& out) const;
 
  private:
-  replica_storage(file_system& files, std::string folder, uint32_t group);
+  replica_storage(file_system& files, write_ahead_log_options options);
 
   status ReadIdentity(const host_id& host, incarnation new_disk);
   status CreateIdentity();
@@ -72,6 +72,7 @@
   status StartSegment();
 
   file_system& files_;
+  const write_ahead_log_options options_;
   const std::string folder_;
   const uint32_t group_;
   const snapshot_folder snapshots_;
