--- a/src/libshallotport/control/configuration_state.cc
+++ b/src/libshallotport/control/configuration_state.cc
@@ -9,87 +9,12 @@
 
 #include "base/codec.h"
 #include "base/digest.h"
-#include "control/configuration_delta.h"
 
 namespace shallotport {
 namespace {
 
 constexpr uint32_t kSnapshotFormat = 1;
 
-// Notes at which revision each item last differed, and which went away.
-template <typename Item, typename Id>
-void TrackChanges(const std::vector<Item>& before,
-                  const std::vector<Item>& after,
-                  log_index revision,
-                  std::map<Id, log_index>& changes,
-                  std::map<Id, log_index>& removals) {
-  auto old_item = before.begin();
-  auto new_item = after.begin();
-  while (old_item != before.end() || new_item != after.end()) {
-    const bool is_removed =
-        new_item == after.end() ||
-        (old_item != before.end() && old_item->id < new_item->id);
-    if (is_removed) {
-      changes.erase(old_item->id);
-      removals[old_item->id] = revision;
-      ++old_item;
-      continue;
-    }
-    const bool is_kept =
-        old_item != before.end() && old_item->id == new_item->id;
-    if (!is_kept || !(*old_item == *new_item)) {
-      changes[new_item->id] = revision;
-      removals.erase(new_item->id);
-    }
-    old_item += is_kept ? 1 : 0;
-    ++new_item;
-  }
-}
-
-template <typename Item, typename Id>
-std::vector<Item> ChangedAfter(log_index revision,
-                               const std::vector<Item>& items,
-                               const std::map<Id, log_index>& changes) {
-  std::vector<Item> changed;
-  std::copy_if(
-      items.begin(), items.end(), std::back_inserter(changed),
-      [&](const Item& item) { return changes.at(item.id) > revision; });
-  return changed;
-}
-
-template <typename Id>
-std::vector<Id> RemovedAfter(log_index revision,
-                             const std::map<Id, log_index>& removals) {
-  std::vector<Id> removed;
-  for (const auto& [id, removed_at] : removals) {
-    if (removed_at > revision) {
-      removed.push_back(id);
-    }
-  }
-  return removed;
-}
-
-// Forgets the older half of the removals when there are too many, and returns
-// the newest revision that was forgotten.
-template <typename Id>
-log_index ForgetOldRemovals(std::map<Id, log_index>& removals, size_t most) {
-  if (removals.size() <= most) {
-    return 0;
-  }
-  std::vector<log_index> revisions;
-  revisions.reserve(removals.size());
-  for (const auto& [id, revision] : removals) {
-    revisions.push_back(revision);
-  }
-  const auto middle =
-      revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
-  std::nth_element(revisions.begin(), middle, revisions.end());
-  const log_index floor = *middle;
-  std::erase_if(removals,
-                [&](const auto& entry) { return entry.second <= floor; });
-  return floor;
-}
-
 }  // namespace
 
 class configuration_state::writer final : public snapshot_writer {
@@ -152,24 +77,13 @@
 void configuration_state::PutIntoForce(const apply_context& context,
                                        configuration_change change) {
   SortById(change.parsed);
-  TrackChanges(data_.parsed.accounts, change.parsed.accounts, context.index,
-               data_.account_changes, data_.account_removals);
-  TrackChanges(data_.parsed.services, change.parsed.services, context.index,
-               data_.service_changes, data_.service_removals);
-  RaiseDeltaFloor();
+  data_.changes.Track(data_.parsed, change.parsed, context.index);
   AddToHistory(context, change);
   data_.parsed = std::move(change.parsed);
   data_.text = std::move(change.text);
   data_.revision = context.index;
 }
 
-void configuration_state::RaiseDeltaFloor() {
-  data_.delta_floor =
-      std::max({data_.delta_floor,
-                ForgetOldRemovals(data_.account_removals, kRemovalsKept),
-                ForgetOldRemovals(data_.service_removals, kRemovalsKept)});
-}
-
 void configuration_state::Remember(std::string change_id,
                                    uint64_t digest,
                                    change_outcome outcome) {
@@ -222,19 +136,7 @@
 }
 
 configuration_delta configuration_state::Since(log_index revision) const {
-  if (revision == 0 || revision < data_.delta_floor) {
-    return WholeDelta(data_.revision, data_.parsed);
-  }
-  configuration_delta delta;
-  delta.from = revision;
-  delta.to = std::max(revision, data_.revision);
-  delta.accounts =
-      ChangedAfter(revision, data_.parsed.accounts, data_.account_changes);
-  delta.services =
-      ChangedAfter(revision, data_.parsed.services, data_.service_changes);
-  delta.removed_accounts = RemovedAfter(revision, data_.account_removals);
-  delta.removed_services = RemovedAfter(revision, data_.service_removals);
-  return delta;
+  return data_.changes.Since(revision, data_.revision, data_.parsed);
 }
 
 std::vector<change_record> configuration_state::History(uint64_t limit) const {
@@ -322,7 +224,7 @@
   out["revision"] = data_.revision;
   out["accounts"] = data_.parsed.accounts.size();
   out["services"] = data_.parsed.services.size();
-  out["delta_floor"] = data_.delta_floor;
+  out["delta_floor"] = data_.changes.floor();
   nlohmann::json& counters = out["counters"];
   counters["configuration_revision"] = data_.revision;
   counters["configuration_changes_accepted"] = data_.accepted;
--- a/src/libshallotport/control/configuration_state.h
+++ b/src/libshallotport/control/configuration_state.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "consensus/replicated_state.h"
+#include "control/change_index.h"
 #include "control/configuration_messages.h"
 
 namespace shallotport {
@@ -27,7 +28,6 @@
   static constexpr size_t kOutcomesKept = 4096;
   static constexpr size_t kHistoryKept = 1024;
   static constexpr size_t kHistoryBytes = 16U << 20U;
-  static constexpr size_t kRemovalsKept = 4096;
 
   std::string Apply(const apply_context& context,
                     std::string_view command) override;
@@ -79,11 +79,7 @@
     log_index revision = 0;
     configuration parsed;
     std::string text;
-    std::map<account_id, log_index> account_changes;
-    std::map<service_id, log_index> service_changes;
-    std::map<account_id, log_index> account_removals;
-    std::map<service_id, log_index> service_removals;
-    log_index delta_floor = 0;          // Deltas from below are answered whole.
+    change_index changes;
     std::deque<history_entry> history;  // Oldest first.
     uint64_t history_bytes = 0;
     std::deque<remembered_outcome> outcomes;  // Oldest first.
@@ -93,9 +89,8 @@
 
     template <typename Archive>
     void serialize(Archive& archive) {
-      archive(revision, parsed, text, account_changes, service_changes,
-              account_removals, service_removals, delta_floor, history,
-              history_bytes, outcomes, accepted, refused, repeated);
+      archive(revision, parsed, text, changes, history, history_bytes, outcomes,
+              accepted, refused, repeated);
     }
   };
 
@@ -109,7 +104,6 @@
   void AddToHistory(const apply_context& context,
                     const configuration_change& change);
   void TrimHistory();
-  void RaiseDeltaFloor();
   void IndexOutcomes();
   configuration_text TextOf(log_index revision) const;
   std::vector<change_record> History(uint64_t limit) const;
