--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -33,6 +33,10 @@
   if (phase_ != phase::kDone) {
     std::visit([this](const auto& value) { On(value); }, event);
   }
+  // A busy handler may have no other moment for a timer that is due.
+  if (now >= next_timer()) {
+    On(timer_expired{});
+  }
   return std::exchange(out_, {});
 }
 
@@ -110,28 +114,28 @@
 void online_request::On(const claim_decided& event) {
   is_claim_open_ = false;
   // Without a quorum's answer the claim may still commit.
-  holds_claim_ = event.verdict == claim_verdict::kGranted ||
-                 (event.verdict == claim_verdict::kRefused &&
+  holds_claim_ = event.verdict == claim_ruling::kGranted ||
+                 (event.verdict == claim_ruling::kRefused &&
                   event.reason.kind == error_kind::kNoQuorum);
   if (phase_ == phase::kEnding) {
     Finish();
     return;
   }
-  if (event.verdict == claim_verdict::kGranted && now_ < options_.deadline) {
+  if (event.verdict == claim_ruling::kGranted && now_ < options_.deadline) {
     StartAttempt(last_route_);
     return;
   }
   ReportUnused(last_route_);
   switch (event.verdict) {
-    case claim_verdict::kGranted:
+    case claim_ruling::kGranted:
       OnDeadline();
       return;
-    case claim_verdict::kRecorded:
+    case claim_ruling::kRecorded:
       ToCaller(answer_recorded{event.recorded});
       is_answered_ = true;
       Finish();
       return;
-    case claim_verdict::kRefused:
+    case claim_ruling::kRefused:
       GiveUp(event.reason);
       return;
   }
@@ -220,7 +224,16 @@
       CompleteAnswer(event.answer);
       return;
     case remembered_outcome::kInProgress:
-      return;  // Asked again at next_ask_.
+      // Asked again at next_ask_, if that can still help this caller.
+      if (attempts_.empty() && next_ask_ >= options_.deadline) {
+        OnDeadline();
+      }
+      return;
+    case remembered_outcome::kNotRun:
+      attempts_unproven_ = 0;
+      CancelAttempts(attempt_outcome::kTimedOut, 0);
+      RetryOrGiveUp(true);
+      return;
     case remembered_outcome::kUnknown:
       GiveUp(MakeFailure());
       return;
@@ -271,12 +284,12 @@
   if (!can_record) {
     GiveUp(MakeError(attempts_unproven_ > 0 ? error_kind::kDeadlineExceeded
                                             : error_kind::kDeadlineUnreachable,
-                     "the deadline passed"));
+                     "no answer within the deadline"));
     return;
   }
   ToCaller(answer_error{
       error{error_kind::kDeadlineExceeded,
-            "the deadline passed; a resend with the same key gets the answer",
+            "no answer within the deadline; resend with the same key",
             std::chrono::milliseconds(1'000)},
       false});
   is_answered_ = true;
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -17,7 +17,7 @@
 #include "control/configuration.h"
 #include "membership/endpoint_record.h"
 #include "routing/account_limiter.h"
-#include "routing/domain_summary.h"
+#include "routing/domain_offer.h"
 #include "routing/route_query.h"
 #include "routing/routed_service.h"
 #include "routing/spill_directory.h"
@@ -30,6 +30,8 @@
   incarnation started = 0;
   std::string address;  // "IP:port" where the host takes spilled requests.
   uint64_t seed = 1;
+  // Breakers, ejection, slow start. Off only to measure what they bring.
+  bool uses_merit = true;
 };
 
 // Decides, for one host, which attempt may be sent now and to which endpoint:
@@ -51,9 +53,9 @@
   void RemoveEndpoint(steady_time now, const endpoint_id& id);
 
   // Takes a summary of another failure domain; stale ones are ignored.
-  void OnDomainSummary(steady_time now, const domain_summary& summary);
+  void OnDomainOffer(steady_time now, const domain_offer& summary);
   // What the own failure domain can take, for the hosts of other domains.
-  domain_summary MakeDomainSummary(steady_time now);
+  domain_offer MakeDomainOffer(steady_time now);
 
   // Admits one attempt and chooses where it goes. Fails, as not run, with
   // kNotFound, kOverLimit, kDeadlineUnreachable or kNoCapacity; the last three
@@ -104,10 +106,13 @@
   void Unlink(const routed_endpoint& endpoint);
   void Link(const std::shared_ptr<routed_endpoint>& endpoint);
   routed_service* FindService(const route_query& query);
+  bool MayUse(const routed_service& service, const account_id& account) const;
   void CollectCandidates(steady_time now,
                          const routed_service& service,
                          const route_query& query);
   void KeepFloor(size_t usable, size_t total);
+  // Evens out small differences in the load that other hosts cause.
+  void FlattenLoad();
   // The chosen candidate, or nothing if none can meet the deadline; then
   // `shortest` is the least expected time.
   std::optional<size_t> ChooseLocal(steady_time now,
@@ -138,6 +143,8 @@
   spill_directory spill_;
   std::unordered_map<endpoint_id, std::shared_ptr<routed_endpoint>> endpoints_;
   std::unordered_map<service_id, std::unique_ptr<routed_service>> services_;
+  // Accounts that may call only the listed services.
+  std::unordered_map<account_id, std::vector<service_id>> restricted_;
   std::unordered_map<attempt_ticket, open_attempt> open_;
   attempt_ticket last_ticket_ = 0;
   uint64_t summary_sequence_ = 0;
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -44,7 +44,7 @@
   const std::shared_ptr<service_member>& member =
       service.members()[chosen.member];
   routed_endpoint& endpoint = *member->endpoint;
-  endpoint.OnSent();
+  endpoint.OnSent(++last_ticket_);
   endpoint.breaker().OnSent(now);
   open_attempt attempt;
   attempt.account = query.account;
@@ -59,7 +59,7 @@
   choice.started = endpoint.record().started;
   choice.can_resume = endpoint.record().can_resume;
   choice.remembers_outcomes = endpoint.record().remembers_outcomes;
-  choice.ticket = ++last_ticket_;
+  choice.ticket = last_ticket_;
   open_.emplace(choice.ticket, std::move(attempt));
   return choice;
 }
@@ -67,7 +67,8 @@
 std::optional<route_choice> request_router::OpenSpill(steady_time now,
                                                       const route_query& query,
                                                       duration time_to_beat) {
-  const auto target = spill_.Find(now, query.service, time_to_beat);
+  const auto target =
+      spill_.Find(now, query.service, query.excluded, time_to_beat);
   if (!target) {
     return std::nullopt;
   }
@@ -174,15 +175,15 @@
   }
 }
 
-void request_router::OnDomainSummary(steady_time now,
-                                     const domain_summary& summary) {
+void request_router::OnDomainOffer(steady_time now,
+                                   const domain_offer& summary) {
   if (summary.domain != options_.domain) {
     spill_.Update(now, summary);
   }
 }
 
-domain_summary request_router::MakeDomainSummary(steady_time now) {
-  domain_summary summary;
+domain_offer request_router::MakeDomainOffer(steady_time now) {
+  domain_offer summary;
   summary.domain = options_.domain;
   summary.host = options_.host;
   summary.started = options_.started;
@@ -192,7 +193,7 @@
     route_query query;
     query.service = id;
     CollectCandidates(now, *service, query);
-    service_summary row;
+    service_offer row;
     row.service = id;
     row.endpoints = static_cast<uint32_t>(candidates_.size());
     double shortest = 0;
--- a/src/libshallotport/routing/routed_service.cc
+++ b/src/libshallotport/routing/routed_service.cc
@@ -12,6 +12,9 @@
 constexpr duration kLongestEjection{30'000'000};
 constexpr double kOutlierFactor = 3;
 constexpr uint64_t kSamplesToJudge = 5;
+// Smaller differences between endpoints are noise of the requests themselves.
+constexpr double kNotableRatio = 1.6;
+constexpr double kLeastNotableRatio = 0.6;
 // An estimate without new samples loses half of its distance to the service's
 // mean in each of these periods, so that a slow endpoint is tried again.
 constexpr duration kEstimateHalfLife{5'000'000};
@@ -64,17 +67,19 @@
 
 double routed_service::TimeAt(steady_time now,
                               const service_member& member) const {
+  const double mean = overall_.mean_us();
   if (!member.estimate.IsKnown()) {
-    return overall_.mean_us();
+    return mean;
   }
-  const double own = member.estimate.mean_us();
+  double time = member.estimate.mean_us();
   const duration age = member.estimate.AgeAt(now);
-  if (age <= kEstimateHalfLife) {
-    return own;
+  if (age > kEstimateHalfLife) {
+    time = mean + (time - mean) * std::exp2(-Ratio(age - kEstimateHalfLife,
+                                                   kEstimateHalfLife));
   }
-  const double kept =
-      std::exp2(-Ratio(age - kEstimateHalfLife, kEstimateHalfLife));
-  return overall_.mean_us() + (own - overall_.mean_us()) * kept;
+  const bool is_notable =
+      time >= kNotableRatio * mean || time <= kLeastNotableRatio * mean;
+  return is_notable ? time : mean;
 }
 
 double routed_service::QuickTimeAt(steady_time now) const {
--- a/src/libshallotport/routing/spill_directory.cc
+++ b/src/libshallotport/routing/spill_directory.cc
@@ -1,9 +1,21 @@
 #include "routing/spill_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotport {
 
+namespace {
+
+// A spilled attempt is known by the name of its host.
+bool IsExcluded(std::span<const endpoint_id> excluded, const host_id& host) {
+  return std::any_of(
+      excluded.begin(), excluded.end(),
+      [&host](const endpoint_id& id) { return id.text() == host.text(); });
+}
+
+}  // namespace
+
 spill_directory::remote_host* spill_directory::FindHost(const host_id& id) {
   for (remote_host& host : hosts_) {
     if (host.summary.host == id) {
@@ -13,7 +25,7 @@
   return nullptr;
 }
 
-void spill_directory::Update(steady_time now, const domain_summary& summary) {
+void spill_directory::Update(steady_time now, const domain_offer& summary) {
   std::erase_if(hosts_, [now](const remote_host& host) {
     return now - host.received_at > kSummaryLifetime;
   });
@@ -31,14 +43,18 @@
 std::optional<spill_directory::target> spill_directory::Find(
     steady_time now,
     const service_id& service,
+    std::span<const endpoint_id> excluded,
     duration time_to_beat) const {
   std::optional<target> best;
   uint32_t most_free = 0;
   for (const remote_host& host : hosts_) {
+    if (IsExcluded(excluded, host.summary.host)) {
+      continue;
+    }
     if (now - host.received_at > kSummaryLifetime) {
       continue;
     }
-    for (const service_summary& row : host.summary.services) {
+    for (const service_offer& row : host.summary.services) {
       const duration expected = kHopCost + duration(row.expected_time_us);
       if (row.service != service || expected >= time_to_beat) {
         continue;
