--- a/src/libshallotport/control/configuration_parser.cc
+++ b/src/libshallotport/control/configuration_parser.cc
@@ -26,8 +26,8 @@
 constexpr std::array<std::string_view, 2> kKindNames{"model", "plain"};
 constexpr std::array<std::string_view, 4> kRoutingNames{
     "adaptive", "round_robin", "least_reported_load", "random_two_choices"};
-constexpr std::array<std::string_view, 5> kBatchNames{
-    "guarded", "greedy", "fixed_share", "round_robin", "least_reported_load"};
+constexpr std::array<std::string_view, 3> kBatchNames{"guarded", "greedy",
+                                                      "fixed_share"};
 
 bool IsIdCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
--- a/src/libshallotport/control/configuration_replica.cc
+++ b/src/libshallotport/control/configuration_replica.cc
@@ -12,7 +12,7 @@
   }
   configuration next = config_;
   log_index next_revision = revision_;
-  const status applied = ApplyDelta(delta, next_revision, next);
+  status applied = ApplyDelta(delta, next_revision, next);
   if (!IsOk(applied)) {
     return applied;
   }
--- a/src/libshallotport/control/configuration_spread_test.cc
+++ b/src/libshallotport/control/configuration_spread_test.cc
@@ -158,7 +158,7 @@
     }
   }
 
-  void Perform(size_t from, spread_actions actions) {
+  void Perform(size_t from, const spread_actions& actions) {
     for (const spread_send& send : actions.sends) {
       const size_t to = std::stoul(send.to.text().substr(1));
       travelling_message message{from, to, EncodeSpread(send.message)};
