--- a/src/libshallotport/claims/claim_state.h
+++ b/src/libshallotport/claims/claim_state.h
@@ -19,9 +19,9 @@
 // Bounds of a claim_state. They decide what is refused, so they must be equal
 // on all members of the log.
 struct claim_limits {
-  size_t most_claims = 500'000;
-  size_t most_keys = 4'000'000;  // Claims and expired keys together.
-  uint64_t most_answer_bytes = 96ULL << 20U;
+  size_t most_claims = 200'000;
+  size_t most_keys = 2'000'000;  // Claims and expired keys together.
+  uint64_t most_answer_bytes = 64ULL << 20U;
   size_t most_released_attempts = 100'000;
   int64_t released_horizon_ms = 10LL * 60 * 1000;
   int64_t expired_horizon_ms = 7LL * 24 * 3600 * 1000;
