--- a/src/libshallotport/routing/routing_benchmark.cc
+++ b/src/libshallotport/routing/routing_benchmark.cc
@@ -94,6 +94,7 @@
           {account_id("account-" + std::to_string(i)), "", 130, 130, 1, {}});
     }
     std::vector<host_id> names;
+    names.reserve(kHosts);
     std::vector<std::unique_ptr<account_limiter>> hosts;
     for (int i = 0; i < kHosts; ++i) {
       names.emplace_back("host-" + std::to_string(i));
