routing: judge an endpoint's speed only after five samples

Cause: the first sample of an endpoint had a lasting weight; one in five looked fast or slow by chance. It showed with many endpoints and few samples each. Change: a plain mean at first; under five samples the service's mean counts.

--- a/src/libshallotport/routing/routed_service.cc
+++ b/src/libshallotport/routing/routed_service.cc
@@ -68,7 +68,7 @@
 double routed_service::TimeAt(steady_time now,
                               const service_member& member) const {
   const double mean = overall_.mean_us();
-  if (!member.estimate.IsKnown()) {
+  if (member.estimate.samples() < kSamplesToJudge) {
     return mean;
   }
   double time = member.estimate.mean_us();
--- a/src/libshallotport/routing/service_estimate.h
+++ b/src/libshallotport/routing/service_estimate.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_ROUTING_SERVICE_ESTIMATE_H_
 #define SHALLOTPORT_ROUTING_SERVICE_ESTIMATE_H_
 
+#include <algorithm>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -19,7 +20,9 @@
       quick_us_ = time_us;
       return;
     }
-    mean_us_ += kWeight * (time_us - mean_us_);
+    // A plain mean at first, so that the first sample has no lasting weight.
+    const double weight = std::max(kWeight, 1 / static_cast<double>(samples_));
+    mean_us_ += weight * (time_us - mean_us_);
     // Stochastic approximation: equilibrium where kQuickShare are below.
     quick_us_ *= time_us < quick_us_ ? 1 - kStep * (1 - kQuickShare)
                                      : 1 + kStep * kQuickShare;
