routing: know the level of load from the last reports, refuse hopeless queues

Cause: the smoothed load of others noticed a burst after ten reports, so requests queued behind the first-byte timeout and were cancelled there; for a call that may not be repeated that ends in outcome_unknown. Change: the mean over endpoints comes from their last reports, only the differences are smoothed; a request whose queue alone exceeds the service's first_byte_timeout is refused at once as not run, with retry_after.

--- a/src/libshallotport/routing/choice_strategy.h
+++ b/src/libshallotport/routing/choice_strategy.h
@@ -18,6 +18,7 @@
   uint64_t hash = 0;           // Of the endpoint's id.
   double reported_load = 0;    // Running and queued, as last reported.
   double own_load = 0;         // Sent by this host and not yet ended.
+  double recent_load = 0;      // Own, and the others' of the last report.
   double load = 0;             // Corrected for lag, own work included.
   double slots = 1;            // Concurrent requests.
   double service_time_us = 0;  // Learned time of one request.
--- a/src/libshallotport/routing/request_router.cc
+++ b/src/libshallotport/routing/request_router.cc
@@ -224,10 +224,10 @@
   service.EjectOutliers(now);
   CollectCandidates(now, service, query);
   const bool has_local = !candidates_.empty();
-  duration shortest{0};
+  duration lacking{0};
   std::optional<size_t> chosen;
   if (has_local) {
-    chosen = ChooseLocal(now, service, query, shortest);
+    chosen = ChooseLocal(now, service, query, lacking);
   }
   const bool may_spill =
       !query.is_spilled && query.lane == request_lane::kOnline;
@@ -249,10 +249,9 @@
   }
   if (has_local) {
     ++counts_.deadline_unreachable;
-    return Refusal(
-        error_kind::kDeadlineUnreachable,
-        "queue and service time exceed the deadline",
-        std::max(kShortestRetryAfter, RoundUp(shortest - remaining)));
+    return Refusal(error_kind::kDeadlineUnreachable,
+                   "queue and service time exceed the deadline",
+                   std::max(kShortestRetryAfter, RoundUp(lacking)));
   }
   ++counts_.no_capacity;
   return Refusal(error_kind::kNoCapacity, "no endpoint can take the request",
@@ -287,6 +286,7 @@
     candidate.reported_load = record.load.running + record.load.queued;
     candidate.own_load = endpoint.own_outstanding();
     candidate.load = candidate.own_load + endpoint.OthersAt(now);
+    candidate.recent_load = candidate.own_load + endpoint.RecentOthersAt(now);
     candidate.last_chosen = endpoint.last_chosen();
     candidate.slots = endpoint.slots();
     candidate.weight = options_.uses_merit ? endpoint.WeightAt(now) : 1;
@@ -309,16 +309,21 @@
 }
 
 void request_router::FlattenLoad() {
-  double sum = 0;
+  double others_sum = 0;
+  double recent_sum = 0;
   for (const choice_candidate& candidate : candidates_) {
-    sum += candidate.load - candidate.own_load;
+    others_sum += candidate.load - candidate.own_load;
+    recent_sum += candidate.recent_load - candidate.own_load;
   }
-  const double mean = sum / static_cast<double>(candidates_.size());
+  const auto count = static_cast<double>(candidates_.size());
+  const double mean = others_sum / count;
+  // The level of all endpoints is known sooner than the differences.
+  const double recent_mean = std::max(0.0, recent_sum / count);
   for (choice_candidate& candidate : candidates_) {
-    const double others = candidate.load - candidate.own_load;
-    const double excess = others - mean;
+    const double excess = candidate.load - candidate.own_load - mean;
     const double kept = std::max(0.0, std::abs(excess) - kLoadNoise);
-    candidate.load = candidate.own_load + mean + std::copysign(kept, excess);
+    candidate.load = candidate.own_load +
+                     std::max(0.0, recent_mean + std::copysign(kept, excess));
   }
 }
 
--- a/src/libshallotport/routing/request_router.h
+++ b/src/libshallotport/routing/request_router.h
@@ -114,11 +114,11 @@
   // Evens out small differences in the load that other hosts cause.
   void FlattenLoad();
   // The chosen candidate, or nothing if none can meet the deadline; then
-  // `shortest` is the least expected time.
+  // `lacking` is by how much the best one misses it.
   std::optional<size_t> ChooseLocal(steady_time now,
                                     routed_service& service,
                                     const route_query& query,
-                                    duration& shortest);
+                                    duration& lacking);
   result<route_choice> AdmitLocalOrSpill(steady_time now,
                                          routed_service& service,
                                          const route_query& query);
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -11,30 +11,37 @@
 std::optional<size_t> request_router::ChooseLocal(steady_time now,
                                                   routed_service& service,
                                                   const route_query& query,
-                                                  duration& shortest) {
-  const double remaining = static_cast<double>((query.deadline - now).count());
+                                                  duration& lacking) {
+  const auto remaining = static_cast<double>((query.deadline - now).count());
+  const duration first_byte = service.settings().first_byte_timeout;
+  const auto patience = static_cast<double>(first_byte.count());
   const double quick = service.QuickTimeAt(now);
-  // Time in the queue, plus the time that few requests stay below.
-  const auto least_time = [quick](const choice_candidate& candidate) {
-    return quick == 0 ? 0
-                      : ExpectedTime(candidate) - candidate.service_time_us +
-                            std::min(quick, candidate.service_time_us);
+  // By how much the endpoint misses the deadline, or the time to the first byte
+  // after which the attempt would be cancelled in the queue.
+  const auto excess = [&](const choice_candidate& candidate) {
+    if (quick == 0) {
+      return 0.0;
+    }
+    const double queue = ExpectedTime(candidate) - candidate.service_time_us;
+    const double least = queue + std::min(quick, candidate.service_time_us);
+    return std::max(least - remaining, queue - patience);
   };
   const size_t chosen =
       service.strategy().Choose(candidates_, query.prefix_hash, random_);
-  if (least_time(candidates_[chosen]) <= remaining) {
+  if (excess(candidates_[chosen]) <= 0) {
     return chosen;
   }
-  const auto quickest = std::min_element(
+  const auto best = std::min_element(
       candidates_.begin(), candidates_.end(),
-      [&least_time](const choice_candidate& a, const choice_candidate& b) {
-        return least_time(a) < least_time(b);
+      [&excess](const choice_candidate& a, const choice_candidate& b) {
+        return excess(a) < excess(b);
       });
-  shortest = duration(static_cast<int64_t>(least_time(*quickest)));
-  if (least_time(*quickest) > remaining) {
+  const double missed = excess(*best);
+  if (missed > 0) {
+    lacking = duration(static_cast<int64_t>(missed));
     return std::nullopt;
   }
-  return static_cast<size_t>(quickest - candidates_.begin());
+  return static_cast<size_t>(best - candidates_.begin());
 }
 
 route_choice request_router::OpenLocal(steady_time now,
--- a/src/libshallotport/routing/request_router_test.cc
+++ b/src/libshallotport/routing/request_router_test.cc
@@ -184,6 +184,28 @@
        return f.Ask(100, 900);
      },
      error_kind::kDeadlineUnreachable, true},
+    {"queue_takes_longer_than_the_first_byte_may",
+     [](router_fixture& f) {
+       f.AddEndpoints(1);
+       for (int i = 0; i < 10; ++i) {
+         f.Call(i, attempt_outcome::kOk, seconds(2));
+       }
+       f.Spread(20, 20);
+       return f.Ask(100, 60'000);
+     },
+     error_kind::kDeadlineUnreachable, true},
+    {"queue_of_other_hosts_takes_longer",
+     [](router_fixture& f) {
+       f.AddEndpoints(1);
+       for (int i = 0; i < 10; ++i) {
+         f.Call(i, attempt_outcome::kOk, seconds(1));
+       }
+       endpoint_record loaded = MakeRecord(0, 2);
+       loaded.load.queued = 40;
+       f.router.UpdateEndpoint(At(50), loaded);
+       return f.Ask(100, 60'000);
+     },
+     error_kind::kDeadlineUnreachable, true},
     {"rate",
      [](router_fixture& f) {
        f.AddEndpoints(1);
--- a/src/libshallotport/routing/routed_endpoint.cc
+++ b/src/libshallotport/routing/routed_endpoint.cc
@@ -21,7 +21,8 @@
       hash_(hash),
       first_seen_(now),
       reported_at_(now),
-      others_(record_.load.running + record_.load.queued) {}
+      others_(record_.load.running + record_.load.queued),
+      recent_others_(others_) {}
 
 void routed_endpoint::Update(steady_time now, const endpoint_record& record) {
   const load_report last = record_.load;
@@ -37,20 +38,26 @@
 void routed_endpoint::TakeReport(steady_time now, const load_report& report) {
   const double total = report.running + report.queued;
   const double others = total - own_outstanding_;
+  recent_others_ = others;
   others_ = (1 - kReportWeight) * others_ + kReportWeight * others;
   reported_at_ = now;
 }
 
-double routed_endpoint::OthersAt(steady_time now) const {
+double routed_endpoint::KnowledgeAt(steady_time now) const {
   const duration age = now - reported_at_;
-  const double others = std::max(0.0, others_);
   if (age <= kReportHalfLife) {
-    return others;
+    return 1;
   }
-  const double half_lives =
-      static_cast<double>((age - kReportHalfLife).count()) /
-      static_cast<double>(kReportHalfLife.count());
-  return others * std::exp2(-half_lives);
+  return std::exp2(-static_cast<double>((age - kReportHalfLife).count()) /
+                   static_cast<double>(kReportHalfLife.count()));
+}
+
+double routed_endpoint::OthersAt(steady_time now) const {
+  return std::max(0.0, others_) * KnowledgeAt(now);
+}
+
+double routed_endpoint::RecentOthersAt(steady_time now) const {
+  return recent_others_ * KnowledgeAt(now);
 }
 
 double routed_endpoint::WeightAt(steady_time now) const {
--- a/src/libshallotport/routing/routed_endpoint.h
+++ b/src/libshallotport/routing/routed_endpoint.h
@@ -30,6 +30,8 @@
   // Requests in the endpoint that other hosts sent: an average over the last
   // reports.
   double OthersAt(steady_time now) const;
+  // The same from the last report alone: sooner and noisier.
+  double RecentOthersAt(steady_time now) const;
   double WeightAt(steady_time now) const;
   double slots() const;
 
@@ -49,13 +51,16 @@
   const circuit_breaker& breaker() const { return breaker_; }
 
  private:
+  // What is left of what was known when the last report came.
+  double KnowledgeAt(steady_time now) const;
   void TakeReport(steady_time now, const load_report& report);
 
   endpoint_record record_;
   uint64_t hash_;
   steady_time first_seen_;
   steady_time reported_at_;
-  double others_ = 0;  // Load that does not come from this host.
+  double others_ = 0;  // Load that does not come from this host, smoothed.
+  double recent_others_ = 0;
   uint32_t own_outstanding_ = 0;
   uint64_t last_chosen_ = 0;
   circuit_breaker breaker_;
--- a/src/libshallotport/routing/testing/fleet_model.h
+++ b/src/libshallotport/routing/testing/fleet_model.h
@@ -56,6 +56,7 @@
     service_configuration service;
     service.id = service_id("assistant");
     service.routing_strategy = strategy;
+    service.first_byte_timeout = std::chrono::milliseconds(1'000);
     settings.services.push_back(service);
     for (int i = 0; i < scenario.hosts; ++i) {
       const std::string name = "h" + std::to_string(i);
