routing: give whole answers the time that they were learned to take

Cause: an answer that is not streamed has no byte before its end; any that took longer than first_byte_timeout was cancelled as silent and repeated. Change: the route says the expected time; such attempts get twice that on top.

--- a/src/libshallotport/routing/online_request_attempts.cc
+++ b/src/libshallotport/routing/online_request_attempts.cc
@@ -11,6 +11,9 @@
 
 // Content kept to check and skip what a restarted stream repeats.
 constexpr size_t kLongestRestartBytes = size_t{1} << 20;
+// An answer that is not streamed may take this multiple of the expected time
+// longer than the first byte of a stream.
+constexpr int kWholeAnswerFactor = 2;
 // Pause between two questions for the outcome of a call in progress.
 constexpr duration kOutcomePollPeriod{200'000};
 // Advice for errors that name no time of their own.
@@ -35,8 +38,14 @@
   if (call.is_overdue) {
     return steady_time::max();
   }
-  return call.has_byte ? call.last_byte_at + options_.token_gap_timeout
-                       : call.started_at + options_.first_byte_timeout;
+  if (call.has_byte) {
+    return call.last_byte_at + options_.token_gap_timeout;
+  }
+  // The first byte of an answer that is not streamed comes with its last one.
+  const bool is_streamed = options_.is_stream && options_.is_idempotent;
+  const duration whole =
+      is_streamed ? duration{0} : kWholeAnswerFactor * call.route.expected_time;
+  return call.started_at + options_.first_byte_timeout + whole;
 }
 
 bool online_request::IsTimedOut(const attempt& call) const {
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -67,6 +67,7 @@
   choice.can_resume = endpoint.record().can_resume;
   choice.remembers_outcomes = endpoint.record().remembers_outcomes;
   choice.ticket = last_ticket_;
+  choice.expected_time = duration(static_cast<int64_t>(ExpectedTime(chosen)));
   open_.emplace(choice.ticket, std::move(attempt));
   return choice;
 }
--- a/src/libshallotport/routing/route_query.h
+++ b/src/libshallotport/routing/route_query.h
@@ -39,6 +39,7 @@
   bool can_resume = false;
   bool remembers_outcomes = false;
   std::optional<domain_id> spill_domain;
+  duration expected_time{0};  // Queue and whole answer; 0: unknown.
 };
 
 // How an attempt ended, as far as the endpoint's merit is concerned.
--- a/src/libshallotport/routing/testing/online_request_world.h
+++ b/src/libshallotport/routing/testing/online_request_world.h
@@ -138,6 +138,7 @@
     route.ticket = ++last_ticket_;
     route.can_resume = is_numbered_ && Chance(2);
     route.remembers_outcomes = Chance(2);
+    route.expected_time = duration(UniformBelow(random_, 300'000));
     Schedule(UniformBelow(random_, 5), route_decided{route});
   }
 
