batch: empty the engine in a burst, hold starts otherwise; cheaper lease order

Change: a burst is a demand three standard deviations above its average; the peak's half-life is one second; a grant looks accounts up once.

--- a/src/libshallotport/batch/batch_window.cc
+++ b/src/libshallotport/batch/batch_window.cc
@@ -11,8 +11,8 @@
 // A named way to limit the batch work at an endpoint.
 struct window_strategy {
   std::string_view name;
-  uint32_t (batch_window::*start_limit)();
-  uint32_t (batch_window::*keep_limit)();
+  uint32_t (batch_window::*start_limit)(steady_time now);
+  uint32_t (batch_window::*keep_limit)(steady_time now);
 };
 
 namespace {
@@ -22,8 +22,15 @@
 
 constexpr duration kSourceAge = seconds(2);
 constexpr duration kReportAge = seconds(3);
-constexpr duration kPeakHalfLife = seconds(10);
-constexpr duration kBurstHold = milliseconds(100);
+constexpr duration kPeakHalfLife = seconds(1);
+constexpr duration kAverageHalfLife = seconds(4);
+// A burst lasts so long after the last arrival above the usual demand.
+constexpr duration kBurstHold = milliseconds(300);
+constexpr duration kStartHold = milliseconds(100);
+// Standard deviations above the average that make a burst; requests that
+// arrive independently of each other vary by the root of their mean.
+constexpr double kBurstDeviations = 3;
+constexpr double kMinBurst = 2;
 constexpr duration kInterval = milliseconds(100);
 constexpr double kDecrease = 0.7;
 // A first byte that takes this many times the typical one is late.
@@ -99,7 +106,7 @@
   report_heard_ = now;
   most_outstanding_ = outstanding_;
   most_online_ = KnownOnline();
-  RaisePeak(now);
+  FollowDemand(now);
 }
 
 void batch_window::OnOnline(steady_time now,
@@ -117,27 +124,44 @@
   }
   known = {source_incarnation, count, now};
   most_online_ = std::max(most_online_, KnownOnline());
-  RaisePeak(now);
-  const bool has_room =
-      Demand() + outstanding_ + settings_.reserve_slots <= slots_;
-  if (Demand() > before && !has_room) {
-    bursts_ += now >= hold_until_ ? 1 : 0;
-    hold_until_ = now + kBurstHold;
-  }
+  FollowDemand(now);
+  NoticeBurst(now, before);
 }
 
-void batch_window::RaisePeak(steady_time now) {
+void batch_window::FollowDemand(steady_time now) {
   const double demand = Demand();
   const double elapsed =
       std::chrono::duration<double>(now - peak_time_).count();
-  const double half_lives =
-      elapsed / std::chrono::duration<double>(kPeakHalfLife).count();
-  const double decayed =
-      demand + std::max(0.0, peak_ - demand) * std::exp2(-half_lives);
-  peak_ = std::max(decayed, demand);
+  const auto kept = [elapsed](duration half_life) {
+    return std::exp2(-elapsed /
+                     std::chrono::duration<double>(half_life).count());
+  };
+  peak_ = demand + std::max(0.0, peak_ - demand) * kept(kPeakHalfLife);
+  average_ = demand + (average_ - demand) * kept(kAverageHalfLife);
   peak_time_ = now;
 }
 
+// A demand well above the usual one is a burst; one that used the reserve only
+// delays new batch work.
+void batch_window::NoticeBurst(steady_time now, uint32_t demand_before) {
+  const uint32_t demand = Demand();
+  if (demand <= demand_before) {
+    return;
+  }
+  const double margin =
+      std::max(kMinBurst, kBurstDeviations * std::sqrt(average_));
+  const bool is_unusual = demand > average_ + margin;
+  const bool has_room =
+      demand + outstanding_ + settings_.reserve_slots <= slots_;
+  if (is_unusual) {
+    bursts_ += now >= burst_until_ ? 1 : 0;
+    burst_until_ = now + kBurstHold;
+  }
+  if (!has_room) {
+    hold_until_ = now + kStartHold;
+  }
+}
+
 void batch_window::OnOnlineLatency(steady_time now, duration first_byte) {
   Advance(now);
   const double sample = static_cast<double>(first_byte.count());
@@ -173,7 +197,7 @@
   }
   limit_ = std::min(limit_, most);
   safe_limit_ = std::min(std::max(safe_limit_, limit_), most);
-  RaisePeak(now);
+  FollowDemand(now);
 }
 
 void batch_window::SetOutstanding(steady_time now, uint32_t outstanding) {
@@ -187,15 +211,12 @@
   if (slots_ == 0) {
     return 0;
   }
-  const uint32_t limit = (this->*strategy_->start_limit)();
-  return now < hold_until_ && strategy_->name == "guarded"
-             ? std::min(limit, outstanding_)
-             : limit;
+  return (this->*strategy_->start_limit)(now);
 }
 
 uint32_t batch_window::KeepLimit(steady_time now) {
   Advance(now);
-  return (this->*strategy_->keep_limit)();
+  return (this->*strategy_->keep_limit)(now);
 }
 
 steady_time batch_window::NextChange(steady_time now) const {
@@ -204,23 +225,32 @@
 }
 
 // Leaves room for the online demand to rise to its recent peak again.
-uint32_t batch_window::GuardedStart() {
+uint32_t batch_window::GuardedStart(steady_time now) {
+  if (now < burst_until_) {
+    return 0;
+  }
+  if (now < hold_until_) {
+    return std::min(outstanding_, GuardedKeep(now));
+  }
   const uint32_t online = Demand() + settings_.reserve_slots;
   const uint32_t peak = static_cast<uint32_t>(std::ceil(peak_ - 0.25));
   const uint32_t room = Less(slots_, std::max(online, peak));
   return std::min(room, static_cast<uint32_t>(limit_));
 }
 
-// The room for the peak is there to be used; only the reserve is restored.
-uint32_t batch_window::GuardedKeep() {
-  return Less(slots_, Demand() + settings_.reserve_slots);
+// The room for the peak is there to be used. In a burst batch work falls below
+// the reserve, so that the engine is as fast as without it.
+uint32_t batch_window::GuardedKeep(steady_time now) {
+  const uint32_t room = Less(slots_, Demand() + settings_.reserve_slots);
+  return now < burst_until_ ? std::min(room, Less(settings_.reserve_slots, 1))
+                            : room;
 }
 
-uint32_t batch_window::GreedyLimit() {
+uint32_t batch_window::GreedyLimit(steady_time) {
   return slots_;
 }
 
-uint32_t batch_window::FixedShareLimit() {
+uint32_t batch_window::FixedShareLimit(steady_time) {
   return std::max(1U, slots_ * settings_.share_percent / 100);
 }
 
@@ -231,6 +261,7 @@
          {"online", Demand()},
          {"unexplained", unexplained_},
          {"peak", peak_},
+         {"average", average_},
          {"limit", limit_},
          {"typical_first_byte_us", typical_us_}};
   out["counters"] = {{"batch_bursts", bursts_},
--- a/src/libshallotport/batch/batch_window.h
+++ b/src/libshallotport/batch/batch_window.h
@@ -84,13 +84,14 @@
   batch_window(const window_settings& settings,
                const window_strategy& strategy);
 
-  uint32_t GuardedStart();
-  uint32_t GuardedKeep();
-  uint32_t GreedyLimit();
-  uint32_t FixedShareLimit();
+  uint32_t GuardedStart(steady_time now);
+  uint32_t GuardedKeep(steady_time now);
+  uint32_t GreedyLimit(steady_time now);
+  uint32_t FixedShareLimit(steady_time now);
 
   void Advance(steady_time now);
-  void RaisePeak(steady_time now);
+  void FollowDemand(steady_time now);
+  void NoticeBurst(steady_time now, uint32_t demand_before);
   void AdjustLimit(steady_time now);
   uint32_t KnownOnline() const;
   uint32_t Demand() const;
@@ -106,10 +107,12 @@
   uint32_t most_outstanding_ = 0;  // Since the report before the last.
   uint32_t most_online_ = 0;
 
-  // Decaying peak of the online demand.
+  // Decaying peak and slow average of the online demand.
   double peak_ = 0;
+  double average_ = 0;
   steady_time peak_time_;
-  steady_time hold_until_;  // No starts after a burst.
+  steady_time burst_until_;
+  steady_time hold_until_;
 
   // Additive increase, multiplicative decrease by the online tail.
   double limit_ = 1;
--- a/src/libshallotport/batch/lease_order.cc
+++ b/src/libshallotport/batch/lease_order.cc
@@ -1,6 +1,8 @@
 #include "batch/lease_order.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 namespace shallotport {
 
@@ -27,6 +29,7 @@
                          std::span<const service_id> services,
                          wall_milliseconds now)
     : catalogue_(catalogue) {
+  std::map<std::string_view, size_t> places;  // Of accounts in by_account_.
   for (const job_number number : catalogue.running) {
     job_record& job = catalogue.jobs.at(number);
     if (std::ranges::find(services, job.service) == services.end() ||
@@ -40,15 +43,19 @@
     const bool is_urgent = time_left > 0 &&
                            laxity < kUrgentLaxityMilliseconds &&
                            !IsHopeless(laxity, time_left);
-    const candidate chosen{&job, laxity, is_urgent};
-    by_account_[job.account].push_back(chosen);
+    const auto [place, is_new] =
+        places.emplace(job.account.text(), by_account_.size());
+    if (is_new) {
+      by_account_.push_back({&catalogue.accounts.at(job.account), {}, 0});
+    }
+    by_account_[place->second].all.push_back({&job, laxity});
     if (is_urgent) {
-      urgent_.push_back(chosen);
+      urgent_.all.push_back({&job, laxity});
     }
   }
-  std::ranges::stable_sort(urgent_, {}, &candidate::laxity);
-  for (auto& [account, candidates] : by_account_) {
-    std::ranges::stable_sort(candidates, {}, &candidate::laxity);
+  std::ranges::stable_sort(urgent_.all, {}, &candidate::laxity);
+  for (candidate_list& list : by_account_) {
+    std::ranges::stable_sort(list.all, {}, &candidate::laxity);
   }
 }
 
@@ -62,7 +69,7 @@
 
 job_record* lease_order::Next() {
   if (catalogue_.leased_in_total % kShareDenominator != 0) {
-    job_record* const job = NextUrgent();
+    job_record* const job = Front(urgent_);
     if (job != nullptr) {
       return job;
     }
@@ -70,37 +77,37 @@
   return NextByShare();
 }
 
-job_record* lease_order::NextUrgent() {
-  return NextOf(urgent_, false);
+// The first job by laxity that has items left to lease.
+job_record* lease_order::Front(candidate_list& list) const {
+  while (list.first < list.all.size() &&
+         !IsLeasable(*list.all[list.first].job)) {
+    ++list.first;
+  }
+  return list.first < list.all.size() ? list.all[list.first].job : nullptr;
 }
 
-// Candidates that ran out are dropped on the way.
-job_record* lease_order::NextOf(candidate_list& candidates, bool prefer_short) {
-  std::erase_if(candidates, [this](const candidate& each) {
-    return !IsLeasable(*each.job);
-  });
-  if (candidates.empty()) {
-    return nullptr;
-  }
-  if (!prefer_short) {
-    return candidates.front().job;
+job_record* lease_order::Shortest(candidate_list& list) const {
+  job_record* shortest = nullptr;
+  for (size_t i = list.first; i < list.all.size(); ++i) {
+    job_record* const job = list.all[i].job;
+    const bool is_shorter =
+        shortest == nullptr || job->Remaining() < shortest->Remaining();
+    if (is_shorter && IsLeasable(*job)) {
+      shortest = job;
+    }
   }
-  return std::ranges::min_element(
-             candidates, {},
-             [](const candidate& each) { return each.job->Remaining(); })
-      ->job;
+  return shortest;
 }
 
 job_record* lease_order::NextByShare() {
+  // Independent of the turn that the urgent jobs take.
+  const uint64_t turn = catalogue_.leased_in_total / kShareDenominator;
+  const bool prefer_short = turn % kShareDenominator == 0;
   while (!by_account_.empty()) {
-    const auto least =
-        std::ranges::min_element(by_account_, {}, [this](const auto& each) {
-          return catalogue_.accounts.at(each.first).served;
-        });
-    // Independent of the turn that the urgent jobs take.
-    const uint64_t turn = catalogue_.leased_in_total / kShareDenominator;
-    const bool prefer_short = turn % kShareDenominator == 0;
-    job_record* const job = NextOf(least->second, prefer_short);
+    const auto least = std::ranges::min_element(
+        by_account_, {},
+        [](const candidate_list& each) { return each.share->served; });
+    job_record* const job = prefer_short ? Shortest(*least) : Front(*least);
     if (job != nullptr) {
       return job;
     }
--- a/src/libshallotport/batch/lease_order.h
+++ b/src/libshallotport/batch/lease_order.h
@@ -2,8 +2,6 @@
 #define SHALLOTPORT_BATCH_LEASE_ORDER_H_
 
 #include <cstdint>
-#include <map>
-#include <optional>
 #include <span>
 #include <vector>
 
@@ -33,18 +31,22 @@
   struct candidate {
     job_record* job = nullptr;
     int64_t laxity = 0;
-    bool is_urgent = false;
   };
-  using candidate_list = std::vector<candidate>;
+  // Sorted by laxity. Those before `first` have run out.
+  struct candidate_list {
+    account_share* share = nullptr;
+    std::vector<candidate> all;
+    size_t first = 0;
+  };
 
   bool IsLeasable(const job_record& job) const;
-  job_record* NextUrgent();
-  job_record* NextOf(candidate_list& candidates, bool prefer_short);
+  job_record* Front(candidate_list& list) const;
+  job_record* Shortest(candidate_list& list) const;
   job_record* NextByShare();
 
   job_catalogue& catalogue_;
   candidate_list urgent_;
-  std::map<account_id, candidate_list> by_account_;
+  std::vector<candidate_list> by_account_;
 };
 
 // Whether `service` lets a further suspect run.
