--- a/src/shallotbench/bench_report.cc
+++ b/src/shallotbench/bench_report.cc
@@ -204,12 +204,13 @@
       left_ratio = Ratio(BatchItemsPerSecond(arm),
                          BatchItemsPerSecond(*batch_alone) - online_rate);
     }
+    const uint64_t refused = arm.online.refused + arm.online.broken;
     table += Format(
         "| %s | %llu/%llu | %llu | %llu | %.0f / %.0f / %.0f | %.2f, %.2f | "
         "%.1f / %.1f / %.1f | %.1f | %.2f | %llu | %llu |\n",
         arm.arm.c_str(), static_cast<unsigned long long>(arm.online.whole),
         static_cast<unsigned long long>(arm.online.sent),
-        static_cast<unsigned long long>(arm.online.refused + arm.online.broken),
+        static_cast<unsigned long long>(refused),
         static_cast<unsigned long long>(arm.online.wrong),
         PercentileMs(arm.first_tokens, 0.5), p95, p99, p95_ratio, p99_ratio,
         PercentileMs(arm.token_gaps, 0.5), PercentileMs(arm.token_gaps, 0.95),
--- a/tests/scenarios/group_world.cc
+++ b/tests/scenarios/group_world.cc
@@ -106,7 +106,7 @@
   if (names_.contains(who)) {
     return names_[who];
   }
-  const host_id leader = group_->Leader();
+  host_id leader = group_->Leader();
   if (who == "leader") {
     names_["old_leader"] = leader;
     return leader;
--- a/tests/scenarios/step_arguments.cc
+++ b/tests/scenarios/step_arguments.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <utility>
 
 namespace shallotport {
 
@@ -28,8 +27,8 @@
   return std::nullopt;
 }
 
-step_arguments::step_arguments(YAML::Node node, int line)
-    : node_(std::move(node)), line_(line) {}
+step_arguments::step_arguments(const YAML::Node& node, int line)
+    : node_(node), line_(line) {}
 
 bool step_arguments::Has(std::string_view key) const {
   return node_.IsMap() && node_[std::string(key)].IsDefined();
--- a/tests/scenarios/step_arguments.h
+++ b/tests/scenarios/step_arguments.h
@@ -19,7 +19,7 @@
 // that does not hold.
 class step_arguments {
  public:
-  step_arguments(YAML::Node node, int line);
+  step_arguments(const YAML::Node& node, int line);
 
   bool Has(std::string_view key) const;
   std::string Text(std::string_view key);
