--- a/tests/scenarios/scenario_file.cc
+++ b/tests/scenarios/scenario_file.cc
@@ -23,12 +23,15 @@
   std::unique_ptr<scenario_world> (*make)();
 };
 
-constexpr std::array<world_row, 5> kWorlds = {
+constexpr std::array<world_row, 8> kWorlds = {
     {{"domain", &MakeDomainWorld},
      {"request", &MakeRequestWorld},
      {"configuration", &MakeConfigurationWorld},
      {"jobs", &MakeJobWorld},
-     {"group", &MakeGroupWorld}}};
+     {"group", &MakeGroupWorld},
+     {"claims", &MakeClaimWorld},
+     {"runner", &MakeRunnerWorld},
+     {"orders", &MakeOrderWorld}}};
 
 int LineOf(const YAML::Node& node) {
   return node.Mark().line + 1;
--- a/tests/scenarios/scenario_world.h
+++ b/tests/scenarios/scenario_world.h
@@ -49,6 +49,9 @@
 std::unique_ptr<scenario_world> MakeConfigurationWorld();
 std::unique_ptr<scenario_world> MakeJobWorld();
 std::unique_ptr<scenario_world> MakeGroupWorld();
+std::unique_ptr<scenario_world> MakeClaimWorld();
+std::unique_ptr<scenario_world> MakeRunnerWorld();
+std::unique_ptr<scenario_world> MakeOrderWorld();
 
 // Null for an unknown name.
 std::unique_ptr<scenario_world> MakeScenarioWorld(std::string_view name);
