--- a/src/libshallotport/control/configuration_spread.cc
+++ b/src/libshallotport/control/configuration_spread.cc
@@ -140,6 +140,38 @@
   }
 }
 
+void configuration_spread::On(steady_time now,
+                              const host_id& from,
+                              const spread_progress_query& query,
+                              spread_actions& out) {
+  if (!is_leader_) {
+    return;
+  }
+  spread_progress progress = Progress(now, query.revision);
+  progress.number = query.number;
+  out.sends.push_back({from, std::move(progress)});
+}
+
+void configuration_spread::On(steady_time,
+                              const host_id&,
+                              const spread_progress& progress,
+                              spread_actions& out) {
+  out.progress = progress;
+}
+
+spread_actions configuration_spread::AskProgress(
+    steady_time now,
+    const spread_progress_query& query) {
+  spread_actions out;
+  if (is_leader_) {
+    out.progress = Progress(now, query.revision);
+    out.progress->number = query.number;
+  } else if (!leader_.IsEmpty()) {
+    out.sends.push_back({leader_, query});
+  }
+  return out;
+}
+
 void configuration_spread::Hear(steady_time now,
                                 const host_id& host,
                                 log_index revision) {
--- a/src/libshallotport/control/configuration_spread.h
+++ b/src/libshallotport/control/configuration_spread.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -77,7 +78,32 @@
   }
 };
 
-using spread_message = std::variant<spread_push, spread_digest, spread_summary>;
+// Asks the leader who has `revision` in force.
+struct spread_progress_query {
+  uint64_t number = 0;
+  log_index revision = 0;
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(number, revision);
+  }
+};
+
+// Who has a revision in force, as far as the leader knows.
+struct spread_progress {
+  uint64_t number = 0;          // Of the query.
+  std::vector<host_id> behind;  // Live, with an older revision.
+  std::vector<host_id> silent;  // Not heard of lately.
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(number, behind, silent);
+  }
+};
+
+using spread_message = std::variant<spread_push,
+                                    spread_digest,
+                                    spread_summary,
+                                    spread_progress_query,
+                                    spread_progress>;
 
 // For the peer channel kConfiguration.
 std::string EncodeSpread(const spread_message& message);
@@ -90,13 +116,8 @@
 
 struct spread_actions {
   std::vector<spread_send> sends;
-  bool has_new_revision = false;  // The replica moved up.
-};
-
-// Who has a revision in force, as far as the leader knows.
-struct spread_progress {
-  std::vector<host_id> behind;  // Live, with an older revision.
-  std::vector<host_id> silent;  // Not heard of lately.
+  bool has_new_revision = false;            // The replica moved up.
+  std::optional<spread_progress> progress;  // A query was answered.
 };
 
 // One host's part in bringing each committed revision to every host. The log's
@@ -122,6 +143,11 @@
 
   const configuration_replica& replica() const { return replica_; }
 
+  // Asks who has the revision in force; the answer comes in these actions or
+  // those of a later message, or never.
+  spread_actions AskProgress(steady_time now,
+                             const spread_progress_query& query);
+
   // Leader only.
   spread_progress Progress(steady_time now, log_index revision) const;
 
@@ -153,6 +179,15 @@
           const spread_summary& summary,
           spread_actions& out);
 
+  void On(steady_time now,
+          const host_id& from,
+          const spread_progress_query& query,
+          spread_actions& out);
+  void On(steady_time now,
+          const host_id& from,
+          const spread_progress& progress,
+          spread_actions& out);
+
   void Hear(steady_time now, const host_id& host, log_index revision);
   void PushToDomain(steady_time now,
                     const domain_id& domain,
--- a/src/libshallotport/control/configuration_spread_test.cc
+++ b/src/libshallotport/control/configuration_spread_test.cc
@@ -124,6 +124,16 @@
     return hosts_[0].core->Progress(now_, revision_);
   }
 
+  // The same, asked at another host.
+  spread_progress AskProgress(size_t index) {
+    constexpr uint64_t kNumber = 17;
+    asked_.reset();
+    Perform(index, hosts_[index].core->AskProgress(now_, {kNumber, revision_}));
+    RunFor(milliseconds(100));
+    EXPECT_TRUE(asked_ && asked_->number == kNumber);
+    return asked_.value_or(spread_progress{});
+  }
+
   // Most and mean bytes that a host has sent since the last call.
   void TakeBytes(uint64_t& most, uint64_t& mean) {
     most = 0;
@@ -159,6 +169,9 @@
   }
 
   void Perform(size_t from, const spread_actions& actions) {
+    if (actions.progress) {
+      asked_ = actions.progress;
+    }
     for (const spread_send& send : actions.sends) {
       const size_t to = std::stoul(send.to.text().substr(1));
       travelling_message message{from, to, EncodeSpread(send.message)};
@@ -197,6 +210,7 @@
   std::vector<spread_peer> peers_;
   std::multimap<steady_time, travelling_message> travelling_;
   std::optional<size_t> cut_domain_;
+  std::optional<spread_progress> asked_;
   configuration committed_;
   log_index revision_ = 0;
   steady_time now_{std::chrono::hours(1)};
@@ -260,6 +274,7 @@
   EXPECT_EQ(fleet.Behind(), cut);
   const spread_progress progress = fleet.Progress();
   EXPECT_EQ(progress.behind.size() + progress.silent.size(), cut);
+  EXPECT_EQ(fleet.AskProgress(40).behind, progress.behind);
   fleet.Heal();
   const auto spent = fleet.TimeToAll(kLimit);
   ASSERT_TRUE(spent) << fleet.Behind() << " behind";
--- a/src/shallotctl/configuration_commands.cc
+++ b/src/shallotctl/configuration_commands.cc
@@ -8,6 +8,7 @@
 
 #include "command.h"
 #include "control/configuration_parser.h"
+#include "control_commands.h"
 #include "operator_client.h"
 
 namespace shallotport {
@@ -55,6 +56,7 @@
   std::string change_id;
   std::string author;
   std::string note;
+  bool has_to_wait = false;
   bool is_bad = false;
 };
 
@@ -64,6 +66,7 @@
       {"change-id", required_argument, nullptr, 'c'},
       {"author", required_argument, nullptr, 'a'},
       {"note", required_argument, nullptr, 'n'},
+      {"wait", no_argument, nullptr, 'w'},
       {nullptr, 0, nullptr, 0}};
   std::vector<char*> words;
   words.reserve(arguments.size() + 1);
@@ -89,6 +92,9 @@
       case 'n':
         parsed.note = optarg;
         break;
+      case 'w':
+        parsed.has_to_wait = true;
+        break;
       default:
         parsed.is_bad = true;
     }
@@ -131,14 +137,16 @@
   if (!IsSuccess(reply)) {
     return ReportFailure(reply);
   }
+  const auto body = nlohmann::json::parse(ValueOf(reply).body, nullptr, false);
+  const uint64_t revision = body.value("revision", uint64_t{0});
   if (context.is_json) {
     std::cout << ValueOf(reply).body;
-    return exit_code::kOk;
+  } else {
+    std::cout << "revision " << revision << " is accepted (change "
+              << options.change_id << ")\n";
   }
-  const auto body = nlohmann::json::parse(ValueOf(reply).body, nullptr, false);
-  std::cout << "revision " << body.value("revision", uint64_t{0})
-            << " is accepted (change " << options.change_id << ")\n";
-  return exit_code::kOk;
+  return options.has_to_wait ? WaitUntilInForce(context, revision)
+                             : exit_code::kOk;
 }
 
 exit_code Get(command_context& context) {
@@ -180,11 +188,13 @@
 constexpr command kCommands[] = {
     {"apply", "put a configuration into force",
      "usage: shallotctl apply [--expected-revision N] [--change-id ID]\n"
-     "                        [--author NAME] [--note TEXT] FILE\n\n"
+     "                        [--author NAME] [--note TEXT] [--wait] FILE\n\n"
      "FILE holds the YAML; - reads standard input. Without\n"
      "--expected-revision the revision now in force is expected. Repeat a "
      "call\n"
      "whose answer was lost with the same --change-id: it is applied once.\n"
+     "--wait ends when all live hosts have it in force, or after 10 s names "
+     "those\nbehind, with exit code 1.\n"
      "Exit code 4: another revision is in force, nothing was changed.\n",
      &Apply},
     {"get", "print the configuration in force",
--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "command.h"
+#include "control_commands.h"
 #include "operator_client.h"
 
 namespace shallotport {
@@ -11,8 +12,8 @@
 
 using command_list = std::span<const command> (*)();
 
-constexpr command_list kCommandLists[] = {&StateCommands,
-                                          &ConfigurationCommands};
+constexpr command_list kCommandLists[] = {
+    &StateCommands, &ConfigurationCommands, &ControlCommands};
 
 struct global_options {
   std::string host;
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -10,7 +10,8 @@
 #include "base/log.h"
 #include "batch_host.h"
 #include "claims/claim_coordinator.h"
-#include "configuration_poller.h"
+#include "configuration_distributor.h"
+#include "configuration_reports.h"
 #include "consensus/forwarding_log.h"
 #include "control_member.h"
 #include "http/endpoint_caller.h"
@@ -126,8 +127,9 @@
   std::unique_ptr<observed_caller> online_caller;
   std::unique_ptr<exchange_finisher> finisher;
   std::unique_ptr<batch_host> batch;
-  std::unique_ptr<configuration_poller> poller;
+  std::unique_ptr<configuration_distributor> distributor;
   std::unique_ptr<configuration_operations> configuration_routes;
+  std::unique_ptr<configuration_reports> report_routes;
   exchange_services services;
   std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
@@ -208,8 +210,12 @@
   coordinator = std::make_unique<claim_coordinator>(options, *log, clock);
   claims = std::make_unique<log_claims>(*coordinator, *log, clock,
                                         settings.claim_timeout);
-  poller = std::make_unique<configuration_poller>(
-      *log, clock, configuration,
+  distributor = std::make_unique<configuration_distributor>(
+      settings, HashOf(settings.host.text(), started + 4), local, clock,
+      configuration,
+      [this](const host_id& to, std::string bytes) {
+        network->SendStream(peer_channel::kConfiguration, to, std::move(bytes));
+      },
       [this](const std::shared_ptr<const configuration_snapshot>& snapshot) {
         routing->SetConfiguration(snapshot);
         batch->SetConfiguration(*snapshot);
@@ -335,8 +341,11 @@
   operators = std::make_unique<operator_interface>(
       settings.operator_token, state, metrics, [this] { return IsReady(); });
   configuration_routes = std::make_unique<configuration_operations>(
-      *log, clock, [this] { poller->Hurry(); });
+      *log, clock, [this] { distributor->Hurry(); });
   configuration_routes->AddRoutes(operators->routes());
+  report_routes =
+      std::make_unique<configuration_reports>(*log, clock, *distributor);
+  report_routes->AddRoutes(operators->routes());
 }
 
 void daemon::parts::ConnectNetwork() {
@@ -349,6 +358,10 @@
   network->SetReceiver(peer_channel::kLimits, [this](peer_message message) {
     routing->OnLimitsMessage(std::move(message));
   });
+  network->SetReceiver(
+      peer_channel::kConfiguration, [this](peer_message message) {
+        distributor->OnPeerMessage(message.from, std::move(message.payload));
+      });
   network->SetReceiver(peer_channel::kLogForwarding,
                        [this](const peer_message& message) {
                          log->OnPeerMessage(message.from, message.payload);
@@ -379,6 +392,8 @@
   state.Add("batch", [this](nlohmann::json& out) { batch->WriteState(out); });
   state.Add("network",
             [this](nlohmann::json& out) { network->WriteState(out); });
+  state.Add("configuration",
+            [this](nlohmann::json& out) { distributor->WriteState(out); });
   state.Add("log", [this](nlohmann::json& out) { log->WriteState(out); });
   state.Add("claims",
             [this](nlohmann::json& out) { coordinator->WriteState(out); });
@@ -482,7 +497,7 @@
   parts_->membership->Start();
   parts_->coordinator->Start();
   parts_->batch->Start();
-  parts_->poller->Start();
+  parts_->distributor->Start();
   status listening = parts_->Listen();
   if (!IsOk(listening)) {
     return listening;
@@ -505,7 +520,7 @@
   parts_->finisher->Stop();
   parts_->caller_lane->Stop();
   parts_->endpoint_lane->Stop();
-  parts_->poller->Stop();
+  parts_->distributor->Stop();
   parts_->batch->Stop();
   parts_->coordinator->Stop();
   if (parts_->member) {
