control: orders sent by the daemon; shallotctl orders and order

The member that leads sends the queued orders to /control/orders of endpoints. Any host lists orders; one of the endpoint's failure domain takes them and puts the endpoint's address into the entry, so the leader needs no registry of all domains. The epoch is asked for only when an order waits.

--- a/src/libshallotport/control/order_client.cc
+++ b/src/libshallotport/control/order_client.cc
@@ -15,9 +15,9 @@
   return Decode<order_reply>(ValueOf(reply));
 }
 
-result<order_reply> order_client::Add(const endpoint_order& order,
+result<order_reply> order_client::Add(const order_add& add,
                                       steady_time deadline) {
-  return Propose(order_add{order}, deadline);
+  return Propose(add, deadline);
 }
 
 result<order_reply> order_client::TakeEpoch(const host_id& leader,
--- a/src/libshallotport/control/order_client.h
+++ b/src/libshallotport/control/order_client.h
@@ -17,7 +17,7 @@
   explicit order_client(replicated_log& log) : log_(log) {}
 
   // A resend with the same order id is safe after every error.
-  result<order_reply> Add(const endpoint_order& order, steady_time deadline);
+  result<order_reply> Add(const order_add& add, steady_time deadline);
   // Only the leader's order driver takes epochs and settles orders.
   result<order_reply> TakeEpoch(const host_id& leader, steady_time deadline);
   result<order_reply> Settle(const order_settle& settle, steady_time deadline);
--- a/src/libshallotport/control/order_messages.h
+++ b/src/libshallotport/control/order_messages.h
@@ -43,8 +43,20 @@
 
 enum class order_status : uint8_t { kQueued = 0, kDone = 1, kFailed = 2 };
 
+// Where the order's endpoint was found when the order was given.
+struct order_target {
+  std::string address;  // "IP:port" of its HTTP interface.
+  bool checks_fencing = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(address, checks_fencing);
+  }
+};
+
 struct order_record {
   endpoint_order order;
+  order_target target;
   order_status at = order_status::kQueued;
   log_index accepted = 0;      // Orders of one endpoint run in this order.
   fencing_number fencing = 0;  // Under which it was settled.
@@ -52,16 +64,17 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(order, at, accepted, fencing, detail);
+    archive(order, target, at, accepted, fencing, detail);
   }
 };
 
 // Adds an order to its endpoint's queue.
 struct order_add {
   endpoint_order order;
+  order_target target;
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(order);
+    archive(order, target);
   }
 };
 
--- a/src/libshallotport/control/order_sender.cc
+++ b/src/libshallotport/control/order_sender.cc
@@ -110,7 +110,7 @@
     return out;
   }
   if (epoch_ == 0) {
-    out.must_take_epoch = epoch_due_ <= now;
+    out.must_take_epoch = !queue_.empty() && epoch_due_ <= now;
     epoch_due_ = out.must_take_epoch ? now + options_.retry_delay : epoch_due_;
     return out;
   }
--- a/src/libshallotport/control/order_sender_test.cc
+++ b/src/libshallotport/control/order_sender_test.cc
@@ -49,7 +49,7 @@
       order.endpoint = endpoint_id("e" + std::to_string(i % 4));
       order.action =
           i % 3 == 0 ? order_action::kSetRole : order_action::kLoadModel;
-      Commit(order_add{order});
+      Commit(order_add{order, {}});
     }
     Lead(0);
   }
@@ -212,12 +212,13 @@
 TEST(OrderState, ResendsAndStaleEpochsChangeNothing) {
   order_state state;
   using enum order_verdict;
-  EXPECT_EQ(state.ApplyCommand({1, 0}, order_add{OrderOf("a")}).verdict,
+  EXPECT_EQ(state.ApplyCommand({1, 0}, order_add{OrderOf("a"), {}}).verdict,
             kAccepted);
-  EXPECT_EQ(state.ApplyCommand({2, 0}, order_add{OrderOf("a")}).verdict,
+  EXPECT_EQ(state.ApplyCommand({2, 0}, order_add{OrderOf("a"), {}}).verdict,
             kRepeated);
-  EXPECT_EQ(state.ApplyCommand({3, 0}, order_add{OrderOf("a", "x")}).verdict,
-            kIdReused);
+  EXPECT_EQ(
+      state.ApplyCommand({3, 0}, order_add{OrderOf("a", "x"), {}}).verdict,
+      kIdReused);
   EXPECT_EQ(state.ApplyCommand({4, 0}, order_take_epoch{host_id("h")}).epoch,
             4U);
   EXPECT_EQ(state.ApplyCommand({5, 0}, order_take_epoch{host_id("i")}).epoch,
@@ -226,7 +227,8 @@
   EXPECT_EQ(state.ApplyCommand({6, 0}, stale).verdict, kStaleEpoch);
   const order_settle fresh{"a", FencingNumber(5, 1), false, "refused"};
   EXPECT_EQ(state.ApplyCommand({7, 0}, fresh).verdict, kAccepted);
-  const order_reply again = state.ApplyCommand({8, 0}, order_add{OrderOf("a")});
+  const order_reply again =
+      state.ApplyCommand({8, 0}, order_add{OrderOf("a"), {}});
   EXPECT_EQ(again.verdict, kRepeated);
   EXPECT_EQ(again.at, order_status::kFailed);
   EXPECT_EQ(state.ApplyCommand({9, 0}, fresh).verdict, kUnknown);
--- a/src/libshallotport/control/order_state.cc
+++ b/src/libshallotport/control/order_state.cc
@@ -73,6 +73,7 @@
   }
   order_record record;
   record.order = add.order;
+  record.target = add.target;
   record.accepted = context.index;
   data_.queued.emplace(add.order.id, std::move(record));
   return ReplyOf(order_verdict::kAccepted);
--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -6,6 +6,7 @@
 #include "command.h"
 #include "control_commands.h"
 #include "operator_client.h"
+#include "order_commands.h"
 
 namespace shallotport {
 namespace {
@@ -13,7 +14,7 @@
 using command_list = std::span<const command> (*)();
 
 constexpr command_list kCommandLists[] = {
-    &StateCommands, &ConfigurationCommands, &ControlCommands};
+    &StateCommands, &ConfigurationCommands, &ControlCommands, &OrderCommands};
 
 struct global_options {
   std::string host;
--- a/src/shallotportd/control_member.cc
+++ b/src/shallotportd/control_member.cc
@@ -5,6 +5,7 @@
 #include "batch/stored_payloads.h"
 #include "claims/claim_state.h"
 #include "control/configuration_state.h"
+#include "control/order_state.h"
 #include "storage/payload_store.h"
 #include "transport/peer_network.h"
 
@@ -36,6 +37,7 @@
 struct control_member::parts {
   std::unique_ptr<stored_payloads> payloads;
   configuration_state configuration;
+  order_state orders;
   claim_state claims;
   std::unique_ptr<job_state> jobs;
   std::unique_ptr<replica> member;
@@ -73,6 +75,7 @@
   made->member = std::move(ValueOf(member));
   made->member->Register(replicated_slice::kConfiguration,
                          &made->configuration);
+  made->member->Register(replicated_slice::kOrders, &made->orders);
   made->member->Register(replicated_slice::kClaims, &made->claims);
   made->member->Register(replicated_slice::kJobs, made->jobs.get());
   return std::unique_ptr<control_member>(new control_member(std::move(made)));
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -19,6 +19,8 @@
 #include "incarnation_file.h"
 #include "log_claims.h"
 #include "membership/membership_duty.h"
+#include "order_driver.h"
+#include "order_operations.h"
 #include "serving/batch_interface.h"
 #include "serving/caller_interface.h"
 #include "serving/configuration_operations.h"
@@ -130,6 +132,8 @@
   std::unique_ptr<configuration_distributor> distributor;
   std::unique_ptr<configuration_operations> configuration_routes;
   std::unique_ptr<configuration_reports> report_routes;
+  std::unique_ptr<order_operations> orders;
+  std::unique_ptr<order_driver> order_sending;  // Members of the log only.
   exchange_services services;
   std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
@@ -204,6 +208,14 @@
     return ErrorOf(made);
   }
   log = std::move(ValueOf(made));
+  orders = std::make_unique<order_operations>(*log, clock);
+  if (local != nullptr) {
+    auto driver = order_driver::Create(settings.host, *local, clock);
+    if (!IsOk(driver)) {
+      return ErrorOf(driver);
+    }
+    order_sending = std::move(ValueOf(driver));
+  }
   claim_coordinator_options options;
   options.host = settings.host;
   options.started = started;
@@ -252,6 +264,7 @@
     batch->OnEndpoint(event);
     if (event.kind == endpoint_event_kind::kRemoved) {
       routing->RemoveEndpoint(event.endpoint.id);
+      orders->RemoveEndpoint(event.endpoint.id);
       LogStateChange("endpoints",
                      "endpoint " + event.endpoint.id.text() + " is gone");
       return;
@@ -261,6 +274,7 @@
                      "endpoint " + event.endpoint.id.text() + " is known");
     }
     routing->UpdateEndpoint(event.endpoint);
+    orders->UpdateEndpoint(event.endpoint);
   };
   callbacks.on_summaries =
       [this, sequence = uint64_t{0}](
@@ -346,6 +360,7 @@
   report_routes =
       std::make_unique<configuration_reports>(*log, clock, *distributor);
   report_routes->AddRoutes(operators->routes());
+  orders->AddRoutes(operators->routes());
 }
 
 void daemon::parts::ConnectNetwork() {
@@ -399,6 +414,10 @@
             [this](nlohmann::json& out) { coordinator->WriteState(out); });
   state.Add("online_calls",
             [this](nlohmann::json& out) { online_caller->WriteState(out); });
+  if (order_sending) {
+    state.Add("orders",
+              [this](nlohmann::json& out) { order_sending->WriteState(out); });
+  }
   if (member) {
     state.Add("consensus", [this](nlohmann::json& out) {
       member->log_member().WriteState(out);
@@ -498,6 +517,9 @@
   parts_->coordinator->Start();
   parts_->batch->Start();
   parts_->distributor->Start();
+  if (parts_->order_sending) {
+    parts_->order_sending->Start();
+  }
   status listening = parts_->Listen();
   if (!IsOk(listening)) {
     return listening;
@@ -520,6 +542,9 @@
   parts_->finisher->Stop();
   parts_->caller_lane->Stop();
   parts_->endpoint_lane->Stop();
+  if (parts_->order_sending) {
+    parts_->order_sending->Stop();
+  }
   parts_->distributor->Stop();
   parts_->batch->Stop();
   parts_->coordinator->Stop();
