consensus, serving, shallotctl: add, remove and replace hosts of the log

shallotctl hosts list|add|remove|replace talk to any host; the steps go to the leader, are safe to repeat, and a step without a quorum left is refused with the reason. Answers of members name the present members, so that hosts without one find a group whose hosts were replaced one by one.

--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -60,6 +60,11 @@
   kLeader
 };
 
+// How the refusals of steps that were taken already end.
+inline constexpr std::string_view kIsMemberAlready = " is a member already";
+inline constexpr std::string_view kIsVoterAlready = " is a voter already";
+inline constexpr std::string_view kIsNoMember = " is no member";
+
 // One step of a membership change.
 enum class membership_step : uint8_t { kAddLearner, kPromote, kRemove };
 
--- a/src/libshallotport/consensus/consensus_core_test.cc
+++ b/src/libshallotport/consensus/consensus_core_test.cc
@@ -274,6 +274,24 @@
   EXPECT_EQ(actions.granted_reads[0].index, 2u);
 }
 
+// The removal may be committed by others' logs only through this one.
+TEST_F(consensus_core_test, RemovedMemberStandsUntilTheRemovalIsCommitted) {
+  auto removal = std::make_shared<log_entry>();
+  removal->index = 2;
+  removal->term = 2;
+  removal->kind = entry_kind::kMembership;
+  removal->content.command =
+      EncodeMembership({{{kB, kDiskB, true}, {kC, kDiskC, true}}});
+  Restart({removal});
+  Advance(seconds(2));
+  EXPECT_EQ(core_->role(), member_role::kPreCandidate);
+  // Its own vote does not count: it takes both others.
+  Deliver(kB, kDiskB, core_->term() + 1, vote_reply{true, true});
+  EXPECT_EQ(core_->role(), member_role::kPreCandidate);
+  Deliver(kC, kDiskC, core_->term() + 1, vote_reply{true, true});
+  EXPECT_EQ(core_->role(), member_role::kCandidate);
+}
+
 TEST_F(consensus_core_test, NothingIsSaidInATermBeforeItIsStored) {
   Advance(seconds(2));
   Deliver(kB, kDiskB, core_->term() + 1, vote_reply{true, true});
--- a/src/libshallotport/consensus/consensus_membership.cc
+++ b/src/libshallotport/consensus/consensus_membership.cc
@@ -91,7 +91,7 @@
   const group_member* member = membership().Find(host);
   if (step == membership_step::kAddLearner) {
     if (member != nullptr) {
-      return Refuse(host.text() + " is a member already");
+      return Refuse(host.text() + std::string(kIsMemberAlready));
     }
     if (membership().members.size() >= kMaxGroupMembers) {
       return Refuse("the group has " + std::to_string(kMaxGroupMembers) +
@@ -100,11 +100,11 @@
     return success{};
   }
   if (member == nullptr) {
-    return Refuse(host.text() + " is no member");
+    return Refuse(host.text() + std::string(kIsNoMember));
   }
   if (step == membership_step::kPromote) {
     if (member->is_voter) {
-      return Refuse(host.text() + " is a voter already");
+      return Refuse(host.text() + std::string(kIsVoterAlready));
     }
     const peer_progress& peer = peers_.at(host);
     if (!IsInContact(now, *member) || peer.seen_disk == 0) {
--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -59,6 +59,8 @@
       free_lanes_.push_back(lane - 1);
     }
     sequences_.resize(options_.lanes);
+    named_members_ = options_.members;
+    members_ = options_.members;
   }
 
   void OnPeerMessage(const host_id& from, std::string_view bytes);
@@ -68,6 +70,7 @@
   result<std::string> Call(forwarding_request request, steady_time deadline);
   void Stop();
   host_id leader() const;
+  std::vector<host_id> members() const;
   void WriteState(nlohmann::json& out) const;
 
  private:
@@ -98,6 +101,8 @@
   bool is_stopped_ = false;
   random_source random_;
   host_id leader_;
+  std::vector<host_id> named_members_;
+  std::vector<host_id> members_;  // And those of the settings.
   size_t next_member_ = 0;
   uint64_t next_call_ = 1;
   std::vector<uint32_t> free_lanes_;
@@ -261,9 +266,8 @@
   }
   if (!leader_.IsEmpty() && leader_ != progress.silent) {
     progress.target = leader_;
-  } else if (!options_.members.empty()) {
-    progress.target =
-        options_.members[next_member_++ % options_.members.size()];
+  } else if (!members_.empty()) {
+    progress.target = members_[next_member_++ % members_.size()];
   } else {
     progress.target = options_.host;
   }
@@ -334,6 +338,7 @@
     reply.text = IsOk(outcome) ? ValueOf(outcome) : ErrorOf(outcome).detail;
     if (alive->options_.local != nullptr) {
       reply.leader = alive->options_.local->leader();
+      reply.members = alive->options_.local->members();
     }
     alive->send_(from, Encode(forwarding_message(reply)));
   };
@@ -356,6 +361,13 @@
     }
     waiting = found->second;
     leader_ = reply.leader;
+    if (!reply.members.empty()) {
+      // Those of the settings stay: the named ones may be a member's old view.
+      named_members_ = std::move(reply.members);
+      members_ = named_members_;
+      members_.insert(members_.end(), options_.members.begin(),
+                      options_.members.end());
+    }
   }
   const bool is_known_kind = static_cast<size_t>(reply.kind) < kErrorKindCount;
   const error_kind kind = is_known_kind ? reply.kind : error_kind::kInternal;
@@ -379,6 +391,14 @@
   return leader_;
 }
 
+std::vector<host_id> forwarding_log::implementation::members() const {
+  if (options_.local != nullptr) {
+    return options_.local->members();
+  }
+  const std::lock_guard lock(mutex_);
+  return named_members_;
+}
+
 void forwarding_log::implementation::Stop() {
   std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting;
   {
@@ -472,6 +492,10 @@
   return implementation_->leader();
 }
 
+std::vector<host_id> forwarding_log::members() const {
+  return implementation_->members();
+}
+
 void forwarding_log::WriteState(nlohmann::json& out) const {
   implementation_->WriteState(out);
 }
--- a/src/libshallotport/consensus/forwarding_log.h
+++ b/src/libshallotport/consensus/forwarding_log.h
@@ -23,9 +23,10 @@
 // How a host reaches the replicated log.
 struct forwarding_options {
   host_id host;
-  incarnation started = 0;       // Higher at each start of this host.
-  std::vector<host_id> members;  // Where to look for the leader.
-  replica* local = nullptr;      // This host's own member; outlives the log.
+  incarnation started = 0;  // Higher at each start of this host.
+  // Where to look for the leader at first; the answers name later members.
+  std::vector<host_id> members;
+  replica* local = nullptr;  // This host's own member; outlives the log.
   uint64_t seed = 1;
   duration attempt_timeout = std::chrono::milliseconds(500);
   uint32_t lanes = 256;  // Proposals of this host under way at once.
@@ -71,6 +72,9 @@
   // The member that last led, as far as known here.
   host_id leader() const;
 
+  // The members as far as known here.
+  std::vector<host_id> members() const;
+
   void WriteState(nlohmann::json& out) const;
 
  private:
--- a/src/libshallotport/consensus/forwarding_message.h
+++ b/src/libshallotport/consensus/forwarding_message.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result.h"
@@ -39,10 +40,11 @@
   error_kind kind = error_kind::kInternal;
   std::string text;  // The reply, or the error's detail.
   host_id leader;
+  std::vector<host_id> members;  // Empty when there is no member.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(call, is_ok, kind, text, leader);
+    archive(call, is_ok, kind, text, leader, members);
   }
 };
 
--- a/src/libshallotport/consensus/replica.cc
+++ b/src/libshallotport/consensus/replica.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <thread>
 #include <utility>
 
 #include "consensus/blocking_reply.h"
+#include "consensus/host_replacement.h"
 #include "consensus/replica_driver.h"
 
 namespace shallotport {
 
 namespace {
 
-constexpr std::chrono::milliseconds kStepRetryInterval{50};
 constexpr std::chrono::seconds kDumpTimeout{1};
 
 status CheckOptions(const replica_options& options) {
@@ -144,6 +143,10 @@
   return driver_->published_leader();
 }
 
+std::vector<host_id> replica::members() const {
+  return driver_->published_members();
+}
+
 bool replica::is_leader() const {
   return driver_->clock().Now() < driver_->published_lease_end();
 }
@@ -177,25 +180,10 @@
 status replica::Replace(const host_id& removed,
                         const host_id& added,
                         steady_time deadline) {
-  const bool is_same = removed == added;
-  if (is_same) {
-    if (status gone = Remove(removed, deadline); !IsOk(gone)) {
-      return gone;
-    }
-  }
-  if (status learns = AddLearner(added, deadline); !IsOk(learns)) {
-    return learns;
-  }
-  status votes = Promote(added, deadline);
-  while (!IsOk(votes) && ErrorOf(votes).kind == error_kind::kConflict &&
-         driver_->clock().Now() < deadline) {
-    std::this_thread::sleep_for(kStepRetryInterval);  // It is catching up.
-    votes = Promote(added, deadline);
-  }
-  if (!IsOk(votes) || is_same) {
-    return votes;
-  }
-  return Remove(removed, deadline);
+  const auto take = [&](membership_step step, const host_id& host) {
+    return Change(step, host, deadline);
+  };
+  return ReplaceVoter(take, removed, added, driver_->clock(), deadline);
 }
 
 void replica::WriteState(nlohmann::json& out) const {
--- a/src/libshallotport/consensus/replica.h
+++ b/src/libshallotport/consensus/replica.h
@@ -87,6 +87,9 @@
   // The leader as this member knows it; empty when unknown. Thread-safe.
   host_id leader() const;
 
+  // The group's members as this one knows them. Thread-safe.
+  std::vector<host_id> members() const;
+
   // True while this member leads and holds the lease. Thread-safe.
   bool is_leader() const;
 
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -284,6 +284,15 @@
   published_term_ = core_->term();
   const std::lock_guard lock(published_mutex_);
   published_leader_ = is_failed() ? host_id() : core_->leader();
+  published_members_.clear();
+  for (const group_member& member : core_->membership().members) {
+    published_members_.push_back(member.host);
+  }
+}
+
+std::vector<host_id> replica_driver::published_members() const {
+  const std::lock_guard lock(published_mutex_);
+  return published_members_;
 }
 
 host_id replica_driver::published_leader() const {
--- a/src/libshallotport/consensus/replica_driver.h
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -89,6 +89,7 @@
   void FinishSnapshot();
 
   host_id published_leader() const;
+  std::vector<host_id> published_members() const;
   steady_time published_lease_end() const;
   uint64_t published_term() const;
 
@@ -174,6 +175,7 @@
 
   mutable std::mutex published_mutex_;
   host_id published_leader_;
+  std::vector<host_id> published_members_;
   std::atomic<duration::rep> published_lease_end_{0};
   std::atomic<uint64_t> published_term_{0};
 
--- a/src/libshallotport/consensus/replica_test.cc
+++ b/src/libshallotport/consensus/replica_test.cc
@@ -9,6 +9,7 @@
 
 #include "consensus/consensus_core.h"
 #include "consensus/forwarding_log.h"
+#include "consensus/host_replacement.h"
 #include "consensus/register_state_test_util.h"
 
 namespace shallotport {
@@ -30,13 +31,17 @@
     for (const host_id& host : hosts_) {
       MakeMember(host);
     }
+    MakeMember(spare_);
     nodes_.try_emplace(host_id("host-4"));
     for (const host_id& host : hosts_) {
       StartLog(host);
     }
     StartLog(host_id("host-4"));
-    for (const host_id& host : hosts_) {
-      ASSERT_TRUE(IsOk(nodes_[host].member->Start()));
+    StartLog(spare_);
+    for (auto& [host, each] : nodes_) {
+      if (each.member != nullptr) {
+        ASSERT_TRUE(IsOk(each.member->Start()));
+      }
     }
   }
 
@@ -93,6 +98,7 @@
 
   steady_time Soon() const { return clock_.Now() + std::chrono::seconds(20); }
 
+  const host_id spare_{"host-5"};  // Runs, but is no member at first.
   const std::vector<host_id> hosts_ = {host_id("host-1"), host_id("host-2"),
                                        host_id("host-3")};
   system_clock_source clock_;
@@ -112,7 +118,7 @@
   const auto total = nodes_[host_id("host-4")].log->Query(
       replicated_slice::kOrders, "", Soon());
   ASSERT_TRUE(IsOk(total));
-  EXPECT_EQ(ValueOf(total), std::to_string(kCommands * 4));
+  EXPECT_EQ(ValueOf(total), std::to_string(kCommands * nodes_.size()));
 }
 
 TEST_F(replica_test, StoppedLeaderHandsOver) {
@@ -127,5 +133,27 @@
   EXPECT_EQ(ValueOf(total), "2");
 }
 
+TEST_F(replica_test, OperatorReplacesAHost) {
+  forwarding_log& log = *nodes_[host_id("host-4")].log;
+  ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  const auto take = [&](membership_step step, const host_id& host) {
+    return log.ChangeMembership(step, host, Soon());
+  };
+  for (int repeat = 0; repeat < 2; ++repeat) {
+    const status replaced =
+        ReplaceVoter(take, hosts_[2], spare_, clock_, Soon());
+    ASSERT_TRUE(IsOk(replaced)) << ErrorOf(replaced).detail;
+  }
+  const std::vector<host_id> expected = {hosts_[0], hosts_[1], spare_};
+  EXPECT_EQ(log.members(), expected);
+  // The new member counts: the group goes on without one of the old ones.
+  nodes_[hosts_[2]].member->Stop();
+  nodes_[hosts_[0]].member->Stop();
+  ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  const auto total = log.Query(replicated_slice::kOrders, "", Soon());
+  ASSERT_TRUE(IsOk(total));
+  EXPECT_EQ(ValueOf(total), "2");
+}
+
 }  // namespace
 }  // namespace shallotport
--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -11,8 +11,8 @@
 
 using command_list = std::span<const command> (*)();
 
-constexpr command_list kCommandLists[] = {&StateCommands,
-                                          &ConfigurationCommands};
+constexpr command_list kCommandLists[] = {
+    &StateCommands, &ConfigurationCommands, &HostCommands};
 
 struct global_options {
   std::string host;
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -23,6 +23,7 @@
 #include "serving/configuration_view.h"
 #include "serving/endpoint_interface.h"
 #include "serving/exchange_finisher.h"
+#include "serving/host_operations.h"
 #include "serving/online_exchange.h"
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
@@ -126,6 +127,7 @@
   std::unique_ptr<exchange_finisher> finisher;
   std::unique_ptr<configuration_poller> poller;
   std::unique_ptr<configuration_operations> configuration_routes;
+  std::unique_ptr<host_operations> host_routes;
   exchange_services services;
   std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
@@ -314,6 +316,8 @@
   configuration_routes = std::make_unique<configuration_operations>(
       *log, clock, [this] { poller->Hurry(); });
   configuration_routes->AddRoutes(operators->routes());
+  host_routes = std::make_unique<host_operations>(*log, clock);
+  host_routes->AddRoutes(operators->routes());
 }
 
 void daemon::parts::ConnectNetwork() {
