--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -139,6 +139,7 @@
   uint64_t term() const { return state_.term; }
   const host_id& leader() const { return leader_; }
   log_index commit_index() const { return commit_index_; }
+  log_index snapshot_index() const { return snapshot_index_; }
   const log_window& log() const { return log_; }
   // Snapshot files below this index are needed no more.
   log_index oldest_snapshot() const { return oldest_snapshot_; }
--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -22,12 +22,15 @@
 
 constexpr std::chrono::milliseconds kFirstBackoff{10};
 constexpr std::chrono::milliseconds kLongestBackoff{200};
+// How long a host that did not answer is reached through others.
+constexpr std::chrono::seconds kSilenceMemory{5};
+constexpr std::chrono::seconds kRelayLifetime{2};
+constexpr size_t kMaxRelays = 1'024;
 
 // How a call that is under way stands.
 struct call_progress {
   bool may_be_proposed = false;
   host_id target;
-  host_id silent;  // Did not answer the last attempt.
   duration backoff = kFirstBackoff;
   error last_error = MakeError(error_kind::kNotLeader, "no member answered");
 };
@@ -74,6 +77,13 @@
   void WriteState(nlohmann::json& out) const;
 
  private:
+  // A call that this host passes on for another one.
+  struct relayed_call {
+    host_id from;
+    uint64_t call = 0;
+    steady_time until;
+  };
+
   std::optional<proposal_origin> TakeLane(steady_time deadline);
   void ReturnLane(const proposal_origin& origin);
   std::optional<result<std::string>> Attempt(forwarding_request& request,
@@ -87,8 +97,11 @@
   void PauseUntil(steady_time until);
   void ChooseTarget(call_progress& progress);
   void Serve(const host_id& from, const forwarding_request& request);
-  void TakeReply(const host_id& from, forwarding_reply reply);
-  void NoteLeader(const host_id& leader);
+  bool Relay(const host_id& from, const forwarding_request& request);
+  bool PassBack(forwarding_reply& reply);
+  bool IsSilent(const host_id& host) const;
+  bool IsSilentLocked(const host_id& host) const;
+  void TakeReply(forwarding_reply reply);
   bool IsStopped() const;
   uint64_t Count(uint64_t& counter, uint64_t by = 1);
 
@@ -108,11 +121,14 @@
   std::vector<uint32_t> free_lanes_;
   std::vector<uint64_t> sequences_;
   std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting_;
+  std::map<host_id, steady_time> silent_until_;
+  std::map<uint64_t, relayed_call> relays_;  // By the call's number here.
 
   uint64_t calls_ = 0;
   uint64_t attempts_ = 0;
   uint64_t served_ = 0;
   uint64_t unanswered_ = 0;
+  uint64_t relayed_ = 0;
   uint64_t unknown_replies_ = 0;
 };
 
@@ -199,6 +215,7 @@
   {
     const std::lock_guard lock(mutex_);
     request.call = next_call_++;
+    request.may_relay = progress.target != leader_;
     waiting_[request.call] = waiting;
     ++attempts_;
   }
@@ -216,11 +233,12 @@
     progress.may_be_proposed |= has_effect;
     progress.last_error = MakeError(error_kind::kNoQuorum,
                                     progress.target.text() + " did not answer");
-    progress.silent = std::exchange(progress.target, host_id());
+    const host_id silent = std::exchange(progress.target, host_id());
+    const std::lock_guard lock(mutex_);
+    silent_until_[silent] = clock_.Now() + kSilenceMemory;
     return std::nullopt;
   }
   if (IsOk(*reply)) {
-    NoteLeader(progress.target);
     return reply;
   }
   progress.last_error = ErrorOf(*reply);
@@ -229,9 +247,9 @@
   if (!IsWorthRetry(progress.last_error.kind)) {
     return reply;
   }
-  progress.silent = host_id();
   const host_id known = leader();
-  const bool is_redirected = !known.IsEmpty() && known != progress.target;
+  const bool is_redirected =
+      !known.IsEmpty() && known != progress.target && !IsSilent(known);
   progress.target = is_redirected ? known : host_id();
   if (!is_redirected) {
     duration pause;
@@ -253,7 +271,8 @@
   changed_.wait_until(lock, until, [this] { return is_stopped_; });
 }
 
-// The known leader first; else the members in turn.
+// The known leader first; else the members in turn, those that lately did not
+// answer last.
 void forwarding_log::implementation::ChooseTarget(call_progress& progress) {
   if (!progress.target.IsEmpty()) {
     return;
@@ -264,12 +283,16 @@
   if (!local_view.IsEmpty()) {
     leader_ = local_view;
   }
-  if (!leader_.IsEmpty() && leader_ != progress.silent) {
+  if (!leader_.IsEmpty() && !IsSilentLocked(leader_)) {
     progress.target = leader_;
-  } else if (!members_.empty()) {
+    return;
+  }
+  progress.target = options_.host;
+  for (size_t tried = 0; tried < members_.size(); ++tried) {
     progress.target = members_[next_member_++ % members_.size()];
-  } else {
-    progress.target = options_.host;
+    if (!IsSilentLocked(progress.target)) {
+      return;
+    }
   }
 }
 
@@ -315,7 +338,7 @@
     return;
   }
   if (auto* reply = std::get_if<forwarding_reply>(&ValueOf(message))) {
-    TakeReply(from, std::move(*reply));
+    TakeReply(std::move(*reply));
   } else {
     Serve(from, std::get<forwarding_request>(ValueOf(message)));
   }
@@ -325,6 +348,9 @@
 void forwarding_log::implementation::Serve(const host_id& from,
                                            const forwarding_request& request) {
   Count(served_);
+  if (Relay(from, request)) {
+    return;
+  }
   const auto answer = [self = weak_from_this(), from, call = request.call](
                           const result<std::string>& outcome) {
     const auto alive = self.lock();
@@ -349,8 +375,64 @@
   SubmitLocally(request, answer);
 }
 
-void forwarding_log::implementation::TakeReply(const host_id&,
-                                               forwarding_reply reply) {
+// Passes a call on to the leader, for a host that does not reach it.
+bool forwarding_log::implementation::Relay(const host_id& from,
+                                           const forwarding_request& request) {
+  if (!request.may_relay || options_.local == nullptr) {
+    return false;
+  }
+  const host_id leader = options_.local->leader();
+  if (leader.IsEmpty() || leader == options_.host || leader == from) {
+    return false;
+  }
+  forwarding_request passed = request;
+  passed.may_relay = false;
+  {
+    const std::lock_guard lock(mutex_);
+    const steady_time now = clock_.Now();
+    std::erase_if(
+        relays_, [now](const auto& relay) { return relay.second.until < now; });
+    if (relays_.size() >= kMaxRelays) {
+      return false;
+    }
+    passed.call = next_call_++;
+    relays_[passed.call] = {from, request.call, now + kRelayLifetime};
+    ++relayed_;
+  }
+  send_(leader, Encode(forwarding_message(passed)));
+  return true;
+}
+
+bool forwarding_log::implementation::PassBack(forwarding_reply& reply) {
+  host_id asker;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto relay = relays_.find(reply.call);
+    if (relay == relays_.end()) {
+      return false;
+    }
+    asker = relay->second.from;
+    reply.call = relay->second.call;
+    relays_.erase(relay);
+  }
+  send_(asker, Encode(forwarding_message(reply)));
+  return true;
+}
+
+bool forwarding_log::implementation::IsSilentLocked(const host_id& host) const {
+  const auto found = silent_until_.find(host);
+  return found != silent_until_.end() && clock_.Now() < found->second;
+}
+
+bool forwarding_log::implementation::IsSilent(const host_id& host) const {
+  const std::lock_guard lock(mutex_);
+  return IsSilentLocked(host);
+}
+
+void forwarding_log::implementation::TakeReply(forwarding_reply reply) {
+  if (PassBack(reply)) {
+    return;
+  }
   std::shared_ptr<blocking_reply> waiting;
   {
     const std::lock_guard lock(mutex_);
@@ -375,11 +457,6 @@
                            : result<std::string>(MakeError(kind, reply.text)));
 }
 
-void forwarding_log::implementation::NoteLeader(const host_id& leader) {
-  const std::lock_guard lock(mutex_);
-  leader_ = leader;
-}
-
 host_id forwarding_log::implementation::leader() const {
   if (options_.local != nullptr) {
     host_id known = options_.local->leader();
@@ -420,6 +497,7 @@
   counters["log_attempts"] = attempts_;
   counters["log_calls_served"] = served_;
   counters["log_attempts_unanswered"] = unanswered_;
+  counters["log_calls_relayed"] = relayed_;
   counters["log_replies_unknown"] = unknown_replies_;
   counters["log_calls_waiting"] = waiting_.size();
 }
--- a/src/libshallotport/consensus/forwarding_message.h
+++ b/src/libshallotport/consensus/forwarding_message.h
@@ -26,10 +26,12 @@
   proposal content;  // For a query the command is the query.
   uint8_t step = 0;  // membership_step, for kMembership.
   host_id subject;   // Whom the step is about.
+  // The sender does not reach the leader: a follower passes the call on.
+  bool may_relay = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(call, kind, content, step, subject);
+    archive(call, kind, content, step, subject, may_relay);
   }
 };
 
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -218,7 +218,7 @@
   }
   if (!is_failed()) {
     TakeSnapshotResult(now);
-    StartSnapshotWhenDue();
+    StartSnapshotWhenDue(now);
   }
   const bool is_leader = core_->role() == member_role::kLeader;
   if (was_leader_ != is_leader) {
--- a/src/libshallotport/consensus/replica_driver.h
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -138,7 +138,7 @@
   result<log_entry_pointer> EntryAt(log_index index) const;
   void AnswerReads(const consensus_actions& actions);
   void AnswerRead(uint64_t read);
-  void StartSnapshotWhenDue();
+  void StartSnapshotWhenDue(steady_time now);
   void TakeSnapshotResult(steady_time now);
 
   const replica_options options_;
@@ -164,6 +164,7 @@
 
   uint64_t bytes_since_snapshot_ = 0;
   log_index snapshot_index_ = 0;
+  steady_time snapshot_retry_{};  // Not before, after one failed.
   uint64_t snapshot_bytes_ = 0;
   uint64_t snapshots_taken_ = 0;
   uint64_t snapshots_failed_ = 0;
--- a/src/libshallotport/consensus/replica_execution.cc
+++ b/src/libshallotport/consensus/replica_execution.cc
@@ -13,6 +13,7 @@
 constexpr uint64_t kChunkBytes = 256u << 10;
 constexpr log_index kMaxApplyBatch = 512;
 constexpr std::chrono::milliseconds kDiskRetryInterval{500};
+constexpr std::chrono::seconds kSnapshotRetryInterval{10};
 
 }  // namespace
 
@@ -261,13 +262,13 @@
   answered.reply(states_.Query(answered.slice, answered.query));
 }
 
-void replica_driver::StartSnapshotWhenDue() {
+void replica_driver::StartSnapshotWhenDue(steady_time now) {
   const bool is_due =
       applied_ > snapshot_index_ &&
       (bytes_since_snapshot_ >=
            std::max(options_.snapshot_after_bytes, snapshot_bytes_) ||
        applied_ - snapshot_index_ >= options_.snapshot_after_entries);
-  if (!is_due || snapshot_.valid()) {
+  if (!is_due || snapshot_.valid() || now < snapshot_retry_) {
     return;
   }
   snapshot_point point;
@@ -302,6 +303,9 @@
   const auto [index, size] = snapshot_.get();
   if (!IsOk(size)) {
     ++snapshots_failed_;
+    snapshot_retry_ = now + kSnapshotRetryInterval;
+    snapshot_index_ = core_->snapshot_index();
+    bytes_since_snapshot_ = options_.snapshot_after_bytes;
     LogWarning(kDuty, "snapshot: " + ErrorOf(size).detail);
     return;
   }
--- a/src/libshallotport/consensus/replica_test.cc
+++ b/src/libshallotport/consensus/replica_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -88,7 +89,9 @@
     auto log = forwarding_log::Create(
         options, clock_, [this, host](const host_id& to, std::string bytes) {
           const auto found = nodes_.find(to);
-          if (found != nodes_.end() && found->second.log != nullptr) {
+          const bool is_cut = host == host_id("host-4") && to == Unreachable();
+          if (!is_cut && found != nodes_.end() &&
+              found->second.log != nullptr) {
             found->second.log->OnPeerMessage(host, std::move(bytes));
           }
         });
@@ -96,11 +99,23 @@
     nodes_[host].log = std::move(ValueOf(log));
   }
 
+  // A member that host-4 cannot send to.
+  host_id Unreachable() const {
+    const std::lock_guard lock(mutex_);
+    return unreachable_;
+  }
+  void Cut(const host_id& host) {
+    const std::lock_guard lock(mutex_);
+    unreachable_ = host;
+  }
+
   steady_time Soon() const { return clock_.Now() + std::chrono::seconds(20); }
 
   const host_id spare_{"host-5"};  // Runs, but is no member at first.
   const std::vector<host_id> hosts_ = {host_id("host-1"), host_id("host-2"),
                                        host_id("host-3")};
+  mutable std::mutex mutex_;
+  host_id unreachable_;
   system_clock_source clock_;
   std::filesystem::path folder_;
   std::map<host_id, node> nodes_;
@@ -133,6 +148,21 @@
   EXPECT_EQ(ValueOf(total), "2");
 }
 
+TEST_F(replica_test, CutOffHostReachesTheLeaderThroughAnother) {
+  forwarding_log& log = *nodes_[host_id("host-4")].log;
+  ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  Cut(log.leader());
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
+  }
+  const auto total = log.Query(replicated_slice::kOrders, "", Soon());
+  ASSERT_TRUE(IsOk(total));
+  EXPECT_EQ(ValueOf(total), "21");
+  nlohmann::json state;
+  log.WriteState(state);
+  EXPECT_LT(state["counters"]["log_attempts_unanswered"], 10);
+}
+
 TEST_F(replica_test, OperatorReplacesAHost) {
   forwarding_log& log = *nodes_[host_id("host-4")].log;
   ASSERT_TRUE(IsOk(log.Propose(replicated_slice::kOrders, "add 1", Soon())));
