--- a/src/libshallotport/consensus/consensus_core.cc
+++ b/src/libshallotport/consensus/consensus_core.cc
@@ -294,37 +294,4 @@
   log_.Evict(std::min(index, persisted_index_));
 }
 
-// Entries still in memory stay in the log for members that are a little
-// behind, and so do those after a snapshot that is being sent.
-void consensus_core::SnapshotTaken(steady_time now, log_index index) {
-  snapshot_index_ = std::max(snapshot_index_, index);
-  const log_index trailing =
-      index > options_.trailing_entries ? index - options_.trailing_entries : 0;
-  log_index cut = std::max(trailing, std::min(log_.evicted_to(), index));
-  oldest_snapshot_ = OldestSentSnapshot(now);
-  cut = std::min(cut, oldest_snapshot_);
-  if (cut <= log_.base_index()) {
-    return;
-  }
-  const group_membership kept = MembershipAt(cut);
-  log_.CompactTo(cut);
-  while (memberships_.size() > 1 && memberships_[1].first <= cut) {
-    memberships_.pop_front();
-  }
-  if (memberships_.front().first <= cut) {
-    memberships_.front() = {cut, kept};
-  }
-}
-
-// The newest snapshot, or an older one that a member is still getting.
-log_index consensus_core::OldestSentSnapshot(steady_time now) const {
-  log_index oldest = snapshot_index_;
-  for (const auto& [host, peer] : peers_) {
-    const bool is_sending = peer.state == feeding::kSnapshot &&
-                            now < peer.last_ack + options_.election;
-    oldest = is_sending ? std::min(oldest, peer.snapshot_index) : oldest;
-  }
-  return oldest;
-}
-
 }  // namespace shallotport
--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -216,7 +216,6 @@
                    peer_progress& peer,
                    std::vector<log_entry_pointer> entries);
   void SendHeartbeat(const host_id& to, const peer_progress& peer);
-  void FeedSnapshot(steady_time now, const host_id& to, peer_progress& peer);
   void OnAppendRequest(steady_time now,
                        const consensus_message& message,
                        const append_request& request);
@@ -225,6 +224,13 @@
   void OnAppendReply(steady_time now,
                      const consensus_message& message,
                      const append_reply& reply);
+  peer_progress* NoteReply(steady_time now,
+                           const consensus_message& message,
+                           uint64_t round);
+  void AdvanceCommit();
+
+  // consensus_snapshot.cc
+  void FeedSnapshot(steady_time now, const host_id& to, peer_progress& peer);
   log_index OldestSentSnapshot(steady_time now) const;
   void OnSnapshotChunk(steady_time now,
                        const consensus_message& message,
@@ -232,10 +238,6 @@
   void OnSnapshotReply(steady_time now,
                        const consensus_message& message,
                        const snapshot_reply& reply);
-  peer_progress* NoteReply(steady_time now,
-                           const consensus_message& message,
-                           uint64_t round);
-  void AdvanceCommit();
 
   // consensus_reads.cc
   uint64_t QuorumRound() const;
--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -1,39 +1,21 @@
 #include "consensus/forwarding_log.h"
 
 #include <algorithm>
-#include <condition_variable>
-#include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
 
 #include "base/codec.h"
-#include "base/random_source.h"
-#include "consensus/blocking_reply.h"
 #include "consensus/consensus_core.h"
-#include "consensus/forwarding_message.h"
-#include "consensus/replica.h"
+#include "consensus/forwarding_log_internal.h"
 #include "consensus/session_table.h"
 
 namespace shallotport {
 
 namespace {
 
-constexpr std::chrono::milliseconds kFirstBackoff{10};
 constexpr std::chrono::milliseconds kLongestBackoff{200};
 // How long a host that did not answer is reached through others.
 constexpr std::chrono::seconds kSilenceMemory{5};
-constexpr std::chrono::seconds kRelayLifetime{2};
-constexpr size_t kMaxRelays = 1'024;
-
-// How a call that is under way stands.
-struct call_progress {
-  bool may_be_proposed = false;
-  host_id target;
-  duration backoff = kFirstBackoff;
-  error last_error = MakeError(error_kind::kNotLeader, "no member answered");
-};
 
 // Kinds after which another member, or the same one later, may do better.
 bool IsWorthRetry(error_kind kind) {
@@ -48,90 +30,6 @@
 
 }  // namespace
 
-class forwarding_log::implementation
-    : public std::enable_shared_from_this<implementation> {
- public:
-  implementation(forwarding_options options,
-                 const clock_source& clock,
-                 send_function send)
-      : options_(std::move(options)),
-        clock_(clock),
-        send_(std::move(send)),
-        random_(options_.seed) {
-    for (uint32_t lane = options_.lanes; lane > 0; --lane) {
-      free_lanes_.push_back(lane - 1);
-    }
-    sequences_.resize(options_.lanes);
-    named_members_ = options_.members;
-    members_ = options_.members;
-  }
-
-  void OnPeerMessage(const host_id& from, std::string_view bytes);
-  result<std::string> Propose(replicated_slice slice,
-                              std::string command,
-                              steady_time deadline);
-  result<std::string> Call(forwarding_request request, steady_time deadline);
-  void Stop();
-  host_id leader() const;
-  std::vector<host_id> members() const;
-  void WriteState(nlohmann::json& out) const;
-
- private:
-  // A call that this host passes on for another one.
-  struct relayed_call {
-    host_id from;
-    uint64_t call = 0;
-    steady_time until;
-  };
-
-  std::optional<proposal_origin> TakeLane(steady_time deadline);
-  void ReturnLane(const proposal_origin& origin);
-  std::optional<result<std::string>> Attempt(forwarding_request& request,
-                                             call_progress& progress,
-                                             steady_time deadline);
-  void StartAttempt(const forwarding_request& request,
-                    const host_id& target,
-                    const std::shared_ptr<blocking_reply>& waiting);
-  void SubmitLocally(const forwarding_request& request,
-                     replica::reply_function reply);
-  void PauseUntil(steady_time until);
-  void ChooseTarget(call_progress& progress);
-  void Serve(const host_id& from, const forwarding_request& request);
-  bool Relay(const host_id& from, const forwarding_request& request);
-  bool PassBack(forwarding_reply& reply);
-  bool IsSilent(const host_id& host) const;
-  bool IsSilentLocked(const host_id& host) const;
-  void TakeReply(forwarding_reply reply);
-  bool IsStopped() const;
-  uint64_t Count(uint64_t& counter, uint64_t by = 1);
-
-  const forwarding_options options_;
-  const clock_source& clock_;
-  const send_function send_;
-
-  mutable std::mutex mutex_;
-  std::condition_variable changed_;
-  bool is_stopped_ = false;
-  random_source random_;
-  host_id leader_;
-  std::vector<host_id> named_members_;
-  std::vector<host_id> members_;  // And those of the settings.
-  size_t next_member_ = 0;
-  uint64_t next_call_ = 1;
-  std::vector<uint32_t> free_lanes_;
-  std::vector<uint64_t> sequences_;
-  std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting_;
-  std::map<host_id, steady_time> silent_until_;
-  std::map<uint64_t, relayed_call> relays_;  // By the call's number here.
-
-  uint64_t calls_ = 0;
-  uint64_t attempts_ = 0;
-  uint64_t served_ = 0;
-  uint64_t unanswered_ = 0;
-  uint64_t relayed_ = 0;
-  uint64_t unknown_replies_ = 0;
-};
-
 bool forwarding_log::implementation::IsStopped() const {
   const std::lock_guard lock(mutex_);
   return is_stopped_;
@@ -331,94 +229,6 @@
   reply(MakeError(error_kind::kInvalidRequest, "unknown kind of call"));
 }
 
-void forwarding_log::implementation::OnPeerMessage(const host_id& from,
-                                                   std::string_view bytes) {
-  auto message = Decode<forwarding_message>(bytes);
-  if (!IsOk(message)) {
-    return;
-  }
-  if (auto* reply = std::get_if<forwarding_reply>(&ValueOf(message))) {
-    TakeReply(std::move(*reply));
-  } else {
-    Serve(from, std::get<forwarding_request>(ValueOf(message)));
-  }
-}
-
-// Answers another host's call from the local member.
-void forwarding_log::implementation::Serve(const host_id& from,
-                                           const forwarding_request& request) {
-  Count(served_);
-  if (Relay(from, request)) {
-    return;
-  }
-  const auto answer = [self = weak_from_this(), from, call = request.call](
-                          const result<std::string>& outcome) {
-    const auto alive = self.lock();
-    if (alive == nullptr) {
-      return;
-    }
-    forwarding_reply reply;
-    reply.call = call;
-    reply.is_ok = IsOk(outcome);
-    reply.kind = IsOk(outcome) ? error_kind::kInternal : ErrorOf(outcome).kind;
-    reply.text = IsOk(outcome) ? ValueOf(outcome) : ErrorOf(outcome).detail;
-    if (alive->options_.local != nullptr) {
-      reply.leader = alive->options_.local->leader();
-      reply.members = alive->options_.local->members();
-    }
-    alive->send_(from, Encode(forwarding_message(reply)));
-  };
-  if (options_.local == nullptr) {
-    answer(MakeError(error_kind::kNotLeader, "no member on this host"));
-    return;
-  }
-  SubmitLocally(request, answer);
-}
-
-// Passes a call on to the leader, for a host that does not reach it.
-bool forwarding_log::implementation::Relay(const host_id& from,
-                                           const forwarding_request& request) {
-  if (!request.may_relay || options_.local == nullptr) {
-    return false;
-  }
-  const host_id leader = options_.local->leader();
-  if (leader.IsEmpty() || leader == options_.host || leader == from) {
-    return false;
-  }
-  forwarding_request passed = request;
-  passed.may_relay = false;
-  {
-    const std::lock_guard lock(mutex_);
-    const steady_time now = clock_.Now();
-    std::erase_if(
-        relays_, [now](const auto& relay) { return relay.second.until < now; });
-    if (relays_.size() >= kMaxRelays) {
-      return false;
-    }
-    passed.call = next_call_++;
-    relays_[passed.call] = {from, request.call, now + kRelayLifetime};
-    ++relayed_;
-  }
-  send_(leader, Encode(forwarding_message(passed)));
-  return true;
-}
-
-bool forwarding_log::implementation::PassBack(forwarding_reply& reply) {
-  host_id asker;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto relay = relays_.find(reply.call);
-    if (relay == relays_.end()) {
-      return false;
-    }
-    asker = relay->second.from;
-    reply.call = relay->second.call;
-    relays_.erase(relay);
-  }
-  send_(asker, Encode(forwarding_message(reply)));
-  return true;
-}
-
 bool forwarding_log::implementation::IsSilentLocked(const host_id& host) const {
   const auto found = silent_until_.find(host);
   return found != silent_until_.end() && clock_.Now() < found->second;
@@ -429,34 +239,6 @@
   return IsSilentLocked(host);
 }
 
-void forwarding_log::implementation::TakeReply(forwarding_reply reply) {
-  if (PassBack(reply)) {
-    return;
-  }
-  std::shared_ptr<blocking_reply> waiting;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = waiting_.find(reply.call);
-    if (found == waiting_.end()) {
-      ++unknown_replies_;
-      return;
-    }
-    waiting = found->second;
-    leader_ = reply.leader;
-    if (!reply.members.empty()) {
-      // Those of the settings stay: the named ones may be a member's old view.
-      named_members_ = std::move(reply.members);
-      members_ = named_members_;
-      members_.insert(members_.end(), options_.members.begin(),
-                      options_.members.end());
-    }
-  }
-  const bool is_known_kind = static_cast<size_t>(reply.kind) < kErrorKindCount;
-  const error_kind kind = is_known_kind ? reply.kind : error_kind::kInternal;
-  waiting->Set(reply.is_ok ? result<std::string>(std::move(reply.text))
-                           : result<std::string>(MakeError(kind, reply.text)));
-}
-
 host_id forwarding_log::implementation::leader() const {
   if (options_.local != nullptr) {
     host_id known = options_.local->leader();
