--- a/src/libshallotport/consensus/replica_driver.h
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -89,6 +89,7 @@
   void FinishSnapshot();
 
   host_id published_leader() const;
+  std::vector<host_id> published_members() const;
   steady_time published_lease_end() const;
   uint64_t published_term() const;
 
@@ -137,7 +138,7 @@
   result<log_entry_pointer> EntryAt(log_index index) const;
   void AnswerReads(const consensus_actions& actions);
   void AnswerRead(uint64_t read);
-  void StartSnapshotWhenDue();
+  void StartSnapshotWhenDue(steady_time now);
   void TakeSnapshotResult(steady_time now);
 
   const replica_options options_;
@@ -163,6 +164,7 @@
 
   uint64_t bytes_since_snapshot_ = 0;
   log_index snapshot_index_ = 0;
+  steady_time snapshot_retry_{};  // Not before, after one failed.
   uint64_t snapshot_bytes_ = 0;
   uint64_t snapshots_taken_ = 0;
   uint64_t snapshots_failed_ = 0;
@@ -174,6 +176,7 @@
 
   mutable std::mutex published_mutex_;
   host_id published_leader_;
+  std::vector<host_id> published_members_;
   std::atomic<duration::rep> published_lease_end_{0};
   std::atomic<uint64_t> published_term_{0};
 
