--- a/src/libshallotport/base/checked_input_archive.h
+++ b/src/libshallotport/base/checked_input_archive.h
@@ -25,6 +25,9 @@
     if (size > rest_.size()) {
       throw cereal::Exception("message ends early");
     }
+    if (size == 0) {
+      return;  // An empty container's data may be null.
+    }
     std::memcpy(data, rest_.data(), size);
     rest_.remove_prefix(size);
   }
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -218,7 +218,7 @@
   }
   if (!is_failed()) {
     TakeSnapshotResult(now);
-    StartSnapshotWhenDue();
+    StartSnapshotWhenDue(now);
   }
   const bool is_leader = core_->role() == member_role::kLeader;
   if (was_leader_ != is_leader) {
@@ -284,6 +284,15 @@
   published_term_ = core_->term();
   const std::lock_guard lock(published_mutex_);
   published_leader_ = is_failed() ? host_id() : core_->leader();
+  published_members_.clear();
+  for (const group_member& member : core_->membership().members) {
+    published_members_.push_back(member.host);
+  }
+}
+
+std::vector<host_id> replica_driver::published_members() const {
+  const std::lock_guard lock(published_mutex_);
+  return published_members_;
 }
 
 host_id replica_driver::published_leader() const {
--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -13,8 +13,9 @@
 
 using command_list = std::span<const command> (*)();
 
-constexpr command_list kCommandLists[] = {
-    &StateCommands, &ConfigurationCommands, &ControlCommands, &OrderCommands};
+constexpr command_list kCommandLists[] = {&StateCommands,
+                                          &ConfigurationCommands, &HostCommands,
+                                          &ControlCommands, &OrderCommands};
 
 struct global_options {
   std::string host;
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -27,6 +27,7 @@
 #include "serving/configuration_view.h"
 #include "serving/endpoint_interface.h"
 #include "serving/exchange_finisher.h"
+#include "serving/host_operations.h"
 #include "serving/online_exchange.h"
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
@@ -131,6 +132,7 @@
   std::unique_ptr<batch_host> batch;
   std::unique_ptr<configuration_distributor> distributor;
   std::unique_ptr<configuration_operations> configuration_routes;
+  std::unique_ptr<host_operations> host_routes;
   std::unique_ptr<configuration_reports> report_routes;
   std::unique_ptr<order_operations> orders;
   std::unique_ptr<order_driver> order_sending;  // Members of the log only.
@@ -357,6 +359,8 @@
   configuration_routes = std::make_unique<configuration_operations>(
       *log, clock, [this] { distributor->Hurry(); });
   configuration_routes->AddRoutes(operators->routes());
+  host_routes = std::make_unique<host_operations>(*log, clock);
+  host_routes->AddRoutes(operators->routes());
   report_routes =
       std::make_unique<configuration_reports>(*log, clock, *distributor);
   report_routes->AddRoutes(operators->routes());
@@ -535,6 +539,7 @@
   parts_->membership->BeginLeave();
   std::this_thread::sleep_for(parts_->settings.drain_notice);
   parts_->callers->BeginDrain();
+  parts_->caller_lane->StopAccepting();
   if (!parts_->caller_lane->WaitUntilIdle(parts_->settings.drain_timeout)) {
     LogWarning("host", "requests were still under way at the drain timeout");
   }
