base: test that empty containers decode without a null copy

Found by claims_test under the undefined-behaviour sanitizer; the new test fails there without the guard and passes with it.

--- a/src/libshallotport/base/base_test.cc
+++ b/src/libshallotport/base/base_test.cc
@@ -70,6 +70,13 @@
   EXPECT_FALSE(IsOk(Decode<sample_message>(huge)));
 }
 
+// Under the undefined-behaviour sanitizer this needs the guard for size 0.
+TEST(Codec, ReadsEmptyContainersBack) {
+  const auto decoded = Decode<sample_message>(Encode(sample_message{}));
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_TRUE(ValueOf(decoded).numbers.empty());
+}
+
 TEST(Digest, MatchesThePublishedSha256OfAbc) {
   EXPECT_EQ(Sha256Hex("abc"),
             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
