--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -24,6 +24,7 @@
 #include "serving/configuration_view.h"
 #include "serving/endpoint_interface.h"
 #include "serving/exchange_finisher.h"
+#include "serving/job_operations.h"
 #include "serving/online_exchange.h"
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
@@ -128,6 +129,7 @@
   std::unique_ptr<batch_host> batch;
   std::unique_ptr<configuration_poller> poller;
   std::unique_ptr<configuration_operations> configuration_routes;
+  std::unique_ptr<job_operations> job_routes;
   exchange_services services;
   std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
@@ -337,6 +339,8 @@
   configuration_routes = std::make_unique<configuration_operations>(
       *log, clock, [this] { poller->Hurry(); });
   configuration_routes->AddRoutes(operators->routes());
+  job_routes = std::make_unique<job_operations>(*log, clock);
+  job_routes->AddRoutes(operators->routes());
 }
 
 void daemon::parts::ConnectNetwork() {
