--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -12,8 +12,9 @@
 
 using command_list = std::span<const command> (*)();
 
-constexpr command_list kCommandLists[] = {
-    &StateCommands, &ConfigurationCommands, &HostCommands, &ControlCommands};
+&StateCommands, &ConfigurationCommands, &HostCommands, &ControlCommands,
+    &JobCommands
+};
 
 struct global_options {
   std::string host;
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -26,6 +26,7 @@
 #include "serving/endpoint_interface.h"
 #include "serving/exchange_finisher.h"
 #include "serving/host_operations.h"
+#include "serving/job_operations.h"
 #include "serving/online_exchange.h"
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
@@ -132,6 +133,7 @@
   std::unique_ptr<configuration_operations> configuration_routes;
   std::unique_ptr<host_operations> host_routes;
   std::unique_ptr<configuration_reports> report_routes;
+  std::unique_ptr<job_operations> job_routes;
   exchange_services services;
   std::unique_ptr<batch_interface> batches;
   std::unique_ptr<caller_interface> callers;
@@ -350,6 +352,8 @@
   report_routes =
       std::make_unique<configuration_reports>(*log, clock, *distributor);
   report_routes->AddRoutes(operators->routes());
+  job_routes = std::make_unique<job_operations>(*log, clock);
+  job_routes->AddRoutes(operators->routes());
 }
 
 void daemon::parts::ConnectNetwork() {
