--- a/src/fakes/fake_run_book.cc
+++ b/src/fakes/fake_run_book.cc
@@ -52,6 +52,7 @@
 void fake_run_book::EndRun(const std::string& key, const std::string& answer) {
   const std::lock_guard lock(mutex_);
   ++finished_;
+  ++finished_of_key_[key];
   outcomes_[key] = {key_state::kDone, answer};
 }
 
@@ -97,6 +98,7 @@
           {"finished", finished_},
           {"keys", runs_of_key_},
           {"attempts", runs_of_attempt_},
+          {"finished_keys", finished_of_key_},
           {"repeated_keys", repeated},
           {"orders", orders_},
           {"highest_fencing", highest_fencing_}};
--- a/src/fakes/fake_run_book.h
+++ b/src/fakes/fake_run_book.h
@@ -56,6 +56,7 @@
   int file_ = -1;
   std::map<std::string, uint64_t> runs_of_key_;
   std::map<std::string, uint64_t> runs_of_attempt_;
+  std::map<std::string, uint64_t> finished_of_key_;
   std::map<std::string, outcome> outcomes_;
   std::set<std::string> closed_keys_;
   std::map<std::string, uint64_t> orders_;
--- a/src/shallotbench/bench_report.cc
+++ b/src/shallotbench/bench_report.cc
@@ -152,6 +152,7 @@
                     {"token_gaps", SamplesToJson(result.token_gaps)},
                     {"batch", batch},
                     {"executions", result.executions},
+                    {"restarted", result.restarted},
                     {"duplicate_executions", result.duplicate_executions}};
   return out.dump();
 }
@@ -173,6 +174,7 @@
                            sample.at(1).get<uint32_t>()});
     }
     arm.executions = in.at("executions").get<uint64_t>();
+    arm.restarted = in.at("restarted").get<uint64_t>();
     arm.duplicate_executions = in.at("duplicate_executions").get<uint64_t>();
     return arm;
   } catch (const std::exception& failure) {
@@ -186,8 +188,9 @@
   std::string table =
       "| arm | online whole/sent | refused | wrong | first token p50 / p95 / "
       "p99 ms | p95, p99 to online alone | gap p50 / p95 / p99 ms | batch "
-      "items/s | to the capacity left | executions | duplicates |\n"
-      "|---|---|---|---|---|---|---|---|---|---|---|\n";
+      "items/s | to the capacity left | executions | started again | "
+      "duplicates |\n"
+      "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const arm_result& arm : arms) {
     const double p95 = PercentileMs(arm.first_tokens, 0.95);
     const double p99 = PercentileMs(arm.first_tokens, 0.99);
@@ -207,7 +210,7 @@
     const uint64_t refused = arm.online.refused + arm.online.broken;
     table += Format(
         "| %s | %llu/%llu | %llu | %llu | %.0f / %.0f / %.0f | %.2f, %.2f | "
-        "%.1f / %.1f / %.1f | %.1f | %.2f | %llu | %llu |\n",
+        "%.1f / %.1f / %.1f | %.1f | %.2f | %llu | %llu | %llu |\n",
         arm.arm.c_str(), static_cast<unsigned long long>(arm.online.whole),
         static_cast<unsigned long long>(arm.online.sent),
         static_cast<unsigned long long>(refused),
@@ -216,6 +219,7 @@
         PercentileMs(arm.token_gaps, 0.5), PercentileMs(arm.token_gaps, 0.95),
         PercentileMs(arm.token_gaps, 0.99), BatchItemsPerSecond(arm),
         left_ratio, static_cast<unsigned long long>(arm.executions),
+        static_cast<unsigned long long>(arm.restarted),
         static_cast<unsigned long long>(arm.duplicate_executions));
   }
   return table;
--- a/src/shallotbench/bench_report.h
+++ b/src/shallotbench/bench_report.h
@@ -19,8 +19,10 @@
   std::vector<time_sample> first_tokens;
   std::vector<time_sample> token_gaps;
   std::vector<progress_sample> batch;
-  uint64_t executions = 0;            // At the endpoints, during the arm.
-  uint64_t duplicate_executions = 0;  // Beyond the first one of each prompt.
+  uint64_t executions = 0;  // Started at the endpoints, during the arm.
+  uint64_t restarted = 0;   // Of these, beyond the first one of each prompt.
+  // Whole executions beyond the first one of each prompt.
+  uint64_t duplicate_executions = 0;
 };
 
 // Items that the batch job finished per second between its first and last
