--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -12,9 +12,9 @@
 
 using command_list = std::span<const command> (*)();
 
-&StateCommands, &ConfigurationCommands, &HostCommands, &ControlCommands,
-    &JobCommands
-};
+constexpr command_list kCommandLists[] = {&StateCommands,
+                                          &ConfigurationCommands, &HostCommands,
+                                          &ControlCommands, &JobCommands};
 
 struct global_options {
   std::string host;
