consensus: bound the ring's bytes; do not repeat a failed load at once

A read of the log that failed was asked for again in the same turn, without an end. It now waits for the next heartbeat (test: EntriesThatLeftMemoryAreLoaded). Payloads in a replica's ring are bounded by 32 MiB.

--- a/src/libshallotport/consensus/consensus_core_test.cc
+++ b/src/libshallotport/consensus/consensus_core_test.cc
@@ -27,6 +27,7 @@
     core_options options;
     options.host = kA;
     options.disk = kDiskA;
+    options.log_memory_bytes = log_memory_bytes_;
     snapshot_point point{1, 1, 0, {}};
     point.membership.members = {
         {kA, kDiskA, true}, {kB, kDiskB, true}, {kC, kDiskC, true}};
@@ -112,6 +113,7 @@
 
   steady_time now_{seconds(100)};
   uint64_t last_round_ = 0;
+  uint64_t log_memory_bytes_ = 16u << 20;
   std::unique_ptr<consensus_core> core_;
 };
 
@@ -223,6 +225,24 @@
             0);
 }
 
+TEST_F(consensus_core_test, EntriesThatLeftMemoryAreLoaded) {
+  log_memory_bytes_ = 0;
+  Restart({Entry(2, 1), Entry(3, 1)});
+  Lead();
+  Deliver(kB, kDiskB, core_->term(), append_reply{last_round_, false, 1});
+  EXPECT_EQ(Take().load_requests.size(), 1u);
+  // A failed load is not repeated at once.
+  core_->EntriesLoaded(kB, {});
+  EXPECT_TRUE(Take().load_requests.empty());
+  Advance(milliseconds(200));
+  EXPECT_EQ(Take().load_requests.size(), 1u);
+  core_->EntriesLoaded(kB, {Entry(2, 1), Entry(3, 1)});
+  EXPECT_EQ(Count<append_request>(
+                Take().early_messages,
+                [](const append_request& r) { return r.entries.size() == 2; }),
+            1);
+}
+
 TEST_F(consensus_core_test, OneVoteInATerm) {
   now_ += seconds(2);
   Deliver(kC, kDiskC, 4, vote_request{false, false, 9, 1});
--- a/src/libshallotport/consensus/consensus_replication.cc
+++ b/src/libshallotport/consensus/consensus_replication.cc
@@ -78,6 +78,7 @@
   peer_progress& peer = peers_.at(to);
   if (is_heartbeat) {
     peer.is_probe_sent = false;
+    peer.is_loading = false;
   }
   if (peer.next <= log_.base_index()) {
     FeedSnapshot(now, to, peer);
@@ -150,11 +151,12 @@
 void consensus_core::EntriesLoaded(const host_id& to,
                                    std::vector<log_entry_pointer> entries) {
   const auto found = peers_.find(to);
-  if (role_ != member_role::kLeader || found == peers_.end()) {
-    return;
+  const bool is_sender = role_ == member_role::kLeader && found != peers_.end();
+  if (!is_sender || entries.empty()) {
+    return;  // Tried again with the next heartbeat.
   }
   peer_progress& peer = found->second;
-  const bool is_wanted = peer.is_loading && !entries.empty() &&
+  const bool is_wanted = peer.is_loading &&
                          entries.front()->index == peer.next &&
                          log_.TermAt(peer.next) == entries.front()->term;
   peer.is_loading = false;
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kDuty = "consensus";
 constexpr size_t kRingCapacity = 8'192;
 constexpr size_t kMaxCommandBytes = 8u << 20;
+constexpr int64_t kMaxQueuedBytes = 32 << 20;  // Of payloads in the ring.
 constexpr std::chrono::milliseconds kTransferTime{1'000};
 constexpr std::chrono::milliseconds kSpaceCheckInterval{1'000};
 
@@ -28,6 +29,16 @@
   return std::max<incarnation>(HashOf(text), 1);
 }
 
+int64_t PayloadBytes(const replica_event& event) {
+  if (const auto* peer = std::get_if<peer_bytes>(&event)) {
+    return static_cast<int64_t>(peer->bytes.size());
+  }
+  const auto* submitted = std::get_if<submitted_proposal>(&event);
+  return submitted == nullptr
+             ? 0
+             : static_cast<int64_t>(submitted->content.command.size());
+}
+
 core_options CoreOptions(const replica_options& options, incarnation disk) {
   core_options core;
   core.group = options.group;
@@ -55,6 +66,7 @@
           clock,
           kRingCapacity,
           [this](steady_time now, replica_event event) {
+            queued_bytes_ -= PayloadBytes(event);
             Handle(now, std::move(event));
           },
           [this](steady_time now) {
@@ -114,7 +126,16 @@
 }
 
 bool replica_driver::TryPush(replica_event event) {
-  return duty_.TryPush(std::move(event));
+  const int64_t bytes = PayloadBytes(event);
+  if (queued_bytes_ + bytes > kMaxQueuedBytes) {
+    return false;
+  }
+  queued_bytes_ += bytes;
+  const bool is_taken = duty_.TryPush(std::move(event));
+  if (!is_taken) {
+    queued_bytes_ -= bytes;
+  }
+  return is_taken;
 }
 
 void replica_driver::Handle(steady_time now, replica_event event) {
--- a/src/libshallotport/consensus/replica_driver.h
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -180,6 +180,7 @@
   std::atomic<duration::rep> published_lease_end_{0};
   std::atomic<uint64_t> published_term_{0};
 
+  std::atomic<int64_t> queued_bytes_{0};
   duty_thread<replica_event> duty_;
 };
 
