--- a/src/shallotctl/command.h
+++ b/src/shallotctl/command.h
@@ -41,6 +41,7 @@
 std::span<const command> StateCommands();
 std::span<const command> ConfigurationCommands();
 std::span<const command> HostCommands();
+std::span<const command> JobCommands();
 
 }  // namespace shallotport
 
