routing: ask early for the outcome of a claimed call that is late

Change: a claimed call without a byte after four times its expected time is asked for, with the key left open, and less and less often. Replies about an earlier attempt are ignored: with late refusals they could release a claim that another attempt was running under.

--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -54,6 +54,9 @@
   if (phase_ == phase::kAsking && !is_outcome_open_) {
     next = std::min(next, next_ask_);
   }
+  if (IsEarlyAskPossible()) {
+    next = std::min(next, EarlyAskTime());
+  }
   return next;
 }
 
@@ -216,9 +219,15 @@
 
 void online_request::On(const outcome_learned& event) {
   is_outcome_open_ = false;
+  // A reply about an attempt before the present one says nothing about this.
+  const bool is_stale = std::exchange(is_outcome_stale_, false);
   if (phase_ != phase::kAsking) {
     return;
   }
+  if (is_stale) {
+    AskOutcome();
+    return;
+  }
   switch (event.outcome) {
     case remembered_outcome::kAnswered:
       CompleteAnswer(event.answer);
@@ -235,6 +244,9 @@
       RetryOrGiveUp(true);
       return;
     case remembered_outcome::kUnknown:
+      if (!attempts_.empty() && !attempts_.front().is_overdue) {
+        return;  // The call may still be on its way.
+      }
       GiveUp(MakeFailure());
       return;
   }
@@ -272,7 +284,11 @@
     was_hedged_ = true;
     AskRoute(false, true);
   }
-  if (phase_ == phase::kAsking && !is_outcome_open_ && now_ >= next_ask_) {
+  const bool is_ask_due =
+      phase_ == phase::kAsking && !is_outcome_open_ && now_ >= next_ask_;
+  const bool is_early_ask_due = IsEarlyAskPossible() && now_ >= EarlyAskTime();
+  if (is_ask_due || is_early_ask_due) {
+    phase_ = phase::kAsking;
     AskOutcome();
   }
 }
--- a/src/libshallotport/routing/online_request.h
+++ b/src/libshallotport/routing/online_request.h
@@ -95,6 +95,8 @@
   void RetryOrGiveUp(bool is_proven_not_run);
   void OnAnswerLost(const route_choice& route);
   void OnOverdue(attempt& call);
+  bool IsEarlyAskPossible() const;
+  steady_time EarlyAskTime() const;
   void AskOutcome();
   bool AcceptPosition(attempt& call, const attempt_piece& piece);
   void DeliverPiece(attempt& call, std::string_view bytes);
@@ -124,6 +126,7 @@
   route_choice last_route_;
   std::chrono::milliseconds retry_after_{0};  // Longest one that was advised.
   bool is_outcome_open_ = false;              // ask_outcome is unanswered.
+  bool is_outcome_stale_ = false;  // It asked about an earlier attempt.
   steady_time next_ask_;
 
   // The caller got its final answer or is gone; what is still done serves the
--- a/src/libshallotport/routing/online_request_attempts.cc
+++ b/src/libshallotport/routing/online_request_attempts.cc
@@ -14,6 +14,10 @@
 // An answer that is not streamed may take this multiple of the expected time
 // longer than the first byte of a stream.
 constexpr int kWholeAnswerFactor = 2;
+// A call that may not be repeated is asked for at its endpoint when it takes
+// this multiple of the expected time, since its connection may be silent.
+constexpr int kEarlyAskFactor = 4;
+constexpr duration kEarliestAsk{250'000};
 // Pause between two questions for the outcome of a call in progress.
 constexpr duration kOutcomePollPeriod{200'000};
 // Advice for errors that name no time of their own.
@@ -96,6 +100,7 @@
     call.next_position = delivered_tokens_;
     call.content_offset = delivered_bytes_;
   }
+  is_outcome_stale_ = is_outcome_open_;
   ++attempts_unproven_;
   tried_.push_back(route.endpoint);
   phase_ = phase::kCalling;
@@ -182,10 +187,30 @@
   OnAnswerLost(call.route);
 }
 
+bool online_request::IsEarlyAskPossible() const {
+  return UsesClaim() && phase_ == phase::kCalling && attempts_.size() == 1 &&
+         !attempts_.front().has_byte &&
+         attempts_.front().route.remembers_outcomes &&
+         attempts_.front().route.expected_time.count() > 0;
+}
+
+steady_time online_request::EarlyAskTime() const {
+  const attempt& call = attempts_.front();
+  return call.started_at +
+         std::max(kEarliestAsk, kEarlyAskFactor * call.route.expected_time);
+}
+
 void online_request::AskOutcome() {
+  if (is_outcome_open_) {
+    return;  // Asked again when the open question is answered.
+  }
   is_outcome_open_ = true;
-  next_ask_ = now_ + kOutcomePollPeriod;
-  out_.push_back(ask_outcome{last_route_});
+  const bool may_arrive = !attempts_.empty() && !attempts_.front().is_overdue;
+  // A call that is only slow is asked for less and less often.
+  const duration elapsed =
+      may_arrive ? now_ - attempts_.front().started_at : duration{0};
+  next_ask_ = now_ + std::max(kOutcomePollPeriod, elapsed / 2);
+  out_.push_back(ask_outcome{last_route_, !may_arrive});
 }
 
 bool online_request::AcceptPosition(attempt& call, const attempt_piece& piece) {
--- a/src/libshallotport/routing/online_request_fuzz_test.cc
+++ b/src/libshallotport/routing/online_request_fuzz_test.cc
@@ -11,7 +11,7 @@
 // ROUTING_FUZZ_SEEDS raises the number of worlds for runs by hand.
 uint64_t SeedCount() {
   const char* text = std::getenv("ROUTING_FUZZ_SEEDS");
-  return text == nullptr ? 5'000 : std::strtoull(text, nullptr, 10);
+  return text == nullptr ? 20'000 : std::strtoull(text, nullptr, 10);
 }
 
 TEST(online_request_fuzz, EveryRequestGetsOneWholeOwnAnswer) {
@@ -27,8 +27,9 @@
   }
   for (const char* name :
        {"whole", "recorded", "resumed", "restarted", "retry", "hedge",
-        "outcome_asked", "outcome_not_run", "claim_finished", "claim_released",
-        "claim_abandoned", "outcome_unknown", "endpoint_failed", "no_capacity",
+        "outcome_asked", "outcome_asked_early", "outcome_not_run",
+        "claim_finished", "claim_released", "claim_abandoned",
+        "outcome_unknown", "endpoint_failed", "no_capacity",
         "deadline_unreachable", "deadline_exceeded"}) {
     EXPECT_GT(counts.by_name[name], 0) << name << " was never reached";
   }
--- a/src/libshallotport/routing/online_request_messages.h
+++ b/src/libshallotport/routing/online_request_messages.h
@@ -161,6 +161,9 @@
 // request's key; answer with outcome_learned.
 struct ask_outcome {
   route_choice route;
+  // Have the endpoint refuse the key from now on if it has not run the call.
+  // False while the first connection may still bring the call there.
+  bool closes_key = true;
 };
 
 // Tell the router; maps to OnStarted(), OnFirstByte() and OnFinished().
--- a/src/libshallotport/routing/testing/online_request_world.h
+++ b/src/libshallotport/routing/testing/online_request_world.h
@@ -52,7 +52,7 @@
     options_.deadline =
         kStart +
         duration(40'000 + random_() % (Chance(3) ? 300'000 : 4'000'000));
-    options_.first_byte_timeout = duration(300'000);
+    options_.first_byte_timeout = duration(Chance(2) ? 300'000 : 900'000);
     options_.token_gap_timeout = duration(200'000);
     options_.hedge_after = duration(Chance(2) ? 100'000 : 0);
     options_.max_attempts = 1 + static_cast<uint32_t>(random_() % 5);
@@ -114,6 +114,10 @@
         open_tickets_.insert(ValueOf(route->choice).ticket);
       }
     }
+    if (std::holds_alternative<attempt_piece>(event)) {
+      silent_since_ = now_;
+      patience_ = options_.token_gap_timeout;
+    }
     if (const auto* end = std::get_if<attempt_ended>(&event)) {
       live_.erase(end->attempt);
     }
@@ -138,7 +142,7 @@
     route.ticket = ++last_ticket_;
     route.can_resume = is_numbered_ && Chance(2);
     route.remembers_outcomes = Chance(2);
-    route.expected_time = duration(UniformBelow(random_, 300'000));
+    route.expected_time = duration(UniformBelow(random_, 120'000));
     Schedule(UniformBelow(random_, 5), route_decided{route});
   }
 
@@ -178,21 +182,21 @@
   void Do(const start_attempt& start);
 
   void Do(const cancel_attempt& action) { live_.erase(action.attempt); }
-  void Do(const ask_outcome& /*action*/) {
+  void Do(const ask_outcome& action) {
     ++open_asks_;
-    ++counts_["outcome_asked"];
+    ++counts_[action.closes_key ? "outcome_asked" : "outcome_asked_early"];
     outcome_learned reply;
     const uint64_t dice = UniformBelow(random_, 4);
     if (dice == 0) {
       reply.outcome = remembered_outcome::kInProgress;
-    } else if (runs_ == 0) {
+    } else if (runs_ == 0 && action.closes_key) {
       reply.outcome = remembered_outcome::kNotRun;
       ++counts_["outcome_not_run"];
-    } else if (dice != 1) {
+    } else if (runs_ > 0 && dice != 1) {
       reply.outcome = remembered_outcome::kAnswered;
       reply.answer = {200, "", text_};
     }
-    Schedule(UniformBelow(random_, 30), reply);
+    Schedule(Chance(4) ? 700 : UniformBelow(random_, 30), reply);
   }
   void Do(const report_started& /*action*/) {}
   void Do(const report_first_byte& action) {
@@ -222,6 +226,10 @@
   }
   void Do(const answer_error& action) {
     EXPECT_EQ(action.is_after_head, has_head_);
+    if (action.failure.kind == error_kind::kOutcomeUnknown) {
+      EXPECT_TRUE(live_.empty() || now_ >= silent_since_ + patience_)
+          << "given up while an attempt is in time";
+    }
     const error_answer& row = Answer(action.failure.kind);
     is_not_run_promised_ = row.run == run_outcome::kNotRun;
     if (row.retry != retry_advice::kNever) {
@@ -270,6 +278,8 @@
   attempt_ticket last_ticket_ = 0;
   int open_asks_ = 0;
   int attempts_started_ = 0;
+  steady_time silent_since_;  // Of the last attempt.
+  duration patience_{0};
   int runs_ = 0;
   int dones_ = 0;
   int steps_ = 0;
@@ -286,6 +296,8 @@
   EXPECT_LT(now_, options_.deadline);
   live_.insert(start.attempt);
   ++attempts_started_;
+  silent_since_ = now_;
+  patience_ = options_.first_byte_timeout;
   ++counts_[start.resume_after > 0 ? "resumed" : "attempt"];
   if (start.resume_after == 0 && has_head_) {
     ++counts_["restarted"];
@@ -295,6 +307,7 @@
   if (fault == 0 || fault == 1) {
     const auto end = fault == 0 ? attempt_end_kind::kNotSent
                                 : attempt_end_kind::kRefusedNotRun;
+    at += Chance(3) ? 300 + UniformBelow(random_, 900) : 0;
     Schedule(at, attempt_ended{start.attempt, end, duration{0}});
     return;
   }
