--- a/src/libshallotport/batch/batch_sender.cc
+++ b/src/libshallotport/batch/batch_sender.cc
@@ -40,8 +40,11 @@
 }
 
 bool batch_sender::IsDrained() const {
-  return calls_.empty() && items_.empty() && results_.empty() &&
-         recording_.empty() && !lease_asked_;
+  const bool is_idle = calls_.empty() && items_.empty() && !lease_asked_;
+  const bool is_recorded = results_.empty() && recording_.empty();
+  // Without the log nothing can be recorded; another host runs it again.
+  const bool is_given_up = is_draining_ && record_backoff_.failures > 0;
+  return is_idle && (is_recorded || is_given_up);
 }
 
 bool batch_sender::HoldsLease(steady_time now, lease_epoch epoch) const {
--- a/src/libshallotport/batch/batch_sender.h
+++ b/src/libshallotport/batch/batch_sender.h
@@ -84,7 +84,7 @@
   void BeginDrain() { is_draining_ = true; }
   // Cancels every stream that may be repeated.
   void CancelRunning();
-  // Nothing runs and everything is recorded.
+  // Nothing runs and everything is recorded, or cannot be while draining.
   bool IsDrained() const;
 
   // Everything that is due. Call it after each input and at NextTimer().
--- a/src/libshallotport/batch/batch_sender_test.cc
+++ b/src/libshallotport/batch/batch_sender_test.cc
@@ -306,6 +306,20 @@
   EXPECT_FALSE(bench.is_lease_asked);
 }
 
+TEST(BatchSender, DrainEndsWithoutTheLog) {
+  sender_bench bench({Endpoint("e", 1)});
+  bench.Grant(1);
+  bench.sender.BeginDrain();
+  bench.End(bench.started[0], call_outcome::kDone);
+  bench.Step();
+  if (bench.is_lease_asked) {
+    bench.sender.OnLeased(bench.now, MakeError(error_kind::kNoQuorum, ""));
+  }
+  EXPECT_FALSE(bench.sender.IsDrained());
+  bench.sender.OnRecorded(bench.now, MakeError(error_kind::kNoQuorum, ""));
+  EXPECT_TRUE(bench.sender.IsDrained());
+}
+
 TEST(BatchSender, DrainGivesBackWhatHasNotStarted) {
   sender_bench bench({Endpoint("e", 2)});
   bench.Grant(5);
