--- a/src/libshallotport/batch/batch_window_benchmark.cc
+++ b/src/libshallotport/batch/batch_window_benchmark.cc
@@ -279,11 +279,11 @@
 
 // Arg 0: the arm; arg 1: steady online requests per second.
 void YieldModel(benchmark::State& state) {
-  static const char* const kArms[] = {"online alone", "batch alone", "guarded",
-                                      "greedy", "fixed_share"};
+  const char* const arms[] = {"online alone", "batch alone", "guarded",
+                              "greedy", "fixed_share"};
   const double rate = static_cast<double>(state.range(1));
   const int64_t arm = state.range(0);
-  const std::string strategy = arm < 2 ? "greedy" : kArms[arm];
+  const std::string strategy = arm < 2 ? "greedy" : arms[arm];
   for (auto _ : state) {
     const arm_result alone = engine_model("greedy", true, false, rate).Run();
     const arm_result batch = engine_model("greedy", false, true, rate).Run();
@@ -304,7 +304,7 @@
     state.counters["batch_of_left"] =
         run.batch_tokens / (batch.batch_tokens * alone.free_slot_share);
   }
-  state.SetLabel(kArms[arm]);
+  state.SetLabel(arms[arm]);
 }
 BENCHMARK(YieldModel)
     ->ArgsProduct({{0, 1, 2, 3, 4}, {1, 2}})
--- a/src/libshallotport/batch/job_state_benchmark.cc
+++ b/src/libshallotport/batch/job_state_benchmark.cc
@@ -51,7 +51,7 @@
     request.service = service_id("model");
     request.path = "/v1/chat/completions";
     request.deadline = time + 3'600'000;
-    const job_id id = Apply<job_created>(request).id;
+    job_id id = Apply<job_created>(request).id;
     for (uint32_t first = 0; first < count; first += 1'000) {
       const uint32_t part = std::min(1'000U, count - first);
       Apply<items_added>(add_items{
--- a/src/libshallotport/serving/batch_lane_test.cc
+++ b/src/libshallotport/serving/batch_lane_test.cc
@@ -161,7 +161,7 @@
   scripted_caller caller;
   batch_lane lane({host_id("a"), 1}, clock, caller);
   std::vector<call_outcome> outcomes;
-  const auto remember = [&](batch_call_end end) {
+  const auto remember = [&](const batch_call_end& end) {
     outcomes.push_back(end.outcome);
   };
   lane.Start(Call("/v1/completions", "no object"), remember);
@@ -176,11 +176,11 @@
   scripted_caller caller;
   batch_lane lane({host_id("a"), 1}, clock, caller);
   start_batch_call call = Call("/v1/services/unlock/issue", "{}");
-  lane.Start(call, [](batch_call_end) {});
+  lane.Start(call, [](const batch_call_end&) {});
   leased_job job = *call.job;
   job.is_idempotent = false;
   call.job = std::make_shared<const leased_job>(job);
-  lane.Start(call, [](batch_call_end) {});
+  lane.Start(call, [](const batch_call_end&) {});
   EXPECT_FALSE(FindField(caller.calls[0].headers, "Idempotency-Key"));
   EXPECT_TRUE(FindField(caller.calls[1].headers, "Idempotency-Key"));
 }
--- a/src/shallotctl/job_commands.cc
+++ b/src/shallotctl/job_commands.cc
@@ -27,12 +27,11 @@
 
 // Options of all four commands. Nothing when the command line is wrong.
 std::optional<job_options> ParseOptions(const command_context& context) {
-  static const option kOptions[] = {
-      {"account", required_argument, nullptr, 'a'},
-      {"after", required_argument, nullptr, 'f'},
-      {"limit", required_argument, nullptr, 'l'},
-      {"wait", no_argument, nullptr, 'w'},
-      {nullptr, 0, nullptr, 0}};
+  const option known[] = {{"account", required_argument, nullptr, 'a'},
+                          {"after", required_argument, nullptr, 'f'},
+                          {"limit", required_argument, nullptr, 'l'},
+                          {"wait", no_argument, nullptr, 'w'},
+                          {nullptr, 0, nullptr, 0}};
   std::vector<char*> arguments;
   for (const std::string& word : context.arguments) {
     arguments.push_back(const_cast<char*>(word.c_str()));
@@ -42,8 +41,8 @@
   optind = 1;
   const int count = static_cast<int>(arguments.size()) - 1;
   int chosen = 0;
-  while ((chosen = getopt_long(count, arguments.data(), "", kOptions,
-                               nullptr)) != -1) {
+  while ((chosen = getopt_long(count, arguments.data(), "", known, nullptr)) !=
+         -1) {
     switch (chosen) {
       case 'a':
         options.query.push_back({"account", optarg});
