--- a/src/libshallotport/consensus/consensus_core_test.cc
+++ b/src/libshallotport/consensus/consensus_core_test.cc
@@ -13,6 +13,7 @@
 const host_id kA("a");
 const host_id kB("b");
 const host_id kC("c");
+const host_id kD("d");
 constexpr incarnation kDiskA = 11;
 constexpr incarnation kDiskB = 12;
 constexpr incarnation kDiskC = 13;
@@ -150,7 +151,6 @@
     const auto changed = core_->ChangeMembership(now_, 0, step, host);
     return IsOk(changed) ? std::string() : ErrorOf(changed).detail;
   };
-  const host_id kD("d");
   EXPECT_NE(refusal(membership_step::kAddLearner, kD).find("of its term"),
             std::string::npos);
   Acknowledge(2);
--- a/src/libshallotport/consensus/replica_chaos_test.cc
+++ b/src/libshallotport/consensus/replica_chaos_test.cc
@@ -37,8 +37,8 @@
   }
 
   void Run() {
-    const duration until = group_.elapsed_ + seconds(20);
-    while (group_.elapsed_ < until && !testing::Test::HasFailure()) {
+    const duration until = group_.elapsed + seconds(20);
+    while (group_.elapsed < until && !testing::Test::HasFailure()) {
       Disturb();
       for (replica_group::client& each : clients_) {
         Drive(each);
@@ -52,13 +52,13 @@
     Settle();
   }
 
-  uint64_t acknowledged() const { return group_.acknowledged_.size(); }
+  uint64_t acknowledged() const { return group_.acknowledged.size(); }
   uint64_t reads() const { return group_.reads_answered; }
 
  private:
   host_id AnyHost() {
-    auto at = group_.members_.begin();
-    std::advance(at, UniformBelow(random_, group_.members_.size()));
+    auto at = group_.members.begin();
+    std::advance(at, UniformBelow(random_, group_.members.size()));
     return at->first;
   }
 
@@ -78,14 +78,14 @@
                              std::to_string(each.content.origin.sequence);
       each.is_open = true;
       each.attempts = 0;
-      each.retry_at = group_.elapsed_;
+      each.retry_at = group_.elapsed;
     }
-    if (group_.elapsed_ < each.retry_at) {
+    if (group_.elapsed < each.retry_at) {
       return;
     }
     ++each.attempts;
     each.retry_at =
-        group_.elapsed_ + milliseconds(20 + UniformBelow(random_, 400));
+        group_.elapsed + milliseconds(20 + UniformBelow(random_, 400));
     const host_id leader = group_.Leader();
     const bool is_guess = leader.IsEmpty() || UniformBelow(random_, 5) == 0;
     group_.Propose(is_guess ? AnyHost() : leader, each);
@@ -132,7 +132,7 @@
   }
 
   void CrashIfUp(const host_id& host) {
-    if (group_.members_.at(host).driver != nullptr) {
+    if (group_.members.at(host).driver != nullptr) {
       group_.Crash(host, milliseconds(UniformBelow(random_, 3'000)));
     }
   }
@@ -142,7 +142,7 @@
     if (leader.IsEmpty()) {
       return;
     }
-    replica_group::member& at = group_.members_.at(leader);
+    replica_group::member& at = group_.members.at(leader);
     at.driver->Handle(at.clock->Now(),
                       stop_order{std::make_shared<std::promise<void>>()});
     at.due = at.clock->Now();
@@ -153,10 +153,10 @@
       return;
     }
     const auto step = static_cast<membership_step>(UniformBelow(random_, 3));
-    if (step == membership_step::kAddLearner && group_.members_.size() < 7 &&
+    if (step == membership_step::kAddLearner && group_.members.size() < 7 &&
         UniformBelow(random_, 2) == 0) {
       group_.AddHost(
-          host_id("host-" + std::to_string(group_.members_.size() + 1)));
+          host_id("host-" + std::to_string(group_.members.size() + 1)));
     }
     group_.Change(step, AnyHost(), [](const result<std::string>&) {});
   }
@@ -168,7 +168,7 @@
     }
     const host_id host = AnyHost();
     bool is_founded = false;
-    for (const auto& [other, each] : group_.members_) {
+    for (const auto& [other, each] : group_.members) {
       if (each.driver == nullptr) {
         return;
       }
@@ -184,7 +184,7 @@
       return;
     }
     CrashIfUp(host);
-    group_.members_.at(host).files.Wipe();
+    group_.members.at(host).files.Wipe();
     emptied_ = host;
     next_step_ = membership_step::kRemove;
   }
@@ -200,10 +200,10 @@
 
   // Replaces the emptied member step by step, as an operator does.
   void Repair() {
-    if (emptied_.IsEmpty() || group_.elapsed_ < next_step_at_) {
+    if (emptied_.IsEmpty() || group_.elapsed < next_step_at_) {
       return;
     }
-    next_step_at_ = group_.elapsed_ + milliseconds(300);
+    next_step_at_ = group_.elapsed + milliseconds(300);
     group_.Change(next_step_, emptied_,
                   [this, step = next_step_](const result<std::string>& reply) {
                     if (step == next_step_ && !emptied_.IsEmpty()) {
@@ -244,13 +244,13 @@
     group_.drop_share = 0;
     group_.duplicate_share = 0;
     group_.max_delay = milliseconds(4);
-    for (auto& [host, each] : group_.members_) {
-      each.restart_at = std::min(each.restart_at, group_.elapsed_);
+    for (auto& [host, each] : group_.members) {
+      each.restart_at = std::min(each.restart_at, group_.elapsed);
     }
-    const duration until = group_.elapsed_ + seconds(8);
+    const duration until = group_.elapsed + seconds(8);
     while (!testing::Test::HasFailure() &&
-           (group_.elapsed_ < until || !emptied_.IsEmpty())) {
-      ASSERT_LT(group_.elapsed_, until + seconds(30))
+           (group_.elapsed < until || !emptied_.IsEmpty())) {
+      ASSERT_LT(group_.elapsed, until + seconds(30))
           << emptied_.text() << " could not be replaced: " << last_refusal_
           << "\n"
           << group_.Dump();
--- a/src/libshallotport/consensus/replica_group_test.cc
+++ b/src/libshallotport/consensus/replica_group_test.cc
@@ -13,7 +13,7 @@
 class replica_group_test : public testing::TestWithParam<int> {
  protected:
   host_id OtherThan(const host_id& host) const {
-    for (const auto& [other, each] : group_.members_) {
+    for (const auto& [other, each] : group_.members) {
       if (other != host) {
         return other;
       }
@@ -37,7 +37,7 @@
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   ASSERT_TRUE(group_.Commit("a", seconds(1)));
   const host_id old_leader = group_.Leader();
-  const uint64_t old_term = group_.members_[old_leader].driver->core()->term();
+  const uint64_t old_term = group_.members[old_leader].driver->core()->term();
   group_.Isolate(old_leader);
   group_.Run(seconds(3));
   ASSERT_NE(group_.Leader(), old_leader);
@@ -46,13 +46,13 @@
   }
   group_.Run(seconds(300));
   const host_id leader = group_.Leader();
-  const uint64_t term = group_.members_[leader].driver->core()->term();
+  const uint64_t term = group_.members[leader].driver->core()->term();
   EXPECT_GT(term, old_term);
   group_.Heal();
   group_.Run(seconds(5));
   // The returning member neither deposes the leader nor raises the term.
   EXPECT_EQ(group_.Leader(), leader);
-  EXPECT_EQ(group_.members_[leader].driver->core()->term(), term);
+  EXPECT_EQ(group_.members[leader].driver->core()->term(), term);
   group_.CheckConverged();
 }
 
@@ -60,21 +60,21 @@
 TEST_F(replica_group_test, OneWayCutDoesNotDeposeTheLeader) {
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   const host_id leader = group_.Leader();
-  const uint64_t term = group_.members_[leader].driver->core()->term();
+  const uint64_t term = group_.members[leader].driver->core()->term();
   const host_id deaf = OtherThan(leader);
-  for (const auto& [other, each] : group_.members_) {
+  for (const auto& [other, each] : group_.members) {
     group_.Cut(other, deaf, false);
   }
   group_.Run(seconds(60));
   EXPECT_EQ(group_.Leader(), leader);
-  EXPECT_EQ(group_.members_[leader].driver->core()->term(), term);
+  EXPECT_EQ(group_.members[leader].driver->core()->term(), term);
 }
 
 // A leader that is heard but hears nobody gives way.
 TEST_F(replica_group_test, DeafLeaderGivesWay) {
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   const host_id leader = group_.Leader();
-  for (const auto& [other, each] : group_.members_) {
+  for (const auto& [other, each] : group_.members) {
     group_.Cut(other, leader, false);
   }
   group_.Run(seconds(5));
@@ -93,8 +93,8 @@
       const host_id leader = group.Leader();
       group.Run(milliseconds(100 + 7 * i));
       group.Isolate(leader);
-      const duration until = group.elapsed_ + seconds(3);
-      while (group.elapsed_ < until) {
+      const duration until = group.elapsed + seconds(3);
+      while (group.elapsed < until) {
         group.Read(leader);
         group.Step();
       }
@@ -111,7 +111,7 @@
   }
   const host_id first = OtherThan(group_.Leader());
   group_.Crash(first, seconds(1));
-  group_.members_[first].files.Wipe();
+  group_.members[first].files.Wipe();
   group_.Run(seconds(3));
   ASSERT_TRUE(
       IsOk(group_.RunChange(membership_step::kRemove, first, seconds(5))));
@@ -122,7 +122,7 @@
   // The leader is lost with its disk the moment the repair is done.
   const host_id second = group_.Leader();
   group_.Crash(second, seconds(1));
-  group_.members_[second].files.Wipe();
+  group_.members[second].files.Wipe();
   ASSERT_TRUE(group_.Commit("b", seconds(10)));
   ASSERT_TRUE(
       IsOk(group_.RunChange(membership_step::kRemove, second, seconds(5))));
@@ -139,7 +139,7 @@
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   ASSERT_TRUE(group_.Commit("a", seconds(1)));
   const host_id leader = group_.Leader();
-  for (auto& [host, each] : group_.members_) {
+  for (auto& [host, each] : group_.members) {
     if (host != leader) {
       group_.Crash(host, milliseconds(100));
       each.files.Wipe();
@@ -161,7 +161,7 @@
   group_.Crash(silent, seconds(1000));
   group_.Run(seconds(2));
   host_id third;
-  for (const auto& [host, each] : group_.members_) {
+  for (const auto& [host, each] : group_.members) {
     third = host != leader && host != silent ? host : third;
   }
   const status refused =
@@ -177,9 +177,9 @@
 TEST_F(replica_group_test, FailedSyncSilencesTheMember) {
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   const host_id leader = group_.Leader();
-  group_.members_[leader].files.FailSyncs(1);
+  group_.members[leader].files.FailSyncs(1);
   ASSERT_TRUE(group_.Commit("a", seconds(10)));
-  EXPECT_TRUE(group_.members_[leader].driver->is_failed());
+  EXPECT_TRUE(group_.members[leader].driver->is_failed());
   EXPECT_NE(group_.Leader(), leader);
   group_.Run(seconds(10));
   EXPECT_NE(group_.Leader(), leader);
@@ -189,13 +189,13 @@
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   ASSERT_TRUE(group_.Commit("a", seconds(1)));
   const host_id leader = group_.Leader();
-  fake_file_system& files = group_.members_[leader].files;
+  fake_file_system& files = group_.members[leader].files;
   files.SetCapacity(files.used_bytes() + 20);
   ASSERT_TRUE(group_.Commit("b", seconds(10)));
   EXPECT_NE(group_.Leader(), leader);
   files.SetCapacity(UINT64_MAX);
   group_.Run(seconds(10));
-  EXPECT_FALSE(group_.members_[leader].driver->is_failed());
+  EXPECT_FALSE(group_.members[leader].driver->is_failed());
   group_.CheckConverged();
 }
 
--- a/src/libshallotport/consensus/replica_group_test_util.h
+++ b/src/libshallotport/consensus/replica_group_test_util.h
@@ -30,12 +30,12 @@
     drifting_clock(const replica_group& group, double rate, int64_t offset)
         : group_(group), rate_(rate), offset_(offset) {}
     steady_time Now() const override {
-      const auto elapsed = static_cast<double>(group_.elapsed_.count());
+      const auto elapsed = static_cast<double>(group_.elapsed.count());
       return steady_time(
           duration(offset_ + static_cast<int64_t>(rate_ * elapsed)));
     }
     wall_milliseconds WallNow() const override {
-      return offset_ + group_.elapsed_.count() / 1000;
+      return offset_ + group_.elapsed.count() / 1000;
     }
 
    private:
@@ -69,34 +69,34 @@
   };
 
   replica_group(uint64_t seed, std::vector<host_id> founders)
-      : random_(seed), founders_(std::move(founders)) {
-    for (const host_id& host : founders_) {
+      : random(seed), founders(std::move(founders)) {
+    for (const host_id& host : founders) {
       AddHost(host);
     }
   }
 
   ~replica_group() {
-    for (auto& [host, each] : members_) {
+    for (auto& [host, each] : members) {
       each.driver.reset();
     }
   }
 
   void AddHost(const host_id& host) {
-    member& added = members_[host];
-    const double rate = 0.95 + 0.1 * UniformUnit(random_);
+    member& added = members[host];
+    const double rate = 0.95 + 0.1 * UniformUnit(random);
     added.clock = std::make_unique<drifting_clock>(
         *this, rate,
-        1'000'000 + static_cast<int64_t>(UniformBelow(random_, 1'000'000)));
-    added.restart_at = elapsed_;
+        1'000'000 + static_cast<int64_t>(UniformBelow(random, 1'000'000)));
+    added.restart_at = elapsed;
   }
 
   void Start(const host_id& host) {
-    member& started = members_.at(host);
+    member& started = members.at(host);
     replica_options options;
     options.host = host;
     options.folder = "/data";
-    options.initial_members = founders_;
-    options.seed = random_();
+    options.initial_members = founders;
+    options.seed = random();
     options.snapshot_after_entries = snapshot_after_entries;
     options.trailing_entries = trailing_entries;
     options.segment_bytes = segment_bytes;
@@ -104,8 +104,8 @@
     started.state = std::make_unique<register_state>();
     started.driver = std::make_unique<replica_driver>(
         options, *started.clock,
-        [this, host](const host_id& to, std::string bytes) {
-          Send(host, to, std::move(bytes));
+        [this, host](const host_id& to, const std::string& bytes) {
+          Send(host, to, bytes);
         });
     started.driver->states().Register(replicated_slice::kOrders,
                                       started.state.get());
@@ -123,59 +123,59 @@
 
   // Ends the process; unsynced bytes are lost in part.
   void Crash(const host_id& host, duration down_time) {
-    member& crashed = members_.at(host);
+    member& crashed = members.at(host);
     crashed.driver.reset();
-    crashed.files.Crash(random_);
-    crashed.restart_at = elapsed_ + down_time;
+    crashed.files.Crash(random);
+    crashed.restart_at = elapsed + down_time;
   }
 
-  void Send(const host_id& from, const host_id& to, std::string bytes) {
-    if (!members_.contains(to) || cuts_.contains({from, to}) ||
-        UniformUnit(random_) < drop_share) {
+  void Send(const host_id& from, const host_id& to, const std::string& bytes) {
+    if (!members.contains(to) || cuts.contains({from, to}) ||
+        UniformUnit(random) < drop_share) {
       return;
     }
-    const int copies = UniformUnit(random_) < duplicate_share ? 2 : 1;
+    const int copies = UniformUnit(random) < duplicate_share ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      const auto delay = duration(UniformBelow(random_, max_delay.count()));
-      packets_.push_back({from, to, bytes, elapsed_ + delay});
+      const auto delay = duration(UniformBelow(random, max_delay.count()));
+      packets.push_back({from, to, bytes, elapsed + delay});
     }
   }
 
   void Cut(const host_id& a, const host_id& b, bool is_both_ways) {
-    cuts_.insert({a, b});
+    cuts.insert({a, b});
     if (is_both_ways) {
-      cuts_.insert({b, a});
+      cuts.insert({b, a});
     }
   }
   void Isolate(const host_id& host) {
-    for (const auto& [other, each] : members_) {
+    for (const auto& [other, each] : members) {
       Cut(host, other, true);
     }
   }
-  void Heal() { cuts_.clear(); }
+  void Heal() { cuts.clear(); }
 
   // Lets one step of time pass: packets, restarts, members and clients.
   void Step() {
-    elapsed_ += kStep;
+    elapsed += kStep;
     std::vector<packet> due;
-    std::erase_if(packets_, [&](packet& each) {
-      const bool is_due = each.due <= elapsed_;
+    std::erase_if(packets, [&](packet& each) {
+      const bool is_due = each.due <= elapsed;
       if (is_due) {
         due.push_back(std::move(each));
       }
       return is_due;
     });
-    std::shuffle(due.begin(), due.end(), random_);
+    std::shuffle(due.begin(), due.end(), random);
     for (packet& each : due) {
-      member& to = members_.at(each.to);
-      const bool is_cut = cuts_.contains({each.from, each.to});
+      member& to = members.at(each.to);
+      const bool is_cut = cuts.contains({each.from, each.to});
       if (to.driver != nullptr && !is_cut) {
         to.driver->Handle(to.clock->Now(), peer_bytes{std::move(each.bytes)});
         to.due = to.clock->Now();
       }
     }
-    for (auto& [host, each] : members_) {
-      if (each.driver == nullptr && elapsed_ >= each.restart_at) {
+    for (auto& [host, each] : members) {
+      if (each.driver == nullptr && elapsed >= each.restart_at) {
         Start(host);
       }
       if (each.driver != nullptr && each.clock->Now() >= each.due) {
@@ -187,15 +187,15 @@
   }
 
   void Run(duration time) {
-    const duration until = elapsed_ + time;
-    while (elapsed_ < until && !testing::Test::HasFailure()) {
+    const duration until = elapsed + time;
+    while (elapsed < until && !testing::Test::HasFailure()) {
       Step();
     }
   }
 
   // The member that holds the lease, or the empty id.
   host_id Leader() const {
-    for (const auto& [host, each] : members_) {
+    for (const auto& [host, each] : members) {
       if (HoldsLease(each)) {
         return host;
       }
@@ -204,8 +204,8 @@
   }
 
   bool RunUntilLeader(duration limit) {
-    const duration until = elapsed_ + limit;
-    while (Leader().IsEmpty() && elapsed_ < until) {
+    const duration until = elapsed + limit;
+    while (Leader().IsEmpty() && elapsed < until) {
       Step();
     }
     return !Leader().IsEmpty();
@@ -213,7 +213,7 @@
 
   // Proposes through `host`; the outcome is booked by the oracle.
   void Propose(const host_id& host, client& from) {
-    member& to = members_.at(host);
+    member& to = members.at(host);
     if (to.driver == nullptr) {
       return;
     }
@@ -231,12 +231,12 @@
                const result<std::string>& reply) {
     if (IsOk(reply)) {
       const auto [known, is_first] =
-          acknowledged_.try_emplace(sent.command, ValueOf(reply));
+          acknowledged.try_emplace(sent.command, ValueOf(reply));
       EXPECT_EQ(known->second, ValueOf(reply))
           << sent.command << " was answered in two ways";
-      EXPECT_TRUE(committed_commands_.contains(sent.command)) << sent.command;
-      newest_acknowledged_ =
-          std::max(newest_acknowledged_, std::stoul(ValueOf(reply)));
+      EXPECT_TRUE(committed_commands.contains(sent.command)) << sent.command;
+      newest_acknowledged =
+          std::max(newest_acknowledged, std::stoul(ValueOf(reply)));
     }
     const bool is_current = from.content.command == sent.command;
     if (is_current && IsOk(reply)) {
@@ -246,11 +246,11 @@
 
   // A linearizable read must see every change acknowledged before it began.
   void Read(const host_id& host) {
-    member& at = members_.at(host);
+    member& at = members.at(host);
     if (at.driver == nullptr) {
       return;
     }
-    const uint64_t least = newest_acknowledged_;
+    const uint64_t least = newest_acknowledged;
     at.driver->Handle(
         at.clock->Now(),
         submitted_query{replicated_slice::kOrders, "",
@@ -259,7 +259,7 @@
                             ++reads_answered;
                             EXPECT_GE(std::stoul(ValueOf(reply)), least)
                                 << host.text() << " answered a stale read at "
-                                << elapsed_.count();
+                                << elapsed.count();
                           }
                         }});
     at.due = at.clock->Now();
@@ -274,7 +274,7 @@
       reply(MakeError(error_kind::kNotLeader, "no leader"));
       return;
     }
-    member& at = members_.at(leader);
+    member& at = members.at(leader);
     at.driver->Handle(at.clock->Now(),
                       submitted_step{step, host, std::move(reply)});
     at.due = at.clock->Now();
@@ -282,9 +282,9 @@
 
   // Retries a membership step until it is committed.
   status RunChange(membership_step step, const host_id& host, duration limit) {
-    const duration until = elapsed_ + limit;
+    const duration until = elapsed + limit;
     status outcome = MakeError(error_kind::kInternal, "not tried");
-    while (elapsed_ < until) {
+    while (elapsed < until) {
       auto reply = std::make_shared<std::optional<status>>();
       Change(step, host, [reply](const result<std::string>& answer) {
         *reply = IsOk(answer) ? status(success{}) : status(ErrorOf(answer));
@@ -304,12 +304,12 @@
   // Proposes a new command until it is acknowledged.
   bool Commit(const std::string& command, duration limit) {
     client once;
-    once.content.origin = {host_id("client-once"), 1, 0, ++once_sequence_};
+    once.content.origin = {host_id("client-once"), 1, 0, ++once_sequence};
     once.content.slice = replicated_slice::kOrders;
     once.content.command = command;
     once.is_open = true;
-    const duration until = elapsed_ + limit;
-    while (once.is_open && elapsed_ < until && !testing::Test::HasFailure()) {
+    const duration until = elapsed + limit;
+    while (once.is_open && elapsed < until && !testing::Test::HasFailure()) {
       const host_id leader = Leader();
       if (!leader.IsEmpty()) {
         Propose(leader, once);
@@ -317,18 +317,18 @@
       Run(20 * kStep);
     }
     Run(2 * kStep);
-    kept_clients_.push_back(std::make_unique<client>(once));
+    kept_clients.push_back(std::make_unique<client>(once));
     return !once.is_open;
   }
 
   // One order of commits everywhere.
   void CheckApplied(const host_id& host, const log_entry& entry) {
     const auto [known, is_first] =
-        committed_.try_emplace(entry.index, entry.term, entry.content.command);
+        committed.try_emplace(entry.index, entry.term, entry.content.command);
     EXPECT_EQ(known->second.first, entry.term) << host.text();
     EXPECT_EQ(known->second.second, entry.content.command) << host.text();
     if (entry.kind == entry_kind::kCommand) {
-      committed_commands_.insert(entry.content.command);
+      committed_commands.insert(entry.content.command);
     }
   }
 
@@ -341,7 +341,7 @@
   void CheckLeases() {
     std::string holders;
     int count = 0;
-    for (const auto& [host, each] : members_) {
+    for (const auto& [host, each] : members) {
       if (HoldsLease(each)) {
         holders += " " + host.text();
         ++count;
@@ -355,17 +355,17 @@
   void CheckConverged() {
     const host_id leader = Leader();
     ASSERT_FALSE(leader.IsEmpty()) << "no leader after healing";
-    const auto& expected = members_.at(leader).state->commands();
+    const auto& expected = members.at(leader).state->commands();
     std::set<std::string> seen;
     for (const std::string& command : expected) {
       EXPECT_TRUE(seen.insert(command).second) << command << " applied twice";
     }
-    for (const auto& [command, reply] : acknowledged_) {
+    for (const auto& [command, reply] : acknowledged) {
       EXPECT_TRUE(seen.contains(command)) << command << " was lost";
     }
-    const auto& membership = members_.at(leader).driver->core()->membership();
+    const auto& membership = members.at(leader).driver->core()->membership();
     for (const group_member& each : membership.members) {
-      const member& holder = members_.at(each.host);
+      const member& holder = members.at(each.host);
       EXPECT_TRUE(holder.state->times_are_rising());
       const auto& held = holder.state->commands();
       EXPECT_TRUE(held == expected)
@@ -378,7 +378,7 @@
   // The members' states, for the message of a failed check.
   std::string Dump() const {
     std::string text;
-    for (const auto& [host, each] : members_) {
+    for (const auto& [host, each] : members) {
       nlohmann::json state;
       if (each.driver != nullptr) {
         each.driver->core()->WriteState(state);
@@ -389,12 +389,12 @@
     return text;
   }
 
-  random_source random_;
-  const std::vector<host_id> founders_;
-  duration elapsed_{0};
-  std::map<host_id, member> members_;
-  std::vector<packet> packets_;
-  std::set<std::pair<host_id, host_id>> cuts_;
+  random_source random;
+  const std::vector<host_id> founders;
+  duration elapsed{0};
+  std::map<host_id, member> members;
+  std::vector<packet> packets;
+  std::set<std::pair<host_id, host_id>> cuts;
   double drop_share = 0;
   double duplicate_share = 0;
   duration max_delay = std::chrono::milliseconds(4);
@@ -403,12 +403,12 @@
   uint32_t segment_bytes = 2'000;
   uint64_t reads_answered = 0;
 
-  std::map<log_index, std::pair<uint64_t, std::string>> committed_;
-  std::set<std::string> committed_commands_;
-  std::map<std::string, std::string> acknowledged_;
-  uint64_t newest_acknowledged_ = 0;
-  uint64_t once_sequence_ = 0;
-  std::vector<std::unique_ptr<client>> kept_clients_;
+  std::map<log_index, std::pair<uint64_t, std::string>> committed;
+  std::set<std::string> committed_commands;
+  std::map<std::string, std::string> acknowledged;
+  uint64_t newest_acknowledged = 0;
+  uint64_t once_sequence = 0;
+  std::vector<std::unique_ptr<client>> kept_clients;
 };
 
 inline std::vector<host_id> Hosts(int count) {
--- a/src/libshallotport/consensus/replica_test.cc
+++ b/src/libshallotport/consensus/replica_test.cc
@@ -87,12 +87,13 @@
     options.members = hosts_;
     options.local = nodes_[host].member.get();
     auto log = forwarding_log::Create(
-        options, clock_, [this, host](const host_id& to, std::string bytes) {
+        options, clock_,
+        [this, host](const host_id& to, const std::string& bytes) {
           const auto found = nodes_.find(to);
           const bool is_cut = host == host_id("host-4") && to == Unreachable();
           if (!is_cut && found != nodes_.end() &&
               found->second.log != nullptr) {
-            found->second.log->OnPeerMessage(host, std::move(bytes));
+            found->second.log->OnPeerMessage(host, bytes);
           }
         });
     ASSERT_TRUE(IsOk(log));
--- a/src/libshallotport/storage/payload_store.cc
+++ b/src/libshallotport/storage/payload_store.cc
@@ -47,7 +47,9 @@
     if (!name.ends_with(kSegmentSuffix)) {
       continue;
     }
-    if (status removed = used.Remove(folder + "/" + name); !IsOk(removed)) {
+    std::string path = folder;
+    path.append("/").append(name);
+    if (status removed = used.Remove(path); !IsOk(removed)) {
       return ErrorOf(removed);
     }
   }
--- a/src/libshallotport/storage/storage_test.cc
+++ b/src/libshallotport/storage/storage_test.cc
@@ -297,6 +297,7 @@
   ASSERT_TRUE(IsOk(opened));
   payload_store& store = *ValueOf(opened);
   std::vector<payload_ref> refs;
+  refs.reserve(10);
   for (int i = 0; i < 10; ++i) {
     refs.push_back(ValueOf(store.Append(std::string(60, 'a' + i))));
   }
