routing: learn the expected time from answers only

Cause: a timed-out attempt counted as a long answer, so each silent call made the next one wait longer: 5, 15, 25, 30 s in a trial with real daemons. Change: lower bounds count against their endpoint only; the expected time is the service's mean over answered requests.

--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -67,7 +67,8 @@
   choice.can_resume = endpoint.record().can_resume;
   choice.remembers_outcomes = endpoint.record().remembers_outcomes;
   choice.ticket = last_ticket_;
-  choice.expected_time = duration(static_cast<int64_t>(ExpectedTime(chosen)));
+  choice.expected_time = duration(
+      static_cast<int64_t>(service.AnswerTime() * attempt.queue_rounds));
   open_.emplace(choice.ticket, std::move(attempt));
   return choice;
 }
@@ -143,8 +144,10 @@
       outcome == attempt_outcome::kTimedOut ||
       (outcome == attempt_outcome::kCancelled && !attempt.has_first_byte &&
        time_us > attempt.member->estimate.mean_us());
-  if (service != nullptr && (outcome == attempt_outcome::kOk || is_bound)) {
-    service->AddSample(now, *attempt.member, time_us);
+  if (service != nullptr && outcome == attempt_outcome::kOk) {
+    service->AddAnswer(now, *attempt.member, time_us);
+  } else if (service != nullptr && is_bound) {
+    service->AddLowerBound(now, *attempt.member, time_us);
   }
   switch (outcome) {
     case attempt_outcome::kOk:
--- a/src/libshallotport/routing/request_router_test.cc
+++ b/src/libshallotport/routing/request_router_test.cc
@@ -287,6 +287,22 @@
   EXPECT_TRUE(IsOk(fixture.Ask(11'000, 500)));
 }
 
+TEST(request_router, TimeoutsDoNotLengthenTheExpectedTime) {
+  router_fixture fixture;
+  fixture.AddEndpoints(3);
+  for (int i = 0; i < 20; ++i) {
+    fixture.Call(i, attempt_outcome::kOk, milliseconds(20));
+  }
+  for (int i = 20; i < 26; ++i) {
+    fixture.Call(i, attempt_outcome::kTimedOut, seconds(5));
+    fixture.Call(i, attempt_outcome::kCancelled, seconds(5));
+  }
+  const auto choice = fixture.Ask(100);
+  ASSERT_TRUE(IsOk(choice));
+  EXPECT_GE(ValueOf(choice).expected_time, milliseconds(20));
+  EXPECT_LT(ValueOf(choice).expected_time, milliseconds(40));
+}
+
 TEST(request_router, BreakerOpensAndProbesOneAtATime) {
   router_fixture fixture;
   fixture.AddEndpoints(4);
--- a/src/libshallotport/routing/routed_service.cc
+++ b/src/libshallotport/routing/routed_service.cc
@@ -58,13 +58,19 @@
   });
 }
 
-void routed_service::AddSample(steady_time now,
+void routed_service::AddAnswer(steady_time now,
                                service_member& member,
                                double time_us) {
   member.estimate.Add(now, time_us);
   overall_.Add(now, time_us);
 }
 
+void routed_service::AddLowerBound(steady_time now,
+                                   service_member& member,
+                                   double time_us) {
+  member.estimate.Add(now, time_us);
+}
+
 double routed_service::TimeAt(steady_time now,
                               const service_member& member) const {
   const double mean = overall_.mean_us();
--- a/src/libshallotport/routing/routed_service.h
+++ b/src/libshallotport/routing/routed_service.h
@@ -40,8 +40,13 @@
   void AddMember(const std::shared_ptr<routed_endpoint>& endpoint);
   void RemoveMember(const routed_endpoint& endpoint);
 
-  // Records the time of an answered request, or a lower bound of it.
-  void AddSample(steady_time now, service_member& member, double time_us);
+  // Records the time of an answered request, or a lower bound of the time of
+  // one that was not, which counts against the member only.
+  void AddAnswer(steady_time now, service_member& member, double time_us);
+  void AddLowerBound(steady_time now, service_member& member, double time_us);
+
+  // Mean time of the service's answered requests; 0: unknown.
+  double AnswerTime() const { return overall_.mean_us(); }
 
   // Ejects members whose time is far above the others'. Cheap when not due.
   void EjectOutliers(steady_time now);
