routing: a call that its deadline ends is no fault of the endpoint

Cause: in a burst of a trial with real daemons 5 of 60 callers got 502 endpoint_failed at their deadline, and the calls counted for the breaker: the call's own time limit ran out a moment before the request's. Change: such an end is deadline_exceeded and counts as cancelled. While no time is known, a late claimed call is asked for after 1 s.

--- a/src/libshallotport/routing/online_request_attempts.cc
+++ b/src/libshallotport/routing/online_request_attempts.cc
@@ -18,6 +18,11 @@
 // this multiple of the expected time, since its connection may be silent.
 constexpr int kEarlyAskFactor = 4;
 constexpr duration kEarliestAsk{250'000};
+// The same while no time is known.
+constexpr duration kUnknownTimeAsk{1'000'000};
+// Calls are given whole milliseconds; one that ends this close to the deadline
+// was ended by it.
+constexpr duration kDeadlineSlack{2'000};
 // Pause between two questions for the outcome of a call in progress.
 constexpr duration kOutcomePollPeriod{200'000};
 // Advice for errors that name no time of their own.
@@ -141,7 +146,9 @@
                                      attempt_outcome outcome,
                                      bool is_proven_not_run) {
   const route_choice route = FindAttempt(number)->route;
-  EndAttempt(number, outcome, true);
+  const bool is_late = now_ + kDeadlineSlack >= options_.deadline;
+  const bool is_our_end = is_late && outcome == attempt_outcome::kFailed;
+  EndAttempt(number, is_our_end ? attempt_outcome::kCancelled : outcome, true);
   if (is_proven_not_run) {
     --attempts_unproven_;
   }
@@ -156,6 +163,10 @@
 }
 
 void online_request::RetryOrGiveUp(bool is_proven_not_run) {
+  if (now_ + kDeadlineSlack >= options_.deadline) {
+    OnDeadline();
+    return;
+  }
   if (!MayTryAgain(is_proven_not_run)) {
     GiveUp(MakeFailure());
     return;
@@ -190,14 +201,16 @@
 bool online_request::IsEarlyAskPossible() const {
   return UsesClaim() && phase_ == phase::kCalling && attempts_.size() == 1 &&
          !attempts_.front().has_byte &&
-         attempts_.front().route.remembers_outcomes &&
-         attempts_.front().route.expected_time.count() > 0;
+         attempts_.front().route.remembers_outcomes;
 }
 
 steady_time online_request::EarlyAskTime() const {
   const attempt& call = attempts_.front();
-  return call.started_at +
-         std::max(kEarliestAsk, kEarlyAskFactor * call.route.expected_time);
+  const duration expected = call.route.expected_time;
+  if (expected.count() == 0) {
+    return call.started_at + kUnknownTimeAsk;
+  }
+  return call.started_at + std::max(kEarliestAsk, kEarlyAskFactor * expected);
 }
 
 void online_request::AskOutcome() {
--- a/src/libshallotport/routing/online_request_test.cc
+++ b/src/libshallotport/routing/online_request_test.cc
@@ -69,6 +69,20 @@
   }
 }
 
+TEST(online_request, CallThatEndsAtTheDeadlineIsNoFaultOfTheEndpoint) {
+  online_request request(MakeOptions());
+  request.Start(At(0));
+  request.Handle(At(9'000), MakeRoute("e1", 1));
+  const auto ended = request.Handle(
+      At(9'999), attempt_ended{1, attempt_end_kind::kBroken, {}});
+  ASSERT_TRUE(FindAction<answer_error>(ended));
+  EXPECT_EQ(FindAction<answer_error>(ended)->failure.kind,
+            error_kind::kDeadlineExceeded);
+  ASSERT_TRUE(FindAction<report_finished>(ended));
+  EXPECT_EQ(FindAction<report_finished>(ended)->outcome,
+            attempt_outcome::kCancelled);
+}
+
 TEST(online_request, RestartThatDiffersFailsWhole) {
   online_request_options options = MakeOptions();
   options.is_stream = true;
