--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -60,6 +60,11 @@
   kLeader
 };
 
+// How the refusals of steps that were taken already end.
+inline constexpr std::string_view kIsMemberAlready = " is a member already";
+inline constexpr std::string_view kIsVoterAlready = " is a voter already";
+inline constexpr std::string_view kIsNoMember = " is no member";
+
 // One step of a membership change.
 enum class membership_step : uint8_t { kAddLearner, kPromote, kRemove };
 
@@ -134,6 +139,7 @@
   uint64_t term() const { return state_.term; }
   const host_id& leader() const { return leader_; }
   log_index commit_index() const { return commit_index_; }
+  log_index snapshot_index() const { return snapshot_index_; }
   const log_window& log() const { return log_; }
   // Snapshot files below this index are needed no more.
   log_index oldest_snapshot() const { return oldest_snapshot_; }
@@ -210,7 +216,6 @@
                    peer_progress& peer,
                    std::vector<log_entry_pointer> entries);
   void SendHeartbeat(const host_id& to, const peer_progress& peer);
-  void FeedSnapshot(steady_time now, const host_id& to, peer_progress& peer);
   void OnAppendRequest(steady_time now,
                        const consensus_message& message,
                        const append_request& request);
@@ -219,6 +224,13 @@
   void OnAppendReply(steady_time now,
                      const consensus_message& message,
                      const append_reply& reply);
+  peer_progress* NoteReply(steady_time now,
+                           const consensus_message& message,
+                           uint64_t round);
+  void AdvanceCommit();
+
+  // consensus_snapshot.cc
+  void FeedSnapshot(steady_time now, const host_id& to, peer_progress& peer);
   log_index OldestSentSnapshot(steady_time now) const;
   void OnSnapshotChunk(steady_time now,
                        const consensus_message& message,
@@ -226,10 +238,6 @@
   void OnSnapshotReply(steady_time now,
                        const consensus_message& message,
                        const snapshot_reply& reply);
-  peer_progress* NoteReply(steady_time now,
-                           const consensus_message& message,
-                           uint64_t round);
-  void AdvanceCommit();
 
   // consensus_reads.cc
   uint64_t QuorumRound() const;
--- a/src/libshallotport/consensus/consensus_core_test.cc
+++ b/src/libshallotport/consensus/consensus_core_test.cc
@@ -27,6 +27,7 @@
     core_options options;
     options.host = kA;
     options.disk = kDiskA;
+    options.log_memory_bytes = log_memory_bytes_;
     snapshot_point point{1, 1, 0, {}};
     point.membership.members = {
         {kA, kDiskA, true}, {kB, kDiskB, true}, {kC, kDiskC, true}};
@@ -112,6 +113,7 @@
 
   steady_time now_{seconds(100)};
   uint64_t last_round_ = 0;
+  uint64_t log_memory_bytes_ = 16u << 20;
   std::unique_ptr<consensus_core> core_;
 };
 
@@ -223,6 +225,24 @@
             0);
 }
 
+TEST_F(consensus_core_test, EntriesThatLeftMemoryAreLoaded) {
+  log_memory_bytes_ = 0;
+  Restart({Entry(2, 1), Entry(3, 1)});
+  Lead();
+  Deliver(kB, kDiskB, core_->term(), append_reply{last_round_, false, 1});
+  EXPECT_EQ(Take().load_requests.size(), 1u);
+  // A failed load is not repeated at once.
+  core_->EntriesLoaded(kB, {});
+  EXPECT_TRUE(Take().load_requests.empty());
+  Advance(milliseconds(200));
+  EXPECT_EQ(Take().load_requests.size(), 1u);
+  core_->EntriesLoaded(kB, {Entry(2, 1), Entry(3, 1)});
+  EXPECT_EQ(Count<append_request>(
+                Take().early_messages,
+                [](const append_request& r) { return r.entries.size() == 2; }),
+            1);
+}
+
 TEST_F(consensus_core_test, OneVoteInATerm) {
   now_ += seconds(2);
   Deliver(kC, kDiskC, 4, vote_request{false, false, 9, 1});
@@ -274,6 +294,24 @@
   EXPECT_EQ(actions.granted_reads[0].index, 2u);
 }
 
+// The removal may be committed by others' logs only through this one.
+TEST_F(consensus_core_test, RemovedMemberStandsUntilTheRemovalIsCommitted) {
+  auto removal = std::make_shared<log_entry>();
+  removal->index = 2;
+  removal->term = 2;
+  removal->kind = entry_kind::kMembership;
+  removal->content.command =
+      EncodeMembership({{{kB, kDiskB, true}, {kC, kDiskC, true}}});
+  Restart({removal});
+  Advance(seconds(2));
+  EXPECT_EQ(core_->role(), member_role::kPreCandidate);
+  // Its own vote does not count: it takes both others.
+  Deliver(kB, kDiskB, core_->term() + 1, vote_reply{true, true});
+  EXPECT_EQ(core_->role(), member_role::kPreCandidate);
+  Deliver(kC, kDiskC, core_->term() + 1, vote_reply{true, true});
+  EXPECT_EQ(core_->role(), member_role::kCandidate);
+}
+
 TEST_F(consensus_core_test, NothingIsSaidInATermBeforeItIsStored) {
   Advance(seconds(2));
   Deliver(kB, kDiskB, core_->term() + 1, vote_reply{true, true});
--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -1,36 +1,21 @@
 #include "consensus/forwarding_log.h"
 
 #include <algorithm>
-#include <condition_variable>
-#include <map>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
 
 #include "base/codec.h"
-#include "base/random_source.h"
-#include "consensus/blocking_reply.h"
 #include "consensus/consensus_core.h"
-#include "consensus/forwarding_message.h"
-#include "consensus/replica.h"
+#include "consensus/forwarding_log_internal.h"
 #include "consensus/session_table.h"
 
 namespace shallotport {
 
 namespace {
 
-constexpr std::chrono::milliseconds kFirstBackoff{10};
 constexpr std::chrono::milliseconds kLongestBackoff{200};
-
-// How a call that is under way stands.
-struct call_progress {
-  bool may_be_proposed = false;
-  host_id target;
-  host_id silent;  // Did not answer the last attempt.
-  duration backoff = kFirstBackoff;
-  error last_error = MakeError(error_kind::kNotLeader, "no member answered");
-};
+// How long a host that did not answer is reached through others.
+constexpr std::chrono::seconds kSilenceMemory{5};
 
 // Kinds after which another member, or the same one later, may do better.
 bool IsWorthRetry(error_kind kind) {
@@ -45,72 +30,6 @@
 
 }  // namespace
 
-class forwarding_log::implementation
-    : public std::enable_shared_from_this<implementation> {
- public:
-  implementation(forwarding_options options,
-                 const clock_source& clock,
-                 send_function send)
-      : options_(std::move(options)),
-        clock_(clock),
-        send_(std::move(send)),
-        random_(options_.seed) {
-    for (uint32_t lane = options_.lanes; lane > 0; --lane) {
-      free_lanes_.push_back(lane - 1);
-    }
-    sequences_.resize(options_.lanes);
-  }
-
-  void OnPeerMessage(const host_id& from, std::string_view bytes);
-  result<std::string> Propose(replicated_slice slice,
-                              std::string command,
-                              steady_time deadline);
-  result<std::string> Call(forwarding_request request, steady_time deadline);
-  void Stop();
-  host_id leader() const;
-  void WriteState(nlohmann::json& out) const;
-
- private:
-  std::optional<proposal_origin> TakeLane(steady_time deadline);
-  void ReturnLane(const proposal_origin& origin);
-  std::optional<result<std::string>> Attempt(forwarding_request& request,
-                                             call_progress& progress,
-                                             steady_time deadline);
-  void StartAttempt(const forwarding_request& request,
-                    const host_id& target,
-                    const std::shared_ptr<blocking_reply>& waiting);
-  void SubmitLocally(const forwarding_request& request,
-                     replica::reply_function reply);
-  void PauseUntil(steady_time until);
-  void ChooseTarget(call_progress& progress);
-  void Serve(const host_id& from, const forwarding_request& request);
-  void TakeReply(const host_id& from, forwarding_reply reply);
-  void NoteLeader(const host_id& leader);
-  bool IsStopped() const;
-  uint64_t Count(uint64_t& counter, uint64_t by = 1);
-
-  const forwarding_options options_;
-  const clock_source& clock_;
-  const send_function send_;
-
-  mutable std::mutex mutex_;
-  std::condition_variable changed_;
-  bool is_stopped_ = false;
-  random_source random_;
-  host_id leader_;
-  size_t next_member_ = 0;
-  uint64_t next_call_ = 1;
-  std::vector<uint32_t> free_lanes_;
-  std::vector<uint64_t> sequences_;
-  std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting_;
-
-  uint64_t calls_ = 0;
-  uint64_t attempts_ = 0;
-  uint64_t served_ = 0;
-  uint64_t unanswered_ = 0;
-  uint64_t unknown_replies_ = 0;
-};
-
 bool forwarding_log::implementation::IsStopped() const {
   const std::lock_guard lock(mutex_);
   return is_stopped_;
@@ -194,6 +113,7 @@
   {
     const std::lock_guard lock(mutex_);
     request.call = next_call_++;
+    request.may_relay = progress.target != leader_;
     waiting_[request.call] = waiting;
     ++attempts_;
   }
@@ -211,11 +131,12 @@
     progress.may_be_proposed |= has_effect;
     progress.last_error = MakeError(error_kind::kNoQuorum,
                                     progress.target.text() + " did not answer");
-    progress.silent = std::exchange(progress.target, host_id());
+    const host_id silent = std::exchange(progress.target, host_id());
+    const std::lock_guard lock(mutex_);
+    silent_until_[silent] = clock_.Now() + kSilenceMemory;
     return std::nullopt;
   }
   if (IsOk(*reply)) {
-    NoteLeader(progress.target);
     return reply;
   }
   progress.last_error = ErrorOf(*reply);
@@ -224,9 +145,9 @@
   if (!IsWorthRetry(progress.last_error.kind)) {
     return reply;
   }
-  progress.silent = host_id();
   const host_id known = leader();
-  const bool is_redirected = !known.IsEmpty() && known != progress.target;
+  const bool is_redirected =
+      !known.IsEmpty() && known != progress.target && !IsSilent(known);
   progress.target = is_redirected ? known : host_id();
   if (!is_redirected) {
     duration pause;
@@ -248,7 +169,8 @@
   changed_.wait_until(lock, until, [this] { return is_stopped_; });
 }
 
-// The known leader first; else the members in turn.
+// The known leader first; else the members in turn, those that lately did not
+// answer last.
 void forwarding_log::implementation::ChooseTarget(call_progress& progress) {
   if (!progress.target.IsEmpty()) {
     return;
@@ -259,13 +181,16 @@
   if (!local_view.IsEmpty()) {
     leader_ = local_view;
   }
-  if (!leader_.IsEmpty() && leader_ != progress.silent) {
+  if (!leader_.IsEmpty() && !IsSilentLocked(leader_)) {
     progress.target = leader_;
-  } else if (!options_.members.empty()) {
-    progress.target =
-        options_.members[next_member_++ % options_.members.size()];
-  } else {
-    progress.target = options_.host;
+    return;
+  }
+  progress.target = options_.host;
+  for (size_t tried = 0; tried < members_.size(); ++tried) {
+    progress.target = members_[next_member_++ % members_.size()];
+    if (!IsSilentLocked(progress.target)) {
+      return;
+    }
   }
 }
 
@@ -304,68 +229,14 @@
   reply(MakeError(error_kind::kInvalidRequest, "unknown kind of call"));
 }
 
-void forwarding_log::implementation::OnPeerMessage(const host_id& from,
-                                                   std::string_view bytes) {
-  auto message = Decode<forwarding_message>(bytes);
-  if (!IsOk(message)) {
-    return;
-  }
-  if (auto* reply = std::get_if<forwarding_reply>(&ValueOf(message))) {
-    TakeReply(from, std::move(*reply));
-  } else {
-    Serve(from, std::get<forwarding_request>(ValueOf(message)));
-  }
+bool forwarding_log::implementation::IsSilentLocked(const host_id& host) const {
+  const auto found = silent_until_.find(host);
+  return found != silent_until_.end() && clock_.Now() < found->second;
 }
 
-// Answers another host's call from the local member.
-void forwarding_log::implementation::Serve(const host_id& from,
-                                           const forwarding_request& request) {
-  Count(served_);
-  const auto answer = [self = weak_from_this(), from, call = request.call](
-                          const result<std::string>& outcome) {
-    const auto alive = self.lock();
-    if (alive == nullptr) {
-      return;
-    }
-    forwarding_reply reply;
-    reply.call = call;
-    reply.is_ok = IsOk(outcome);
-    reply.kind = IsOk(outcome) ? error_kind::kInternal : ErrorOf(outcome).kind;
-    reply.text = IsOk(outcome) ? ValueOf(outcome) : ErrorOf(outcome).detail;
-    if (alive->options_.local != nullptr) {
-      reply.leader = alive->options_.local->leader();
-    }
-    alive->send_(from, Encode(forwarding_message(reply)));
-  };
-  if (options_.local == nullptr) {
-    answer(MakeError(error_kind::kNotLeader, "no member on this host"));
-    return;
-  }
-  SubmitLocally(request, answer);
-}
-
-void forwarding_log::implementation::TakeReply(const host_id&,
-                                               forwarding_reply reply) {
-  std::shared_ptr<blocking_reply> waiting;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = waiting_.find(reply.call);
-    if (found == waiting_.end()) {
-      ++unknown_replies_;
-      return;
-    }
-    waiting = found->second;
-    leader_ = reply.leader;
-  }
-  const bool is_known_kind = static_cast<size_t>(reply.kind) < kErrorKindCount;
-  const error_kind kind = is_known_kind ? reply.kind : error_kind::kInternal;
-  waiting->Set(reply.is_ok ? result<std::string>(std::move(reply.text))
-                           : result<std::string>(MakeError(kind, reply.text)));
-}
-
-void forwarding_log::implementation::NoteLeader(const host_id& leader) {
+bool forwarding_log::implementation::IsSilent(const host_id& host) const {
   const std::lock_guard lock(mutex_);
-  leader_ = leader;
+  return IsSilentLocked(host);
 }
 
 host_id forwarding_log::implementation::leader() const {
@@ -379,6 +250,14 @@
   return leader_;
 }
 
+std::vector<host_id> forwarding_log::implementation::members() const {
+  if (options_.local != nullptr) {
+    return options_.local->members();
+  }
+  const std::lock_guard lock(mutex_);
+  return named_members_;
+}
+
 void forwarding_log::implementation::Stop() {
   std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting;
   {
@@ -400,6 +279,7 @@
   counters["log_attempts"] = attempts_;
   counters["log_calls_served"] = served_;
   counters["log_attempts_unanswered"] = unanswered_;
+  counters["log_calls_relayed"] = relayed_;
   counters["log_replies_unknown"] = unknown_replies_;
   counters["log_calls_waiting"] = waiting_.size();
 }
@@ -472,6 +352,10 @@
   return implementation_->leader();
 }
 
+std::vector<host_id> forwarding_log::members() const {
+  return implementation_->members();
+}
+
 void forwarding_log::WriteState(nlohmann::json& out) const {
   implementation_->WriteState(out);
 }
--- a/src/libshallotport/consensus/forwarding_message.h
+++ b/src/libshallotport/consensus/forwarding_message.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result.h"
@@ -25,10 +26,12 @@
   proposal content;  // For a query the command is the query.
   uint8_t step = 0;  // membership_step, for kMembership.
   host_id subject;   // Whom the step is about.
+  // The sender does not reach the leader: a follower passes the call on.
+  bool may_relay = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(call, kind, content, step, subject);
+    archive(call, kind, content, step, subject, may_relay);
   }
 };
 
@@ -39,10 +42,11 @@
   error_kind kind = error_kind::kInternal;
   std::string text;  // The reply, or the error's detail.
   host_id leader;
+  std::vector<host_id> members;  // Empty when there is no member.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(call, is_ok, kind, text, leader);
+    archive(call, is_ok, kind, text, leader, members);
   }
 };
 
--- a/src/shallotctl/command.h
+++ b/src/shallotctl/command.h
@@ -40,6 +40,8 @@
 // The commands of each file.
 std::span<const command> StateCommands();
 std::span<const command> ConfigurationCommands();
+std::span<const command> HostCommands();
+std::span<const command> JobCommands();
 
 }  // namespace shallotport
 
--- a/src/shallotctl/main.cc
+++ b/src/shallotctl/main.cc
@@ -4,15 +4,18 @@
 #include <optional>
 
 #include "command.h"
+#include "control_commands.h"
 #include "operator_client.h"
+#include "order_commands.h"
 
 namespace shallotport {
 namespace {
 
 using command_list = std::span<const command> (*)();
 
-constexpr command_list kCommandLists[] = {&StateCommands,
-                                          &ConfigurationCommands};
+constexpr command_list kCommandLists[] = {
+    &StateCommands,   &ConfigurationCommands, &HostCommands,
+    &ControlCommands, &OrderCommands,         &JobCommands};
 
 struct global_options {
   std::string host;
