--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -28,6 +28,7 @@
 #include "serving/endpoint_interface.h"
 #include "serving/exchange_finisher.h"
 #include "serving/host_operations.h"
+#include "serving/job_operations.h"
 #include "serving/online_exchange.h"
 #include "serving/operator_interface.h"
 #include "serving/routing_duty.h"
@@ -134,6 +135,7 @@
   std::unique_ptr<configuration_operations> configuration_routes;
   std::unique_ptr<host_operations> host_routes;
   std::unique_ptr<configuration_reports> report_routes;
+  std::unique_ptr<job_operations> job_routes;
   std::unique_ptr<order_operations> orders;
   std::unique_ptr<order_driver> order_sending;  // Members of the log only.
   exchange_services services;
@@ -364,6 +366,8 @@
   report_routes =
       std::make_unique<configuration_reports>(*log, clock, *distributor);
   report_routes->AddRoutes(operators->routes());
+  job_routes = std::make_unique<job_operations>(*log, clock);
+  job_routes->AddRoutes(operators->routes());
   orders->AddRoutes(operators->routes());
 }
 
