batch, serving: one type a name; ask about lost calls without refusing slow ones

outcomes was always asked to refuse the key, even while a call might just be slow, and its proof that a call had not run was not used. Change: batch says account_turn; the question closes the key only when the request's rules ask for it, and absent then counts as not run.

--- a/src/libshallotport/batch/job_catalogue.h
+++ b/src/libshallotport/batch/job_catalogue.h
@@ -65,7 +65,7 @@
 
 // One account that has jobs. `served` is its virtual time: items leased,
 // divided by its weight. Who has the least goes first.
-struct account_share {
+struct account_turn {
   uint32_t weight = 1;
   uint64_t served = 0;
   uint32_t running_jobs = 0;
@@ -141,7 +141,7 @@
   // Hashes of the keys of removed jobs, refused until their time.
   std::unordered_set<uint64_t> forgotten_keys;
   std::deque<std::pair<wall_milliseconds, uint64_t>> forgotten_order;
-  std::map<account_id, account_share> accounts;
+  std::map<account_id, account_turn> accounts;
   std::map<service_id, service_progress> services;
   std::map<host_id, incarnation> holders;  // Latest incarnation seen.
   std::map<lease_epoch, lease_record> leases;
--- a/src/libshallotport/batch/job_leases.cc
+++ b/src/libshallotport/batch/job_leases.cc
@@ -61,7 +61,7 @@
   entry.state = item_state::kLeased;
   entry.epoch = epoch;
   ++job.leased;
-  account_share& share = catalogue_.accounts.at(job.account);
+  account_turn& share = catalogue_.accounts.at(job.account);
   share.served += kServiceUnit / share.weight;
   ++catalogue_.leased_in_total;
   ++catalogue_.counters.items_leased;
--- a/src/libshallotport/batch/job_state.cc
+++ b/src/libshallotport/batch/job_state.cc
@@ -135,7 +135,7 @@
   job.deadline = command.deadline;
   job.max_attempts = std::clamp(command.max_attempts, 1U, 100U);
   job.is_idempotent = command.is_idempotent;
-  account_share& share = catalogue_.accounts[command.account];
+  account_turn& share = catalogue_.accounts[command.account];
   share.weight = std::max(command.account_weight, 1U);
   share.jobs.insert(job.number);
   catalogue_.services.try_emplace(command.service);
@@ -183,7 +183,7 @@
   job.phase = job_phase::kRunning;
   catalogue_.open.erase(job.number);
   catalogue_.running.insert(job.number);
-  account_share& share = catalogue_.accounts.at(job.account);
+  account_turn& share = catalogue_.accounts.at(job.account);
   if (share.running_jobs == 0) {
     // Time without work earns no credit.
     std::optional<uint64_t> least;
--- a/src/libshallotport/batch/lease_order.h
+++ b/src/libshallotport/batch/lease_order.h
@@ -34,7 +34,7 @@
   };
   // Sorted by laxity. Those before `first` have run out.
   struct candidate_list {
-    account_share* share = nullptr;
+    account_turn* share = nullptr;
     std::vector<candidate> all;
     size_t first = 0;
   };
--- a/src/libshallotport/serving/online_exchange.cc
+++ b/src/libshallotport/serving/online_exchange.cc
@@ -59,8 +59,11 @@
 // The answer of an endpoint that was asked for an outcome.
 class outcome_sink final : public endpoint_call_sink {
  public:
-  outcome_sink(incarnation asked, std::shared_ptr<event_mailbox> mailbox)
-      : asked_(asked), mailbox_(std::move(mailbox)) {}
+  // `closes_key`: an absent key was refused for good with the question.
+  outcome_sink(incarnation asked,
+               bool closes_key,
+               std::shared_ptr<event_mailbox> mailbox)
+      : asked_(asked), closes_key_(closes_key), mailbox_(std::move(mailbox)) {}
   void OnHead(int status, std::vector<http_field> /*headers*/) override {
     is_good_ = status == 200;
   }
@@ -82,7 +85,9 @@
       return learned;
     }
     const std::string state = body.value("state", "");
-    if (state == "running") {
+    if (state == "absent" && closes_key_) {
+      learned.outcome = remembered_outcome::kNotRun;
+    } else if (state == "running") {
       learned.outcome = remembered_outcome::kInProgress;
     } else if (state == "done" && body.contains("answer")) {
       learned.outcome = remembered_outcome::kAnswered;
@@ -93,6 +98,7 @@
   }
 
   incarnation asked_;
+  bool closes_key_;
   std::shared_ptr<event_mailbox> mailbox_;
   std::string body_;
   bool is_good_ = false;
@@ -372,11 +378,12 @@
   endpoint_call call;
   call.method = "GET";
   call.address = action.route.address;
-  call.path = "/control/outcome?key=" + EndpointKey() + "&close=1";
+  call.path = "/control/outcome?key=" + EndpointKey() +
+              (action.closes_key ? "&close=1" : "");
   call.timeout = kControlCallTimeout;
   const result<call_number> started = services_.caller->Start(
-      std::move(call),
-      std::make_shared<outcome_sink>(action.route.started, mailbox_));
+      std::move(call), std::make_shared<outcome_sink>(
+                           action.route.started, action.closes_key, mailbox_));
   if (!IsOk(started)) {
     mailbox_->Push(outcome_learned{});
   }
--- a/tests/scenarios/group_world.cc
+++ b/tests/scenarios/group_world.cc
@@ -111,7 +111,7 @@
     names_["old_leader"] = leader;
     return leader;
   }
-  for (const auto& [host, each] : group_->members_) {
+  for (const auto& [host, each] : group_->members) {
     if (who == "follower" && host != leader) {
       names_["follower"] = host;
       return host;
@@ -153,13 +153,13 @@
   const bool loses_disk = arguments.Flag("loses_disk", false);
   group_->Crash(host, arguments.Time("down_for", duration(1'000'000)));
   if (loses_disk) {
-    group_->members_[host].files.Wipe();
+    group_->members[host].files.Wipe();
   }
 }
 
 void group_world::CrashAll(step_arguments& arguments) {
   const duration down = arguments.Time("down_for", duration(1'000'000));
-  for (auto& [host, each] : group_->members_) {
+  for (auto& [host, each] : group_->members) {
     group_->Crash(host, down);
   }
 }
@@ -184,8 +184,8 @@
   client->content.slice = replicated_slice::kOrders;
   client->content.command = arguments.Text("name");
   client->is_open = true;
-  group_->kept_clients_.push_back(std::move(client));
-  group_->Propose(Member(arguments), *group_->kept_clients_.back());
+  group_->kept_clients.push_back(std::move(client));
+  group_->Propose(Member(arguments), *group_->kept_clients.back());
 }
 
 void group_world::Read(step_arguments& arguments) {
@@ -212,8 +212,8 @@
     arguments.Fail("no leader");
     return;
   }
-  const auto& commands = group_->members_[leader].state->commands();
-  for (const auto& [command, reply] : group_->acknowledged_) {
+  const auto& commands = group_->members[leader].state->commands();
+  for (const auto& [command, reply] : group_->acknowledged) {
     const auto times = std::count(commands.begin(), commands.end(), command);
     arguments.Check("times that " + command + " was applied", times, 1);
   }
@@ -222,7 +222,7 @@
 void group_world::ExpectApplied(step_arguments& arguments) {
   const std::string name = arguments.Text("name");
   const host_id leader = group_->Leader();
-  const auto& commands = group_->members_[leader].state->commands();
+  const auto& commands = group_->members[leader].state->commands();
   const auto times = std::count(commands.begin(), commands.end(), name);
   if (arguments.Has("count")) {
     arguments.Check("times that " + name + " was applied", times,
