--- a/src/libshallotport/consensus/replica_group_test_util.h
+++ b/src/libshallotport/consensus/replica_group_test_util.h
@@ -68,8 +68,8 @@
     duration retry_at{};
   };
 
-  replica_group(uint64_t seed, std::vector<host_id> founders)
-      : random(seed), founders(std::move(founders)) {
+  replica_group(uint64_t seed, std::vector<host_id> hosts)
+      : random(seed), founders(std::move(hosts)) {
     for (const host_id& host : founders) {
       AddHost(host);
     }
