control, consensus: notice a leadership lost in between; show the states

Cause: an order sender that lost and regained the leadership between two looks at the log kept its old epoch: its settles were refused as stale, and an endpoint that checks nothing could get an order of an older epoch after one of a newer. The bound for a former leader's lease was fixed at 3 s whatever the settings. The replicated states' dumps and counters reached no operator. Change: the sender compares the epoch in force with its own and begins anew; the bound follows the election timeout; a member's dump has every slice's state.

--- a/src/libshallotport/batch/job_state.h
+++ b/src/libshallotport/batch/job_state.h
@@ -52,7 +52,7 @@
   const status& health() const { return health_; }
 
   const job_catalogue& catalogue() const { return catalogue_; }
-  void WriteState(nlohmann::json& out) const;
+  void WriteState(nlohmann::json& out) const override;
 
  private:
   // One overload for each command, in job_state.cc for those of callers and in
--- a/src/libshallotport/claims/claim_state.h
+++ b/src/libshallotport/claims/claim_state.h
@@ -55,7 +55,7 @@
   size_t open_claims() const { return open_.size(); }
   size_t expired() const { return expired_.size(); }
 
-  void WriteState(nlohmann::json& out) const;
+  void WriteState(nlohmann::json& out) const override;
 
  private:
   class writer;
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -332,6 +332,7 @@
 void replica_driver::WriteState(nlohmann::json& out) const {
   core_->WriteState(out);
   storage_->WriteState(out);
+  states_.WriteStates(out);
   out["failure"] = failure_;
   out["disk_full"] = is_disk_full_ || is_nearly_full_;
   out["applied_index"] = applied_;
--- a/src/libshallotport/consensus/replicated_state.h
+++ b/src/libshallotport/consensus/replicated_state.h
@@ -3,6 +3,7 @@
 
 #include <iosfwd>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,9 @@
 
   // Replaces the state by one that a snapshot_writer wrote.
   virtual status LoadSnapshot(std::istream& in) = 0;
+
+  // Dumps the state for operators; numbers in `out["counters"]` become metrics.
+  virtual void WriteState(nlohmann::json& /*out*/) const {}
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/consensus/state_machine_set.cc
+++ b/src/libshallotport/consensus/state_machine_set.cc
@@ -1,6 +1,7 @@
 #include "consensus/state_machine_set.h"
 
 #include <istream>
+#include <nlohmann/json.hpp>
 #include <ostream>
 #include <sstream>
 #include <utility>
@@ -106,6 +107,18 @@
   return state->second->Query(query);
 }
 
+void state_machine_set::WriteStates(nlohmann::json& out) const {
+  for (const auto& [slice, state] : states_) {
+    nlohmann::json dump = nlohmann::json::object();
+    state->WriteState(dump);
+    if (dump.contains("counters")) {
+      out["counters"].update(dump["counters"]);
+      dump.erase("counters");
+    }
+    out["states"][std::to_string(static_cast<int>(slice))] = std::move(dump);
+  }
+}
+
 state_snapshot state_machine_set::BeginSnapshot(snapshot_point point) const {
   state_snapshot snapshot;
   snapshot.point = std::move(point);
--- a/src/libshallotport/consensus/state_machine_set.h
+++ b/src/libshallotport/consensus/state_machine_set.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,10 @@
                               uint32_t group,
                               log_index index);
 
+  // Dumps each slice's state below `out["states"]`; their counters are joined
+  // to `out["counters"]`.
+  void WriteStates(nlohmann::json& out) const;
+
   uint64_t applied() const { return applied_; }
   uint64_t duplicates() const { return duplicates_; }
   uint64_t overtaken() const { return overtaken_; }
--- a/src/libshallotport/control/configuration_state.h
+++ b/src/libshallotport/control/configuration_state.h
@@ -41,7 +41,7 @@
   // What changed after `revision`; whole when that is too long ago.
   configuration_delta Since(log_index revision) const;
 
-  void WriteState(nlohmann::json& out) const;
+  void WriteState(nlohmann::json& out) const override;
 
  private:
   // The middle of an older text; both ends are taken from the next newer one.
--- a/src/libshallotport/control/order_sender.cc
+++ b/src/libshallotport/control/order_sender.cc
@@ -35,6 +35,15 @@
   }
 }
 
+void order_sender::OnEpochSeen(steady_time now, log_index epoch) {
+  const bool is_overtaken = is_leader_ && epoch_ != 0 && epoch > epoch_;
+  if (!is_overtaken) {
+    return;
+  }
+  OnLeadershipLost();
+  OnLeadershipGained(now);
+}
+
 void order_sender::OnQueue(const std::vector<order_record>& queued) {
   queue_ = queued;
   std::set<std::string> ids;
--- a/src/libshallotport/control/order_sender.h
+++ b/src/libshallotport/control/order_sender.h
@@ -62,6 +62,10 @@
   void OnLeadershipGained(steady_time now);
   void OnLeadershipLost();
 
+  // The epoch in force at a read that confirmed the leadership. One above the
+  // own means that leadership was lost and regained unnoticed.
+  void OnEpochSeen(steady_time now, log_index epoch);
+
   // The queue as applied so far; replaces the former one.
   void OnQueue(const std::vector<order_record>& queued);
   void OnEndpoint(const endpoint_id& endpoint, bool checks_fencing);
--- a/src/libshallotport/control/order_sender_test.cc
+++ b/src/libshallotport/control/order_sender_test.cc
@@ -251,5 +251,33 @@
   EXPECT_EQ(sender.Step(quiet, far).sends.size(), 1U);
 }
 
+// Another leader came and went between two looks at the log: the old epoch must
+// not be used again, and unchecked endpoints are waited for again.
+TEST(OrderSender, TakesANewEpochAfterAnotherLeaderCameAndWent) {
+  order_sender sender(kOptions);
+  const steady_time start{milliseconds(10'000)};
+  const steady_time quiet =
+      start + kOptions.longest_lease + kOptions.longest_flight;
+  sender.OnEndpoint(endpoint_id("e"), false);
+  sender.OnLeadershipGained(start);
+  sender.OnEpochTaken(start, 7);
+  sender.OnEpochSeen(quiet, 7);
+  order_record record;
+  record.order = OrderOf("a");
+  sender.OnQueue({record});
+
+  sender.OnEpochSeen(quiet, 9);
+
+  const steady_time far = quiet + milliseconds(60'000);
+  const order_actions actions = sender.Step(quiet, far);
+  EXPECT_TRUE(actions.sends.empty());
+  EXPECT_TRUE(actions.must_take_epoch);
+  sender.OnEpochTaken(quiet, 12);
+  EXPECT_TRUE(sender.Step(quiet + milliseconds(1), far).sends.empty());
+  const steady_time again =
+      quiet + kOptions.longest_lease + kOptions.longest_flight;
+  EXPECT_EQ(sender.Step(again, again + milliseconds(1'000)).sends.size(), 1U);
+}
+
 }  // namespace
 }  // namespace shallotport
--- a/src/libshallotport/control/order_state.h
+++ b/src/libshallotport/control/order_state.h
@@ -32,7 +32,7 @@
   order_list List() const;
   log_index epoch() const { return data_.epoch; }
 
-  void WriteState(nlohmann::json& out) const;
+  void WriteState(nlohmann::json& out) const override;
 
  private:
   struct state_data {
--- a/src/shallotportd/daemon.cc
+++ b/src/shallotportd/daemon.cc
@@ -214,7 +214,8 @@
   log = std::move(ValueOf(made));
   orders = std::make_unique<order_operations>(*log, clock);
   if (local != nullptr) {
-    auto driver = order_driver::Create(settings.host, *local, clock);
+    auto driver = order_driver::Create(settings.host, *local, clock,
+                                       settings.election_timeout);
     if (!IsOk(driver)) {
       return ErrorOf(driver);
     }
--- a/src/shallotportd/order_driver.cc
+++ b/src/shallotportd/order_driver.cc
@@ -22,6 +22,17 @@
 constexpr int kOkStatus = 200;
 constexpr int kConflictStatus = 409;
 
+// A former leader sends for kSendWindow after its last confirmed read, which
+// its lease may have confirmed.
+order_sender_options SenderOptions(std::chrono::milliseconds leader_lease) {
+  order_sender_options options;
+  options.longest_lease =
+      std::max(options.longest_lease,
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                   2 * leader_lease + kSendWindow));
+  return options;
+}
+
 order_answer AnswerOf(int status, const endpoint_call_end& end) {
   if (!end.is_sent) {
     return order_answer::kUnreachable;
@@ -64,22 +75,25 @@
 result<std::unique_ptr<order_driver>> order_driver::Create(
     const host_id& host,
     replicated_log& member,
-    const clock_source& clock) {
+    const clock_source& clock,
+    std::chrono::milliseconds leader_lease) {
   auto caller = endpoint_caller::Create(kMostCalls);
   if (!IsOk(caller)) {
     return ErrorOf(caller);
   }
-  return std::unique_ptr<order_driver>(
-      new order_driver(host, member, clock, std::move(ValueOf(caller))));
+  return std::unique_ptr<order_driver>(new order_driver(
+      host, member, clock, leader_lease, std::move(ValueOf(caller))));
 }
 
 order_driver::order_driver(host_id host,
                            replicated_log& member,
                            const clock_source& clock,
+                           std::chrono::milliseconds leader_lease,
                            std::unique_ptr<endpoint_caller> caller)
     : host_(std::move(host)),
       clock_(clock),
       client_(member),
+      sender_(SenderOptions(leader_lease)),
       thread_(
           clock,
           kRingCapacity,
@@ -126,6 +140,7 @@
     sender_.OnLeadershipGained(now);
   }
   is_leader_ = true;
+  sender_.OnEpochSeen(now, ValueOf(list).epoch);
   queued_ = std::move(ValueOf(list).queued);
   for (const order_record& record : queued_) {
     sender_.OnEndpoint(record.order.endpoint, record.target.checks_fencing);
--- a/src/shallotportd/order_driver.h
+++ b/src/shallotportd/order_driver.h
@@ -22,11 +22,12 @@
 // leads. It asks the member at short intervals; one that answers leads.
 class order_driver {
  public:
-  // `member` and `clock` must outlive the driver.
+  // `member` and `clock` must outlive the driver. `leader_lease`: of the log.
   static result<std::unique_ptr<order_driver>> Create(
       const host_id& host,
       replicated_log& member,
-      const clock_source& clock);
+      const clock_source& clock,
+      std::chrono::milliseconds leader_lease);
 
   void Start() { thread_.Start(); }
   // Calls under way are cut off; their orders stay queued.
@@ -52,6 +53,7 @@
   order_driver(host_id host,
                replicated_log& member,
                const clock_source& clock,
+               std::chrono::milliseconds leader_lease,
                std::unique_ptr<endpoint_caller> caller);
 
   void On(steady_time now, const send_end& end);
