--- a/src/libshallotport/membership/membership_benchmark.cc
+++ b/src/libshallotport/membership/membership_benchmark.cc
@@ -47,6 +47,7 @@
   const auto count = static_cast<int>(state.range(0));
   endpoint_registry registry = RegistryOf(count);
   std::vector<endpoint_record> records;
+  records.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     records.push_back(RecordOf(i));
   }
