--- a/util/fuzz.sh
+++ b/util/fuzz.sh
@@ -17,6 +17,6 @@
   mkdir -p "$kept"
   echo "-- $target"
   "$program" "${limits[@]}" -rss_limit_mb=1024 -timeout=10 -max_len=65536 \
-    -artifact_prefix="build/fuzz/$target-" -verbosity=0 "$kept" "tests/fuzz/corpus/$target" 2>"build/fuzz/$target.log" ||
+    -artifact_prefix="build/fuzz/$target-" -verbosity=0 "$kept" "tests/fuzz/corpus/$target" >"build/fuzz/$target.log" 2>&1 ||
     { tail -n 40 "build/fuzz/$target.log"; exit 1; }
 done
