--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -6,12 +6,13 @@
 # fixed ports and run one at a time. *_fuzz.cc files are
 # libFuzzer targets and *_benchmark.cc files Google Benchmark programs.
 find_package(Threads REQUIRED)
-find_package(GTest REQUIRED)
 find_package(PkgConfig REQUIRED)
-include(GoogleTest)
-
-find_package(benchmark QUIET)
-find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+if(BUILD_TESTING)
+  find_package(GTest REQUIRED)
+  include(GoogleTest)
+  find_package(benchmark QUIET)
+  find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+endif()
 
 function(shallotport_test name)
   cmake_parse_arguments(ARG "SERIAL" "" "SOURCES;DEPENDS" ${ARGN})
--- a/src/libshallotport/base/codec.h
+++ b/src/libshallotport/base/codec.h
@@ -13,6 +13,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <sstream>
--- a/src/libshallotport/consensus/consensus_core.h
+++ b/src/libshallotport/consensus/consensus_core.h
@@ -65,6 +65,14 @@
 inline constexpr std::string_view kIsVoterAlready = " is a voter already";
 inline constexpr std::string_view kIsNoMember = " is no member";
 
+// What the leader knows of one member of its group.
+struct member_report {
+  group_member member;
+  bool is_self = false;
+  bool is_in_contact = false;  // It answered within the election timeout.
+  bool is_caught_up = false;   // It may be promoted.
+};
+
 // One step of a membership change.
 enum class membership_step : uint8_t { kAddLearner, kPromote, kRemove };
 
@@ -135,6 +143,7 @@
   void SnapshotInstalled(const received_chunk& last_chunk,
                          const snapshot_point& point);
 
+  const core_options& options() const { return options_; }
   member_role role() const { return role_; }
   uint64_t term() const { return state_.term; }
   const host_id& leader() const { return leader_; }
@@ -144,8 +153,14 @@
   // Snapshot files below this index are needed no more.
   log_index oldest_snapshot() const { return oldest_snapshot_; }
   const group_membership& membership() const;
+  bool IsMembershipCommitted() const {
+    return memberships_.back().first <= commit_index_;
+  }
   group_membership MembershipAt(log_index index) const;
 
+  // What this leader knows of each member; empty on other members.
+  std::vector<member_report> MemberReports(steady_time now) const;
+
   // End of the lease; in the past when there is none.
   steady_time LeaseEnd() const;
   bool HasLease(steady_time now) const;
--- a/src/libshallotport/consensus/consensus_membership.cc
+++ b/src/libshallotport/consensus/consensus_membership.cc
@@ -162,6 +162,28 @@
   return changed;
 }
 
+std::vector<member_report> consensus_core::MemberReports(
+    steady_time now) const {
+  std::vector<member_report> reports;
+  if (role_ != member_role::kLeader) {
+    return reports;
+  }
+  for (const group_member& member : membership().members) {
+    member_report report;
+    report.member = member;
+    report.is_self = member.host == options_.host;
+    report.is_in_contact = IsInContact(now, member);
+    const auto peer = peers_.find(member.host);
+    report.is_caught_up =
+        report.is_self ||
+        (peer != peers_.end() && report.is_in_contact &&
+         peer->second.state == feeding::kReplicate &&
+         peer->second.match + kMaxPromotionLag >= log_.last_index());
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
 void consensus_core::WriteState(nlohmann::json& out) const {
   constexpr const char* kRoles[] = {"follower", "pre_candidate", "candidate",
                                     "leader"};
--- /dev/null
+++ b/src/libshallotport/entry/decision_log.cc
@@ -0,0 +1,91 @@
+#include "entry/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace shallotport {
+
+namespace {
+
+// Lines about requests: enough to see each failure of a calm hour, and less
+// than a tenth of a core's time in a storm.
+constexpr double kLinesPerSecond = 20;
+constexpr double kLongestBurst = 100;
+
+// Quotes what would not read back as one word.
+void AppendValue(std::string& out, std::string_view value) {
+  const bool is_word =
+      !value.empty() && std::all_of(value.begin(), value.end(), [](char c) {
+        return c > ' ' && c != '"' && c != '=' && c < 127;
+      });
+  if (is_word) {
+    out.append(value);
+    return;
+  }
+  out.push_back('"');
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out.push_back('\\');
+    }
+    out.push_back(c < ' ' ? '?' : c);
+  }
+  out.push_back('"');
+}
+
+}  // namespace
+
+decision_log::decision_log(const clock_source& clock, std::string host)
+    : clock_(clock),
+      host_(std::move(host)),
+      refilled_(clock.Now()),
+      budget_(kLongestBurst) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void decision_log::Request(std::string_view event,
+                           std::initializer_list<log_field> fields) {
+  const steady_time now = clock_.Now();
+  const std::chrono::duration<double> passed = now - refilled_;
+  refilled_ = now;
+  budget_ = std::min(kLongestBurst, budget_ + passed.count() * kLinesPerSecond);
+  if (budget_ < 1) {
+    ++left_out_;
+    ++left_out_total_;
+    return;
+  }
+  budget_ -= 1;
+  Write(event, fields);
+}
+
+void decision_log::State(std::string_view event,
+                         std::initializer_list<log_field> fields) {
+  Write(event, fields);
+}
+
+void decision_log::Write(std::string_view event,
+                         std::initializer_list<log_field> fields) {
+  std::string line =
+      "time=" + std::to_string(clock_.WallNow()) + " host=" + host_ + " event=";
+  line.append(event);
+  for (const log_field& each : fields) {
+    line.append(" ").append(each.name).push_back('=');
+    AppendValue(line, each.value);
+  }
+  if (left_out_ > 0) {
+    line += " lines_left_out=" + std::to_string(left_out_);
+    left_out_ = 0;
+  }
+  line.push_back('\n');
+  const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+  if (written != static_cast<ssize_t>(line.size())) {
+    ++left_out_;
+    ++left_out_total_;
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entry/decision_log.h
@@ -0,0 +1,56 @@
+#ifndef SHALLOTPORT_ENTRY_DECISION_LOG_H_
+#define SHALLOTPORT_ENTRY_DECISION_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+// One field of a log line.
+struct log_field {
+  log_field(std::string_view name, std::string_view value)
+      : name(name), value(value) {}
+  log_field(std::string_view name, const char* value)
+      : name(name), value(value) {}
+  log_field(std::string_view name, int64_t number)
+      : name(name), value(std::to_string(number)) {}
+
+  std::string_view name;
+  std::string value;
+};
+
+// Writes a process's decisions to standard output, one line each:
+// "time=<wall ms> host=<name> event=<event> <field>=<value> ...". Lines about
+// requests come out of a budget, so that a storm of failures does not cost the
+// callers; what was left out is counted in the next line. A line that standard
+// output does not take at once is dropped and counted, too.
+class decision_log {
+ public:
+  decision_log(const clock_source& clock, std::string host);
+
+  // About a single request: within the budget.
+  void Request(std::string_view event, std::initializer_list<log_field> fields);
+  // About the process: always.
+  void State(std::string_view event, std::initializer_list<log_field> fields);
+
+  uint64_t left_out() const { return left_out_total_; }
+
+ private:
+  void Write(std::string_view event, std::initializer_list<log_field> fields);
+
+  const clock_source& clock_;
+  const std::string host_;
+  steady_time refilled_{};
+  double budget_;
+  uint64_t left_out_ = 0;
+  uint64_t left_out_total_ = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_DECISION_LOG_H_
--- /dev/null
+++ b/src/libshallotport/entry/entry_counters.h
@@ -0,0 +1,26 @@
+#ifndef SHALLOTPORT_ENTRY_ENTRY_COUNTERS_H_
+#define SHALLOTPORT_ENTRY_ENTRY_COUNTERS_H_
+
+#include <cstdint>
+
+namespace shallotport {
+
+// Counts of an entry host since its start.
+struct entry_counters {
+  uint64_t requests = 0;
+  uint64_t served = 0;
+  uint64_t passed_failures = 0;  // Failures of endpoints, passed on.
+  uint64_t refused_busy = 0;     // No place free.
+  uint64_t refused_no_endpoint = 0;
+  uint64_t refused_not_run = 0;  // All tries proven not to have run.
+  uint64_t failed_in_doubt = 0;
+  uint64_t timed_out = 0;
+  uint64_t broken_off = 0;  // Answers that had begun.
+  uint64_t caller_left = 0;
+  uint64_t tries = 0;
+  uint64_t resumed = 0;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_ENTRY_COUNTERS_H_
--- /dev/null
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -0,0 +1,63 @@
+#include "entry/entry_duty.h"
+
+#include <utility>
+#include <vector>
+
+#include "entry/routed_exchange.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kSweepInterval{500};
+
+}  // namespace
+
+entry_duty::entry_duty(boost::asio::io_context& loop,
+                       const clock_source& clock,
+                       options options,
+                       decision_log& log)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      log_(log),
+      random_(options_.seed),
+      placement_(options_.placing),
+      pool_(loop, clock) {}
+
+entry_duty::~entry_duty() = default;
+
+void entry_duty::SetRoutes(route_configuration configuration) {
+  const bool is_newer =
+      !routes_ || configuration.version > routes_->configuration().version;
+  if (is_newer) {
+    routes_.emplace(std::move(configuration));
+  }
+}
+
+void entry_duty::UpdateEndpoint(const endpoint_report& report) {
+  placement_.Update(report);
+}
+
+void entry_duty::Serve(const route& on,
+                       online_request request,
+                       std::shared_ptr<http_exchange> exchange) {
+  auto served = std::make_shared<routed_exchange>(*this, on, std::move(request),
+                                                  std::move(exchange));
+  active_.insert(served);
+  served->Begin();
+}
+
+void entry_duty::Tick(steady_time now) {
+  const std::vector<std::shared_ptr<routed_exchange>> all(active_.begin(),
+                                                          active_.end());
+  for (const auto& each : all) {
+    each->Tick(now);
+  }
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    pool_.Sweep(now);
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entry/entry_duty.h
@@ -0,0 +1,85 @@
+#ifndef SHALLOTPORT_ENTRY_ENTRY_DUTY_H_
+#define SHALLOTPORT_ENTRY_ENTRY_DUTY_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "entry/decision_log.h"
+#include "entry/entry_counters.h"
+#include "entry/placement.h"
+#include "entry/route_table.h"
+#include "entry/wire_profile.h"
+#include "eventio/endpoint_pool.h"
+#include "eventio/http_listener.h"
+#include "fleet/endpoint_directory.h"
+
+namespace shallotport {
+
+class routed_exchange;
+
+// A caller's request with what the platform's adapter read from it.
+struct online_request {
+  inbound_request wire;
+  request_id id;
+  std::chrono::milliseconds time_limit{0};  // 0: the route's timeout counts.
+  std::string resume_after;  // The last event that the caller has.
+};
+
+// Serves callers' online requests on one entry host: finds the route, chooses
+// endpoints, sends, and passes answers on. One thread, the event loop's.
+class entry_duty {
+ public:
+  struct options {
+    placement_options placing;
+    wire_profile wire;
+    uint64_t seed = 1;
+  };
+
+  entry_duty(boost::asio::io_context& loop,
+             const clock_source& clock,
+             options options,
+             decision_log& log);
+  ~entry_duty();
+
+  // Puts a configuration in force; only a higher version counts.
+  void SetRoutes(route_configuration configuration);
+  // Null before the first configuration.
+  const route_table* routes() const { return routes_ ? &*routes_ : nullptr; }
+  void UpdateEndpoint(const endpoint_report& report);
+
+  // Serves a request of a route that is not for batch jobs.
+  void Serve(const route& on,
+             online_request request,
+             std::shared_ptr<http_exchange> exchange);
+  // Ends requests whose time is up; call every few milliseconds.
+  void Tick(steady_time now);
+
+  placement& endpoints() { return placement_; }
+  size_t active_count() const { return active_.size(); }
+  const entry_counters& counters() const { return counters_; }
+  const endpoint_pool& connections() const { return pool_; }
+
+ private:
+  friend class routed_exchange;
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  const options options_;
+  decision_log& log_;
+  random_source random_;
+  std::optional<route_table> routes_;
+  placement placement_;
+  endpoint_pool pool_;
+  entry_counters counters_;
+  std::set<std::shared_ptr<routed_exchange>> active_;
+  steady_time next_sweep_{};
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_ENTRY_DUTY_H_
--- /dev/null
+++ b/src/libshallotport/entry/event_splitter.cc
@@ -0,0 +1,67 @@
+#include "entry/event_splitter.h"
+
+#include <algorithm>
+
+namespace shallotport {
+
+namespace {
+
+// The end of the first whole event, past its empty line; npos: none yet.
+size_t EndOfEvent(std::string_view bytes, size_t from) {
+  size_t line = from;
+  while (true) {
+    const size_t feed = bytes.find('\n', line);
+    if (feed == std::string_view::npos) {
+      return std::string_view::npos;
+    }
+    const bool is_empty =
+        feed == line || (feed == line + 1 && bytes[line] == '\r');
+    if (is_empty) {
+      return feed + 1;
+    }
+    line = feed + 1;
+  }
+}
+
+// The value of "name: value" without the optional space.
+std::string_view ValueAfter(std::string_view line, size_t name_size) {
+  std::string_view value = line.substr(name_size);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string event_splitter::Take(std::string_view bytes) {
+  data_.clear();
+  partial_.append(bytes);
+  size_t done = 0;
+  for (size_t end = EndOfEvent(partial_, 0); end != std::string::npos;
+       end = EndOfEvent(partial_, done)) {
+    Note(std::string_view(partial_).substr(done, end - done));
+    done = end;
+  }
+  std::string whole = partial_.substr(0, done);
+  partial_.erase(0, done);
+  return whole;
+}
+
+void event_splitter::Note(std::string_view event) {
+  while (!event.empty()) {
+    const size_t feed = std::min(event.find('\n'), event.size() - 1);
+    std::string_view line = event.substr(0, feed);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with("id:")) {
+      last_id_ = ValueAfter(line, 3);
+    } else if (line.starts_with("data:")) {
+      data_.append(ValueAfter(line, 5)).push_back('\n');
+    }
+    event.remove_prefix(feed + 1);
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entry/placement.cc
@@ -0,0 +1,210 @@
+#include "entry/placement.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace shallotport {
+
+namespace {
+
+// What others had at an endpoint says little after the time of a request.
+constexpr std::chrono::milliseconds kOthersKept{1'500};
+// An endpoint that shed has no room for about one place's turnover.
+constexpr std::chrono::milliseconds kAvoidAfterShed{60};
+// Between tries at an endpoint that cannot be reached; doubled up to the
+// longest with each failure in a row.
+constexpr std::chrono::milliseconds kAvoidAfterFailure{250};
+constexpr std::chrono::milliseconds kLongestAvoidance{4'000};
+// Within this share of a place, loads count as equal and the endpoint of the
+// own failure domain goes first.
+constexpr double kOwnDomainBonus = 0.6;
+
+}  // namespace
+
+placement::placement(placement_options options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void placement::Update(const endpoint_report& report) {
+  endpoint_state& state = endpoints_[report.endpoint];
+  const bool is_new_start = state.report.born_ms != report.born_ms;
+  if (state.report.service != report.service) {
+    by_service_[state.report.service].erase(report.endpoint);
+  }
+  state.report = report;
+  state.is_listed = report.stage == endpoint_stage::kReady;
+  if (is_new_start) {
+    state.others = 0;
+    state.failures = 0;
+    state.avoid_until = {};
+  }
+  by_service_[report.service].insert(report.endpoint);
+  if (report.stage == endpoint_stage::kGone) {
+    Remove(report.endpoint);
+  }
+}
+
+void placement::Remove(const endpoint_id& endpoint) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  found->second.is_listed = false;
+  by_service_[found->second.report.service].erase(endpoint);
+  if (found->second.own == 0) {
+    endpoints_.erase(found);
+  }
+}
+
+void placement::SetOthers(steady_time now,
+                          const endpoint_id& endpoint,
+                          uint32_t others) {
+  const auto found = endpoints_.find(endpoint);
+  if (found != endpoints_.end()) {
+    found->second.others = others;
+    found->second.others_at = now;
+  }
+}
+
+void placement::NoteLoad(steady_time now,
+                         const endpoint_id& endpoint,
+                         uint32_t running,
+                         uint32_t waiting) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  const uint32_t total = running + waiting;
+  const uint32_t own = found->second.own;
+  found->second.others = total > own ? total - own : 0;
+  found->second.others_at = now;
+}
+
+double placement::LoadOf(steady_time now, const endpoint_state& state) const {
+  const duration age = now - state.others_at;
+  const duration kept = kOthersKept;
+  const double share = age >= kept
+                           ? 0.0
+                           : 1.0 - static_cast<double>(age.count()) /
+                                       static_cast<double>(kept.count());
+  return state.own + state.others * share;
+}
+
+bool placement::IsUsable(const endpoint_state& state) const {
+  return state.is_listed;
+}
+
+std::variant<placed_endpoint, placement_refusal> placement::Begin(
+    steady_time now,
+    const service_id& service,
+    const std::set<endpoint_id>& excluded,
+    uint32_t reserve) {
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end() || found->second.empty()) {
+    return placement_refusal::kNoEndpoint;
+  }
+  endpoint_state* best = nullptr;
+  double best_cost = 0;
+  size_t usable = 0;
+  for (const endpoint_id& id : found->second) {
+    endpoint_state& state = endpoints_.at(id);
+    if (!IsUsable(state) || excluded.contains(id)) {
+      continue;
+    }
+    ++usable;
+    const double load = LoadOf(now, state);
+    const double room = reserve > 0
+                            ? static_cast<double>(state.report.slots) - reserve
+                            : state.report.slots + options_.waiting_allowed;
+    if (now < state.avoid_until || load + 1 > room) {
+      continue;
+    }
+    const bool is_own = state.report.domain == options_.domain;
+    const double cost = (load + (is_own ? 0.0 : kOwnDomainBonus)) /
+                            std::max<uint32_t>(state.report.slots, 1) +
+                        UniformUnit(random_) * 0.05;
+    if (best == nullptr || cost < best_cost) {
+      best = &state;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return usable == 0 ? placement_refusal::kNoEndpoint
+                       : placement_refusal::kAllBusy;
+  }
+  ++best->own;
+  return placed_endpoint{best->report.endpoint,
+                         {best->report.ip, best->report.port},
+                         best->report.domain == options_.domain};
+}
+
+void placement::End(steady_time now,
+                    const endpoint_id& endpoint,
+                    placement_end how) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  endpoint_state& state = found->second;
+  state.own -= std::min<uint32_t>(state.own, 1);
+  switch (how) {
+    case placement_end::kServed:
+      state.failures = 0;
+      break;
+    case placement_end::kShed:
+      state.avoid_until = std::max(state.avoid_until, now + kAvoidAfterShed);
+      break;
+    case placement_end::kUnreachable:
+    case placement_end::kBroken: {
+      const uint32_t doublings = std::min<uint32_t>(state.failures++, 4);
+      const duration pause = std::min<duration>(
+          kAvoidAfterFailure * (1u << doublings), kLongestAvoidance);
+      state.avoid_until = std::max(state.avoid_until, now + pause);
+      break;
+    }
+    case placement_end::kOtherEndpoint:
+      Remove(endpoint);
+      return;
+    case placement_end::kAbandoned:
+      break;
+  }
+  const bool is_removed = !by_service_[state.report.service].contains(endpoint);
+  if (is_removed && state.own == 0) {
+    endpoints_.erase(found);
+  }
+}
+
+placement::occupancy placement::Occupancy(steady_time now,
+                                          const service_id& service) const {
+  occupancy sum;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return sum;
+  }
+  for (const endpoint_id& id : found->second) {
+    const endpoint_state& state = endpoints_.at(id);
+    if (IsUsable(state) && now >= state.avoid_until) {
+      sum.places += state.report.slots;
+      sum.taken += std::min<uint32_t>(
+          state.report.slots, static_cast<uint32_t>(LoadOf(now, state)));
+    }
+  }
+  return sum;
+}
+
+std::vector<std::pair<endpoint_id, uint32_t>> placement::OwnLoad() const {
+  std::vector<std::pair<endpoint_id, uint32_t>> loads;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.own > 0) {
+      loads.emplace_back(id, state.own);
+    }
+  }
+  return loads;
+}
+
+bool placement::IsServing(const endpoint_id& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found != endpoints_.end() && found->second.is_listed;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entry/placement.h
@@ -0,0 +1,106 @@
+#ifndef SHALLOTPORT_ENTRY_PLACEMENT_H_
+#define SHALLOTPORT_ENTRY_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "eventio/endpoint_pool.h"
+#include "fleet/endpoint_report.h"
+
+namespace shallotport {
+
+// One endpoint that was chosen for a request.
+struct placed_endpoint {
+  endpoint_id endpoint;
+  endpoint_address address;
+  bool is_own_domain = false;
+};
+
+// How a request at an endpoint ended, for the choice of later ones.
+enum class placement_end : uint8_t {
+  kServed,
+  kShed,           // Refused by the endpoint: it has no room.
+  kUnreachable,    // No connection.
+  kBroken,         // The connection or answer broke.
+  kOtherEndpoint,  // Another endpoint has the address now.
+  kAbandoned,      // The caller left or its time ran out.
+};
+
+// Why no endpoint was chosen.
+enum class placement_refusal : uint8_t { kNoEndpoint, kAllBusy };
+
+struct placement_options {
+  domain_id domain;  // Of this host.
+  // Requests beyond an endpoint's places that may wait there. A place comes
+  // free every service time / places, well within the objective.
+  uint32_t waiting_allowed = 2;
+  uint64_t seed = 1;
+};
+
+// Chooses endpoints for requests. Answers the load of several hosts of ours
+// that send to the same endpoints, whose engines admit in order of arrival:
+// it counts the requests of its own, adds what the others are known to have
+// there, and takes the endpoint with the most room. What is sent to an endpoint
+// whose places are all taken would wait behind work that cannot be overtaken,
+// so little is. Pure.
+class placement {
+ public:
+  explicit placement(placement_options options);
+
+  void Update(const endpoint_report& report);
+  void Remove(const endpoint_id& endpoint);
+  // Others' requests at an endpoint, from the hosts' load exchange.
+  void SetOthers(steady_time now, const endpoint_id& endpoint, uint32_t others);
+  // The endpoint's own count of requests that run and wait there.
+  void NoteLoad(steady_time now,
+                const endpoint_id& endpoint,
+                uint32_t running,
+                uint32_t waiting);
+
+  // Chooses among the service's endpoints but `excluded`; the choice counts as
+  // a request there until End(). `reserve` places stay free (batch work).
+  std::variant<placed_endpoint, placement_refusal> Begin(
+      steady_time now,
+      const service_id& service,
+      const std::set<endpoint_id>& excluded,
+      uint32_t reserve = 0);
+  void End(steady_time now, const endpoint_id& endpoint, placement_end how);
+
+  // Places of a service: all, and those taken as far as known.
+  struct occupancy {
+    uint32_t places = 0;
+    uint32_t taken = 0;
+  };
+  occupancy Occupancy(steady_time now, const service_id& service) const;
+  // Own requests at each endpoint that has any.
+  std::vector<std::pair<endpoint_id, uint32_t>> OwnLoad() const;
+  bool IsServing(const endpoint_id& endpoint) const;
+
+ private:
+  struct endpoint_state {
+    endpoint_report report;
+    bool is_listed = false;  // Ready, by its last report.
+    uint32_t own = 0;
+    uint32_t others = 0;
+    steady_time others_at{};
+    steady_time avoid_until{};
+    uint32_t failures = 0;  // In a row.
+  };
+
+  double LoadOf(steady_time now, const endpoint_state& state) const;
+  bool IsUsable(const endpoint_state& state) const;
+
+  const placement_options options_;
+  random_source random_;
+  std::map<endpoint_id, endpoint_state> endpoints_;
+  std::map<service_id, std::set<endpoint_id>> by_service_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_PLACEMENT_H_
--- /dev/null
+++ b/src/libshallotport/entry/route_table.h
@@ -0,0 +1,98 @@
+#ifndef SHALLOTPORT_ENTRY_ROUTE_TABLE_H_
+#define SHALLOTPORT_ENTRY_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "base/random_source.h"
+#include "base/result.h"
+
+namespace shallotport {
+
+// What may be repeated of a request, and how its answer comes.
+enum class request_kind : uint8_t {
+  kSafe,       // Idempotent: may run more than once.
+  kUnsafe,     // Runs at most once for each attempt of the caller.
+  kStreaming,  // An event stream; unsafe unless it may be resumed.
+  kBatch,      // Jobs of many items that run later.
+};
+
+struct weighted_service {
+  service_id service;
+  uint32_t weight = 1;
+};
+
+// The rules for requests to one host name and path prefix.
+struct route {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  request_kind kind = request_kind::kUnsafe;
+  std::chrono::milliseconds timeout{0};    // Longest wait for the answer.
+  std::chrono::milliseconds objective{0};  // Response time objective.
+  uint32_t priority = 0;                   // 0 is the most urgent.
+  std::vector<weighted_service> services;
+  uint32_t max_runs = 1;  // Endpoints that may run one attempt.
+  bool is_resumable = false;
+  std::chrono::milliseconds job_objective{0};  // All results of a job.
+  std::chrono::milliseconds job_retention{0};  // Then items may be given up.
+  uint64_t waiting_tokens_limit = 0;           // 0: no limit.
+
+  bool MayRunAgain() const {
+    return kind == request_kind::kSafe ||
+           (kind == request_kind::kStreaming && is_resumable) ||
+           kind == request_kind::kBatch;
+  }
+};
+
+struct service_rules {
+  service_id name;
+  uint32_t max_connections = 0;  // Of one endpoint, from all callers.
+  uint32_t engine_slots = 0;     // 0: a plain service.
+};
+
+struct caller_limits {
+  uint32_t header_bytes = 16u << 10;
+  uint64_t body_bytes = 4u << 20;
+  std::chrono::milliseconds header_timeout{3'000};
+  std::chrono::milliseconds idle_timeout{15'000};
+};
+
+// The whole configuration of routes, as the operator put it into force.
+struct route_configuration {
+  uint64_t version = 0;
+  std::vector<route> routes;
+  std::vector<service_rules> services;
+  caller_limits limits;
+};
+
+// kInvalidRequest, naming the route, when it must not come into force.
+status CheckRoutes(const route_configuration& configuration);
+
+// Finds the route of a request: the longest prefix of its host that begins the
+// path.
+class route_table {
+ public:
+  route_table() = default;
+  explicit route_table(route_configuration configuration);
+
+  const route* Match(std::string_view host, std::string_view path) const;
+  const route_configuration& configuration() const { return configuration_; }
+
+ private:
+  route_configuration configuration_;
+  std::map<std::string, std::vector<size_t>, std::less<>> by_host_;
+};
+
+// Draws one of the route's services by their weights.
+service_id DrawService(const route& from, random_source& random);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -0,0 +1,395 @@
+#include "entry/routed_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+#include <variant>
+
+namespace shallotport {
+
+namespace {
+
+// Whole answers of endpoints are held in memory up to this size.
+constexpr size_t kMaxAnswerBytes = 16u << 20;
+// A run that gets less than this of its caller's time cannot answer.
+constexpr std::chrono::milliseconds kLeastTime{5};
+// Spread over which refused callers come back, so that they do not meet again.
+constexpr int64_t kRetrySpreadMs = 300;
+constexpr int64_t kShortestRetryMs = 100;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+std::string Seconds(int64_t milliseconds) {
+  char text[24];
+  std::snprintf(text, sizeof(text), "%lld.%03lld",
+                static_cast<long long>(milliseconds / 1000),
+                static_cast<long long>(milliseconds % 1000));
+  return text;
+}
+
+// "3,0,8" -> running 3, waiting 0.
+std::optional<std::pair<uint32_t, uint32_t>> ParseLoad(std::string_view text) {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  const char* end = text.data() + text.size();
+  const auto first = std::from_chars(text.data(), end, running);
+  if (first.ec != std::errc() || first.ptr == end || *first.ptr != ',') {
+    return std::nullopt;
+  }
+  const auto second = std::from_chars(first.ptr + 1, end, waiting);
+  if (second.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::pair(running, waiting);
+}
+
+}  // namespace
+
+routed_exchange::routed_exchange(entry_duty& duty,
+                                 const route& on,
+                                 online_request request,
+                                 std::shared_ptr<http_exchange> caller)
+    : duty_(duty),
+      route_(on),
+      version_(duty.routes_->configuration().version),
+      request_(std::move(request)),
+      caller_(std::move(caller)),
+      began_(duty.clock_.Now()) {
+  std::chrono::milliseconds limit = route_.timeout;
+  if (request_.time_limit.count() > 0) {
+    limit = std::min(limit, request_.time_limit);
+  }
+  due_ = began_ + limit;
+  last_event_ = request_.resume_after;
+}
+
+void routed_exchange::Begin() {
+  ++duty_.counters_.requests;
+  service_ = DrawService(route_, duty_.random_);
+  caller_->on_closed = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      ++self->duty_.counters_.caller_left;
+      self->EndPlacement(placement_end::kAbandoned);
+      self->Finish();
+    }
+  };
+  Try();
+}
+
+void routed_exchange::Try() {
+  const steady_time now = duty_.clock_.Now();
+  auto placed = duty_.placement_.Begin(now, service_, tried_);
+  if (std::holds_alternative<placement_refusal>(placed)) {
+    if (has_begun_) {
+      BreakOff("no endpoint to resume at");
+    } else if (runs_ > 0) {
+      Fail(502, "no other endpoint");
+    } else if (std::get<placement_refusal>(placed) ==
+               placement_refusal::kAllBusy) {
+      ++duty_.counters_.refused_busy;
+      Refuse(error_kind::kNoCapacity);
+    } else {
+      ++duty_.counters_.refused_no_endpoint;
+      Refuse(error_kind::kEndpointRefused);
+    }
+    return;
+  }
+  at_ = std::get<placed_endpoint>(placed);
+  ++tries_;
+  ++duty_.counters_.tries;
+  is_run_counted_ = false;
+  head_ = {};
+  body_.clear();
+  is_stream_ = false;
+  events_.Reset();
+  outbound_request out;
+  out.method = request_.wire.method;
+  out.bytes = FormatTry(*at_, now);
+  out.echo_header = duty_.options_.wire.request_id;
+  out.echo_value = request_.id.text();
+  const std::weak_ptr<routed_exchange> weak = weak_from_this();
+  call_events events;
+  events.on_head = [weak](response_head head) {
+    if (const auto self = weak.lock()) {
+      self->OnHead(std::move(head));
+    }
+  };
+  events.on_body = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnBody(bytes);
+    }
+  };
+  events.on_end = [weak](call_end end) {
+    if (const auto self = weak.lock()) {
+      self->OnEnd(end);
+    }
+  };
+  call_ = duty_.pool_.Start(at_->address, std::move(out), std::move(events));
+}
+
+std::string routed_exchange::FormatTry(const placed_endpoint& at,
+                                       steady_time now) const {
+  const wire_profile& wire = duty_.options_.wire;
+  header_list headers;
+  for (const auto& [name, value] : request_.wire.headers.fields()) {
+    const bool is_replaced = EqualsIgnoringCase(name, wire.time_limit_ms) ||
+                             EqualsIgnoringCase(name, wire.expected_endpoint) ||
+                             EqualsIgnoringCase(name, wire.resume_after);
+    if (!is_replaced && !IsConnectionHeader(name)) {
+      headers.Add(name, value);
+    }
+  }
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(due_ - now);
+  headers.Add(wire.time_limit_ms,
+              std::to_string(std::max<int64_t>(left.count(), 1)));
+  headers.Add(wire.expected_endpoint, at.endpoint.text());
+  if (!last_event_.empty()) {
+    headers.Add(wire.resume_after, last_event_);
+  }
+  return FormatRequest(request_.wire.method, request_.wire.target, headers,
+                       request_.wire.body);
+}
+
+void routed_exchange::OnHead(response_head head) {
+  const wire_profile& wire = duty_.options_.wire;
+  const steady_time now = duty_.clock_.Now();
+  if (const auto load = ParseLoad(head.headers.Value(wire.load))) {
+    duty_.placement_.NoteLoad(now, at_->endpoint, load->first, load->second);
+  }
+  head_ = std::move(head);
+  const bool is_event_stream =
+      head_.headers.Value("Content-Type").starts_with("text/event-stream");
+  is_stream_ = IsSuccess(head_.status) && is_event_stream;
+}
+
+void routed_exchange::OnBody(std::string_view bytes) {
+  if (!is_stream_) {
+    if (body_.size() + bytes.size() <= kMaxAnswerBytes) {
+      body_.append(bytes);
+    }
+    return;
+  }
+  const std::string whole = events_.Take(bytes);
+  if (whole.empty()) {
+    return;
+  }
+  BeginPassing();
+  if (!events_.last_id().empty()) {
+    last_event_ = events_.last_id();
+  }
+  caller_->SendPiece(whole);
+}
+
+// The answer's head goes out with its first event: until then another endpoint
+// may still take the request.
+void routed_exchange::BeginPassing() {
+  if (std::exchange(has_begun_, true)) {
+    return;
+  }
+  sent_head_ = head_;
+  caller_->BeginStream(head_.status, AnswerHeaders());
+}
+
+header_list routed_exchange::AnswerHeaders() const {
+  header_list headers;
+  for (const auto& [name, value] : head_.headers.fields()) {
+    if (!IsConnectionHeader(name) &&
+        !EqualsIgnoringCase(name, duty_.options_.wire.load)) {
+      headers.Add(name, value);
+    }
+  }
+  return headers;
+}
+
+void routed_exchange::OnEnd(call_end end) {
+  const auto self = shared_from_this();
+  call_.reset();
+  const wire_profile& wire = duty_.options_.wire;
+  switch (end) {
+    case call_end::kComplete:
+      OnWholeAnswer();
+      return;
+    case call_end::kNotSent:
+      AfterTry(try_outcome::kNotRun, placement_end::kUnreachable);
+      return;
+    case call_end::kBroken:
+    case call_end::kNotAnswer: {
+      // A refusal counts even if its body did not come whole.
+      const bool is_refused = head_.headers.Find(wire.not_run) != nullptr;
+      AfterTry(is_refused ? try_outcome::kNotRun : try_outcome::kInDoubt,
+               placement_end::kBroken);
+      return;
+    }
+  }
+}
+
+void routed_exchange::OnWholeAnswer() {
+  const wire_profile& wire = duty_.options_.wire;
+  const bool is_not_run =
+      head_.headers.Find(wire.not_run) != nullptr || head_.status == 421;
+  if (is_not_run) {
+    AfterTry(try_outcome::kNotRun, head_.status == 421
+                                       ? placement_end::kOtherEndpoint
+                                       : placement_end::kShed);
+    return;
+  }
+  const bool is_proven = head_.headers.Find(wire.endpoint_proof) != nullptr;
+  if (is_stream_) {
+    if (events_.has_partial() || !is_proven) {
+      AfterTry(try_outcome::kInDoubt, placement_end::kBroken);
+      return;
+    }
+    BeginPassing();
+    EndPlacement(placement_end::kServed);
+    ++duty_.counters_.served;
+    caller_->EndStream();
+    Finish();
+    return;
+  }
+  if (!IsSuccess(head_.status)) {
+    AfterTry(try_outcome::kFailedThere, placement_end::kServed);
+    return;
+  }
+  if (!is_proven || body_.size() >= kMaxAnswerBytes || has_begun_) {
+    AfterTry(try_outcome::kInDoubt, placement_end::kBroken);
+    return;
+  }
+  EndPlacement(placement_end::kServed);
+  ++duty_.counters_.served;
+  caller_->Respond(head_.status, AnswerHeaders(), body_);
+  Finish();
+}
+
+void routed_exchange::AfterTry(try_outcome outcome, placement_end how) {
+  const endpoint_id endpoint = at_->endpoint;
+  EndPlacement(how);
+  tried_.insert(endpoint);
+  if (outcome != try_outcome::kNotRun) {
+    ++runs_;
+  }
+  const steady_time now = duty_.clock_.Now();
+  attempt_state state;
+  state.may_run_again = route_.MayRunAgain();
+  state.is_resumable = route_.is_resumable;
+  state.max_runs = route_.max_runs;
+  state.runs = runs_;
+  state.tries = tries_;
+  state.has_begun = has_begun_;
+  state.is_time_left = now + kLeastTime < due_;
+  switch (DecideNext(state, outcome)) {
+    case next_step::kTryAgain:
+      Try();
+      return;
+    case next_step::kResume:
+      ++duty_.counters_.resumed;
+      Try();
+      return;
+    case next_step::kRefuse:
+      ++duty_.counters_.refused_not_run;
+      Refuse(error_kind::kNoCapacity);
+      return;
+    case next_step::kFail:
+      Fail(502, "the endpoint's answer broke");
+      return;
+    case next_step::kPassOn:
+      PassOnFailure();
+      return;
+    case next_step::kBreakOff:
+      BreakOff("the endpoint's stream broke");
+      return;
+  }
+}
+
+void routed_exchange::EndPlacement(placement_end how) {
+  if (at_) {
+    duty_.placement_.End(duty_.clock_.Now(), at_->endpoint, how);
+    at_.reset();
+  }
+}
+
+void routed_exchange::Tick(steady_time now) {
+  if (is_finished_ || now < due_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  ++duty_.counters_.timed_out;
+  call_.reset();
+  EndPlacement(placement_end::kAbandoned);
+  if (has_begun_) {
+    BreakOff("time limit");
+  } else {
+    Fail(504, "time limit");
+  }
+}
+
+void routed_exchange::Refuse(error_kind kind) {
+  header_list headers;
+  const auto spread = static_cast<int64_t>(
+      UniformBelow(duty_.random_, static_cast<uint64_t>(kRetrySpreadMs)));
+  headers.Add(duty_.options_.wire.retry_after,
+              Seconds(kShortestRetryMs + spread));
+  const int status = 503;
+  Log("request_refused", Answer(kind).code, status);
+  caller_->Respond(status, headers, {});
+  Finish();
+}
+
+void routed_exchange::Fail(int status, std::string_view reason) {
+  ++duty_.counters_.failed_in_doubt;
+  Log("request_failed", reason, status);
+  caller_->Respond(status, {}, {});
+  Finish();
+}
+
+void routed_exchange::PassOnFailure() {
+  ++duty_.counters_.passed_failures;
+  Log("request_failed", "the endpoint's own failure", head_.status);
+  caller_->Respond(head_.status, AnswerHeaders(), body_);
+  Finish();
+}
+
+void routed_exchange::BreakOff(std::string_view reason) {
+  ++duty_.counters_.broken_off;
+  Log("stream_broken_off", reason, 0);
+  caller_->Abort();
+  Finish();
+}
+
+void routed_exchange::Log(std::string_view event,
+                          std::string_view reason,
+                          int status) {
+  const steady_time now = duty_.clock_.Now();
+  const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - began_);
+  const auto places = duty_.placement_.Occupancy(now, service_);
+  duty_.log_.Request(
+      event, {{"request", request_.id.text()},
+              {"route", route_.name},
+              {"config_version", static_cast<int64_t>(version_)},
+              {"service", service_.text()},
+              {"status", int64_t{status}},
+              {"reason", reason},
+              {"last_endpoint",
+               tried_.empty() ? std::string_view("-") : tried_.begin()->text()},
+              {"tries", int64_t{tries_}},
+              {"runs", int64_t{runs_}},
+              {"waited_ms", waited.count()},
+              {"places", int64_t{places.places}},
+              {"taken", int64_t{places.taken}}});
+}
+
+void routed_exchange::Finish() {
+  if (std::exchange(is_finished_, true)) {
+    return;
+  }
+  caller_->on_closed = nullptr;
+  call_.reset();
+  EndPlacement(placement_end::kAbandoned);
+  duty_.active_.erase(shared_from_this());
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -0,0 +1,76 @@
+#ifndef SHALLOTPORT_ENTRY_ROUTED_EXCHANGE_H_
+#define SHALLOTPORT_ENTRY_ROUTED_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "entry/attempt_policy.h"
+#include "entry/entry_duty.h"
+#include "entry/event_splitter.h"
+
+namespace shallotport {
+
+// One online request's way from its caller to endpoints and back. Owned by the
+// entry duty until the caller's answer has ended.
+class routed_exchange : public std::enable_shared_from_this<routed_exchange> {
+ public:
+  routed_exchange(entry_duty& duty,
+                  const route& on,
+                  online_request request,
+                  std::shared_ptr<http_exchange> caller);
+
+  void Begin();
+  // Gives the final answer when the request's time is up.
+  void Tick(steady_time now);
+
+ private:
+  void Try();
+  std::string FormatTry(const placed_endpoint& at, steady_time now) const;
+  void OnHead(response_head head);
+  void OnBody(std::string_view bytes);
+  void OnEnd(call_end end);
+  void OnWholeAnswer();
+  void AfterTry(try_outcome outcome, placement_end how);
+  void EndPlacement(placement_end how);
+  void BeginPassing();
+
+  void Refuse(error_kind kind);
+  void Fail(int status, std::string_view reason);
+  void PassOnFailure();
+  void BreakOff(std::string_view reason);
+  void Finish();
+  header_list AnswerHeaders() const;
+  void Log(std::string_view event, std::string_view reason, int status);
+
+  entry_duty& duty_;
+  const route route_;  // As it was when the request came.
+  const uint64_t version_;
+  online_request request_;
+  std::shared_ptr<http_exchange> caller_;
+  const steady_time began_;
+  steady_time due_{};  // The route's timeout or the caller's limit.
+  service_id service_;
+
+  std::unique_ptr<endpoint_call> call_;
+  std::optional<placed_endpoint> at_;
+  std::set<endpoint_id> tried_;
+  uint32_t runs_ = 0;
+  uint32_t tries_ = 0;
+  bool is_run_counted_ = false;  // The try at hand is counted in runs_.
+
+  response_head head_;       // Of the try at hand.
+  response_head sent_head_;  // Of the stream's first run, sent to the caller.
+  std::string body_;
+  bool is_stream_ = false;
+  bool has_begun_ = false;
+  event_splitter events_;
+  std::string last_event_;
+  bool is_finished_ = false;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_ROUTED_EXCHANGE_H_
--- /dev/null
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -0,0 +1,145 @@
+#include "entryhost/entry_host.h"
+
+#include <utility>
+
+#include "base/codec.h"
+#include "eventio/host_link.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kLoadInterval{100};
+constexpr std::chrono::milliseconds kSweepInterval{300};
+// The balancer asks every second and takes a host out after two misses.
+constexpr std::chrono::milliseconds kAcceptWhileDraining{2'600};
+// Kept of the grace for the process's own end.
+constexpr std::chrono::milliseconds kExitMargin{600};
+
+}  // namespace
+
+entry_host::entry_host(boost::asio::io_context& loop,
+                       const clock_source& clock,
+                       entry_host_options options,
+                       document_reader read_document,
+                       http_listener::request_handler on_request,
+                       decision_log& log)
+    : clock_(clock),
+      options_(std::move(options)),
+      read_document_(std::move(read_document)),
+      log_(log),
+      fleet_(loop, clock, options_.fleet, true),
+      duty_(loop, clock, options_.entry, log),
+      jobs_(loop, clock, fleet_),
+      callers_(loop, clock, std::move(on_request)) {
+  fleet_.on_document = [this](const configuration_document& document) {
+    auto read = read_document_(document);
+    if (!IsOk(read)) {
+      log_.State("config_unreadable", {{"reason", ErrorOf(read).detail}});
+      return;
+    }
+    const caller_limits limits = ValueOf(read).limits;
+    callers_.SetLimits({limits.header_bytes, limits.body_bytes,
+                        limits.header_timeout, limits.idle_timeout});
+    log_.State("config_in_force",
+               {{"version", static_cast<int64_t>(document.version)}});
+    duty_.SetRoutes(std::move(ValueOf(read)));
+  };
+  fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
+    const bool was_serving = duty_.endpoints().IsServing(entry.report.endpoint);
+    duty_.UpdateEndpoint(entry.report);
+    if (was_serving != duty_.endpoints().IsServing(entry.report.endpoint)) {
+      log_.State(was_serving ? "endpoint_leaves" : "endpoint_ready",
+                 {{"endpoint", entry.report.endpoint.text()},
+                  {"service", entry.report.service.text()},
+                  {"sequence", static_cast<int64_t>(entry.report.sequence)},
+                  {"age_ms", int64_t{entry.report.age_ms}}});
+    }
+  };
+  fleet_.on_other_frame = [this](host_link&, uint8_t kind,
+                                 std::string_view payload) {
+    if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
+      TakeTotals(payload);
+    }
+  };
+}
+
+status entry_host::Start() {
+  if (status started = fleet_.Start(); !IsOk(started)) {
+    return started;
+  }
+  return callers_.Listen(options_.listen_ip, options_.listen_port);
+}
+
+bool entry_host::IsReady() const {
+  return !is_draining_ && duty_.routes() != nullptr;
+}
+
+void entry_host::Tick(steady_time now) {
+  fleet_.Tick(now);
+  duty_.Tick(now);
+  if (now >= next_load_) {
+    next_load_ = now + kLoadInterval;
+    ExchangeLoad();
+  }
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    callers_.Sweep(now);
+    const bool is_linked = fleet_.HasControlLink();
+    if (is_linked != was_linked_) {
+      was_linked_ = is_linked;
+      log_.State(is_linked ? "control_regained" : "control_lost",
+                 {{"config_version",
+                   static_cast<int64_t>(fleet_.document().version)}});
+    }
+  }
+  if (is_draining_) {
+    Drain(now);
+  }
+}
+
+void entry_host::ExchangeLoad() {
+  load_report report;
+  for (const auto& [endpoint, running] : duty_.endpoints().OwnLoad()) {
+    report.entries.push_back({endpoint, static_cast<uint16_t>(running)});
+  }
+  const std::string encoded = Encode(report);
+  for (const host_announcement& store : fleet_.Live(host_role::kStore)) {
+    fleet_.hub().Send(store.host.text(),
+                      static_cast<uint8_t>(fleet_frame::kLoad), encoded);
+  }
+}
+
+void entry_host::TakeTotals(std::string_view payload) {
+  const auto decoded = Decode<load_report>(payload);
+  if (!IsOk(decoded)) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  for (const load_entry& each : ValueOf(decoded).entries) {
+    duty_.endpoints().SetOthers(now, each.endpoint, each.running);
+  }
+}
+
+void entry_host::Stop(std::function<void()> done) {
+  if (std::exchange(is_draining_, true)) {
+    return;
+  }
+  drain_began_ = clock_.Now();
+  on_drained_ = std::move(done);
+  callers_.StartDraining();
+}
+
+void entry_host::Drain(steady_time now) {
+  if (!is_closed_ && now >= drain_began_ + kAcceptWhileDraining) {
+    is_closed_ = true;
+    callers_.CloseIdle();
+  }
+  const bool is_empty = is_closed_ && callers_.connection_count() == 0;
+  const bool is_late = now >= drain_began_ + options_.stop_grace - kExitMargin;
+  if ((is_empty || is_late) && on_drained_) {
+    std::exchange(on_drained_, nullptr)();
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -0,0 +1,76 @@
+#ifndef SHALLOTPORT_ENTRYHOST_ENTRY_HOST_H_
+#define SHALLOTPORT_ENTRYHOST_ENTRY_HOST_H_
+
+#include <functional>
+#include <memory>
+
+#include "entry/decision_log.h"
+#include "entry/entry_duty.h"
+#include "eventio/http_listener.h"
+#include "fleet/fleet_host.h"
+#include "jobstore/job_caller.h"
+
+namespace shallotport {
+
+struct entry_host_options {
+  fleet_host_options fleet;
+  entry_duty::options entry;
+  std::string listen_ip;
+  uint16_t listen_port = 0;
+  duration stop_grace = std::chrono::seconds(8);  // Until it is killed.
+};
+
+// A host between callers and endpoints. It knows the configuration and the
+// endpoints from the control hosts and goes on with what it knows when it is
+// cut off from them.
+class entry_host {
+ public:
+  using document_reader = std::function<result<route_configuration>(
+      const configuration_document& document)>;
+
+  entry_host(boost::asio::io_context& loop,
+             const clock_source& clock,
+             entry_host_options options,
+             document_reader read_document,
+             http_listener::request_handler on_request,
+             decision_log& log);
+
+  status Start();
+  void Tick(steady_time now);
+  // Finishes what was read; `done` is called when nothing is left or the grace
+  // ends.
+  void Stop(std::function<void()> done);
+
+  // True when new callers should come here.
+  bool IsReady() const;
+
+  entry_duty& duty() { return duty_; }
+  job_caller& jobs() { return jobs_; }
+  fleet_host& fleet() { return fleet_; }
+  const http_listener& callers() const { return callers_; }
+
+ private:
+  void ExchangeLoad();
+  void TakeTotals(std::string_view payload);
+  void Drain(steady_time now);
+
+  const clock_source& clock_;
+  const entry_host_options options_;
+  const document_reader read_document_;
+  decision_log& log_;
+  fleet_host fleet_;
+  entry_duty duty_;
+  job_caller jobs_;
+  http_listener callers_;
+  steady_time next_load_{};
+  steady_time next_sweep_{};
+  bool is_draining_ = false;
+  bool is_closed_ = false;
+  bool was_linked_ = false;
+  steady_time drain_began_{};
+  std::function<void()> on_drained_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRYHOST_ENTRY_HOST_H_
--- /dev/null
+++ b/src/libshallotport/eventio/boot_clock.h
@@ -0,0 +1,27 @@
+#ifndef SHALLOTPORT_EVENTIO_BOOT_CLOCK_H_
+#define SHALLOTPORT_EVENTIO_BOOT_CLOCK_H_
+
+#include <ctime>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+// The clocks of a host that may be suspended: Now() counts the time asleep, so
+// that leases and timeouts run out on a host that wakes up.
+class boot_clock_source final : public clock_source {
+ public:
+  steady_time Now() const override {
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return steady_time(
+        duration(int64_t{at.tv_sec} * 1'000'000 + at.tv_nsec / 1'000));
+  }
+  wall_milliseconds WallNow() const override {
+    return system_clock_source().WallNow();
+  }
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_EVENTIO_BOOT_CLOCK_H_
--- /dev/null
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -0,0 +1,300 @@
+#include "eventio/endpoint_connection.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "eventio/socket_options.h"
+
+namespace shallotport {
+
+namespace {
+
+namespace http = boost::beast::http;
+namespace ip = boost::asio::ip;
+using error_code = boost::system::error_code;
+
+// A lost opening packet is sent again after a second, which is too late for
+// most requests: another endpoint is tried instead.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+// An idle connection without a stated keep-alive time is used again for this
+// long.
+constexpr std::chrono::milliseconds kDefaultKeepAlive{1'500};
+// Kept before the endpoint's stated time, for requests under way.
+constexpr std::chrono::milliseconds kKeepAliveMargin{500};
+constexpr size_t kMaxHeaderBytes = 64u << 10;
+
+// "timeout=5, max=100" -> 5 s.
+duration KeepAliveTime(std::string_view header) {
+  constexpr std::string_view kKey = "timeout=";
+  const size_t at = header.find(kKey);
+  if (at == std::string_view::npos) {
+    return kDefaultKeepAlive;
+  }
+  unsigned seconds = 0;
+  const char* begin = header.data() + at + kKey.size();
+  std::from_chars(begin, header.data() + header.size(), seconds);
+  const duration stated = std::chrono::seconds(seconds);
+  return stated > kKeepAliveMargin ? stated - kKeepAliveMargin : duration(0);
+}
+
+}  // namespace
+
+endpoint_connection::endpoint_connection(endpoint_pool& pool,
+                                         const endpoint_address& to)
+    : pool_(&pool),
+      address_(to),
+      socket_(pool.loop_),
+      connect_timer_(pool.loop_) {}
+
+bool endpoint_connection::IsReusable(steady_time now) const {
+  return !is_closed_ && !is_in_call_ && input_.empty() && now < idle_until_;
+}
+
+void endpoint_connection::Begin(outbound_request request, call_events events) {
+  request_ = std::move(request);
+  events_ = std::move(events);
+  is_in_call_ = true;
+  is_sent_ = false;
+  has_head_ = false;
+  is_skipping_ = false;
+  may_be_kept_ = false;
+  parser_.reset();
+  if (is_connected_) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void endpoint_connection::Connect() {
+  error_code failure;
+  const ip::address address = ip::make_address(address_.ip, failure);
+  if (failure) {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Finish(call_end::kNotSent);
+    });
+    return;
+  }
+  connect_timer_.expires_after(kConnectTimeout);
+  connect_timer_.async_wait([self = shared_from_this()](error_code late) {
+    if (!late && !self->is_connected_) {
+      self->Finish(call_end::kNotSent);
+    }
+  });
+  socket_.async_connect(ip::tcp::endpoint(address, address_.port),
+                        [self = shared_from_this()](error_code refused) {
+                          self->connect_timer_.cancel();
+                          if (self->is_closed_) {
+                            return;
+                          }
+                          if (refused) {
+                            self->Finish(call_end::kNotSent);
+                            return;
+                          }
+                          self->is_connected_ = true;
+                          SetStreamOptions(self->socket_);
+                          self->Send();
+                        });
+}
+
+void endpoint_connection::Send() {
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(request_.bytes),
+      [self = shared_from_this()](error_code failure, size_t) {
+        if (self->is_closed_) {
+          return;
+        }
+        // After a failed write the answer may still be readable; the read
+        // reports how the call ended.
+        self->is_sent_ = !failure;
+      });
+  Read();
+}
+
+void endpoint_connection::Read() {
+  if (is_reading_ || is_closed_) {
+    return;
+  }
+  is_reading_ = true;
+  socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](error_code failure, size_t size) {
+        self->is_reading_ = false;
+        if (self->is_closed_) {
+          return;
+        }
+        if (failure == boost::asio::error::eof) {
+          self->OnEndOfStream();
+          return;
+        }
+        if (failure) {
+          self->Finish(call_end::kBroken);
+          return;
+        }
+        self->input_.append(self->chunk_.data(), size);
+        self->OnBytes();
+      });
+}
+
+void endpoint_connection::OnBytes() {
+  if (!is_in_call_) {
+    Close();  // Bytes that belong to no request.
+    return;
+  }
+  while (is_in_call_ && !is_closed_ && !input_.empty() && ParseSome()) {
+  }
+  if (!is_closed_ && is_in_call_) {
+    Read();
+  }
+}
+
+// Parses what is there; false when more bytes are needed.
+bool endpoint_connection::ParseSome() {
+  if (!parser_) {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(boost::none);
+    parser_->skip(request_.method == "HEAD");
+    has_head_ = false;
+  }
+  error_code failure;
+  const size_t used = parser_->put(boost::asio::buffer(input_), failure);
+  input_.erase(0, used);
+  if (failure && failure != http::error::need_more) {
+    Finish(call_end::kNotAnswer);
+    return false;
+  }
+  if (!has_head_ && parser_->is_header_done() && !TakeHead()) {
+    return !is_closed_;
+  }
+  TakeBody();
+  if (is_closed_ || !is_in_call_) {
+    return false;
+  }
+  if (parser_ && parser_->is_done()) {
+    FinishAnswer();
+    return true;
+  }
+  return !failure && used > 0;
+}
+
+// False when this is not the head of the awaited answer.
+bool endpoint_connection::TakeHead() {
+  has_head_ = true;
+  const auto& message = parser_->get();
+  if (message.result_int() < 200) {
+    parser_.reset();  // An interim answer; the final one follows.
+    return false;
+  }
+  response_head head;
+  head.status = static_cast<int>(message.result_int());
+  for (const auto& each : message) {
+    head.headers.Add({each.name_string().data(), each.name_string().size()},
+                     {each.value().data(), each.value().size()});
+  }
+  const std::string* echo = request_.echo_header.empty()
+                                ? nullptr
+                                : head.headers.Find(request_.echo_header);
+  is_skipping_ = echo != nullptr && *echo != request_.echo_value;
+  if (is_skipping_) {
+    if (pool_ != nullptr) {
+      ++pool_->counters_.skipped_answers;
+    }
+    return true;
+  }
+  may_be_kept_ = parser_->keep_alive();
+  keep_alive_ = KeepAliveTime(head.headers.Value("Keep-Alive"));
+  if (events_.on_head) {
+    events_.on_head(std::move(head));
+  }
+  return true;
+}
+
+void endpoint_connection::TakeBody() {
+  if (!parser_ || !has_head_ || is_closed_ || !is_in_call_) {
+    return;
+  }
+  std::string body;
+  std::swap(body, parser_->get().body());
+  if (!body.empty() && !is_skipping_ && events_.on_body) {
+    events_.on_body(body);
+  }
+}
+
+void endpoint_connection::FinishAnswer() {
+  if (is_skipping_) {
+    parser_.reset();
+    is_skipping_ = false;
+    return;
+  }
+  Finish(call_end::kComplete);
+}
+
+// Only an answer without a stated length may end with its connection.
+void endpoint_connection::OnEndOfStream() {
+  if (!is_in_call_) {
+    Close();
+    return;
+  }
+  const bool is_unframed = parser_ && parser_->is_header_done() &&
+                           parser_->need_eof() && !is_skipping_;
+  may_be_kept_ = false;
+  Finish(is_unframed ? call_end::kComplete : call_end::kBroken);
+}
+
+void endpoint_connection::Finish(call_end end) {
+  if (!is_in_call_) {
+    Close();
+    return;
+  }
+  const auto self = shared_from_this();
+  is_in_call_ = false;
+  // An answer that came before the request was sent leaves the rest of the
+  // body in the way of the next request.
+  const bool is_kept = end == call_end::kComplete && may_be_kept_ && is_sent_ &&
+                       input_.empty() && pool_ != nullptr &&
+                       keep_alive_ > duration(0);
+  call_events events = std::exchange(events_, {});
+  parser_.reset();
+  if (is_kept) {
+    idle_until_ = pool_->clock_.Now() + keep_alive_;
+    pool_->Keep(self);
+    Read();
+  } else {
+    if (end == call_end::kNotSent && pool_ != nullptr) {
+      ++pool_->counters_.connect_failures;
+    }
+    Close();
+  }
+  if (events.on_end) {
+    events.on_end(end);
+  }
+}
+
+void endpoint_connection::Close() {
+  if (std::exchange(is_closed_, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  is_in_call_ = false;
+  // One of the events may be what is running now: they end later.
+  boost::asio::post(socket_.get_executor(),
+                    [ended = std::exchange(events_, {})] {});
+  connect_timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  if (pool_ != nullptr) {
+    pool_->Drop(this);
+  }
+}
+
+void endpoint_connection::Detach() {
+  pool_ = nullptr;
+  Close();
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -0,0 +1,71 @@
+#ifndef SHALLOTPORT_EVENTIO_ENDPOINT_CONNECTION_H_
+#define SHALLOTPORT_EVENTIO_ENDPOINT_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "eventio/endpoint_pool.h"
+
+namespace shallotport {
+
+// One connection to an endpoint, which carries one call at a time. Owned by
+// the pool while idle and by its own pending operations during a call.
+class endpoint_connection
+    : public std::enable_shared_from_this<endpoint_connection> {
+ public:
+  endpoint_connection(endpoint_pool& pool, const endpoint_address& to);
+
+  // Sends the request, connecting first where that was not done yet.
+  void Begin(outbound_request request, call_events events);
+  void Close();
+  // Forgets the pool, which is destroyed.
+  void Detach();
+
+  const endpoint_address& address() const { return address_; }
+  bool IsReusable(steady_time now) const;
+
+ private:
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Send();
+  void Read();
+  void OnBytes();
+  void OnEndOfStream();
+  bool ParseSome();
+  bool TakeHead();
+  void TakeBody();
+  void FinishAnswer();
+  void Finish(call_end end);
+
+  endpoint_pool* pool_;
+  const endpoint_address address_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
+  std::array<char, 8192> chunk_{};
+  std::string input_;
+  std::optional<response_parser> parser_;
+  outbound_request request_;
+  call_events events_;
+  bool is_connected_ = false;
+  bool is_reading_ = false;
+  bool is_in_call_ = false;
+  bool is_sent_ = false;  // The whole request is in the socket.
+  bool has_head_ = false;
+  bool is_skipping_ = false;  // A late answer of an earlier request.
+  bool may_be_kept_ = false;
+  bool is_closed_ = false;
+  duration keep_alive_{};
+  steady_time idle_until_{};
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_EVENTIO_ENDPOINT_CONNECTION_H_
--- /dev/null
+++ b/src/libshallotport/eventio/endpoint_pool.cc
@@ -0,0 +1,128 @@
+#include "eventio/endpoint_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "eventio/endpoint_connection.h"
+
+namespace shallotport {
+
+namespace {
+
+// The caller's side of a call: cancels it when dropped.
+class pooled_call final : public endpoint_call {
+ public:
+  explicit pooled_call(std::shared_ptr<endpoint_connection> connection)
+      : connection_(std::move(connection)) {}
+  ~pooled_call() override {
+    if (connection_ != nullptr) {
+      connection_->Close();
+    }
+  }
+  // The call has ended; its connection may serve another one.
+  void Release() { connection_.reset(); }
+
+ private:
+  std::shared_ptr<endpoint_connection> connection_;
+};
+
+}  // namespace
+
+endpoint_pool::endpoint_pool(boost::asio::io_context& loop,
+                             const clock_source& clock)
+    : loop_(loop), clock_(clock) {}
+
+endpoint_pool::~endpoint_pool() {
+  const auto idle = std::exchange(idle_, {});
+  for (const auto& [address, connections] : idle) {
+    for (const auto& each : connections) {
+      each->Detach();
+    }
+  }
+}
+
+std::unique_ptr<endpoint_call> endpoint_pool::Start(const endpoint_address& to,
+                                                    outbound_request request,
+                                                    call_events events) {
+  std::shared_ptr<endpoint_connection> connection;
+  const auto found = idle_.find(to);
+  const steady_time now = clock_.Now();
+  while (found != idle_.end() && !found->second.empty() &&
+         connection == nullptr) {
+    connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (!connection->IsReusable(now)) {
+      connection->Close();
+      connection = nullptr;
+    }
+  }
+  if (connection == nullptr) {
+    ++counters_.opened;
+    connection = std::make_shared<endpoint_connection>(*this, to);
+  } else {
+    ++counters_.reused;
+  }
+  auto call = std::make_unique<pooled_call>(connection);
+  // The end releases the handle's hold first: the connection may by then be
+  // idle again, or in use by another call.
+  events.on_end = [handle = call.get(),
+                   told = std::move(events.on_end)](call_end end) {
+    handle->Release();
+    told(end);
+  };
+  connection->Begin(std::move(request), std::move(events));
+  return call;
+}
+
+void endpoint_pool::Keep(std::shared_ptr<endpoint_connection> connection) {
+  auto& idle = idle_[connection->address()];
+  idle.push_back(std::move(connection));
+}
+
+void endpoint_pool::Drop(const endpoint_connection* connection) {
+  const auto found = idle_.find(connection->address());
+  if (found == idle_.end()) {
+    return;
+  }
+  std::erase_if(found->second, [connection](const auto& each) {
+    return each.get() == connection;
+  });
+  if (found->second.empty()) {
+    idle_.erase(found);
+  }
+}
+
+void endpoint_pool::Sweep(steady_time now) {
+  std::vector<std::shared_ptr<endpoint_connection>> stale;
+  for (const auto& [address, connections] : idle_) {
+    for (const auto& each : connections) {
+      if (!each->IsReusable(now)) {
+        stale.push_back(each);
+      }
+    }
+  }
+  for (const auto& each : stale) {
+    each->Close();
+  }
+}
+
+void endpoint_pool::Forget(const endpoint_address& to) {
+  const auto found = idle_.find(to);
+  if (found == idle_.end()) {
+    return;
+  }
+  const auto closing = found->second;
+  for (const auto& each : closing) {
+    each->Close();
+  }
+}
+
+size_t endpoint_pool::idle_count() const {
+  size_t count = 0;
+  for (const auto& [address, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/eventio/host_link.h
@@ -0,0 +1,64 @@
+#ifndef SHALLOTPORT_EVENTIO_HOST_LINK_H_
+#define SHALLOTPORT_EVENTIO_HOST_LINK_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+class link_hub;
+
+// One TCP connection between two hosts, carrying frames: length (4 bytes),
+// kind (1 byte), payload. Owned by its hub.
+class host_link : public std::enable_shared_from_this<host_link> {
+ public:
+  // An accepted link, or, with an address, one to be dialed.
+  host_link(link_hub& hub, boost::asio::ip::tcp::socket socket);
+  host_link(link_hub& hub, std::string ip);
+
+  void StartAccepted();
+  void Dial(uint16_t port);
+  // Dropped when the link is not up; ends the link when the other side takes
+  // nothing for so long that its queue is full.
+  void Send(uint8_t kind, std::string_view payload);
+  void Close();
+  void Detach();
+  void Tick(steady_time now);
+
+  const std::string& ip() const { return ip_; }
+  bool is_dialed() const { return is_dialed_; }
+  bool is_up() const { return is_up_ && !is_closed_; }
+
+  // Who is at the other end, once it has said so; for the duties' use.
+  std::string peer_name;
+
+ private:
+  void OnConnected();
+  void Read();
+  bool TakeFrames();
+  void Flush();
+
+  link_hub* hub_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string ip_;
+  const bool is_dialed_;
+  bool is_up_ = false;
+  bool is_closed_ = false;
+  steady_time since_{};
+  steady_time last_heard_{};
+  steady_time last_ping_{};
+  std::array<char, 16384> chunk_{};
+  std::string input_;
+  std::string output_;
+  std::string sending_;
+  bool is_sending_ = false;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_EVENTIO_HOST_LINK_H_
--- /dev/null
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -0,0 +1,330 @@
+#include "eventio/http_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "eventio/socket_options.h"
+
+namespace shallotport {
+
+namespace {
+
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+
+// Unparsed bytes kept while a request is served; more is read afterwards.
+constexpr size_t kMaxPipelinedBytes = 64u << 10;
+
+}  // namespace
+
+http_connection::http_connection(http_listener& listener,
+                                 boost::asio::ip::tcp::socket socket)
+    : listener_(&listener), socket_(std::move(socket)) {
+  since_ = listener.clock_.Now();
+}
+
+void http_connection::Start() {
+  SetStreamOptions(socket_);
+  Read();
+}
+
+void http_connection::Read() {
+  if (is_reading_ || is_closed_) {
+    return;
+  }
+  is_reading_ = true;
+  socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](const error_code& failure, size_t size) {
+        self->is_reading_ = false;
+        if (self->is_closed_) {
+          return;
+        }
+        if (failure) {
+          self->OnGone();
+          return;
+        }
+        self->input_.append(self->chunk_.data(), size);
+        if (!self->is_serving_) {
+          self->Parse();
+        }
+        if (!self->is_closed_ && self->input_.size() < kMaxPipelinedBytes) {
+          self->Read();
+        }
+      });
+}
+
+void http_connection::OnGone() {
+  const bool has_unsent_answer =
+      !is_serving_ && (is_sending_ || !output_.empty());
+  if (has_unsent_answer) {
+    closes_when_sent_ = true;  // The caller may have closed one way only.
+    return;
+  }
+  Close();
+}
+
+void http_connection::Close() {
+  if (std::exchange(is_closed_, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  error_code ignored;
+  socket_.close(ignored);
+  if (const auto waiting = exchange_.lock()) {
+    exchange_.reset();
+    const bool was_open = !std::exchange(waiting->is_ended_, true);
+    if (was_open && waiting->on_closed) {
+      std::exchange(waiting->on_closed, nullptr)();
+    }
+  }
+  if (listener_ != nullptr) {
+    listener_->connections_.erase(self);
+  }
+}
+
+void http_connection::Detach() {
+  listener_ = nullptr;
+  Close();
+}
+
+void http_connection::CloseIfIdle() {
+  if (!is_serving_ && input_.empty() && !is_sending_) {
+    Close();
+  }
+}
+
+void http_connection::Sweep(steady_time now) {
+  if (is_serving_ || is_sending_) {
+    return;
+  }
+  const bool is_late = has_started_request_ &&
+                       now > since_ + listener_->limits_.header_timeout &&
+                       parser_ && !parser_->is_header_done();
+  const bool is_idle = now > since_ + listener_->limits_.idle_timeout;
+  if (is_late) {
+    Refuse(408);
+  } else if (is_idle) {
+    Close();
+  }
+}
+
+void http_connection::Parse() {
+  while (!input_.empty() && !is_serving_ && !is_closed_ && !closes_when_sent_) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->header_limit(listener_->limits_.header_bytes);
+      parser_->body_limit(listener_->limits_.body_bytes);
+      parser_->eager(true);
+    }
+    if (!std::exchange(has_started_request_, true)) {
+      since_ = listener_->clock_.Now();
+    }
+    error_code failure;
+    const size_t used = parser_->put(boost::asio::buffer(input_), failure);
+    input_.erase(0, used);
+    if (failure == http::error::need_more) {
+      return;
+    }
+    if (failure == http::error::header_limit) {
+      Refuse(431);
+      return;
+    }
+    if (failure == http::error::body_limit) {
+      Refuse(413);
+      return;
+    }
+    if (failure) {
+      Refuse(400);
+      return;
+    }
+    if (parser_->is_done()) {
+      Dispatch();
+    } else if (used == 0) {
+      return;
+    }
+  }
+}
+
+void http_connection::Dispatch() {
+  auto message = parser_->release();
+  parser_.reset();
+  has_started_request_ = false;
+  inbound_request request;
+  request.method.assign(message.method_string().data(),
+                        message.method_string().size());
+  request.target.assign(message.target().data(), message.target().size());
+  for (const auto& each : message) {
+    request.headers.Add({each.name_string().data(), each.name_string().size()},
+                        {each.value().data(), each.value().size()});
+  }
+  request.body = std::move(message.body());
+  is_serving_ = true;
+  is_head_request_ = message.method() == http::verb::head;
+  is_old_version_ = message.version() < 11;
+  closes_after_answer_ = !message.keep_alive();
+  auto exchange = std::make_shared<http_exchange>(shared_from_this());
+  exchange_ = exchange;
+  listener_->on_request_(std::move(request), std::move(exchange));
+}
+
+void http_connection::Refuse(int status) {
+  closes_after_answer_ = true;
+  parser_.reset();
+  input_.clear();
+  header_list headers;
+  std::string bytes = FormatHead(status, headers);
+  bytes += "Content-Length: 0\r\n\r\n";
+  closes_when_sent_ = true;
+  Write(std::move(bytes));
+}
+
+std::string http_connection::FormatHead(int status,
+                                        const header_list& headers) const {
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(ReasonOf(status)).append("\r\n");
+  for (const auto& [name, value] : headers.fields()) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (closes_after_answer_) {
+    out += "Connection: close\r\n";
+  }
+  return out;
+}
+
+void http_connection::Write(std::string bytes) {
+  if (is_closed_) {
+    return;
+  }
+  output_ += bytes;
+  Flush();
+}
+
+void http_connection::Flush() {
+  if (is_sending_ || is_closed_) {
+    return;
+  }
+  if (output_.empty()) {
+    if (closes_when_sent_) {
+      error_code ignored;
+      socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+      Close();
+    }
+    return;
+  }
+  is_sending_ = true;
+  sending_.clear();
+  std::swap(sending_, output_);
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(sending_),
+      [self = shared_from_this()](const error_code& failure, size_t) {
+        self->is_sending_ = false;
+        if (failure) {
+          self->Close();
+          return;
+        }
+        self->Flush();
+      });
+}
+
+void http_connection::FinishExchange(bool is_closing) {
+  exchange_.reset();
+  is_serving_ = false;
+  if (is_closed_) {
+    return;
+  }
+  since_ = listener_->clock_.Now();
+  if (is_closing) {
+    closes_when_sent_ = true;
+    Flush();
+    return;
+  }
+  // Later, so that an answer given within the request's handler does not
+  // recurse into the next request.
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (!self->is_closed_ && !self->is_serving_) {
+      self->Parse();
+      self->Read();
+    }
+  });
+}
+
+http_exchange::http_exchange(std::shared_ptr<http_connection> connection)
+    : connection_(std::move(connection)) {}
+
+http_exchange::~http_exchange() {
+  if (!is_ended_) {
+    on_closed = nullptr;
+    Abort();
+  }
+}
+
+void http_exchange::Respond(int status,
+                            const header_list& headers,
+                            std::string_view body) {
+  if (std::exchange(is_ended_, true)) {
+    return;
+  }
+  has_begun_ = true;
+  http_connection& to = *connection_;
+  const bool is_draining =
+      to.listener_ != nullptr && to.listener_->is_draining();
+  to.closes_after_answer_ = to.closes_after_answer_ || is_draining;
+  std::string bytes = to.FormatHead(status, headers);
+  bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (!to.is_head_request_) {
+    bytes.append(body);
+  }
+  to.Write(std::move(bytes));
+  to.FinishExchange(to.closes_after_answer_);
+}
+
+void http_exchange::BeginStream(int status, const header_list& headers) {
+  has_begun_ = true;
+  http_connection& to = *connection_;
+  const bool is_draining =
+      to.listener_ != nullptr && to.listener_->is_draining();
+  to.closes_after_answer_ =
+      to.closes_after_answer_ || is_draining || to.is_old_version_;
+  std::string bytes = to.FormatHead(status, headers);
+  bytes += to.is_old_version_ ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+  to.Write(std::move(bytes));
+}
+
+void http_exchange::SendPiece(std::string_view piece) {
+  if (piece.empty() || is_ended_) {
+    return;
+  }
+  if (connection_->is_old_version_) {
+    connection_->Write(std::string(piece));
+    return;
+  }
+  char length[20];
+  const int digits =
+      std::snprintf(length, sizeof(length), "%zx\r\n", piece.size());
+  std::string bytes(length, static_cast<size_t>(digits));
+  bytes.append(piece).append("\r\n");
+  connection_->Write(std::move(bytes));
+}
+
+void http_exchange::EndStream() {
+  if (std::exchange(is_ended_, true)) {
+    return;
+  }
+  if (!connection_->is_old_version_) {
+    connection_->Write("0\r\n\r\n");
+  }
+  connection_->FinishExchange(connection_->closes_after_answer_);
+}
+
+void http_exchange::Abort() {
+  if (std::exchange(is_ended_, true)) {
+    return;
+  }
+  connection_->exchange_.reset();
+  connection_->is_serving_ = false;
+  connection_->Close();
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/eventio/http_connection.h
@@ -0,0 +1,72 @@
+#ifndef SHALLOTPORT_EVENTIO_HTTP_CONNECTION_H_
+#define SHALLOTPORT_EVENTIO_HTTP_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "eventio/http_listener.h"
+
+namespace shallotport {
+
+// One caller's connection, owned by its listener and by the exchange that it
+// waits for. Reads go on while a request is served, so that a caller who
+// leaves is noticed.
+class http_connection : public std::enable_shared_from_this<http_connection> {
+ public:
+  http_connection(http_listener& listener, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  void Close();
+  // Detaches from a listener that is destroyed.
+  void Detach();
+  void Sweep(steady_time now);
+  void CloseIfIdle();
+
+  bool is_busy() const { return is_serving_; }
+
+ private:
+  friend class http_exchange;
+  using request_parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void Parse();
+  void Dispatch();
+  void Refuse(int status);
+  void Write(std::string bytes);
+  void Flush();
+  void FinishExchange(bool is_closing);
+  void OnGone();
+  std::string FormatHead(int status, const header_list& headers) const;
+
+  http_listener* listener_;
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, 8192> chunk_{};
+  std::string input_;
+  std::optional<request_parser> parser_;
+  bool has_started_request_ = false;
+  steady_time since_{};  // Of the request's first byte, or of being idle.
+
+  bool is_serving_ = false;
+  bool is_reading_ = false;
+  bool closes_after_answer_ = false;
+  bool is_head_request_ = false;
+  bool is_old_version_ = false;
+  std::weak_ptr<http_exchange> exchange_;
+
+  std::string output_;
+  std::string sending_;
+  bool is_sending_ = false;
+  bool closes_when_sent_ = false;
+  bool is_closed_ = false;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_EVENTIO_HTTP_CONNECTION_H_
--- /dev/null
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -0,0 +1,265 @@
+#include "eventio/link_hub.h"
+
+#include <cstring>
+#include <utility>
+
+#include "eventio/host_link.h"
+
+namespace shallotport {
+
+namespace {
+
+using error_code = boost::system::error_code;
+
+constexpr std::chrono::milliseconds kRedialInterval{150};
+
+// A call is its number (8 bytes), its method (1 byte) and its body.
+constexpr size_t kNumberBytes = sizeof(uint64_t);
+constexpr size_t kCallHeaderBytes = kNumberBytes + 1;
+
+std::string WithNumber(uint64_t number) {
+  std::string out(kNumberBytes, '\0');
+  std::memcpy(out.data(), &number, kNumberBytes);
+  return out;
+}
+
+uint64_t NumberOf(std::string_view payload) {
+  uint64_t number = 0;
+  std::memcpy(&number, payload.data(), kNumberBytes);
+  return number;
+}
+
+}  // namespace
+
+link_hub::link_hub(boost::asio::io_context& loop,
+                   const clock_source& clock,
+                   std::string own_ip,
+                   uint16_t port)
+    : loop_(loop),
+      clock_(clock),
+      own_ip_(std::move(own_ip)),
+      port_(port),
+      acceptor_(loop) {}
+
+link_hub::~link_hub() {
+  is_closing_ = true;
+  const auto dialed = std::exchange(dialed_, {});
+  for (const auto& [ip, link] : dialed) {
+    link->Detach();
+  }
+  const auto accepted = std::exchange(accepted_, {});
+  for (const auto& link : accepted) {
+    link->Detach();
+  }
+}
+
+status link_hub::Listen() {
+  namespace ip = boost::asio::ip;
+  error_code failure;
+  const ip::tcp::endpoint at(ip::make_address(own_ip_, failure), port_);
+  if (!failure) {
+    acceptor_.open(at.protocol(), failure);
+  }
+  if (!failure) {
+    acceptor_.set_option(ip::tcp::acceptor::reuse_address(true), failure);
+    acceptor_.bind(at, failure);
+  }
+  if (!failure) {
+    acceptor_.listen(256, failure);
+  }
+  if (failure) {
+    return MakeError(error_kind::kInternal,
+                     "cannot listen for hosts on " + own_ip_ + ":" +
+                         std::to_string(port_) + ": " + failure.message());
+  }
+  Accept();
+  return success{};
+}
+
+void link_hub::Accept() {
+  acceptor_.async_accept(
+      [this](const error_code& failure, boost::asio::ip::tcp::socket socket) {
+        if (failure == boost::asio::error::operation_aborted ||
+            !acceptor_.is_open()) {
+          return;
+        }
+        if (!failure) {
+          auto link = std::make_shared<host_link>(*this, std::move(socket));
+          accepted_.insert(link);
+          link->StartAccepted();
+        }
+        Accept();
+      });
+}
+
+void link_hub::SetTargets(const std::set<std::string>& ips) {
+  targets_ = ips;
+  targets_.erase(own_ip_);
+  std::vector<std::shared_ptr<host_link>> unwanted;
+  for (const auto& [ip, link] : dialed_) {
+    if (!targets_.contains(ip)) {
+      unwanted.push_back(link);
+    }
+  }
+  for (const auto& link : unwanted) {
+    link->Close();
+  }
+  const steady_time now = clock_.Now();
+  for (const std::string& ip : targets_) {
+    const auto later = redial_at_.find(ip);
+    if (!dialed_.contains(ip) &&
+        (later == redial_at_.end() || now >= later->second)) {
+      Dial(ip);
+    }
+  }
+}
+
+void link_hub::Dial(const std::string& ip) {
+  redial_at_[ip] = clock_.Now() + kRedialInterval;
+  auto link = std::make_shared<host_link>(*this, ip);
+  dialed_[ip] = link;
+  link->Dial(port_);
+}
+
+void link_hub::Send(const std::string& ip,
+                    uint8_t kind,
+                    std::string_view payload) {
+  const auto found = dialed_.find(ip);
+  if (found != dialed_.end()) {
+    found->second->Send(kind, payload);
+  }
+}
+
+bool link_hub::IsUp(const std::string& ip) const {
+  const auto found = dialed_.find(ip);
+  return found != dialed_.end() && found->second->is_up();
+}
+
+std::vector<std::string> link_hub::UpTargets() const {
+  std::vector<std::string> up;
+  for (const auto& [ip, link] : dialed_) {
+    if (link->is_up()) {
+      up.push_back(ip);
+    }
+  }
+  return up;
+}
+
+void link_hub::Call(const std::string& ip,
+                    uint8_t method,
+                    std::string_view body,
+                    duration timeout,
+                    reply_function on_reply) {
+  if (!IsUp(ip)) {
+    on_reply(MakeError(error_kind::kNoCapacity, "no link to " + ip));
+    return;
+  }
+  const uint64_t number = next_call_++;
+  calls_[number] = {ip, clock_.Now() + timeout, std::move(on_reply)};
+  std::string payload = WithNumber(number);
+  payload.push_back(static_cast<char>(method));
+  payload.append(body);
+  Send(ip, static_cast<uint8_t>(link_frame::kCall), payload);
+}
+
+void link_hub::OnFrame(host_link& link,
+                       uint8_t kind,
+                       std::string_view payload) {
+  switch (static_cast<link_frame>(kind)) {
+    case link_frame::kPing:
+      link.Send(static_cast<uint8_t>(link_frame::kPong), {});
+      return;
+    case link_frame::kPong:
+      return;
+    case link_frame::kCall: {
+      if (payload.size() < kCallHeaderBytes || !on_call) {
+        return;
+      }
+      const auto method = static_cast<uint8_t>(payload[kNumberBytes]);
+      on_call(link, method, payload.substr(kCallHeaderBytes),
+              [number = NumberOf(payload),
+               weak = link.weak_from_this()](const std::string& reply) {
+                if (const auto open = weak.lock()) {
+                  open->Send(static_cast<uint8_t>(link_frame::kReply),
+                             WithNumber(number) + reply);
+                }
+              });
+      return;
+    }
+    case link_frame::kReply: {
+      if (payload.size() < kNumberBytes) {
+        return;
+      }
+      const auto found = calls_.find(NumberOf(payload));
+      if (found == calls_.end()) {
+        return;
+      }
+      const reply_function on_reply = std::move(found->second.on_reply);
+      calls_.erase(found);
+      on_reply(std::string(payload.substr(kNumberBytes)));
+      return;
+    }
+    default:
+      if (on_frame) {
+        on_frame(link, kind, payload);
+      }
+  }
+}
+
+void link_hub::OnDown(host_link& link) {
+  if (is_closing_) {
+    return;
+  }
+  const auto kept = link.shared_from_this();
+  accepted_.erase(kept);
+  const auto found = dialed_.find(link.ip());
+  if (found != dialed_.end() && found->second == kept) {
+    dialed_.erase(found);
+    FailCalls(link.ip());
+  }
+  if (on_link_down) {
+    on_link_down(link);
+  }
+}
+
+void link_hub::FailCalls(const std::string& ip) {
+  std::vector<reply_function> failed;
+  for (auto at = calls_.begin(); at != calls_.end();) {
+    if (at->second.ip == ip) {
+      failed.push_back(std::move(at->second.on_reply));
+      at = calls_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  for (const reply_function& each : failed) {
+    each(
+        MakeError(error_kind::kOutcomeUnknown, "the link to " + ip + " broke"));
+  }
+}
+
+void link_hub::Tick(steady_time now) {
+  std::vector<std::shared_ptr<host_link>> links(accepted_.begin(),
+                                                accepted_.end());
+  for (const auto& [ip, link] : dialed_) {
+    links.push_back(link);
+  }
+  for (const auto& link : links) {
+    link->Tick(now);
+  }
+  SetTargets(std::set<std::string>(targets_));
+  std::vector<reply_function> late;
+  for (auto at = calls_.begin(); at != calls_.end();) {
+    if (now >= at->second.due) {
+      late.push_back(std::move(at->second.on_reply));
+      at = calls_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  for (const reply_function& each : late) {
+    each(MakeError(error_kind::kOutcomeUnknown, "no reply in time"));
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -0,0 +1,362 @@
+#include "fleet/control_duty.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/codec.h"
+#include "eventio/host_link.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr uint32_t kControlGroup = 1;
+constexpr std::chrono::milliseconds kDirectoryInterval{1'000};
+constexpr std::chrono::milliseconds kHealingInterval{200};
+// All hosts of a new fleet start within a third of a second of each other.
+constexpr std::chrono::milliseconds kFoundingSettle{700};
+// After this long the job group is founded by the stores that are there.
+constexpr std::chrono::milliseconds kFoundingPatience{4'000};
+// The control group's state is a few documents: small files suffice.
+constexpr uint64_t kSnapshotAfterBytes = 4u << 20;
+constexpr uint32_t kSnapshotAfterEntries = 2'000;
+constexpr uint32_t kTrailingEntries = 500;
+constexpr uint32_t kSegmentBytes = 1u << 20;
+
+// One host a failure domain first, so that the loss of a domain costs one
+// voter.
+std::vector<host_id> SpreadOverDomains(
+    const std::vector<host_announcement>& hosts,
+    size_t count) {
+  std::vector<host_id> chosen;
+  std::set<domain_id> used;
+  for (const bool is_second_pass : {false, true}) {
+    for (const host_announcement& host : hosts) {
+      const bool is_chosen =
+          std::find(chosen.begin(), chosen.end(), host.host) != chosen.end();
+      const bool fits = is_second_pass || !used.contains(host.domain);
+      if (!is_chosen && fits && chosen.size() < count) {
+        chosen.push_back(host.host);
+        used.insert(host.domain);
+      }
+    }
+  }
+  return chosen;
+}
+
+replica_options GroupOptions(const control_options& options) {
+  replica_options group;
+  group.group = kControlGroup;
+  group.host = options.fleet.self.host;
+  group.folder = options.data_folder + "/control";
+  group.snapshot_after_bytes = kSnapshotAfterBytes;
+  group.snapshot_after_entries = kSnapshotAfterEntries;
+  group.trailing_entries = kTrailingEntries;
+  group.segment_bytes = kSegmentBytes;
+  // The seeds of the first start are the same on all hosts.
+  const auto& seeds = options.fleet.seed_ips;
+  const bool is_founder =
+      options.fleet.self.is_first_start &&
+      std::find(seeds.begin(), seeds.end(), group.host.text()) != seeds.end();
+  if (is_founder) {
+    for (const std::string& ip : seeds) {
+      group.initial_members.emplace_back(ip);
+    }
+  }
+  return group;
+}
+
+status AsStatus(const result<std::string>& reply) {
+  if (!IsOk(reply)) {
+    return ErrorOf(reply);
+  }
+  return success{};
+}
+
+}  // namespace
+
+control_duty::control_duty(boost::asio::io_context& loop,
+                           const clock_source& clock,
+                           control_options options)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      fleet_(std::make_unique<fleet_host>(loop, clock, options_.fleet, false)),
+      healer_({options_.voters}) {}
+
+result<std::unique_ptr<control_duty>> control_duty::Create(
+    boost::asio::io_context& loop,
+    const clock_source& clock,
+    control_options options) {
+  std::unique_ptr<control_duty> created(
+      new control_duty(loop, clock, std::move(options)));
+  if (status opened = created->Open(); !IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  return created;
+}
+
+status control_duty::Open() {
+  state_.on_changed = [this] {
+    if (fleet_->NoteDocument(state_.document())) {
+      PushToAll(fleet_frame::kDocument, Encode(state_.document()));
+    }
+    is_directory_due_ = true;
+  };
+  fleet_->on_consensus = [this](const host_id&,
+                                const group_envelope& envelope) {
+    if (envelope.group == kControlGroup) {
+      group_->OnMessage(envelope.bytes);
+    }
+  };
+  fleet_->on_other_frame = [this](host_link& link, uint8_t kind,
+                                  std::string_view payload) {
+    if (kind == static_cast<uint8_t>(fleet_frame::kHello)) {
+      OnHello(link, payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kJobMembers)) {
+      OnJobMembers(payload);
+    }
+  };
+  auto opened = group_host::Open(
+      loop_, clock_, GroupOptions(options_), replicated_slice::kConfiguration,
+      state_, [this](const host_id& to, std::string bytes) {
+        fleet_->SendConsensus(to, kControlGroup, std::move(bytes));
+      });
+  if (!IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  group_ = std::move(ValueOf(opened));
+  fleet_->SetDisk(group_->disk());
+  return success{};
+}
+
+status control_duty::Start() {
+  return fleet_->Start();
+}
+
+void control_duty::Stop(std::function<void()> done) {
+  group_->Stop(std::move(done));
+}
+
+void control_duty::Tick(steady_time now) {
+  fleet_->Tick(now);
+  if (is_directory_due_ || now >= next_directory_) {
+    is_directory_due_ = false;
+    next_directory_ = now + kDirectoryInterval;
+    PushDirectory();
+  }
+  if (group_->IsLeading()) {
+    Heal(now);
+    FoundJobGroup(now);
+  }
+}
+
+void control_duty::OnHello(host_link& link, std::string_view payload) {
+  const auto decoded = Decode<host_announcement>(payload);
+  if (!IsOk(decoded)) {
+    return;
+  }
+  const host_announcement& host = ValueOf(decoded);
+  const bool is_new = link.peer_name.empty();
+  link.peer_name = host.host.text();
+  const auto* known = fleet_->hosts().Find(host.host);
+  is_directory_due_ = is_directory_due_ || known == nullptr ||
+                      known->host.started != host.started ||
+                      known->host.disk != host.disk;
+  fleet_->NoteHost(host);
+  const steady_time now = clock_.Now();
+  if (is_new) {
+    link.Send(static_cast<uint8_t>(fleet_frame::kDirectory),
+              EncodeDirectory(now));
+    link.Send(static_cast<uint8_t>(fleet_frame::kEndpoint),
+              Encode(endpoint_update{fleet_->endpoints().Reports(now)}));
+  }
+  // Also mends what an earlier push on a broken link left behind.
+  const bool is_behind = host.document_version < state_.document().version;
+  if (is_behind || (is_new && !state_.document().bytes.empty())) {
+    link.Send(static_cast<uint8_t>(fleet_frame::kDocument),
+              Encode(state_.document()));
+  }
+}
+
+void control_duty::OnJobMembers(std::string_view payload) {
+  const auto decoded = Decode<job_group_members>(payload);
+  if (IsOk(decoded) && ValueOf(decoded).term >= job_members_.term) {
+    job_members_ = ValueOf(decoded);
+  }
+}
+
+std::string control_duty::EncodeDirectory(steady_time now) const {
+  directory_update update;
+  for (const auto& [id, each] : fleet_->hosts().entries()) {
+    if (each.host.role == host_role::kEntry) {
+      continue;
+    }
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - each.heard);
+    update.hosts.push_back(
+        {each.host, static_cast<uint32_t>(std::max<int64_t>(age.count(), 0))});
+  }
+  update.entry_hosts =
+      static_cast<uint32_t>(fleet_->Live(host_role::kEntry).size());
+  update.job_founders = state_.job_founders();
+  update.retiring.assign(state_.retiring().begin(), state_.retiring().end());
+  return Encode(update);
+}
+
+void control_duty::PushDirectory() {
+  PushToAll(fleet_frame::kDirectory, EncodeDirectory(clock_.Now()));
+}
+
+void control_duty::PushToAll(fleet_frame kind, std::string_view payload) {
+  for (const auto& link : fleet_->hub().accepted()) {
+    if (!link->peer_name.empty()) {
+      link->Send(static_cast<uint8_t>(kind), payload);
+    }
+  }
+}
+
+void control_duty::Heal(steady_time now) {
+  if (is_healing_ || now < next_healing_) {
+    return;
+  }
+  next_healing_ = now + kHealingInterval;
+  const auto step = healer_.Next(now, group_->MemberReports(),
+                                 fleet_->Live(host_role::kControl), {});
+  if (!step) {
+    return;
+  }
+  is_healing_ = true;
+  group_->Step(step->step, step->host,
+               [this](const result<std::string>&) { is_healing_ = false; });
+}
+
+void control_duty::FoundJobGroup(steady_time now) {
+  if (is_founding_ || !state_.job_founders().empty()) {
+    return;
+  }
+  const auto stores = fleet_->Live(host_role::kStore);
+  if (stores.empty()) {
+    stores_since_ = {};
+    return;
+  }
+  if (stores_since_ == steady_time{}) {
+    stores_since_ = now;
+  }
+  const duration waited = now - stores_since_;
+  const bool is_complete =
+      stores.size() >= options_.job_voters && waited >= kFoundingSettle;
+  if (!is_complete && waited < kFoundingPatience) {
+    return;
+  }
+  is_founding_ = true;
+  control_command command;
+  command.kind = control_command_kind::kFoundJobGroup;
+  command.founders = SpreadOverDomains(stores, options_.job_voters);
+  group_->Propose(EncodeControlCommand(command),
+                  [this](const result<std::string>&) { is_founding_ = false; });
+}
+
+void control_duty::PutDocument(configuration_document document,
+                               status_reply reply) {
+  if (!state_.document().bytes.empty() &&
+      document.version <= state_.document().version) {
+    reply(success{});
+    return;
+  }
+  control_command command;
+  command.kind = control_command_kind::kPutDocument;
+  command.document = std::move(document);
+  group_->Propose(
+      EncodeControlCommand(command),
+      [reply = std::move(reply)](const result<std::string>& outcome) {
+        reply(AsStatus(outcome));
+      });
+}
+
+void control_duty::ReadDocument(document_reply reply) {
+  group_->Query(
+      {}, [this, reply = std::move(reply)](const result<std::string>& outcome) {
+        if (!IsOk(outcome)) {
+          reply(ErrorOf(outcome));
+          return;
+        }
+        reply(Decode<configuration_document>(ValueOf(outcome)));
+      });
+}
+
+void control_duty::ReportEndpoint(const endpoint_report& report) {
+  if (fleet_->NoteEndpoint(report)) {
+    PushToAll(fleet_frame::kEndpoint, Encode(endpoint_update{{report}}));
+  }
+}
+
+const endpoint_directory::entry* control_duty::FindEndpoint(
+    const endpoint_id& id) const {
+  return fleet_->endpoints().Find(id);
+}
+
+void control_duty::Retire(const std::string& host_name, status_reply reply) {
+  if (state_.retiring().contains(host_name)) {
+    reply(success{});
+    return;
+  }
+  if (!group_->IsLeading()) {
+    reply(MakeError(error_kind::kNotLeader, "not the leader"));
+    return;
+  }
+  const auto stores = fleet_->Live(host_role::kStore);
+  size_t staying = 0;
+  bool is_known = false;
+  for (const host_announcement& store : stores) {
+    const bool is_asked = store.name == host_name;
+    is_known = is_known || is_asked;
+    if (!is_asked && !state_.retiring().contains(store.name)) {
+      ++staying;
+    }
+  }
+  if (!is_known) {
+    reply(MakeError(error_kind::kNotFound, "no job store " + host_name));
+    return;
+  }
+  if (staying < options_.job_voters) {
+    reply(MakeError(error_kind::kConflict, "too few job stores would be left"));
+    return;
+  }
+  control_command command;
+  command.kind = control_command_kind::kRetireHost;
+  command.host_name = host_name;
+  group_->Propose(
+      EncodeControlCommand(command),
+      [reply = std::move(reply)](const result<std::string>& outcome) {
+        reply(AsStatus(outcome));
+      });
+}
+
+retirement control_duty::RetirementOf(const std::string& host_name) const {
+  if (!state_.retiring().contains(host_name)) {
+    return retirement::kUnknown;
+  }
+  const auto is_named = [&](const host_id& id) {
+    const auto* known = fleet_->hosts().Find(id);
+    return known != nullptr && known->host.name == host_name;
+  };
+  // Members that were listed before their leader had heard of the order say
+  // nothing about it.
+  const bool is_known =
+      std::find(job_members_.leaving.begin(), job_members_.leaving.end(),
+                host_name) != job_members_.leaving.end();
+  const bool is_member = std::any_of(job_members_.voters.begin(),
+                                     job_members_.voters.end(), is_named) ||
+                         std::any_of(job_members_.learners.begin(),
+                                     job_members_.learners.end(), is_named);
+  return is_known && !is_member ? retirement::kCompleted : retirement::kRunning;
+}
+
+std::string control_duty::LeaderAddress() const {
+  const auto* known = fleet_->hosts().Find(group_->leader());
+  return known == nullptr ? std::string() : known->host.operator_address;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/control_duty.h
@@ -0,0 +1,101 @@
+#ifndef SHALLOTPORT_FLEET_CONTROL_DUTY_H_
+#define SHALLOTPORT_FLEET_CONTROL_DUTY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "fleet/control_state.h"
+#include "fleet/fleet_host.h"
+#include "fleet/group_healer.h"
+#include "fleet/group_host.h"
+
+namespace shallotport {
+
+struct control_options {
+  fleet_host_options fleet;
+  std::string data_folder;
+  size_t voters = 3;      // Of the control group.
+  size_t job_voters = 3;  // Of the job stores' group.
+};
+
+// How far a host's emptying is.
+enum class retirement : uint8_t { kUnknown, kRunning, kCompleted };
+
+// A control host: a member of the control group, and the place where
+// endpoints, operators and the fleet's other hosts report. Whatever it learns
+// it passes on at once to every host that is linked to it.
+class control_duty {
+ public:
+  using document_reply =
+      std::function<void(result<configuration_document> document)>;
+  using status_reply = std::function<void(status outcome)>;
+
+  static result<std::unique_ptr<control_duty>> Create(
+      boost::asio::io_context& loop,
+      const clock_source& clock,
+      control_options options);
+
+  status Start();
+  void Tick(steady_time now);
+  void Stop(std::function<void()> done);
+
+  // Succeeds once the document is committed, or is no newer than the one in
+  // force. kNotLeader: another control host has to be asked. kNoQuorum: it
+  // may still be committed.
+  void PutDocument(configuration_document document, status_reply reply);
+  // The newest document, or kNotLeader.
+  void ReadDocument(document_reply reply);
+  // A report by an endpoint itself; passed on before this returns.
+  void ReportEndpoint(const endpoint_report& report);
+  // What is known of an endpoint; null: nothing.
+  const endpoint_directory::entry* FindEndpoint(const endpoint_id& id) const;
+
+  // Begins to empty a job store. kNotFound: no such host; kConflict: too few
+  // would be left.
+  void Retire(const std::string& host_name, status_reply reply);
+  retirement RetirementOf(const std::string& host_name) const;
+
+  // The operators' address of the group's leader; empty when unknown.
+  std::string LeaderAddress() const;
+  bool IsLeading() const { return group_->IsLeading(); }
+  bool is_failed() const { return group_->is_failed(); }
+  fleet_host& fleet() { return *fleet_; }
+  const control_state& state() const { return state_; }
+
+ private:
+  control_duty(boost::asio::io_context& loop,
+               const clock_source& clock,
+               control_options options);
+
+  status Open();
+  void OnHello(host_link& link, std::string_view payload);
+  void OnJobMembers(std::string_view payload);
+  void PushDirectory();
+  void PushToAll(fleet_frame kind, std::string_view payload);
+  void Heal(steady_time now);
+  void FoundJobGroup(steady_time now);
+  std::string EncodeDirectory(steady_time now) const;
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  const control_options options_;
+  control_state state_;
+  std::unique_ptr<fleet_host> fleet_;
+  std::unique_ptr<group_host> group_;
+  group_healer healer_;
+  steady_time next_directory_{};
+  steady_time next_healing_{};
+  steady_time stores_since_{};  // When the job group could first be founded.
+  bool is_founding_ = false;
+  bool is_healing_ = false;
+  bool is_directory_due_ = false;
+
+  job_group_members job_members_;  // As its leader last described them.
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_FLEET_CONTROL_DUTY_H_
--- /dev/null
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -0,0 +1,74 @@
+#include "fleet/endpoint_directory.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace shallotport {
+
+namespace {
+
+// Reports delayed by a network partition arrive within this time.
+constexpr std::chrono::seconds kKeepGone{120};
+// A silent endpoint may still serve: it is the senders' experience that tells.
+constexpr std::chrono::seconds kKeepSilent{60};
+
+auto OrderOf(const endpoint_report& report) {
+  return std::make_tuple(report.born_ms, report.stage == endpoint_stage::kGone,
+                         report.sequence);
+}
+
+}  // namespace
+
+bool endpoint_directory::Apply(steady_time now, const endpoint_report& report) {
+  const steady_time heard = now - std::chrono::milliseconds(report.age_ms);
+  const auto found = entries_.find(report.endpoint);
+  if (found == entries_.end()) {
+    entries_[report.endpoint] = {report, heard};
+    return true;
+  }
+  entry& known = found->second;
+  if (OrderOf(report) <= OrderOf(known.report)) {
+    return false;
+  }
+  // A draining endpoint does not become ready again within one start.
+  endpoint_report next = report;
+  const bool was_draining = known.report.born_ms == next.born_ms &&
+                            known.report.stage == endpoint_stage::kDraining;
+  if (was_draining && next.stage == endpoint_stage::kReady) {
+    next.stage = endpoint_stage::kDraining;
+  }
+  known.heard = std::max(known.heard, heard);
+  known.report = std::move(next);
+  return true;
+}
+
+void endpoint_directory::Expire(steady_time now) {
+  std::erase_if(entries_, [now](const auto& each) {
+    const auto kept = each.second.report.stage == endpoint_stage::kReady
+                          ? kKeepSilent
+                          : kKeepGone;
+    return now > each.second.heard + kept;
+  });
+}
+
+const endpoint_directory::entry* endpoint_directory::Find(
+    const endpoint_id& endpoint) const {
+  const auto found = entries_.find(endpoint);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<endpoint_report> endpoint_directory::Reports(
+    steady_time now) const {
+  std::vector<endpoint_report> reports;
+  reports.reserve(entries_.size());
+  for (const auto& [id, each] : entries_) {
+    endpoint_report report = each.report;
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - each.heard);
+    report.age_ms = static_cast<uint32_t>(std::max<int64_t>(age.count(), 0));
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -0,0 +1,38 @@
+#ifndef SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
+#define SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+
+namespace shallotport {
+
+enum class endpoint_stage : uint8_t { kReady = 1, kDraining = 2, kGone = 3 };
+
+// What an endpoint last said of itself, as one of the control hosts heard it.
+struct endpoint_report {
+  endpoint_id endpoint;
+  service_id service;
+  std::string ip;
+  uint16_t port = 0;
+  domain_id domain;
+  uint32_t slots = 1;
+  endpoint_stage stage = endpoint_stage::kReady;
+  uint32_t cold_ms = 0;  // How much longer it is slow after its start.
+  // Orders reports: of two starts under one id the later one counts, and of
+  // one start the report with the higher number.
+  uint64_t born_ms = 0;
+  uint64_t sequence = 0;
+  uint32_t age_ms = 0;  // Since a control host heard it.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, service, ip, port, domain, slots, stage, cold_ms, born_ms,
+            sequence, age_ms);
+  }
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
--- /dev/null
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -0,0 +1,197 @@
+#include "fleet/fleet_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/codec.h"
+#include "eventio/host_link.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAnnounceInterval{500};
+// A host whose announcements stay away this long is not counted as live.
+constexpr std::chrono::milliseconds kLiveWithin{3'000};
+constexpr std::chrono::seconds kDialWithin{30};
+
+uint8_t Kind(fleet_frame frame) {
+  return static_cast<uint8_t>(frame);
+}
+
+}  // namespace
+
+fleet_host::fleet_host(boost::asio::io_context& loop,
+                       const clock_source& clock,
+                       fleet_host_options options,
+                       bool links_to_stores)
+    : clock_(clock),
+      options_(std::move(options)),
+      links_to_stores_(links_to_stores),
+      hub_(loop, clock, options_.self.host.text(), options_.port) {
+  hub_.on_frame = [this](host_link& link, uint8_t kind,
+                         std::string_view payload) {
+    OnFrame(link, kind, payload);
+  };
+  hub_.on_link_up = [this](host_link& link) {
+    link.Send(Kind(fleet_frame::kHello), Encode(options_.self));
+  };
+}
+
+status fleet_host::Start() {
+  if (status listening = hub_.Listen(); !IsOk(listening)) {
+    return listening;
+  }
+  Tick(clock_.Now());
+  return success{};
+}
+
+void fleet_host::Tick(steady_time now) {
+  if (now >= next_announcement_) {
+    next_announcement_ = now + kAnnounceInterval;
+    Announce();
+    hosts_.Expire(now);
+    endpoints_.Expire(now);
+  }
+  UpdateTargets(now);
+  hub_.Tick(now);
+}
+
+void fleet_host::Announce() {
+  options_.self.document_version = document_.version;
+  hosts_.Note(clock_.Now(), options_.self, 0);
+  const std::string hello = Encode(options_.self);
+  for (const std::string& ip : hub_.UpTargets()) {
+    hub_.Send(ip, Kind(fleet_frame::kHello), hello);
+  }
+}
+
+void fleet_host::SetDisk(incarnation disk) {
+  options_.self.disk = disk;
+  Announce();
+}
+
+void fleet_host::SetSeeds(std::vector<std::string> seed_ips) {
+  options_.seed_ips = std::move(seed_ips);
+}
+
+void fleet_host::UpdateTargets(steady_time now) {
+  std::set<std::string> targets(options_.seed_ips.begin(),
+                                options_.seed_ips.end());
+  for (const auto& host : hosts_.Live(now, host_role::kControl, kDialWithin)) {
+    targets.insert(host.host.text());
+  }
+  if (links_to_stores_) {
+    for (const auto& host : hosts_.Live(now, host_role::kStore, kDialWithin)) {
+      targets.insert(host.host.text());
+    }
+  }
+  hub_.SetTargets(targets);
+}
+
+void fleet_host::OnFrame(host_link& link,
+                         uint8_t kind,
+                         std::string_view payload) {
+  switch (static_cast<fleet_frame>(kind)) {
+    case fleet_frame::kDirectory:
+      OnDirectory(payload);
+      return;
+    case fleet_frame::kDocument: {
+      const auto document = Decode<configuration_document>(payload);
+      if (IsOk(document)) {
+        NoteDocument(ValueOf(document));
+      }
+      return;
+    }
+    case fleet_frame::kEndpoint: {
+      const auto update = Decode<endpoint_update>(payload);
+      if (IsOk(update)) {
+        for (const endpoint_report& report : ValueOf(update).reports) {
+          NoteEndpoint(report);
+        }
+      }
+      return;
+    }
+    case fleet_frame::kConsensus: {
+      const auto envelope = Decode<group_envelope>(payload);
+      if (IsOk(envelope) && on_consensus) {
+        on_consensus(host_id(link.ip()), ValueOf(envelope));
+      }
+      return;
+    }
+    default:
+      if (on_other_frame) {
+        on_other_frame(link, kind, payload);
+      }
+  }
+}
+
+void fleet_host::OnDirectory(std::string_view payload) {
+  const auto decoded = Decode<directory_update>(payload);
+  if (!IsOk(decoded)) {
+    return;
+  }
+  const directory_update& update = ValueOf(decoded);
+  const steady_time now = clock_.Now();
+  for (const directory_entry& each : update.hosts) {
+    if (each.host.host != options_.self.host) {
+      hosts_.Note(now, each.host, each.age_ms);
+    }
+  }
+  entry_hosts_ = update.entry_hosts;
+  if (job_founders_.empty()) {
+    job_founders_ = update.job_founders;
+  }
+  retiring_.insert(update.retiring.begin(), update.retiring.end());
+  UpdateTargets(now);
+  if (on_directory) {
+    on_directory();
+  }
+}
+
+bool fleet_host::NoteEndpoint(const endpoint_report& report) {
+  if (!endpoints_.Apply(clock_.Now(), report)) {
+    return false;
+  }
+  if (on_endpoint) {
+    on_endpoint(*endpoints_.Find(report.endpoint));
+  }
+  return true;
+}
+
+bool fleet_host::NoteDocument(const configuration_document& document) {
+  if (document.bytes.empty() ||
+      (!document_.bytes.empty() && document.version <= document_.version)) {
+    return false;
+  }
+  document_ = document;
+  if (on_document) {
+    on_document(document_);
+  }
+  return true;
+}
+
+void fleet_host::NoteHost(const host_announcement& host) {
+  hosts_.Note(clock_.Now(), host, 0);
+}
+
+std::vector<host_announcement> fleet_host::Live(host_role role) const {
+  return hosts_.Live(clock_.Now(), role, kLiveWithin);
+}
+
+bool fleet_host::HasControlLink() const {
+  const auto up = hub_.UpTargets();
+  return std::any_of(up.begin(), up.end(), [this](const std::string& ip) {
+    const auto* known = hosts_.Find(host_id(ip));
+    return known != nullptr && known->host.role == host_role::kControl;
+  });
+}
+
+void fleet_host::SendConsensus(const host_id& to,
+                               uint32_t group,
+                               std::string bytes) {
+  hub_.Send(to.text(), Kind(fleet_frame::kConsensus),
+            Encode(group_envelope{group, std::move(bytes)}));
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -0,0 +1,144 @@
+#ifndef SHALLOTPORT_FLEET_FLEET_MESSAGES_H_
+#define SHALLOTPORT_FLEET_FLEET_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "fleet/endpoint_report.h"
+
+namespace shallotport {
+
+// Frames between hosts of a fleet whose hosts find each other. Numbers are
+// part of the protocol and never reused.
+enum class fleet_frame : uint8_t {
+  kHello = 16,       // host_announcement: who dialed.
+  kDirectory = 17,   // directory_update, from control hosts.
+  kDocument = 18,    // configuration_document, from control hosts.
+  kEndpoint = 19,    // endpoint_update, from control hosts.
+  kConsensus = 20,   // group_envelope, between members of one group.
+  kLoad = 21,        // load_report, from entry hosts to job stores.
+  kLoadTotals = 22,  // load_report, from the job group's leader to entry hosts.
+  kJobMembers = 23,  // job_group_members, from that leader to control hosts.
+};
+
+// Calls between hosts.
+enum class fleet_call : uint8_t {
+  kSubmitJob = 1,
+  kReadJob = 2,
+  kReadItem = 3,
+  kEndJob = 4,
+};
+
+enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
+
+// What a host says about itself.
+struct host_announcement {
+  host_id host;  // Its address between hosts: an emptied host keeps it.
+  std::string name;
+  host_role role = host_role::kEntry;
+  domain_id domain;
+  std::string operator_address;  // Of control hosts, IP:PORT.
+  incarnation started = 0;       // Drawn at each start.
+  incarnation disk = 0;          // Of its group's files; 0: none opened yet.
+  bool is_first_start = false;   // The fleet starts with empty disks.
+  uint64_t document_version = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(host, name, role, domain, operator_address, started, disk,
+            is_first_start, document_version);
+  }
+};
+
+struct directory_entry {
+  host_announcement host;
+  uint32_t age_ms = 0;  // Since it was last heard.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(host, age_ms);
+  }
+};
+
+// What one control host knows of the fleet. Entry hosts are only counted.
+struct directory_update {
+  std::vector<directory_entry> hosts;
+  uint32_t entry_hosts = 0;
+  std::vector<host_id> job_founders;
+  std::vector<std::string> retiring;  // Names of hosts to be emptied.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(hosts, entry_hosts, job_founders, retiring);
+  }
+};
+
+// The configuration as the operator sent it; the highest version is in force.
+struct configuration_document {
+  uint64_t version = 0;
+  std::string bytes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, bytes);
+  }
+};
+
+struct endpoint_update {
+  std::vector<endpoint_report> reports;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(reports);
+  }
+};
+
+struct group_envelope {
+  uint32_t group = 0;
+  std::string bytes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(group, bytes);
+  }
+};
+
+// The committed members of the job group, as its leader sees them.
+struct job_group_members {
+  uint64_t term = 0;
+  std::vector<host_id> voters;
+  std::vector<host_id> learners;
+  std::vector<std::string> leaving;  // Names of retiring hosts it has heard of.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(term, voters, learners, leaving);
+  }
+};
+
+struct load_entry {
+  endpoint_id endpoint;
+  uint16_t running = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, running);
+  }
+};
+
+// Requests that hosts of ours have at endpoints now: absolute numbers, so that
+// a lost report does no harm.
+struct load_report {
+  std::vector<load_entry> entries;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(entries);
+  }
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_FLEET_FLEET_MESSAGES_H_
--- /dev/null
+++ b/src/libshallotport/fleet/group_healer.cc
@@ -0,0 +1,164 @@
+#include "fleet/group_healer.h"
+
+#include <algorithm>
+
+namespace shallotport {
+
+struct group_healer::view {
+  const std::vector<member_report>& members;
+  std::map<host_id, const host_announcement*> live;
+  std::set<host_id> leaving;
+  std::set<host_id> lost;  // Silent for longer than is waited for.
+
+  const member_report* Member(const host_id& host) const {
+    const auto found = std::find_if(
+        members.begin(), members.end(),
+        [&](const auto& each) { return each.member.host == host; });
+    return found == members.end() ? nullptr : &*found;
+  }
+  const host_announcement* Live(const host_id& host) const {
+    const auto found = live.find(host);
+    return found == live.end() ? nullptr : found->second;
+  }
+  domain_id Domain(const host_id& host) const {
+    const host_announcement* known = Live(host);
+    return known == nullptr ? domain_id() : known->domain;
+  }
+  // Voters that count on: neither lost nor leaving.
+  size_t SoundVoters() const {
+    return static_cast<size_t>(
+        std::count_if(members.begin(), members.end(), [&](const auto& each) {
+          return each.member.is_voter && !lost.contains(each.member.host) &&
+                 !leaving.contains(each.member.host);
+        }));
+  }
+  size_t Voters() const {
+    return static_cast<size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [](const auto& each) { return each.member.is_voter; }));
+  }
+};
+
+std::optional<healing_step> group_healer::Next(
+    steady_time now,
+    const std::vector<member_report>& members,
+    const std::vector<host_announcement>& live,
+    const std::set<std::string>& retiring) {
+  view seen{members, {}, {}, {}};
+  for (const host_announcement& host : live) {
+    seen.live[host.host] = &host;
+    if (retiring.contains(host.name)) {
+      seen.leaving.insert(host.host);
+    }
+  }
+  std::map<host_id, steady_time> silent;
+  for (const member_report& each : members) {
+    if (each.is_in_contact) {
+      continue;
+    }
+    const auto known = silent_since_.find(each.member.host);
+    const steady_time since =
+        known == silent_since_.end() ? now : known->second;
+    silent[each.member.host] = since;
+    if (now > since + options_.replace_after) {
+      seen.lost.insert(each.member.host);
+    }
+  }
+  silent_since_ = std::move(silent);
+  using rule = std::optional<healing_step> (group_healer::*)(const view&) const;
+  constexpr rule kRules[] = {
+      &group_healer::ReplaceEmptied,
+      &group_healer::AddStandby,
+      &group_healer::PromoteStandby,
+      &group_healer::RemoveSurplus,
+  };
+  for (const rule each : kRules) {
+    if (auto step = (this->*each)(seen)) {
+      return step;
+    }
+  }
+  return std::nullopt;
+}
+
+// A host that lost its disk is no member any more, though its address is one.
+std::optional<healing_step> group_healer::ReplaceEmptied(
+    const view& seen) const {
+  for (const member_report& each : seen.members) {
+    const host_announcement* host = seen.Live(each.member.host);
+    const bool is_emptied = host != nullptr && host->disk != 0 &&
+                            each.member.disk != 0 &&
+                            host->disk != each.member.disk && !each.is_self;
+    if (is_emptied) {
+      return healing_step{membership_step::kRemove, each.member.host};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<healing_step> group_healer::AddStandby(const view& seen) const {
+  for (const auto& [id, host] : seen.live) {
+    const bool is_wanted = host->disk != 0 && seen.Member(id) == nullptr &&
+                           !seen.leaving.contains(id);
+    if (is_wanted) {
+      return healing_step{membership_step::kAddLearner, id};
+    }
+  }
+  return std::nullopt;
+}
+
+// Prefers learners in failure domains that have the fewest voters.
+std::optional<healing_step> group_healer::PromoteStandby(
+    const view& seen) const {
+  if (seen.SoundVoters() >= options_.voters) {
+    return std::nullopt;
+  }
+  std::map<domain_id, int> voters;
+  for (const member_report& each : seen.members) {
+    if (each.member.is_voter && !seen.lost.contains(each.member.host)) {
+      ++voters[seen.Domain(each.member.host)];
+    }
+  }
+  const member_report* best = nullptr;
+  for (const member_report& each : seen.members) {
+    const bool is_candidate = !each.member.is_voter && each.is_caught_up &&
+                              !seen.leaving.contains(each.member.host);
+    if (!is_candidate) {
+      continue;
+    }
+    if (best == nullptr || voters[seen.Domain(each.member.host)] <
+                               voters[seen.Domain(best->member.host)]) {
+      best = &each;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return healing_step{membership_step::kPromote, best->member.host};
+}
+
+std::optional<healing_step> group_healer::RemoveSurplus(
+    const view& seen) const {
+  const bool has_enough = seen.SoundVoters() >= options_.voters;
+  for (const member_report& each : seen.members) {
+    const host_id& host = each.member.host;
+    const bool is_leaving = seen.leaving.contains(host);
+    const bool is_lost = seen.lost.contains(host);
+    // Voters leave only once others stand in for them.
+    const bool may_go =
+        each.member.is_voter ? has_enough : (is_lost || is_leaving);
+    if ((is_leaving || is_lost) && may_go) {
+      return healing_step{membership_step::kRemove, host};
+    }
+  }
+  if (seen.Voters() <= options_.voters) {
+    return std::nullopt;
+  }
+  for (const member_report& each : seen.members) {
+    if (each.member.is_voter && !each.is_self) {
+      return healing_step{membership_step::kRemove, each.member.host};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/group_host.cc
@@ -0,0 +1,155 @@
+#include "fleet/group_host.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <utility>
+
+#include "consensus/replica_driver.h"
+
+namespace shallotport {
+
+namespace {
+
+// Bounds the wait between two looks at a stop or a snapshot under way.
+constexpr std::chrono::milliseconds kLongestWait{200};
+
+}  // namespace
+
+group_host::group_host(boost::asio::io_context& loop,
+                       const clock_source& clock,
+                       replicated_slice slice)
+    : loop_(loop), clock_(clock), slice_(slice), timer_(loop) {}
+
+group_host::~group_host() {
+  *is_alive_ = false;
+  if (driver_ != nullptr) {
+    driver_->FinishSnapshot();
+  }
+}
+
+result<std::unique_ptr<group_host>> group_host::Open(
+    boost::asio::io_context& loop,
+    const clock_source& clock,
+    replica_options options,
+    replicated_slice slice,
+    replicated_state& state,
+    replica::send_function send) {
+  std::unique_ptr<group_host> opened(new group_host(loop, clock, slice));
+  opened->driver_ = std::make_unique<replica_driver>(std::move(options), clock,
+                                                     std::move(send));
+  opened->driver_->states().Register(slice, &state);
+  if (status recovered = opened->driver_->Open(); !IsOk(recovered)) {
+    return ErrorOf(recovered);
+  }
+  opened->disk_ = opened->driver_->core()->options().disk;
+  opened->ScheduleFlush();
+  return opened;
+}
+
+void group_host::OnMessage(std::string bytes) {
+  driver_->Handle(clock_.Now(), peer_bytes{std::move(bytes)});
+  ScheduleFlush();
+}
+
+void group_host::Propose(std::string command, reply_function reply) {
+  proposal content;
+  content.slice = slice_;
+  content.command = std::move(command);
+  driver_->Handle(clock_.Now(),
+                  submitted_proposal{std::move(content), std::move(reply)});
+  ScheduleFlush();
+}
+
+void group_host::Query(std::string query, reply_function reply) {
+  driver_->Handle(clock_.Now(),
+                  submitted_query{slice_, std::move(query), std::move(reply)});
+  ScheduleFlush();
+}
+
+void group_host::Step(membership_step step,
+                      const host_id& host,
+                      reply_function reply) {
+  driver_->Handle(clock_.Now(), submitted_step{step, host, std::move(reply)});
+  ScheduleFlush();
+}
+
+void group_host::Stop(std::function<void()> done) {
+  auto ended = std::make_shared<std::promise<void>>();
+  auto waiting = std::make_shared<std::future<void>>(ended->get_future());
+  driver_->Handle(clock_.Now(), stop_order{ended});
+  stop_check_ = [waiting, done = std::move(done)] {
+    if (waiting->wait_for(std::chrono::seconds(0)) !=
+        std::future_status::ready) {
+      return false;
+    }
+    done();
+    return true;
+  };
+  ScheduleFlush();
+}
+
+void group_host::ScheduleFlush() {
+  if (std::exchange(is_flush_scheduled_, true)) {
+    return;
+  }
+  boost::asio::post(loop_, [this, alive = is_alive_] {
+    if (*alive) {
+      is_flush_scheduled_ = false;
+      Flush();
+    }
+  });
+}
+
+void group_host::Flush() {
+  const steady_time due = driver_->Flush(clock_.Now());
+  if (stop_check_ && stop_check_()) {
+    stop_check_ = nullptr;
+  }
+  const steady_time now = clock_.Now();
+  if (due <= now) {
+    ScheduleFlush();
+    return;
+  }
+  timer_.expires_after(std::min<duration>(due - now, kLongestWait));
+  timer_.async_wait([this, alive = is_alive_](boost::system::error_code error) {
+    if (!error && *alive) {
+      ScheduleFlush();
+    }
+  });
+}
+
+bool group_host::IsLeading() const {
+  return clock_.Now() < driver_->published_lease_end();
+}
+
+host_id group_host::leader() const {
+  return driver_->published_leader();
+}
+
+uint64_t group_host::term() const {
+  return driver_->published_term();
+}
+
+bool group_host::IsFounded() const {
+  return !driver_->core()->membership().IsFounding();
+}
+
+std::vector<member_report> group_host::MemberReports() const {
+  return driver_->core()->MemberReports(clock_.Now());
+}
+
+const group_membership& group_host::membership() const {
+  return driver_->core()->membership();
+}
+
+bool group_host::IsMembershipCommitted() const {
+  return driver_->core()->IsMembershipCommitted();
+}
+
+bool group_host::is_failed() const {
+  return driver_->is_failed();
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/group_host.h
@@ -0,0 +1,79 @@
+#ifndef SHALLOTPORT_FLEET_GROUP_HOST_H_
+#define SHALLOTPORT_FLEET_GROUP_HOST_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "consensus/consensus_core.h"
+#include "consensus/replica.h"
+#include "consensus/replicated_state.h"
+
+namespace shallotport {
+
+class replica_driver;
+
+// One member of a consensus group that runs on an event loop's thread. Events
+// of one turn share a sync. Syncs block the loop: a host whose disk stalls
+// stops leading, as it does when it is frozen.
+class group_host {
+ public:
+  using reply_function = replica::reply_function;
+
+  // Recovers the files into `state`.
+  static result<std::unique_ptr<group_host>> Open(boost::asio::io_context& loop,
+                                                  const clock_source& clock,
+                                                  replica_options options,
+                                                  replicated_slice slice,
+                                                  replicated_state& state,
+                                                  replica::send_function send);
+  ~group_host();
+
+  void OnMessage(std::string bytes);
+  void Propose(std::string command, reply_function reply);
+  // Linearizable; kNotLeader elsewhere than at the leader.
+  void Query(std::string query, reply_function reply);
+  void Step(membership_step step, const host_id& host, reply_function reply);
+  // Hands leadership over; `done` is called when that is over.
+  void Stop(std::function<void()> done);
+
+  // True while this member leads and its lease holds.
+  bool IsLeading() const;
+  // Empty when unknown.
+  host_id leader() const;
+  uint64_t term() const;
+  incarnation disk() const { return disk_; }
+  bool IsFounded() const;
+  std::vector<member_report> MemberReports() const;
+  const group_membership& membership() const;
+  bool IsMembershipCommitted() const;
+  // Not empty when this member stopped for good; the process must restart.
+  bool is_failed() const;
+
+ private:
+  group_host(boost::asio::io_context& loop,
+             const clock_source& clock,
+             replicated_slice slice);
+
+  void ScheduleFlush();
+  void Flush();
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  const replicated_slice slice_;
+  std::unique_ptr<replica_driver> driver_;
+  incarnation disk_ = 0;
+  boost::asio::steady_timer timer_;
+  bool is_flush_scheduled_ = false;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+  std::function<bool()> stop_check_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_FLEET_GROUP_HOST_H_
--- /dev/null
+++ b/src/libshallotport/fleet/host_directory.cc
@@ -0,0 +1,54 @@
+#include "fleet/host_directory.h"
+
+#include <algorithm>
+
+namespace shallotport {
+
+namespace {
+
+// A host that is cut off or frozen for less is found again without its seeds.
+constexpr std::chrono::seconds kKeepSilent{60};
+
+}  // namespace
+
+bool host_directory::Note(steady_time now,
+                          const host_announcement& host,
+                          uint32_t age_ms) {
+  const steady_time heard = now - std::chrono::milliseconds(age_ms);
+  entry& known = entries_[host.host];
+  const bool is_same_start = known.host.started == host.started;
+  if (heard < known.heard) {
+    // An older word may only tell more about the same start.
+    return false;
+  }
+  const bool is_changed = !is_same_start || known.host.disk != host.disk ||
+                          known.host.document_version != host.document_version;
+  known.host = host;
+  known.heard = heard;
+  return is_changed;
+}
+
+void host_directory::Expire(steady_time now) {
+  std::erase_if(entries_, [now](const auto& each) {
+    return now > each.second.heard + kKeepSilent;
+  });
+}
+
+std::vector<host_announcement> host_directory::Live(steady_time now,
+                                                    host_role role,
+                                                    duration within) const {
+  std::vector<host_announcement> live;
+  for (const auto& [id, each] : entries_) {
+    if (each.host.role == role && now <= each.heard + within) {
+      live.push_back(each.host);
+    }
+  }
+  return live;
+}
+
+const host_directory::entry* host_directory::Find(const host_id& host) const {
+  const auto found = entries_.find(host);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -0,0 +1,303 @@
+#include "jobstore/item_runner.h"
+
+#include <algorithm>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace shallotport {
+
+namespace {
+
+// After a refusal the place is tried again when others may have left it.
+constexpr std::chrono::milliseconds kPauseAfterRefusal{80};
+constexpr std::chrono::milliseconds kPauseAfterBreak{50};
+constexpr std::chrono::milliseconds kPauseAfterFailure{400};
+constexpr std::chrono::milliseconds kSweepInterval{500};
+// Added to a job's retention before items are given up: clocks may jump.
+constexpr wall_milliseconds kRetentionMarginMs = 15'000;
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+struct item_runner::item_run {
+  std::unique_ptr<endpoint_call> call;
+  endpoint_id endpoint;
+  response_head head;
+  event_splitter events;
+};
+
+struct item_runner::item_memory {
+  std::string text;  // Of the events so far.
+  std::string last_event;
+  steady_time not_before{};
+  bool is_settling = false;  // Its result is being committed.
+};
+
+item_runner::item_runner(boost::asio::io_context& loop,
+                         const clock_source& clock,
+                         options options,
+                         const job_board& board,
+                         placement& endpoints,
+                         decision_log& log,
+                         proposer propose)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      board_(board),
+      endpoints_(endpoints),
+      log_(log),
+      propose_(std::move(propose)),
+      random_(options_.seed),
+      pool_(loop, clock) {}
+
+item_runner::~item_runner() = default;
+
+void item_runner::SetLeading(bool is_leading) {
+  if (is_leading_ == is_leading) {
+    return;
+  }
+  is_leading_ = is_leading;
+  if (is_leading) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  for (const auto& [key, run] : running_) {
+    endpoints_.End(now, run->endpoint, placement_end::kAbandoned);
+  }
+  running_.clear();
+  memories_.clear();
+}
+
+void item_runner::OnJobChanged(const job_id& id) {
+  const auto* job = board_.Find(id);
+  if (job != nullptr && !job->is_ended) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  for (auto at = running_.lower_bound({id, 0});
+       at != running_.end() && at->first.first == id;) {
+    endpoints_.End(now, at->second->endpoint, placement_end::kAbandoned);
+    at = running_.erase(at);
+  }
+  for (auto at = memories_.lower_bound({id, 0});
+       at != memories_.end() && at->first.first == id;) {
+    at = memories_.erase(at);
+  }
+}
+
+void item_runner::Tick(steady_time now, const route_table* routes) {
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepInterval;
+    pool_.Sweep(now);
+  }
+  if (!is_leading_ || routes == nullptr) {
+    return;
+  }
+  using due_job = std::pair<wall_milliseconds, const job_board::job_state*>;
+  std::vector<due_job> open;
+  for (const auto& [id, job] : board_.jobs()) {
+    if (job.IsOpen()) {
+      open.emplace_back(job.accepted + job.submission.objective_ms, &job);
+    }
+  }
+  std::sort(open.begin(), open.end());
+  const wall_milliseconds wall = clock_.WallNow();
+  for (const auto& [due, job] : open) {
+    const job_id& id = job->submission.job;
+    const bool is_given_up = job->submission.retention_ms > 0 &&
+                             wall > job->accepted +
+                                        job->submission.retention_ms +
+                                        kRetentionMarginMs;
+    for (uint32_t i = 0; i < job->items.size(); ++i) {
+      const item_key key(id, i);
+      if (job->items[i].is_listed || running_.contains(key)) {
+        continue;
+      }
+      const auto memory = memories_.find(key);
+      const bool must_wait =
+          memory != memories_.end() &&
+          (memory->second.is_settling || now < memory->second.not_before);
+      if (must_wait) {
+        continue;
+      }
+      if (is_given_up) {
+        Record(key, {});
+        continue;
+      }
+      if (!StartItem(now, *routes, key)) {
+        return;  // No room: later jobs have none either.
+      }
+    }
+  }
+}
+
+// False when no endpoint has room.
+bool item_runner::StartItem(steady_time now,
+                            const route_table& routes,
+                            item_key key) {
+  const auto* job = board_.Find(key.first);
+  const job_item& item = job->submission.items[key.second];
+  const route* on = routes.Match(job->submission.host, item.path);
+  if (on == nullptr) {
+    Retry(key, kPauseAfterFailure);
+    return true;
+  }
+  const auto placed = endpoints_.Begin(now, DrawService(*on, random_), {},
+                                       options_.online_reserve);
+  if (std::holds_alternative<placement_refusal>(placed)) {
+    return false;
+  }
+  const auto& at = std::get<placed_endpoint>(placed);
+  const auto memory = memories_.find(key);
+  header_list headers;
+  headers.Add("Host", job->submission.host);
+  headers.Add(options_.wire.request_id, item.id);
+  for (const auto& [name, value] : item.headers) {
+    if (!IsConnectionHeader(name) && !EqualsIgnoringCase(name, "Host") &&
+        !EqualsIgnoringCase(name, options_.wire.request_id)) {
+      headers.Add(name, value);
+    }
+  }
+  headers.Add(options_.wire.expected_endpoint, at.endpoint.text());
+  if (memory != memories_.end() && !memory->second.last_event.empty()) {
+    headers.Add(options_.wire.resume_after, memory->second.last_event);
+  }
+  auto run = std::make_shared<item_run>();
+  run->endpoint = at.endpoint;
+  outbound_request out;
+  out.method = "POST";
+  out.bytes = FormatRequest("POST", item.path, headers, item.body);
+  out.echo_header = options_.wire.request_id;
+  out.echo_value = item.id;
+  const std::weak_ptr<item_run> weak = run;
+  call_events events;
+  events.on_head = [weak](response_head head) {
+    if (const auto self = weak.lock()) {
+      self->head = std::move(head);
+    }
+  };
+  events.on_body = [this, key, weak](std::string_view bytes) {
+    const auto self = weak.lock();
+    if (self == nullptr || !IsSuccess(self->head.status)) {
+      return;
+    }
+    self->events.Take(bytes);
+    if (!self->events.data().empty()) {
+      item_memory& kept = memories_[key];
+      kept.text += self->events.data();
+      kept.last_event = self->events.last_id();
+    }
+  };
+  events.on_end = [this, key, weak](call_end end) {
+    if (weak.lock() != nullptr) {
+      OnEnd(key, end);
+    }
+  };
+  running_[key] = run;
+  run->call = pool_.Start(at.address, std::move(out), std::move(events));
+  return true;
+}
+
+void item_runner::OnEnd(const item_key& key, call_end end) {
+  const auto found = running_.find(key);
+  if (found == running_.end()) {
+    return;
+  }
+  const std::shared_ptr<item_run> run = found->second;
+  running_.erase(found);
+  const steady_time now = clock_.Now();
+  switch (end) {
+    case call_end::kComplete:
+      OnAnswered(key, *run);
+      return;
+    case call_end::kNotSent:
+      endpoints_.End(now, run->endpoint, placement_end::kUnreachable);
+      break;
+    case call_end::kBroken:
+    case call_end::kNotAnswer:
+      endpoints_.End(now, run->endpoint, placement_end::kBroken);
+      break;
+  }
+  Retry(key, kPauseAfterBreak);
+}
+
+void item_runner::OnAnswered(const item_key& key, item_run& run) {
+  const wire_profile& wire = options_.wire;
+  const steady_time now = clock_.Now();
+  const int status = run.head.status;
+  if (run.head.headers.Find(wire.not_run) != nullptr || status == 421) {
+    endpoints_.End(
+        now, run.endpoint,
+        status == 421 ? placement_end::kOtherEndpoint : placement_end::kShed);
+    Retry(key, kPauseAfterRefusal);
+    return;
+  }
+  endpoints_.End(now, run.endpoint, placement_end::kServed);
+  const bool is_proven = run.head.headers.Find(wire.endpoint_proof) != nullptr;
+  if (IsSuccess(status) && is_proven && !run.events.has_partial()) {
+    item_result result;
+    result.is_completed = true;
+    result.text = memories_[key].text;
+    if (!result.text.empty()) {
+      result.text.pop_back();  // Line feeds stand between the events.
+    }
+    Record(key, std::move(result));
+    return;
+  }
+  const auto* job = board_.Find(key.first);
+  if (job == nullptr) {
+    return;
+  }
+  const bool has_failed = status == 500;
+  const uint32_t failures = job->items[key.second].failures + 1;
+  const bool is_dead =
+      status == 422 || (has_failed && failures >= job->submission.max_runs);
+  log_.Request("item_failed", {{"job", key.first.text()},
+                               {"item", job->submission.items[key.second].id},
+                               {"endpoint", run.endpoint.text()},
+                               {"status", int64_t{status}},
+                               {"failures", int64_t{failures}},
+                               {"dead", int64_t{is_dead ? 1 : 0}}});
+  if (is_dead) {
+    Record(key, {});
+    return;
+  }
+  if (has_failed) {
+    job_command command;
+    command.kind = job_command_kind::kCountFailure;
+    command.job = key.first;
+    command.item = key.second;
+    propose_(command, [](bool) {});
+  }
+  Retry(key, kPauseAfterFailure);
+}
+
+void item_runner::Retry(const item_key& key, duration pause) {
+  memories_[key].not_before = clock_.Now() + pause;
+}
+
+void item_runner::Record(const item_key& key, item_result result) {
+  memories_[key].is_settling = true;
+  job_command command;
+  command.kind = job_command_kind::kRecord;
+  command.job = key.first;
+  command.item = key.second;
+  command.result = std::move(result);
+  propose_(command, [this, key](bool is_committed) {
+    const auto memory = memories_.find(key);
+    if (memory == memories_.end()) {
+      return;
+    }
+    if (is_committed) {
+      memories_.erase(memory);
+    } else {
+      memory->second.is_settling = false;
+    }
+  });
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -0,0 +1,88 @@
+#ifndef SHALLOTPORT_JOBSTORE_ITEM_RUNNER_H_
+#define SHALLOTPORT_JOBSTORE_ITEM_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/clock.h"
+#include "entry/decision_log.h"
+#include "entry/event_splitter.h"
+#include "entry/placement.h"
+#include "entry/route_table.h"
+#include "entry/wire_profile.h"
+#include "eventio/endpoint_pool.h"
+#include "jobstore/job_board.h"
+
+namespace shallotport {
+
+// Runs the items of open jobs at endpoints, for the leader of the job group.
+// Jobs whose results are due first go first. Items take only places above a
+// reserve for online requests: engines admit in order of arrival, so an item
+// that waits in an engine would be in an online request's way. A run that broke
+// goes on after its last event.
+class item_runner {
+ public:
+  // Has a command committed; called with whether it is.
+  using proposer = std::function<void(const job_command& command,
+                                      std::function<void(bool)> done)>;
+
+  struct options {
+    wire_profile wire;
+    // Places of each endpoint that stay free of batch work.
+    uint32_t online_reserve = 3;
+    uint64_t seed = 1;
+  };
+
+  item_runner(boost::asio::io_context& loop,
+              const clock_source& clock,
+              options options,
+              const job_board& board,
+              placement& endpoints,
+              decision_log& log,
+              proposer propose);
+  ~item_runner();
+
+  // Runs items while this host leads; stops all runs when it does not.
+  void SetLeading(bool is_leading);
+  // A job was accepted or ended.
+  void OnJobChanged(const job_id& job);
+  // Starts what has room.
+  void Tick(steady_time now, const route_table* routes);
+
+  size_t running_count() const { return running_.size(); }
+
+ private:
+  using item_key = std::pair<job_id, uint32_t>;
+  struct item_run;
+  struct item_memory;
+
+  bool StartItem(steady_time now, const route_table& routes, item_key key);
+  void OnEnd(const item_key& key, call_end end);
+  void OnAnswered(const item_key& key, item_run& run);
+  void Retry(const item_key& key, duration pause);
+  void Record(const item_key& key, item_result result);
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  const options options_;
+  const job_board& board_;
+  placement& endpoints_;
+  decision_log& log_;
+  const proposer propose_;
+  random_source random_;
+  endpoint_pool pool_;
+  bool is_leading_ = false;
+  std::map<item_key, std::shared_ptr<item_run>> running_;
+  // What is known of items between runs; gone with the leadership.
+  std::map<item_key, item_memory> memories_;
+  steady_time next_sweep_{};
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_JOBSTORE_ITEM_RUNNER_H_
--- /dev/null
+++ b/src/libshallotport/jobstore/job_board.cc
@@ -0,0 +1,220 @@
+#include "jobstore/job_board.h"
+
+#include <algorithm>
+#include <istream>
+#include <iterator>
+#include <ostream>
+#include <utility>
+
+#include "base/codec.h"
+
+namespace shallotport {
+
+namespace {
+
+// Jobs stay readable this long after they were submitted: callers' two minutes
+// and a margin for clocks that jump.
+constexpr wall_milliseconds kKeepJobMs = 180'000;
+constexpr size_t kMaxReadBytes = 900u << 10;
+
+class text_snapshot final : public snapshot_writer {
+ public:
+  explicit text_snapshot(std::string text) : text_(std::move(text)) {}
+  status Write(std::ostream& out) override {
+    out << text_;
+    return success{};
+  }
+
+ private:
+  const std::string text_;
+};
+
+}  // namespace
+
+std::string EncodeJobCommand(const job_command& command) {
+  return Encode(command);
+}
+
+std::string job_board::Apply(const apply_context& context,
+                             std::string_view command) {
+  auto decoded = Decode<job_command>(command);
+  job_answer answer;
+  if (!IsOk(decoded)) {
+    return Encode(answer);  // A malformed command changes nothing.
+  }
+  job_command& given = ValueOf(decoded);
+  switch (given.kind) {
+    case job_command_kind::kSubmit:
+      answer.kind = Submit(context, std::move(given.submission));
+      break;
+    case job_command_kind::kRecord:
+      answer.kind = Record(given);
+      break;
+    case job_command_kind::kCountFailure:
+      answer.kind = CountFailure(given);
+      break;
+    case job_command_kind::kEnd:
+      answer.kind = End(given.job);
+      break;
+  }
+  if (on_changed) {
+    on_changed(given.job);
+  }
+  return Encode(answer);
+}
+
+job_answer_kind job_board::Submit(const apply_context& context,
+                                  job_submission&& submission) {
+  DropOld(context.leader_time);
+  if (kept_.jobs.contains(submission.job)) {
+    return job_answer_kind::kDone;  // Accepted once, acknowledged again.
+  }
+  uint64_t tokens = 0;
+  for (const job_item& item : submission.items) {
+    tokens += item.tokens;
+  }
+  uint64_t& waiting = kept_.waiting_tokens[submission.route];
+  const bool fits = submission.waiting_tokens_limit == 0 ||
+                    waiting + tokens <= submission.waiting_tokens_limit;
+  if (!fits) {
+    return job_answer_kind::kOverLimit;
+  }
+  waiting += tokens;
+  job_state job;
+  job.accepted = context.leader_time;
+  job.items.resize(submission.items.size());
+  job.submission = std::move(submission);
+  const job_id id = job.submission.job;
+  kept_.jobs.emplace(id, std::move(job));
+  return job_answer_kind::kDone;
+}
+
+job_answer_kind job_board::Record(const job_command& command) {
+  const auto found = kept_.jobs.find(command.job);
+  if (found == kept_.jobs.end() || command.item >= found->second.items.size()) {
+    return job_answer_kind::kNotFound;
+  }
+  job_state& job = found->second;
+  item_state& item = job.items[command.item];
+  if (item.is_listed) {
+    return job_answer_kind::kDone;  // The first result stands.
+  }
+  item.is_listed = true;
+  if (!job.is_ended) {
+    StopWaiting(job, command.item);
+  }
+  item_result result = command.result;
+  result.item = job.submission.items[command.item].id;
+  job.results.push_back(std::move(result));
+  job.submission.items[command.item].body.clear();
+  job.submission.items[command.item].body.shrink_to_fit();
+  return job_answer_kind::kDone;
+}
+
+job_answer_kind job_board::CountFailure(const job_command& command) {
+  const auto found = kept_.jobs.find(command.job);
+  if (found == kept_.jobs.end() || command.item >= found->second.items.size()) {
+    return job_answer_kind::kNotFound;
+  }
+  ++found->second.items[command.item].failures;
+  return job_answer_kind::kDone;
+}
+
+job_answer_kind job_board::End(const job_id& id) {
+  const auto found = kept_.jobs.find(id);
+  if (found == kept_.jobs.end()) {
+    return job_answer_kind::kNotFound;
+  }
+  job_state& job = found->second;
+  if (std::exchange(job.is_ended, true)) {
+    return job_answer_kind::kDone;
+  }
+  for (uint32_t i = 0; i < job.items.size(); ++i) {
+    if (!job.items[i].is_listed) {
+      StopWaiting(job, i);
+    }
+  }
+  return job_answer_kind::kDone;
+}
+
+void job_board::StopWaiting(const job_state& job, uint32_t item) {
+  uint64_t& waiting = kept_.waiting_tokens[job.submission.route];
+  waiting -= std::min(waiting, job.submission.items[item].tokens);
+}
+
+void job_board::DropOld(wall_milliseconds now) {
+  std::erase_if(kept_.jobs, [now](const auto& each) {
+    return !each.second.IsOpen() && now > each.second.accepted + kKeepJobMs;
+  });
+}
+
+std::string job_board::Query(std::string_view) const {
+  return {};
+}
+
+const job_board::job_state* job_board::Find(const job_id& job) const {
+  const auto found = kept_.jobs.find(job);
+  return found == kept_.jobs.end() ? nullptr : &found->second;
+}
+
+uint64_t job_board::WaitingTokens(const std::string& route) const {
+  const auto found = kept_.waiting_tokens.find(route);
+  return found == kept_.waiting_tokens.end() ? 0 : found->second;
+}
+
+job_answer job_board::Read(const job_id& id, uint32_t after) const {
+  job_answer answer;
+  const job_state* job = Find(id);
+  if (job == nullptr) {
+    answer.kind = job_answer_kind::kNotFound;
+    return answer;
+  }
+  answer.kind = job_answer_kind::kDone;
+  answer.total = static_cast<uint32_t>(job->items.size());
+  size_t bytes = 0;
+  for (size_t i = after; i < job->results.size(); ++i) {
+    bytes += job->results[i].text.size() + job->results[i].item.size() + 64;
+    if (!answer.results.empty() && bytes > kMaxReadBytes) {
+      break;
+    }
+    answer.results.push_back(job->results[i]);
+  }
+  return answer;
+}
+
+job_answer job_board::ReadItem(const job_id& id,
+                               const std::string& item) const {
+  job_answer answer;
+  answer.kind = job_answer_kind::kNotFound;
+  const job_state* job = Find(id);
+  if (job == nullptr || job->is_ended) {
+    return answer;
+  }
+  for (size_t i = 0; i < job->items.size(); ++i) {
+    if (job->submission.items[i].id == item && !job->items[i].is_listed) {
+      answer.kind = job_answer_kind::kDone;
+      answer.body = job->submission.items[i].body;
+    }
+  }
+  return answer;
+}
+
+std::unique_ptr<snapshot_writer> job_board::BeginSnapshot() const {
+  return std::make_unique<text_snapshot>(Encode(kept_));
+}
+
+status job_board::LoadSnapshot(std::istream& in) {
+  const std::string text((std::istreambuf_iterator<char>(in)),
+                         std::istreambuf_iterator<char>());
+  auto decoded = Decode<kept_state>(text);
+  if (!IsOk(decoded)) {
+    return ErrorOf(decoded);
+  }
+  kept_ = std::move(ValueOf(decoded));
+  if (on_loaded) {
+    on_loaded();
+  }
+  return success{};
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/jobstore/job_board.h
@@ -0,0 +1,113 @@
+#ifndef SHALLOTPORT_JOBSTORE_JOB_BOARD_H_
+#define SHALLOTPORT_JOBSTORE_JOB_BOARD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "consensus/replicated_state.h"
+#include "jobstore/job_records.h"
+
+namespace shallotport {
+
+enum class job_command_kind : uint8_t {
+  kSubmit = 1,
+  kRecord = 2,        // An item's result.
+  kCountFailure = 3,  // A run of an item failed at its endpoint.
+  kEnd = 4,
+};
+
+struct job_command {
+  job_command_kind kind = job_command_kind::kSubmit;
+  job_id job;
+  job_submission submission;
+  uint32_t item = 0;  // Its place in the submission.
+  item_result result;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(kind, job, submission, item, result);
+  }
+};
+
+std::string EncodeJobCommand(const job_command& command);
+
+// The batch jobs of a fleet, replicated on the job stores. Each job is accepted
+// once, each item gets one result, and results keep their positions. Ended and
+// finished jobs stay readable for a time after they were submitted.
+class job_board final : public replicated_state {
+ public:
+  struct item_state {
+    bool is_listed = false;
+    uint32_t failures = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(is_listed, failures);
+    }
+  };
+
+  struct job_state {
+    job_submission submission;
+    wall_milliseconds accepted = 0;
+    bool is_ended = false;  // By its caller: what is left need not run.
+    std::vector<item_state> items;
+    std::vector<item_result> results;  // In the order of their positions.
+
+    bool IsOpen() const { return !is_ended && results.size() < items.size(); }
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(submission, accepted, is_ended, items, results);
+    }
+  };
+
+  // Called for a job that was accepted, changed or ended.
+  std::function<void(const job_id& job)> on_changed;
+  // Called after a snapshot replaced everything.
+  std::function<void()> on_loaded;
+
+  std::string Apply(const apply_context& context,
+                    std::string_view command) override;
+  std::string Query(std::string_view query) const override;
+  std::unique_ptr<snapshot_writer> BeginSnapshot() const override;
+  status LoadSnapshot(std::istream& in) override;
+
+  const job_state* Find(const job_id& job) const;
+  const std::map<job_id, job_state>& jobs() const { return kept_.jobs; }
+  // Tokens of accepted items without a result, by route.
+  uint64_t WaitingTokens(const std::string& route) const;
+
+  // Results from position `after` on, at most about a megabyte.
+  job_answer Read(const job_id& job, uint32_t after) const;
+  job_answer ReadItem(const job_id& job, const std::string& item) const;
+
+ private:
+  struct kept_state {
+    std::map<job_id, job_state> jobs;
+    std::map<std::string, uint64_t> waiting_tokens;
+
+    template <typename Archive>
+    void serialize(Archive& archive) {
+      archive(jobs, waiting_tokens);
+    }
+  };
+
+  job_answer_kind Submit(const apply_context& context,
+                         job_submission&& submission);
+  job_answer_kind Record(const job_command& command);
+  job_answer_kind CountFailure(const job_command& command);
+  job_answer_kind End(const job_id& job);
+  void StopWaiting(const job_state& job, uint32_t item);
+  void DropOld(wall_milliseconds now);
+
+  kept_state kept_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_JOBSTORE_JOB_BOARD_H_
--- /dev/null
+++ b/src/libshallotport/jobstore/job_caller.cc
@@ -0,0 +1,144 @@
+#include "jobstore/job_caller.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <utility>
+
+#include "base/codec.h"
+
+namespace shallotport {
+
+namespace {
+
+// A new leader is elected within about a second and a half.
+constexpr std::chrono::milliseconds kPatience{2'500};
+constexpr std::chrono::milliseconds kCallTimeout{1'500};
+// Between two rounds over all stores.
+constexpr std::chrono::milliseconds kRoundPause{60};
+
+}  // namespace
+
+struct job_caller::pending {
+  fleet_call method = fleet_call::kReadJob;
+  std::string body;
+  steady_time due{};
+  duration call_timeout{};
+  reply_function reply;
+  std::set<std::string> tried;  // In this round.
+  bool is_in_doubt = false;
+  std::unique_ptr<boost::asio::steady_timer> pause;
+};
+
+job_caller::job_caller(boost::asio::io_context& loop,
+                       const clock_source& clock,
+                       fleet_host& fleet)
+    : loop_(loop), clock_(clock), fleet_(fleet) {}
+
+void job_caller::Submit(const job_submission& submission,
+                        reply_function reply) {
+  Start(fleet_call::kSubmitJob, Encode(submission), kPatience,
+        std::move(reply));
+}
+
+void job_caller::Read(const job_read& read, reply_function reply) {
+  Start(fleet_call::kReadJob, Encode(read),
+        kPatience + std::chrono::milliseconds(read.wait_ms), std::move(reply));
+}
+
+void job_caller::ReadItem(const job_read& read, reply_function reply) {
+  Start(fleet_call::kReadItem, Encode(read), kPatience, std::move(reply));
+}
+
+void job_caller::End(const job_read& read, reply_function reply) {
+  Start(fleet_call::kEndJob, Encode(read), kPatience, std::move(reply));
+}
+
+void job_caller::Start(fleet_call method,
+                       std::string body,
+                       duration patience,
+                       reply_function reply) {
+  auto call = std::make_shared<pending>();
+  call->method = method;
+  call->body = std::move(body);
+  call->due = clock_.Now() + patience;
+  call->call_timeout = patience - kPatience + kCallTimeout;
+  call->reply = std::move(reply);
+  Try(call);
+}
+
+std::string job_caller::NextStore(const pending& call) const {
+  if (!leader_ip_.empty() && !call.tried.contains(leader_ip_) &&
+      fleet_.hub().IsUp(leader_ip_)) {
+    return leader_ip_;
+  }
+  for (const host_announcement& store : fleet_.Live(host_role::kStore)) {
+    const std::string& ip = store.host.text();
+    if (!call.tried.contains(ip) && fleet_.hub().IsUp(ip)) {
+      return ip;
+    }
+  }
+  return {};
+}
+
+void job_caller::Try(const std::shared_ptr<pending>& call) {
+  if (clock_.Now() >= call->due) {
+    job_answer answer;
+    answer.kind = call->is_in_doubt ? job_answer_kind::kUnknown
+                                    : job_answer_kind::kNotLeader;
+    call->reply(std::move(answer));
+    return;
+  }
+  const std::string ip = NextStore(*call);
+  if (ip.empty()) {
+    call->tried.clear();
+    call->pause = std::make_unique<boost::asio::steady_timer>(loop_);
+    call->pause->expires_after(kRoundPause);
+    call->pause->async_wait([this, call](boost::system::error_code stopped) {
+      if (!stopped) {
+        Try(call);
+      }
+    });
+    return;
+  }
+  call->tried.insert(ip);
+  fleet_.hub().Call(
+      ip, static_cast<uint8_t>(call->method), call->body, call->call_timeout,
+      [this, call, ip](const result<std::string>& reply) {
+        const bool is_unsent =
+            !IsOk(reply) && ErrorOf(reply).kind == error_kind::kNoCapacity;
+        auto answer = IsOk(reply) ? Decode<job_answer>(ValueOf(reply))
+                                  : result<job_answer>(job_answer{});
+        if (is_unsent || !IsOk(answer)) {
+          Try(call);
+          return;
+        }
+        const job_answer& given = ValueOf(answer);
+        if (given.kind == job_answer_kind::kNotLeader) {
+          if (!given.leader.IsEmpty()) {
+            leader_ip_ = given.leader.text();
+          } else if (leader_ip_ == ip) {
+            leader_ip_.clear();
+          }
+          Try(call);
+          return;
+        }
+        if (given.kind == job_answer_kind::kUnknown) {
+          // All calls may be repeated; only a refusal is out of the question.
+          call->is_in_doubt = true;
+          leader_ip_.clear();
+          Try(call);
+          return;
+        }
+        leader_ip_ = ip;
+        job_answer final_answer = ValueOf(std::move(answer));
+        // An earlier try that got no reply may still be accepted.
+        if (call->is_in_doubt &&
+            final_answer.kind == job_answer_kind::kOverLimit) {
+          final_answer.kind = job_answer_kind::kUnknown;
+        }
+        call->reply(std::move(final_answer));
+      });
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/jobstore/job_caller.h
@@ -0,0 +1,49 @@
+#ifndef SHALLOTPORT_JOBSTORE_JOB_CALLER_H_
+#define SHALLOTPORT_JOBSTORE_JOB_CALLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "fleet/fleet_host.h"
+#include "jobstore/job_records.h"
+
+namespace shallotport {
+
+// An entry host's way to the job group: finds its leader among the job stores
+// and carries calls there.
+class job_caller {
+ public:
+  using reply_function = std::function<void(job_answer answer)>;
+
+  job_caller(boost::asio::io_context& loop,
+             const clock_source& clock,
+             fleet_host& fleet);
+
+  // The answer is kDone, kOverLimit, kNotFound, kNotLeader (no leader was
+  // found in time, and nothing was done) or kUnknown.
+  void Submit(const job_submission& submission, reply_function reply);
+  void Read(const job_read& read, reply_function reply);
+  void ReadItem(const job_read& read, reply_function reply);
+  void End(const job_read& read, reply_function reply);
+
+ private:
+  struct pending;
+
+  void Start(fleet_call method,
+             std::string body,
+             duration patience,
+             reply_function reply);
+  void Try(const std::shared_ptr<pending>& call);
+  std::string NextStore(const pending& call) const;
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  fleet_host& fleet_;
+  std::string leader_ip_;  // As last heard.
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_JOBSTORE_JOB_CALLER_H_
--- /dev/null
+++ b/src/libshallotport/jobstore/job_records.h
@@ -0,0 +1,94 @@
+#ifndef SHALLOTPORT_JOBSTORE_JOB_RECORDS_H_
+#define SHALLOTPORT_JOBSTORE_JOB_RECORDS_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace shallotport {
+
+// One request of a batch job, as its caller sent it.
+struct job_item {
+  std::string id;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  uint64_t tokens = 0;  // Of the prompt and the longest output.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, path, headers, body, tokens);
+  }
+};
+
+// A whole job with the rules of its route at the time.
+struct job_submission {
+  job_id job;
+  std::string route;   // Whose limit of waiting tokens it counts against.
+  std::string host;    // The host name that it was sent to.
+  std::string prefix;  // Of the route; items are routed by it.
+  uint64_t waiting_tokens_limit = 0;  // 0: none.
+  uint32_t objective_ms = 0;          // For all of its results.
+  uint32_t retention_ms = 0;          // Then items may be given up.
+  uint32_t max_runs = 1;              // Runs that fail before an item is dead.
+  std::vector<job_item> items;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, route, host, prefix, waiting_tokens_limit, objective_ms,
+            retention_ms, max_runs, items);
+  }
+};
+
+// How an item ended.
+struct item_result {
+  std::string item;
+  bool is_completed = false;  // Otherwise it can never be done.
+  std::string text;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(item, is_completed, text);
+  }
+};
+
+enum class job_answer_kind : uint8_t {
+  kDone = 1,
+  kOverLimit = 2,  // Not accepted: too many tokens wait.
+  kNotFound = 3,
+  kNotLeader = 4,  // Nothing was done here; `leader` may help.
+  kUnknown = 5,    // It may or may not have been done.
+};
+
+// Answers every call about jobs; each call uses its own fields.
+struct job_answer {
+  job_answer_kind kind = job_answer_kind::kUnknown;
+  host_id leader;
+  uint32_t total = 0;
+  std::vector<item_result> results;
+  std::string body;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(kind, leader, total, results, body);
+  }
+};
+
+struct job_read {
+  job_id job;
+  uint32_t after = 0;
+  uint32_t wait_ms = 0;  // How long to wait for a first result.
+  std::string item;      // For kReadItem.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, after, wait_ms, item);
+  }
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_JOBSTORE_JOB_RECORDS_H_
--- /dev/null
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -0,0 +1,385 @@
+#include "jobstore/job_store_duty.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "base/codec.h"
+#include "eventio/host_link.h"
+
+namespace shallotport {
+
+namespace {
+
+constexpr uint32_t kJobGroup = 2;
+constexpr std::chrono::milliseconds kHealingInterval{200};
+constexpr std::chrono::milliseconds kMembersInterval{300};
+// An entry host that says nothing for longer has died or is cut off.
+constexpr std::chrono::milliseconds kLoadKept{1'000};
+constexpr uint64_t kSnapshotAfterBytes = 24u << 20;
+constexpr uint32_t kSnapshotAfterEntries = 8'000;
+constexpr uint32_t kTrailingEntries = 1'000;
+constexpr uint32_t kSegmentBytes = 8u << 20;
+
+replica_options GroupOptions(const job_store_options& options,
+                             const std::vector<host_id>& founders) {
+  replica_options group;
+  group.group = kJobGroup;
+  group.host = options.fleet.self.host;
+  group.folder = options.data_folder + "/jobs";
+  group.snapshot_after_bytes = kSnapshotAfterBytes;
+  group.snapshot_after_entries = kSnapshotAfterEntries;
+  group.trailing_entries = kTrailingEntries;
+  group.segment_bytes = kSegmentBytes;
+  const bool is_founder =
+      options.fleet.self.is_first_start &&
+      std::find(founders.begin(), founders.end(), group.host) != founders.end();
+  if (is_founder) {
+    group.initial_members = founders;
+  }
+  return group;
+}
+
+}  // namespace
+
+job_store_duty::job_store_duty(boost::asio::io_context& loop,
+                               const clock_source& clock,
+                               job_store_options options,
+                               document_reader read_document,
+                               decision_log& log)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      read_document_(std::move(read_document)),
+      log_(log),
+      fleet_(loop, clock, options_.fleet, true),
+      endpoints_(options_.placing),
+      runner_(
+          loop,
+          clock,
+          options_.runner,
+          board_,
+          endpoints_,
+          log,
+          [this](const job_command& command, std::function<void(bool)> done) {
+            group_->Propose(
+                EncodeJobCommand(command),
+                [done = std::move(done)](const result<std::string>& outcome) {
+                  done(IsOk(outcome));
+                });
+          }),
+      healer_({options_.voters}) {
+  board_.on_changed = [this](const job_id& job) {
+    runner_.OnJobChanged(job);
+    AnswerWaiting(job);
+  };
+  fleet_.on_document = [this](const configuration_document& document) {
+    auto read = read_document_(document);
+    if (IsOk(read)) {
+      routes_.emplace(std::move(ValueOf(read)));
+    } else {
+      log_.State("config_unreadable", {{"reason", ErrorOf(read).detail}});
+    }
+  };
+  fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
+    endpoints_.Update(entry.report);
+  };
+  fleet_.on_consensus = [this](const host_id&, const group_envelope& envelope) {
+    if (envelope.group == kJobGroup && group_ != nullptr) {
+      group_->OnMessage(envelope.bytes);
+    }
+  };
+  fleet_.on_other_frame = [this](host_link& link, uint8_t kind,
+                                 std::string_view payload) {
+    if (kind == static_cast<uint8_t>(fleet_frame::kLoad)) {
+      OnLoad(link, payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kHello)) {
+      const auto host = Decode<host_announcement>(payload);
+      if (IsOk(host)) {
+        link.peer_name = ValueOf(host).host.text();
+        fleet_.NoteHost(ValueOf(host));
+      }
+    }
+  };
+  fleet_.hub().on_call = [this](host_link&, uint8_t method,
+                                std::string_view body,
+                                const std::function<void(std::string)>& reply) {
+    OnCall(method, body, reply);
+  };
+}
+
+status job_store_duty::Start() {
+  if (status started = fleet_.Start(); !IsOk(started)) {
+    return started;
+  }
+  return OpenGroupWhenKnown();
+}
+
+// The first start of a fleet waits until the control hosts have named the
+// founders; later an empty disk joins as a learner.
+status job_store_duty::OpenGroupWhenKnown() {
+  const bool must_wait =
+      options_.fleet.self.is_first_start && fleet_.job_founders().empty();
+  if (group_ != nullptr || must_wait) {
+    return success{};
+  }
+  auto opened = group_host::Open(
+      loop_, clock_, GroupOptions(options_, fleet_.job_founders()),
+      replicated_slice::kJobs, board_,
+      [this](const host_id& to, std::string bytes) {
+        fleet_.SendConsensus(to, kJobGroup, std::move(bytes));
+      });
+  if (!IsOk(opened)) {
+    return ErrorOf(opened);
+  }
+  group_ = std::move(ValueOf(opened));
+  fleet_.SetDisk(group_->disk());
+  return success{};
+}
+
+void job_store_duty::Tick(steady_time now) {
+  fleet_.Tick(now);
+  if (group_ == nullptr) {
+    const status opened = OpenGroupWhenKnown();
+    if (!IsOk(opened)) {
+      log_.State("job_group_failed", {{"reason", ErrorOf(opened).detail}});
+    }
+    return;
+  }
+  const bool is_leading = group_->IsLeading();
+  if (was_leading_ != is_leading) {
+    was_leading_ = is_leading;
+    log_.State(is_leading ? "job_leadership_won" : "job_leadership_lost",
+               {{"term", static_cast<int64_t>(group_->term())}});
+  }
+  runner_.SetLeading(is_leading);
+  runner_.Tick(now, routes_ ? &*routes_ : nullptr);
+  ExpireWaiting(now);
+  if (is_leading) {
+    Heal(now);
+    if (now >= next_members_) {
+      next_members_ = now + kMembersInterval;
+      TellMembers();
+    }
+  }
+}
+
+void job_store_duty::Stop(std::function<void()> done) {
+  if (group_ == nullptr) {
+    done();
+    return;
+  }
+  group_->Stop(std::move(done));
+}
+
+void job_store_duty::OnCall(uint8_t method,
+                            std::string_view body,
+                            const std::function<void(std::string)>& reply) {
+  if (!IsLeading()) {
+    reply(NotLeaderAnswer());
+    return;
+  }
+  switch (static_cast<fleet_call>(method)) {
+    case fleet_call::kSubmitJob:
+      Submit(body, reply);
+      return;
+    case fleet_call::kReadJob:
+      Read(body, reply);
+      return;
+    case fleet_call::kReadItem:
+      ReadItem(body, reply);
+      return;
+    case fleet_call::kEndJob:
+      End(body, reply);
+      return;
+  }
+  reply(Encode(job_answer{}));
+}
+
+std::string job_store_duty::NotLeaderAnswer() const {
+  job_answer answer;
+  answer.kind = job_answer_kind::kNotLeader;
+  if (group_ != nullptr && group_->leader() != fleet_.self().host) {
+    answer.leader = group_->leader();
+  }
+  return Encode(answer);
+}
+
+void job_store_duty::Submit(std::string_view body,
+                            const std::function<void(std::string)>& reply) {
+  auto decoded = Decode<job_submission>(body);
+  if (!IsOk(decoded)) {
+    reply(Encode(job_answer{}));
+    return;
+  }
+  job_command command;
+  command.kind = job_command_kind::kSubmit;
+  command.submission = std::move(ValueOf(decoded));
+  command.job = command.submission.job;
+  ProposeFor(command, reply);
+}
+
+void job_store_duty::End(std::string_view body,
+                         const std::function<void(std::string)>& reply) {
+  auto decoded = Decode<job_read>(body);
+  if (!IsOk(decoded)) {
+    reply(Encode(job_answer{}));
+    return;
+  }
+  job_command command;
+  command.kind = job_command_kind::kEnd;
+  command.job = ValueOf(decoded).job;
+  ProposeFor(command, reply);
+}
+
+void job_store_duty::ProposeFor(const job_command& command,
+                                const std::function<void(std::string)>& reply) {
+  group_->Propose(
+      EncodeJobCommand(command),
+      [this, reply](const result<std::string>& outcome) {
+        if (IsOk(outcome)) {
+          reply(ValueOf(outcome));
+          return;
+        }
+        // Everything but a lost quorum promises that it was not proposed.
+        const bool may_commit = ErrorOf(outcome).kind == error_kind::kNoQuorum;
+        reply(may_commit ? Encode(job_answer{}) : NotLeaderAnswer());
+      });
+}
+
+void job_store_duty::Read(std::string_view body,
+                          const std::function<void(std::string)>& reply) {
+  auto decoded = Decode<job_read>(body);
+  if (!IsOk(decoded)) {
+    reply(Encode(job_answer{}));
+    return;
+  }
+  const job_read& read = ValueOf(decoded);
+  const job_answer answer = board_.Read(read.job, read.after);
+  const auto* job = board_.Find(read.job);
+  const bool can_wait = answer.kind == job_answer_kind::kDone &&
+                        answer.results.empty() && read.wait_ms > 0 &&
+                        job != nullptr && job->IsOpen();
+  if (!can_wait) {
+    reply(Encode(answer));
+    return;
+  }
+  waiting_.push_back(
+      {read, clock_.Now() + std::chrono::milliseconds(read.wait_ms), reply});
+}
+
+void job_store_duty::ReadItem(std::string_view body,
+                              const std::function<void(std::string)>& reply) {
+  auto decoded = Decode<job_read>(body);
+  if (!IsOk(decoded)) {
+    reply(Encode(job_answer{}));
+    return;
+  }
+  reply(Encode(board_.ReadItem(ValueOf(decoded).job, ValueOf(decoded).item)));
+}
+
+void job_store_duty::AnswerWaiting(const job_id& job) {
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    const bool is_ready = at->read.job == job &&
+                          !board_.Read(job, at->read.after).results.empty();
+    if (!is_ready) {
+      ++at;
+      continue;
+    }
+    at->reply(Encode(board_.Read(job, at->read.after)));
+    at = waiting_.erase(at);
+  }
+}
+
+void job_store_duty::ExpireWaiting(steady_time now) {
+  const bool is_leading = IsLeading();
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    if (is_leading && now < at->due) {
+      ++at;
+      continue;
+    }
+    at->reply(is_leading ? Encode(board_.Read(at->read.job, at->read.after))
+                         : NotLeaderAnswer());
+    at = waiting_.erase(at);
+  }
+}
+
+// Adds up what the entry hosts have at the endpoints, for the batch work of
+// this host, and tells each of them what all others have there.
+void job_store_duty::OnLoad(host_link& link, std::string_view payload) {
+  const auto decoded = Decode<load_report>(payload);
+  if (!IsOk(decoded) || link.peer_name.empty()) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  entry_load& own = loads_[link.peer_name];
+  own.at = now;
+  own.running.clear();
+  for (const load_entry& each : ValueOf(decoded).entries) {
+    own.running[each.endpoint] = each.running;
+  }
+  if (!IsLeading()) {
+    return;
+  }
+  std::erase_if(loads_, [now](const auto& each) {
+    return now > each.second.at + kLoadKept;
+  });
+  std::map<endpoint_id, uint32_t> online;
+  for (const auto& [id, entry] : fleet_.endpoints().entries()) {
+    online[id] = 0;
+  }
+  for (const auto& [host, load] : loads_) {
+    for (const auto& [endpoint, running] : load.running) {
+      online[endpoint] += running;
+    }
+  }
+  std::map<endpoint_id, uint32_t> batch;
+  for (const auto& [endpoint, running] : endpoints_.OwnLoad()) {
+    batch[endpoint] = running;
+  }
+  load_report totals;
+  for (const auto& [endpoint, running] : online) {
+    endpoints_.SetOthers(now, endpoint, running);
+    const auto mine = own.running.find(endpoint);
+    const uint32_t of_asker = mine == own.running.end() ? 0 : mine->second;
+    const uint32_t others =
+        running - std::min(running, of_asker) + batch[endpoint];
+    totals.entries.push_back({endpoint, static_cast<uint16_t>(others)});
+  }
+  link.Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), Encode(totals));
+}
+
+void job_store_duty::Heal(steady_time now) {
+  if (is_healing_ || now < next_healing_) {
+    return;
+  }
+  next_healing_ = now + kHealingInterval;
+  const auto step =
+      healer_.Next(now, group_->MemberReports(), fleet_.Live(host_role::kStore),
+                   fleet_.retiring());
+  if (!step) {
+    return;
+  }
+  is_healing_ = true;
+  group_->Step(step->step, step->host,
+               [this](const result<std::string>&) { is_healing_ = false; });
+}
+
+void job_store_duty::TellMembers() {
+  if (!group_->IsMembershipCommitted()) {
+    return;
+  }
+  job_group_members members;
+  members.term = group_->term();
+  for (const group_member& each : group_->membership().members) {
+    (each.is_voter ? members.voters : members.learners).push_back(each.host);
+  }
+  members.leaving.assign(fleet_.retiring().begin(), fleet_.retiring().end());
+  const std::string encoded = Encode(members);
+  for (const host_announcement& host : fleet_.Live(host_role::kControl)) {
+    fleet_.hub().Send(host.host.text(),
+                      static_cast<uint8_t>(fleet_frame::kJobMembers), encoded);
+  }
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -0,0 +1,110 @@
+#ifndef SHALLOTPORT_JOBSTORE_JOB_STORE_DUTY_H_
+#define SHALLOTPORT_JOBSTORE_JOB_STORE_DUTY_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "entry/decision_log.h"
+#include "entry/placement.h"
+#include "entry/route_table.h"
+#include "fleet/fleet_host.h"
+#include "fleet/group_healer.h"
+#include "fleet/group_host.h"
+#include "jobstore/item_runner.h"
+#include "jobstore/job_board.h"
+
+namespace shallotport {
+
+struct job_store_options {
+  fleet_host_options fleet;
+  std::string data_folder;
+  size_t voters = 3;
+  placement_options placing;
+  item_runner::options runner;
+};
+
+// A host with a disk for batch jobs: a member of the job group. The group's
+// leader answers the entry hosts' calls about jobs, runs the items, and adds
+// up the load that the entry hosts put on the endpoints.
+class job_store_duty {
+ public:
+  // Reads a configuration; kept apart from how the operator writes it.
+  using document_reader = std::function<result<route_configuration>(
+      const configuration_document& document)>;
+
+  job_store_duty(boost::asio::io_context& loop,
+                 const clock_source& clock,
+                 job_store_options options,
+                 document_reader read_document,
+                 decision_log& log);
+
+  status Start();
+  void Tick(steady_time now);
+  void Stop(std::function<void()> done);
+
+  bool IsLeading() const { return group_ != nullptr && group_->IsLeading(); }
+  bool is_failed() const { return group_ != nullptr && group_->is_failed(); }
+  fleet_host& fleet() { return fleet_; }
+  const job_board& board() const { return board_; }
+  const item_runner& runner() const { return runner_; }
+
+ private:
+  struct waiting_read {
+    job_read read;
+    steady_time due{};
+    std::function<void(std::string)> reply;
+  };
+  struct entry_load {
+    steady_time at{};
+    std::map<endpoint_id, uint32_t> running;
+  };
+
+  status OpenGroupWhenKnown();
+  void OnCall(uint8_t method,
+              std::string_view body,
+              const std::function<void(std::string)>& reply);
+  void Submit(std::string_view body,
+              const std::function<void(std::string)>& reply);
+  void End(std::string_view body,
+           const std::function<void(std::string)>& reply);
+  void ProposeFor(const job_command& command,
+                  const std::function<void(std::string)>& reply);
+  void Read(std::string_view body,
+            const std::function<void(std::string)>& reply);
+  void ReadItem(std::string_view body,
+                const std::function<void(std::string)>& reply);
+  void AnswerWaiting(const job_id& job);
+  void ExpireWaiting(steady_time now);
+  std::string NotLeaderAnswer() const;
+  void OnLoad(host_link& link, std::string_view payload);
+  void Heal(steady_time now);
+  void TellMembers();
+
+  boost::asio::io_context& loop_;
+  const clock_source& clock_;
+  const job_store_options options_;
+  const document_reader read_document_;
+  decision_log& log_;
+  fleet_host fleet_;
+  job_board board_;
+  placement endpoints_;
+  item_runner runner_;
+  group_healer healer_;
+  std::unique_ptr<group_host> group_;
+  std::optional<route_table> routes_;
+  std::list<waiting_read> waiting_;
+  std::map<std::string, entry_load> loads_;
+  steady_time next_healing_{};
+  steady_time next_members_{};
+  bool is_healing_ = false;
+  bool was_leading_ = false;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_JOBSTORE_JOB_STORE_DUTY_H_
