jobstore, entryhost: batch runs yield to online bursts, silent runs are cut

Ruled out: a larger fixed reserve (batch would miss its due times in calm seconds); TCP keep-alive for (2): the connection is sound, the answer is not. Change: entry hosts tell the job group's leader of every change in load within a tick, to that leader only and by a 4-byte key; the leader cuts the youngest runs where online requests took the reserve, to go on after their last event; a run silent for 3 s is cut; endpoints that failed lately are used when no other has room.

--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -8,8 +8,12 @@
 
 namespace {
 
-// What others had at an endpoint says little after the time of a request.
+// What others had at an endpoint holds for about half the time of a request,
+// and says nothing after twice that time.
+constexpr std::chrono::milliseconds kOthersFresh{400};
 constexpr std::chrono::milliseconds kOthersKept{1'500};
+// The hosts' own exchange is exact; an endpoint's word counts when it stops.
+constexpr std::chrono::milliseconds kExchangeStopped{250};
 // An endpoint that shed has no room for about one place's turnover.
 constexpr std::chrono::milliseconds kAvoidAfterShed{60};
 // Between tries at an endpoint that cannot be reached; doubled up to the
@@ -71,7 +75,9 @@
                          uint32_t running,
                          uint32_t waiting) {
   const auto found = endpoints_.find(endpoint);
-  if (found == endpoints_.end()) {
+  const bool is_wanted = found != endpoints_.end() &&
+                         now > found->second.others_at + kExchangeStopped;
+  if (!is_wanted) {
     return;
   }
   const uint32_t total = running + waiting;
@@ -82,14 +88,23 @@
 
 double placement::LoadOf(steady_time now, const endpoint_state& state) const {
   const duration age = now - state.others_at;
-  const duration kept = kOthersKept;
-  const double share = age >= kept
-                           ? 0.0
-                           : 1.0 - static_cast<double>(age.count()) /
-                                       static_cast<double>(kept.count());
+  constexpr duration kFade = kOthersKept - kOthersFresh;
+  const duration faded =
+      std::clamp<duration>(age - kOthersFresh, duration(0), kFade);
+  const double share = 1.0 - static_cast<double>(faded.count()) /
+                                 static_cast<double>(kFade.count());
   return state.own + state.others * share;
 }
 
+int placement::FreePlaces(steady_time now, const endpoint_id& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return 0;
+  }
+  return static_cast<int>(found->second.report.slots) -
+         static_cast<int>(LoadOf(now, found->second) + 0.5);
+}
+
 bool placement::IsUsable(const endpoint_state& state) const {
   return state.is_listed;
 }
@@ -105,6 +120,7 @@
   }
   endpoint_state* best = nullptr;
   double best_cost = 0;
+  endpoint_state* avoided = nullptr;  // The one to be tried again soonest.
   size_t usable = 0;
   for (const endpoint_id& id : found->second) {
     endpoint_state& state = endpoints_.at(id);
@@ -116,7 +132,13 @@
     const double room = reserve > 0
                             ? static_cast<double>(state.report.slots) - reserve
                             : state.report.slots + options_.waiting_allowed;
-    if (now < state.avoid_until || load + 1 > room) {
+    if (load + 1 > room) {
+      continue;
+    }
+    if (now < state.avoid_until) {
+      const bool is_sooner =
+          avoided == nullptr || state.avoid_until < avoided->avoid_until;
+      avoided = is_sooner ? &state : avoided;
       continue;
     }
     const bool is_own = state.report.domain == options_.domain;
@@ -128,6 +150,10 @@
       best_cost = cost;
     }
   }
+  // Online requests go to an endpoint that failed lately rather than nowhere.
+  if (best == nullptr && reserve == 0) {
+    best = avoided;
+  }
   if (best == nullptr) {
     return usable == 0 ? placement_refusal::kNoEndpoint
                        : placement_refusal::kAllBusy;
--- a/src/libshallotport/entry/placement.h
+++ b/src/libshallotport/entry/placement.h
@@ -71,6 +71,10 @@
       uint32_t reserve = 0);
   void End(steady_time now, const endpoint_id& endpoint, placement_end how);
 
+  // Places of an endpoint that nobody has, as far as known; negative when
+  // requests wait there.
+  int FreePlaces(steady_time now, const endpoint_id& endpoint) const;
+
   // Places of a service: all, and those taken as far as known.
   struct occupancy {
     uint32_t places = 0;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -1,5 +1,6 @@
 #include "entryhost/entry_host.h"
 
+#include <map>
 #include <utility>
 
 #include "base/codec.h"
@@ -9,7 +10,10 @@
 
 namespace {
 
+// Load that does not change is told this often; changes, at every tick.
 constexpr std::chrono::milliseconds kLoadInterval{100};
+// Without totals for this long all stores are told: the leader has changed.
+constexpr std::chrono::milliseconds kTotalsMissing{300};
 constexpr std::chrono::milliseconds kSweepInterval{300};
 // The balancer asks every second and takes a host out after two misses.
 constexpr std::chrono::milliseconds kAcceptWhileDraining{2'600};
@@ -56,10 +60,10 @@
                   {"age_ms", int64_t{entry.report.age_ms}}});
     }
   };
-  fleet_.on_other_frame = [this](host_link&, uint8_t kind,
+  fleet_.on_other_frame = [this](host_link& link, uint8_t kind,
                                  std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
-      TakeTotals(payload);
+      TakeTotals(link, payload);
     }
   };
 }
@@ -78,10 +82,7 @@
 void entry_host::Tick(steady_time now) {
   fleet_.Tick(now);
   duty_.Tick(now);
-  if (now >= next_load_) {
-    next_load_ = now + kLoadInterval;
-    ExchangeLoad();
-  }
+  ExchangeLoad(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     callers_.Sweep(now);
@@ -98,26 +99,44 @@
   }
 }
 
-void entry_host::ExchangeLoad() {
+void entry_host::ExchangeLoad(steady_time now) {
   load_report report;
   for (const auto& [endpoint, running] : duty_.endpoints().OwnLoad()) {
-    report.entries.push_back({endpoint, static_cast<uint16_t>(running)});
+    report.entries.push_back(
+        {LoadKey(endpoint), static_cast<uint16_t>(running)});
+  }
+  std::string encoded = Encode(report);
+  if (encoded == last_load_ && now < load_sent_ + kLoadInterval) {
+    return;
+  }
+  load_sent_ = now;
+  last_load_ = std::move(encoded);
+  constexpr auto kKind = static_cast<uint8_t>(fleet_frame::kLoad);
+  if (now < totals_at_ + kTotalsMissing) {
+    fleet_.hub().Send(totals_from_, kKind, last_load_);
+    return;
   }
-  const std::string encoded = Encode(report);
   for (const host_announcement& store : fleet_.Live(host_role::kStore)) {
-    fleet_.hub().Send(store.host.text(),
-                      static_cast<uint8_t>(fleet_frame::kLoad), encoded);
+    fleet_.hub().Send(store.host.text(), kKind, last_load_);
   }
 }
 
-void entry_host::TakeTotals(std::string_view payload) {
+void entry_host::TakeTotals(host_link& link, std::string_view payload) {
   const auto decoded = Decode<load_report>(payload);
   if (!IsOk(decoded)) {
     return;
   }
   const steady_time now = clock_.Now();
+  totals_from_ = link.ip();
+  totals_at_ = now;
+  std::map<uint32_t, uint16_t> others;
   for (const load_entry& each : ValueOf(decoded).entries) {
-    duty_.endpoints().SetOthers(now, each.endpoint, each.running);
+    others[each.endpoint] = each.running;
+  }
+  for (const auto& [id, entry] : fleet_.endpoints().entries()) {
+    const auto found = others.find(LoadKey(id));
+    duty_.endpoints().SetOthers(now, id,
+                                found == others.end() ? 0 : found->second);
   }
 }
 
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -50,8 +50,8 @@
   const http_listener& callers() const { return callers_; }
 
  private:
-  void ExchangeLoad();
-  void TakeTotals(std::string_view payload);
+  void ExchangeLoad(steady_time now);
+  void TakeTotals(host_link& link, std::string_view payload);
   void Drain(steady_time now);
 
   const clock_source& clock_;
@@ -62,7 +62,10 @@
   entry_duty duty_;
   job_caller jobs_;
   http_listener callers_;
-  steady_time next_load_{};
+  std::string last_load_;  // As sent last.
+  steady_time load_sent_{};
+  std::string totals_from_;  // The store that adds loads up.
+  steady_time totals_at_{};
   steady_time next_sweep_{};
   bool is_draining_ = false;
   bool is_closed_ = false;
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -119,7 +119,7 @@
 };
 
 struct load_entry {
-  endpoint_id endpoint;
+  uint32_t endpoint = 0;  // LoadKey() of its id.
   uint16_t running = 0;
 
   template <typename Archive>
@@ -128,6 +128,9 @@
   }
 };
 
+// Names an endpoint in load reports, which are sent dozens of times a second.
+uint32_t LoadKey(const endpoint_id& endpoint);
+
 // Requests that hosts of ours have at endpoints now: absolute numbers, so that
 // a lost report does no harm.
 struct load_report {
--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kPauseAfterRefusal{80};
 constexpr std::chrono::milliseconds kPauseAfterBreak{50};
 constexpr std::chrono::milliseconds kPauseAfterFailure{400};
+// A run that made way comes back when the burst has passed its peak.
+constexpr std::chrono::milliseconds kPauseAfterYield{150};
 constexpr std::chrono::milliseconds kSweepInterval{500};
 // Added to a job's retention before items are given up: clocks may jump.
 constexpr wall_milliseconds kRetentionMarginMs = 15'000;
@@ -28,6 +30,8 @@
   endpoint_id endpoint;
   response_head head;
   event_splitter events;
+  steady_time began{};
+  steady_time last_heard{};
 };
 
 struct item_runner::item_memory {
@@ -94,6 +98,7 @@
     next_sweep_ = now + kSweepInterval;
     pool_.Sweep(now);
   }
+  CutSilent(now);
   if (!is_leading_ || routes == nullptr) {
     return;
   }
@@ -168,6 +173,8 @@
   }
   auto run = std::make_shared<item_run>();
   run->endpoint = at.endpoint;
+  run->began = now;
+  run->last_heard = now;
   outbound_request out;
   out.method = "POST";
   out.bytes = FormatRequest("POST", item.path, headers, item.body);
@@ -185,6 +192,7 @@
     if (self == nullptr || !IsSuccess(self->head.status)) {
       return;
     }
+    self->last_heard = clock_.Now();
     self->events.Take(bytes);
     if (!self->events.data().empty()) {
       item_memory& kept = memories_[key];
@@ -202,6 +210,54 @@
   return true;
 }
 
+void item_runner::Cut(const item_key& key, placement_end how, duration pause) {
+  const auto found = running_.find(key);
+  if (found == running_.end()) {
+    return;
+  }
+  endpoints_.End(clock_.Now(), found->second->endpoint, how);
+  running_.erase(found);
+  Retry(key, pause);
+}
+
+void item_runner::CutSilent(steady_time now) {
+  std::vector<item_key> silent;
+  for (const auto& [key, run] : running_) {
+    if (now > run->last_heard + options_.silence_timeout) {
+      silent.push_back(key);
+    }
+  }
+  for (const item_key& key : silent) {
+    log_.Request("item_silent",
+                 {{"job", key.first.text()},
+                  {"item_place", int64_t{key.second}},
+                  {"endpoint", running_.at(key)->endpoint.text()}});
+    Cut(key, placement_end::kBroken, kPauseAfterBreak);
+  }
+}
+
+void item_runner::YieldToOnline(steady_time now) {
+  // By endpoint, the run that began last first: it has the least to read again.
+  std::map<endpoint_id, std::multimap<steady_time, item_key, std::greater<>>>
+      runs;
+  for (const auto& [key, run] : running_) {
+    runs[run->endpoint].emplace(run->began, key);
+  }
+  for (const auto& [endpoint, by_start] : runs) {
+    int free = endpoints_.FreePlaces(now, endpoint);
+    if (free >= 1) {
+      continue;
+    }
+    for (const auto& [began, key] : by_start) {
+      if (free >= static_cast<int>(options_.online_reserve)) {
+        break;
+      }
+      Cut(key, placement_end::kAbandoned, kPauseAfterYield);
+      ++free;
+    }
+  }
+}
+
 void item_runner::OnEnd(const item_key& key, call_end end) {
   const auto found = running_.find(key);
   if (found == running_.end()) {
--- a/src/libshallotport/jobstore/item_runner.h
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -33,8 +33,13 @@
 
   struct options {
     wire_profile wire;
-    // Places of each endpoint that stay free of batch work.
-    uint32_t online_reserve = 3;
+    // Places of each endpoint that stay free when an item begins. Online
+    // requests come in bursts of a few a moment at each endpoint.
+    uint32_t online_reserve = 2;
+    // A run whose endpoint says nothing for so long is tried elsewhere. Engines
+    // make an event every few tens of milliseconds; reading a prompt behind
+    // others takes under a second.
+    duration silence_timeout = std::chrono::seconds(3);
     uint64_t seed = 1;
   };
 
@@ -54,6 +59,10 @@
   // Starts what has room.
   void Tick(steady_time now, const route_table* routes);
 
+  // Cuts runs at endpoints where online requests have taken the reserve; they
+  // go on later, after their last event.
+  void YieldToOnline(steady_time now);
+
   size_t running_count() const { return running_.size(); }
 
  private:
@@ -64,6 +73,8 @@
   bool StartItem(steady_time now, const route_table& routes, item_key key);
   void OnEnd(const item_key& key, call_end end);
   void OnAnswered(const item_key& key, item_run& run);
+  void Cut(const item_key& key, placement_end how, duration pause);
+  void CutSilent(steady_time now);
   void Retry(const item_key& key, duration pause);
   void Record(const item_key& key, item_result result);
 
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -324,29 +324,30 @@
   std::erase_if(loads_, [now](const auto& each) {
     return now > each.second.at + kLoadKept;
   });
-  std::map<endpoint_id, uint32_t> online;
-  for (const auto& [id, entry] : fleet_.endpoints().entries()) {
-    online[id] = 0;
-  }
+  std::map<uint32_t, uint32_t> online;
   for (const auto& [host, load] : loads_) {
     for (const auto& [endpoint, running] : load.running) {
       online[endpoint] += running;
     }
   }
-  std::map<endpoint_id, uint32_t> batch;
+  std::map<uint32_t, uint32_t> batch;
   for (const auto& [endpoint, running] : endpoints_.OwnLoad()) {
-    batch[endpoint] = running;
+    batch[LoadKey(endpoint)] = running;
   }
   load_report totals;
-  for (const auto& [endpoint, running] : online) {
-    endpoints_.SetOthers(now, endpoint, running);
-    const auto mine = own.running.find(endpoint);
+  for (const auto& [id, entry] : fleet_.endpoints().entries()) {
+    const uint32_t key = LoadKey(id);
+    const uint32_t running = online[key];
+    endpoints_.SetOthers(now, id, running);
+    const auto mine = own.running.find(key);
     const uint32_t of_asker = mine == own.running.end() ? 0 : mine->second;
-    const uint32_t others =
-        running - std::min(running, of_asker) + batch[endpoint];
-    totals.entries.push_back({endpoint, static_cast<uint16_t>(others)});
+    const uint32_t others = running - std::min(running, of_asker) + batch[key];
+    if (others > 0) {
+      totals.entries.push_back({key, static_cast<uint16_t>(others)});
+    }
   }
   link.Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), Encode(totals));
+  runner_.YieldToOnline(now);
 }
 
 void job_store_duty::Heal(steady_time now) {
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -61,7 +61,7 @@
   };
   struct entry_load {
     steady_time at{};
-    std::map<endpoint_id, uint32_t> running;
+    std::map<uint32_t, uint32_t> running;  // By LoadKey().
   };
 
   status OpenGroupWhenKnown();
