jobstore: progress of items is committed; late items run last

Ruled out: recording each event (bytes and syncs a second a run). Change: progress of all runs is committed once a second in one command and the next leader goes on after it; items that can no longer be in time give way; a reserve of one place, cut runs are those due last.

--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds kPauseAfterRefusal{80};
 constexpr std::chrono::milliseconds kPauseAfterBreak{50};
 constexpr std::chrono::milliseconds kPauseAfterFailure{400};
+// What a lost leader's runs have to bring again is at most this much.
+constexpr std::chrono::milliseconds kSavingInterval{1'000};
 // A run that made way comes back when the burst has passed its peak.
 constexpr std::chrono::milliseconds kPauseAfterYield{150};
 constexpr std::chrono::milliseconds kSweepInterval{500};
@@ -32,13 +34,16 @@
   event_splitter events;
   steady_time began{};
   steady_time last_heard{};
+  wall_milliseconds due = 0;  // Of its job.
 };
 
 struct item_runner::item_memory {
-  std::string text;  // Of the events so far.
+  std::string text;  // Of the events since the last committed progress.
   std::string last_event;
+  duration spent{};  // Running so far.
   steady_time not_before{};
   bool is_settling = false;  // Its result is being committed.
+  size_t saving_bytes = 0;   // Of the text; being committed as progress.
 };
 
 item_runner::item_runner(boost::asio::io_context& loop,
@@ -68,12 +73,7 @@
   if (is_leading) {
     return;
   }
-  const steady_time now = clock_.Now();
-  for (const auto& [key, run] : running_) {
-    endpoints_.End(now, run->endpoint, placement_end::kAbandoned);
-  }
-  running_.clear();
-  memories_.clear();
+  Abandon();
 }
 
 void item_runner::OnJobChanged(const job_id& id) {
@@ -102,42 +102,109 @@
   if (!is_leading_ || routes == nullptr) {
     return;
   }
-  using due_job = std::pair<wall_milliseconds, const job_board::job_state*>;
-  std::vector<due_job> open;
-  for (const auto& [id, job] : board_.jobs()) {
-    if (job.IsOpen()) {
-      open.emplace_back(job.accepted + job.submission.objective_ms, &job);
+  SaveProgress(now);
+  for (const item_key& key : Candidates(now)) {
+    if (!StartItem(now, *routes, key)) {
+      return;  // No room: later items have none either.
     }
   }
-  std::sort(open.begin(), open.end());
+}
+
+// The items that may run now, the most pressing first. Those that have too
+// little time left give way to those that can still be in time.
+std::vector<item_runner::item_key> item_runner::Candidates(
+    steady_time now) const {
   const wall_milliseconds wall = clock_.WallNow();
-  for (const auto& [due, job] : open) {
-    const job_id& id = job->submission.job;
-    const bool is_given_up = job->submission.retention_ms > 0 &&
-                             wall > job->accepted +
-                                        job->submission.retention_ms +
-                                        kRetentionMarginMs;
-    for (uint32_t i = 0; i < job->items.size(); ++i) {
+  using ranked_item = std::tuple<bool, wall_milliseconds, item_key>;
+  std::vector<ranked_item> ranked;
+  for (const auto& [id, job] : board_.jobs()) {
+    if (!job.IsOpen()) {
+      continue;
+    }
+    const wall_milliseconds due = job.accepted + job.submission.objective_ms;
+    for (uint32_t i = 0; i < job.items.size(); ++i) {
       const item_key key(id, i);
-      if (job->items[i].is_listed || running_.contains(key)) {
+      if (job.items[i].is_listed || running_.contains(key)) {
         continue;
       }
+      duration spent{};
       const auto memory = memories_.find(key);
-      const bool must_wait =
-          memory != memories_.end() &&
-          (memory->second.is_settling || now < memory->second.not_before);
-      if (must_wait) {
-        continue;
-      }
-      if (is_given_up) {
-        Record(key, {});
-        continue;
-      }
-      if (!StartItem(now, *routes, key)) {
-        return;  // No room: later jobs have none either.
+      if (memory != memories_.end()) {
+        const item_memory& known = memory->second;
+        if (known.is_settling || now < known.not_before) {
+          continue;
+        }
+        spent = known.spent;
       }
+      const auto needed = std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::max(expected_run_ - spent, expected_run_ / 8));
+      const bool is_late = wall + needed.count() > due;
+      ranked.emplace_back(is_late, due, key);
     }
   }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<item_key> keys;
+  keys.reserve(ranked.size());
+  for (const ranked_item& each : ranked) {
+    keys.push_back(std::get<item_key>(each));
+  }
+  return keys;
+}
+
+// Commits what the runs have brought since the last time, in one command.
+void item_runner::SaveProgress(steady_time now) {
+  if (now < next_saving_) {
+    return;
+  }
+  next_saving_ = now + kSavingInterval;
+  job_command command;
+  command.kind = job_command_kind::kProgress;
+  std::vector<item_key> saved;
+  for (auto& [key, memory] : memories_) {
+    if (memory.text.empty() || memory.is_settling || memory.saving_bytes > 0) {
+      continue;
+    }
+    if (command.progress.empty() || command.progress.back().job != key.first) {
+      command.progress.push_back({key.first, {}});
+    }
+    command.progress.back().items.push_back(
+        {key.second, memory.text, memory.last_event});
+    memory.saving_bytes = memory.text.size();
+    saved.push_back(key);
+  }
+  if (saved.empty()) {
+    return;
+  }
+  propose_(command, [this, saved](commit_outcome outcome) {
+    for (const item_key& key : saved) {
+      OnSaved(key, outcome);
+    }
+  });
+}
+
+void item_runner::OnSaved(const item_key& key, commit_outcome outcome) {
+  if (outcome == commit_outcome::kUnknown) {
+    Abandon();
+    return;
+  }
+  const auto found = memories_.find(key);
+  if (found == memories_.end()) {
+    return;
+  }
+  item_memory& memory = found->second;
+  if (outcome == commit_outcome::kCommitted && !memory.is_settling) {
+    memory.text.erase(0, memory.saving_bytes);
+  }
+  memory.saving_bytes = 0;
+}
+
+void item_runner::Abandon() {
+  const steady_time now = clock_.Now();
+  for (const auto& [key, run] : running_) {
+    endpoints_.End(now, run->endpoint, placement_end::kAbandoned);
+  }
+  running_.clear();
+  memories_.clear();
 }
 
 // False when no endpoint has room.
@@ -158,6 +225,12 @@
   }
   const auto& at = std::get<placed_endpoint>(placed);
   const auto memory = memories_.find(key);
+  const bool has_memory =
+      memory != memories_.end() && !memory->second.last_event.empty();
+  // A new leader knows what was committed as progress.
+  const std::string& resume_after = has_memory
+                                        ? memory->second.last_event
+                                        : job->items[key.second].last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
   headers.Add(options_.wire.request_id, item.id);
@@ -168,13 +241,14 @@
     }
   }
   headers.Add(options_.wire.expected_endpoint, at.endpoint.text());
-  if (memory != memories_.end() && !memory->second.last_event.empty()) {
-    headers.Add(options_.wire.resume_after, memory->second.last_event);
+  if (!resume_after.empty()) {
+    headers.Add(options_.wire.resume_after, resume_after);
   }
   auto run = std::make_shared<item_run>();
   run->endpoint = at.endpoint;
   run->began = now;
   run->last_heard = now;
+  run->due = job->accepted + job->submission.objective_ms;
   outbound_request out;
   out.method = "POST";
   out.bytes = FormatRequest("POST", item.path, headers, item.body);
@@ -215,7 +289,9 @@
   if (found == running_.end()) {
     return;
   }
-  endpoints_.End(clock_.Now(), found->second->endpoint, how);
+  const steady_time now = clock_.Now();
+  endpoints_.End(now, found->second->endpoint, how);
+  memories_[key].spent += now - found->second->began;
   running_.erase(found);
   Retry(key, pause);
 }
@@ -237,18 +313,19 @@
 }
 
 void item_runner::YieldToOnline(steady_time now) {
-  // By endpoint, the run that began last first: it has the least to read again.
-  std::map<endpoint_id, std::multimap<steady_time, item_key, std::greater<>>>
-      runs;
+  // By endpoint, the run whose job is due last first.
+  using runs_by_due =
+      std::multimap<wall_milliseconds, item_key, std::greater<>>;
+  std::map<endpoint_id, runs_by_due> runs;
   for (const auto& [key, run] : running_) {
-    runs[run->endpoint].emplace(run->began, key);
+    runs[run->endpoint].emplace(run->due, key);
   }
-  for (const auto& [endpoint, by_start] : runs) {
+  for (const auto& [endpoint, by_due] : runs) {
     int free = endpoints_.FreePlaces(now, endpoint);
     if (free >= 1) {
       continue;
     }
-    for (const auto& [began, key] : by_start) {
+    for (const auto& [due, key] : by_due) {
       if (free >= static_cast<int>(options_.online_reserve)) {
         break;
       }
@@ -266,6 +343,7 @@
   const std::shared_ptr<item_run> run = found->second;
   running_.erase(found);
   const steady_time now = clock_.Now();
+  memories_[key].spent += now - run->began;
   switch (end) {
     case call_end::kComplete:
       OnAnswered(key, *run);
@@ -295,12 +373,11 @@
   endpoints_.End(now, run.endpoint, placement_end::kServed);
   const bool is_proven = run.head.headers.Find(wire.endpoint_proof) != nullptr;
   if (IsSuccess(status) && is_proven && !run.events.has_partial()) {
+    const item_memory& memory = memories_[key];
+    expected_run_ += (memory.spent - expected_run_) / 16;
     item_result result;
     result.is_completed = true;
-    result.text = memories_[key].text;
-    if (!result.text.empty()) {
-      result.text.pop_back();  // Line feeds stand between the events.
-    }
+    result.text = memory.text.substr(memory.saving_bytes);
     Record(key, std::move(result));
     return;
   }
@@ -327,7 +404,7 @@
     command.kind = job_command_kind::kCountFailure;
     command.job = key.first;
     command.item = key.second;
-    propose_(command, [](bool) {});
+    propose_(command, [](commit_outcome) {});
   }
   Retry(key, kPauseAfterFailure);
 }
@@ -343,14 +420,16 @@
   command.job = key.first;
   command.item = key.second;
   command.result = std::move(result);
-  propose_(command, [this, key](bool is_committed) {
-    const auto memory = memories_.find(key);
-    if (memory == memories_.end()) {
+  propose_(command, [this, key](commit_outcome outcome) {
+    if (outcome == commit_outcome::kUnknown) {
+      Abandon();
       return;
     }
-    if (is_committed) {
+    const auto memory = memories_.find(key);
+    if (memory != memories_.end() && outcome == commit_outcome::kCommitted) {
       memories_.erase(memory);
-    } else {
+    } else if (memory != memories_.end()) {
+      // The run has ended: it is asked for its end again.
       memory->second.is_settling = false;
     }
   });
--- a/src/libshallotport/jobstore/item_runner.h
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "entry/decision_log.h"
@@ -21,21 +22,26 @@
 namespace shallotport {
 
 // Runs the items of open jobs at endpoints, for the leader of the job group.
-// Jobs whose results are due first go first. Items take only places above a
-// reserve for online requests: engines admit in order of arrival, so an item
-// that waits in an engine would be in an online request's way. A run that broke
-// goes on after its last event.
+// Items whose results are due first go first, those that can no longer be in
+// time last. Items take only places above a reserve for online requests:
+// engines admit in order of arrival, so an item that waits in an engine would
+// be in an online request's way. A run that broke goes on after its last event;
+// progress is committed every second, so that the next leader goes on there,
+// too.
 class item_runner {
  public:
-  // Has a command committed; called with whether it is.
-  using proposer = std::function<void(const job_command& command,
-                                      std::function<void(bool)> done)>;
+  // What became of a command: kUnknown means that leadership was lost.
+  enum class commit_outcome : uint8_t { kCommitted, kNotProposed, kUnknown };
+  // Has a command committed.
+  using proposer =
+      std::function<void(const job_command& command,
+                         std::function<void(commit_outcome outcome)> done)>;
 
   struct options {
     wire_profile wire;
-    // Places of each endpoint that stay free when an item begins. Online
-    // requests come in bursts of a few a moment at each endpoint.
-    uint32_t online_reserve = 2;
+    // Places of each endpoint that stay free when an item begins: online
+    // requests find one at once, and runs are cut when it is taken.
+    uint32_t online_reserve = 1;
     // A run whose endpoint says nothing for so long is tried elsewhere. Engines
     // make an event every few tens of milliseconds; reading a prompt behind
     // others takes under a second.
@@ -75,6 +81,11 @@
   void OnAnswered(const item_key& key, item_run& run);
   void Cut(const item_key& key, placement_end how, duration pause);
   void CutSilent(steady_time now);
+  void SaveProgress(steady_time now);
+  void OnSaved(const item_key& key, commit_outcome outcome);
+  // Forgets everything that is not committed.
+  void Abandon();
+  std::vector<item_key> Candidates(steady_time now) const;
   void Retry(const item_key& key, duration pause);
   void Record(const item_key& key, item_result result);
 
@@ -92,6 +103,9 @@
   // What is known of items between runs; gone with the leadership.
   std::map<item_key, item_memory> memories_;
   steady_time next_sweep_{};
+  steady_time next_saving_{};
+  // Moving average of how long whole items run.
+  duration expected_run_ = std::chrono::seconds(4);
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/jobstore/job_board.cc
+++ b/src/libshallotport/jobstore/job_board.cc
@@ -56,6 +56,9 @@
     case job_command_kind::kEnd:
       answer.kind = End(given.job);
       break;
+    case job_command_kind::kProgress:
+      answer.kind = Progress(given);
+      break;
   }
   if (on_changed) {
     on_changed(given.job);
@@ -105,6 +108,14 @@
   }
   item_result result = command.result;
   result.item = job.submission.items[command.item].id;
+  if (result.is_completed) {
+    result.text = item.text + result.text;
+    if (!result.text.empty()) {
+      result.text.pop_back();  // Line feeds stand between the events.
+    }
+  }
+  item.text.clear();
+  item.text.shrink_to_fit();
   job.results.push_back(std::move(result));
   job.submission.items[command.item].body.clear();
   job.submission.items[command.item].body.shrink_to_fit();
@@ -120,6 +131,25 @@
   return job_answer_kind::kDone;
 }
 
+job_answer_kind job_board::Progress(const job_command& command) {
+  for (const job_progress& each : command.progress) {
+    const auto found = kept_.jobs.find(each.job);
+    if (found == kept_.jobs.end()) {
+      continue;
+    }
+    for (const item_progress& step : each.items) {
+      const bool is_open = step.item < found->second.items.size() &&
+                           !found->second.items[step.item].is_listed;
+      if (is_open) {
+        item_state& item = found->second.items[step.item];
+        item.text += step.text;
+        item.last_event = step.last_event;
+      }
+    }
+  }
+  return job_answer_kind::kDone;
+}
+
 job_answer_kind job_board::End(const job_id& id) {
   const auto found = kept_.jobs.find(id);
   if (found == kept_.jobs.end()) {
--- a/src/libshallotport/jobstore/job_board.h
+++ b/src/libshallotport/jobstore/job_board.h
@@ -19,18 +19,30 @@
   kRecord = 2,        // An item's result.
   kCountFailure = 3,  // A run of an item failed at its endpoint.
   kEnd = 4,
+  kProgress = 5,  // Of several items, so that a new leader can go on.
+};
+
+struct job_progress {
+  job_id job;
+  std::vector<item_progress> items;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, items);
+  }
 };
 
 struct job_command {
   job_command_kind kind = job_command_kind::kSubmit;
   job_id job;
   job_submission submission;
-  uint32_t item = 0;  // Its place in the submission.
-  item_result result;
+  uint32_t item = 0;   // Its place in the submission.
+  item_result result;  // Its text goes after that of the item's progress.
+  std::vector<job_progress> progress;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(kind, job, submission, item, result);
+    archive(kind, job, submission, item, result, progress);
   }
 };
 
@@ -44,10 +56,12 @@
   struct item_state {
     bool is_listed = false;
     uint32_t failures = 0;
+    std::string text;  // Of the events so far, while it is not listed.
+    std::string last_event;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-      archive(is_listed, failures);
+      archive(is_listed, failures, text, last_event);
     }
   };
 
@@ -102,6 +116,7 @@
   job_answer_kind Record(const job_command& command);
   job_answer_kind CountFailure(const job_command& command);
   job_answer_kind End(const job_id& job);
+  job_answer_kind Progress(const job_command& command);
   void StopWaiting(const job_state& job, uint32_t item);
   void DropOld(wall_milliseconds now);
 
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -55,6 +55,18 @@
   }
 };
 
+// What an unfinished item has got from its endpoints so far.
+struct item_progress {
+  uint32_t item = 0;       // Its place in the submission.
+  std::string text;        // Added since the last progress.
+  std::string last_event;  // A run goes on after this one.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(item, text, last_event);
+  }
+};
+
 enum class job_answer_kind : uint8_t {
   kDone = 1,
   kOverLimit = 2,  // Not accepted: too many tokens wait.
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -40,6 +40,16 @@
   return group;
 }
 
+// Everything but a lost quorum promises that nothing was proposed.
+item_runner::commit_outcome OutcomeOf(const result<std::string>& reply) {
+  if (IsOk(reply)) {
+    return item_runner::commit_outcome::kCommitted;
+  }
+  return ErrorOf(reply).kind == error_kind::kNoQuorum
+             ? item_runner::commit_outcome::kUnknown
+             : item_runner::commit_outcome::kNotProposed;
+}
+
 }  // namespace
 
 job_store_duty::job_store_duty(boost::asio::io_context& loop,
@@ -54,20 +64,20 @@
       log_(log),
       fleet_(loop, clock, options_.fleet, true),
       endpoints_(options_.placing),
-      runner_(
-          loop,
-          clock,
-          options_.runner,
-          board_,
-          endpoints_,
-          log,
-          [this](const job_command& command, std::function<void(bool)> done) {
-            group_->Propose(
-                EncodeJobCommand(command),
-                [done = std::move(done)](const result<std::string>& outcome) {
-                  done(IsOk(outcome));
-                });
-          }),
+      runner_(loop,
+              clock,
+              options_.runner,
+              board_,
+              endpoints_,
+              log,
+              [this](const job_command& command,
+                     std::function<void(item_runner::commit_outcome)> done) {
+                group_->Propose(EncodeJobCommand(command),
+                                [done = std::move(done)](
+                                    const result<std::string>& outcome) {
+                                  done(OutcomeOf(outcome));
+                                });
+              }),
       healer_({options_.voters}) {
   board_.on_changed = [this](const job_id& job) {
     runner_.OnJobChanged(job);
@@ -241,8 +251,8 @@
           reply(ValueOf(outcome));
           return;
         }
-        // Everything but a lost quorum promises that it was not proposed.
-        const bool may_commit = ErrorOf(outcome).kind == error_kind::kNoQuorum;
+        const bool may_commit =
+            OutcomeOf(outcome) == item_runner::commit_outcome::kUnknown;
         reply(may_commit ? Encode(job_answer{}) : NotLeaderAnswer());
       });
 }
