entry, fleet: cut domains are avoided, control hosts keep what they knew

Ruled out: reading the control group's uncommitted log at start (might show a change that never was in force).

--- a/src/libshallotport/routing/retry_budget.h
+++ b/src/libshallotport/base/retry_budget.h
@@ -1,5 +1,5 @@
-#ifndef SHALLOTPORT_ROUTING_RETRY_BUDGET_H_
-#define SHALLOTPORT_ROUTING_RETRY_BUDGET_H_
+#ifndef SHALLOTPORT_BASE_RETRY_BUDGET_H_
+#define SHALLOTPORT_BASE_RETRY_BUDGET_H_
 
 #include <algorithm>
 
@@ -38,4 +38,4 @@
 
 }  // namespace shallotport
 
-#endif  // SHALLOTPORT_ROUTING_RETRY_BUDGET_H_
+#endif  // SHALLOTPORT_BASE_RETRY_BUDGET_H_
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -19,6 +19,7 @@
   uint64_t caller_left = 0;
   uint64_t tries = 0;
   uint64_t resumed = 0;
+  uint64_t silent = 0;  // Tries that were given up for a second one.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSweepInterval{500};
+// Requests that are only slow may be tried a second time for one in so many
+// that were served, so that a fleet that is slow as a whole gets no more work.
+constexpr double kSecondTryShare = 0.05;
+constexpr double kSavedSecondTries = 10;
 
 }  // namespace
 
@@ -23,7 +27,8 @@
       log_(log),
       random_(options_.seed),
       placement_(options_.placing),
-      pool_(loop, clock) {}
+      pool_(loop, clock),
+      silence_budget_(kSecondTryShare, kSavedSecondTries) {}
 
 entry_duty::~entry_duty() = default;
 
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/random_source.h"
+#include "base/retry_budget.h"
 #include "entry/decision_log.h"
 #include "entry/entry_counters.h"
 #include "entry/placement.h"
@@ -75,6 +76,7 @@
   std::optional<route_table> routes_;
   placement placement_;
   endpoint_pool pool_;
+  retry_budget silence_budget_;  // For second tries of slow requests.
   entry_counters counters_;
   std::set<std::shared_ptr<routed_exchange>> active_;
   steady_time next_sweep_{};
--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -128,6 +128,9 @@
       continue;
     }
     ++usable;
+    if (domains_.IsAvoided(now, state.report.domain)) {
+      continue;
+    }
     const double load = LoadOf(now, state);
     const double room = reserve > 0
                             ? static_cast<double>(state.report.slots) - reserve
@@ -159,6 +162,7 @@
                        : placement_refusal::kAllBusy;
   }
   ++best->own;
+  domains_.NoteTry(now, best->report.domain);
   return placed_endpoint{best->report.endpoint,
                          {best->report.ip, best->report.port},
                          best->report.domain == options_.domain};
@@ -173,6 +177,11 @@
   }
   endpoint_state& state = found->second;
   state.own -= std::min<uint32_t>(state.own, 1);
+  const bool has_answered =
+      how != placement_end::kSilent && how != placement_end::kAbandoned;
+  if (has_answered) {
+    domains_.NoteAnswer(state.report.domain);
+  }
   switch (how) {
     case placement_end::kServed:
       state.failures = 0;
@@ -180,6 +189,9 @@
     case placement_end::kShed:
       state.avoid_until = std::max(state.avoid_until, now + kAvoidAfterShed);
       break;
+    case placement_end::kSilent:
+      domains_.NoteSilence(now, state.report.domain, endpoint);
+      [[fallthrough]];
     case placement_end::kUnreachable:
     case placement_end::kBroken: {
       const uint32_t doublings = std::min<uint32_t>(state.failures++, 4);
--- a/src/libshallotport/entry/placement.h
+++ b/src/libshallotport/entry/placement.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/random_source.h"
+#include "entry/domain_reachability.h"
 #include "eventio/endpoint_pool.h"
 #include "fleet/endpoint_report.h"
 
@@ -25,7 +26,8 @@
 enum class placement_end : uint8_t {
   kServed,
   kShed,           // Refused by the endpoint: it has no room.
-  kUnreachable,    // No connection.
+  kUnreachable,    // The connection was refused.
+  kSilent,         // Nobody answered the attempt to connect.
   kBroken,         // The connection or answer broke.
   kOtherEndpoint,  // Another endpoint has the address now.
   kAbandoned,      // The caller left or its time ran out.
@@ -101,6 +103,7 @@
 
   const placement_options options_;
   random_source random_;
+  domain_reachability domains_;
   std::map<endpoint_id, endpoint_state> endpoints_;
   std::map<service_id, std::set<endpoint_id>> by_service_;
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -17,6 +17,11 @@
 // Spread over which refused callers come back, so that they do not meet again.
 constexpr int64_t kRetrySpreadMs = 300;
 constexpr int64_t kShortestRetryMs = 100;
+// An endpoint that says nothing for this share of the objective has probably
+// lost the request; a second try may still be in time.
+constexpr double kSilentShare = 0.6;
+// In the middle of a stream events come every few tens of milliseconds.
+constexpr std::chrono::milliseconds kSilentMidStream{800};
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -100,7 +105,7 @@
   at_ = std::get<placed_endpoint>(placed);
   ++tries_;
   ++duty_.counters_.tries;
-  is_run_counted_ = false;
+  last_heard_ = now;
   head_ = {};
   body_.clear();
   is_stream_ = false;
@@ -173,6 +178,7 @@
     }
     return;
   }
+  last_heard_ = duty_.clock_.Now();
   const std::string whole = events_.Take(bytes);
   if (whole.empty()) {
     return;
@@ -216,6 +222,9 @@
     case call_end::kNotSent:
       AfterTry(try_outcome::kNotRun, placement_end::kUnreachable);
       return;
+    case call_end::kSilent:
+      AfterTry(try_outcome::kNotRun, placement_end::kSilent);
+      return;
     case call_end::kBroken:
     case call_end::kNotAnswer: {
       // A refusal counts even if its body did not come whole.
@@ -246,6 +255,7 @@
     BeginPassing();
     EndPlacement(placement_end::kServed);
     ++duty_.counters_.served;
+    duty_.silence_budget_.OnSuccess();
     caller_->EndStream();
     Finish();
     return;
@@ -260,6 +270,7 @@
   }
   EndPlacement(placement_end::kServed);
   ++duty_.counters_.served;
+  duty_.silence_budget_.OnSuccess();
   caller_->Respond(head_.status, AnswerHeaders(), body_);
   Finish();
 }
@@ -311,11 +322,32 @@
   }
 }
 
+// Only of requests that may go again.
+bool routed_exchange::IsSilent(steady_time now) const {
+  if (!at_ || !route_.MayRunAgain() || runs_ + 1 >= route_.max_runs ||
+      route_.objective.count() == 0) {
+    return false;
+  }
+  const duration first_answer = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(
+          kSilentShare * static_cast<double>(route_.objective.count())));
+  const duration limit = has_begun_ ? kSilentMidStream : first_answer;
+  return now > last_heard_ + limit;
+}
+
 void routed_exchange::Tick(steady_time now) {
-  if (is_finished_ || now < due_) {
+  if (is_finished_) {
     return;
   }
   const auto self = shared_from_this();
+  if (now < due_) {
+    if (IsSilent(now) && duty_.silence_budget_.TryTake()) {
+      ++duty_.counters_.silent;
+      call_.reset();
+      AfterTry(try_outcome::kInDoubt, placement_end::kAbandoned);
+    }
+    return;
+  }
   ++duty_.counters_.timed_out;
   call_.reset();
   EndPlacement(placement_end::kAbandoned);
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -35,6 +35,7 @@
   void OnWholeAnswer();
   void AfterTry(try_outcome outcome, placement_end how);
   void EndPlacement(placement_end how);
+  bool IsSilent(steady_time now) const;
   void BeginPassing();
 
   void Refuse(error_kind kind);
@@ -59,10 +60,10 @@
   std::set<endpoint_id> tried_;
   uint32_t runs_ = 0;
   uint32_t tries_ = 0;
-  bool is_run_counted_ = false;  // The try at hand is counted in runs_.
 
-  response_head head_;       // Of the try at hand.
-  response_head sent_head_;  // Of the stream's first run, sent to the caller.
+  steady_time last_heard_{};  // From the endpoint of the try at hand.
+  response_head head_;        // Of the try at hand.
+  response_head sent_head_;   // Of the stream's first run, sent to the caller.
   std::string body_;
   bool is_stream_ = false;
   bool has_begun_ = false;
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -16,9 +16,9 @@
 namespace ip = boost::asio::ip;
 using error_code = boost::system::error_code;
 
-// A lost opening packet is sent again after a second, which is too late for
-// most requests: another endpoint is tried instead.
-constexpr std::chrono::milliseconds kConnectTimeout{400};
+// Many round trips within a region. A lost opening packet is sent again after
+// a second, which is too late for most requests: another endpoint is tried.
+constexpr std::chrono::milliseconds kConnectTimeout{200};
 // An idle connection without a stated keep-alive time is used again for this
 // long.
 constexpr std::chrono::milliseconds kDefaultKeepAlive{1'500};
@@ -81,7 +81,7 @@
   connect_timer_.expires_after(kConnectTimeout);
   connect_timer_.async_wait([self = shared_from_this()](error_code late) {
     if (!late && !self->is_connected_) {
-      self->Finish(call_end::kNotSent);
+      self->Finish(call_end::kSilent);
     }
   });
   socket_.async_connect(ip::tcp::endpoint(address, address_.port),
@@ -265,7 +265,8 @@
     pool_->Keep(self);
     Read();
   } else {
-    if (end == call_end::kNotSent && pool_ != nullptr) {
+    if ((end == call_end::kNotSent || end == call_end::kSilent) &&
+        pool_ != nullptr) {
       ++pool_->counters_.connect_failures;
     }
     Close();
--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -6,6 +6,7 @@
 
 #include "base/codec.h"
 #include "eventio/host_link.h"
+#include "storage/file_system.h"
 
 namespace shallotport {
 
@@ -14,6 +15,8 @@
 constexpr uint32_t kControlGroup = 1;
 constexpr std::chrono::milliseconds kDirectoryInterval{1'000};
 constexpr std::chrono::milliseconds kHealingInterval{200};
+// New endpoints are saved this often; endpoints that leave, at once.
+constexpr std::chrono::milliseconds kKnownSaveInterval{300};
 // All hosts of a new fleet start within a third of a second of each other.
 constexpr std::chrono::milliseconds kFoundingSettle{700};
 // After this long the job group is founded by the stores that are there.
@@ -54,6 +57,9 @@
   group.snapshot_after_entries = kSnapshotAfterEntries;
   group.trailing_entries = kTrailingEntries;
   group.segment_bytes = kSegmentBytes;
+  group.heartbeat = kGroupHeartbeat;
+  group.election = kGroupElection;
+  group.lease = kGroupLease;
   // The seeds of the first start are the same on all hosts.
   const auto& seeds = options.fleet.seed_ips;
   const bool is_founder =
@@ -83,7 +89,8 @@
       clock_(clock),
       options_(std::move(options)),
       fleet_(std::make_unique<fleet_host>(loop, clock, options_.fleet, false)),
-      healer_({options_.voters}) {}
+      healer_({options_.voters}),
+      known_file_(PosixFileSystem(), options_.data_folder) {}
 
 result<std::unique_ptr<control_duty>> control_duty::Create(
     boost::asio::io_context& loop,
@@ -101,9 +108,11 @@
   state_.on_changed = [this] {
     if (fleet_->NoteDocument(state_.document())) {
       PushToAll(fleet_frame::kDocument, Encode(state_.document()));
+      is_known_changed_ = true;
     }
     is_directory_due_ = true;
   };
+  LoadKnownState();
   fleet_->on_consensus = [this](const host_id&,
                                 const group_envelope& envelope) {
     if (envelope.group == kControlGroup) {
@@ -146,12 +155,42 @@
     next_directory_ = now + kDirectoryInterval;
     PushDirectory();
   }
+  if (is_known_changed_ && now >= next_known_save_) {
+    SaveKnownState();
+  }
   if (group_->IsLeading()) {
     Heal(now);
     FoundJobGroup(now);
   }
 }
 
+void control_duty::LoadKnownState() {
+  const known_state known = known_file_.Load();
+  fleet_->NoteDocument(known.document);
+  for (endpoint_report report : known.reports) {
+    report.age_ms = 0;
+    fleet_->NoteEndpoint(report);
+  }
+  fleet_->on_endpoint = [this](const endpoint_directory::entry& entry) {
+    auto& stage = saved_stages_[entry.report.endpoint];
+    if (stage == entry.report.stage) {
+      return;
+    }
+    stage = entry.report.stage;
+    is_known_changed_ = true;
+    if (stage != endpoint_stage::kReady) {
+      SaveKnownState();
+    }
+  };
+}
+
+void control_duty::SaveKnownState() {
+  is_known_changed_ = false;
+  const steady_time now = clock_.Now();
+  next_known_save_ = now + kKnownSaveInterval;
+  known_file_.Save({fleet_->document(), fleet_->endpoints().Reports(now)});
+}
+
 void control_duty::OnHello(host_link& link, std::string_view payload) {
   const auto decoded = Decode<host_announcement>(payload);
   if (!IsOk(decoded)) {
@@ -173,10 +212,10 @@
               Encode(endpoint_update{fleet_->endpoints().Reports(now)}));
   }
   // Also mends what an earlier push on a broken link left behind.
-  const bool is_behind = host.document_version < state_.document().version;
-  if (is_behind || (is_new && !state_.document().bytes.empty())) {
-    link.Send(static_cast<uint8_t>(fleet_frame::kDocument),
-              Encode(state_.document()));
+  const configuration_document& newest = fleet_->document();
+  const bool is_behind = host.document_version < newest.version;
+  if (is_behind || (is_new && !newest.bytes.empty())) {
+    link.Send(static_cast<uint8_t>(fleet_frame::kDocument), Encode(newest));
   }
 }
 
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include "fleet/fleet_host.h"
 #include "fleet/group_healer.h"
 #include "fleet/group_host.h"
+#include "fleet/known_state_file.h"
 
 namespace shallotport {
 
@@ -78,6 +80,8 @@
   void Heal(steady_time now);
   void FoundJobGroup(steady_time now);
   std::string EncodeDirectory(steady_time now) const;
+  void LoadKnownState();
+  void SaveKnownState();
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
@@ -86,6 +90,10 @@
   std::unique_ptr<fleet_host> fleet_;
   std::unique_ptr<group_host> group_;
   group_healer healer_;
+  known_state_file known_file_;
+  bool is_known_changed_ = false;
+  std::map<endpoint_id, endpoint_stage> saved_stages_;
+  steady_time next_known_save_{};
   steady_time next_directory_{};
   steady_time next_healing_{};
   steady_time stores_since_{};  // When the job group could first be founded.
--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -351,6 +351,9 @@
     case call_end::kNotSent:
       endpoints_.End(now, run->endpoint, placement_end::kUnreachable);
       break;
+    case call_end::kSilent:
+      endpoints_.End(now, run->endpoint, placement_end::kSilent);
+      break;
     case call_end::kBroken:
     case call_end::kNotAnswer:
       endpoints_.End(now, run->endpoint, placement_end::kBroken);
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -31,6 +31,9 @@
   group.snapshot_after_entries = kSnapshotAfterEntries;
   group.trailing_entries = kTrailingEntries;
   group.segment_bytes = kSegmentBytes;
+  group.heartbeat = kGroupHeartbeat;
+  group.election = kGroupElection;
+  group.lease = kGroupLease;
   const bool is_founder =
       options.fleet.self.is_first_start &&
       std::find(founders.begin(), founders.end(), group.host) != founders.end();
--- a/src/libshallotport/routing/routed_service.h
+++ b/src/libshallotport/routing/routed_service.h
@@ -5,9 +5,9 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/retry_budget.h"
 #include "control/configuration.h"
 #include "routing/choice_strategy.h"
-#include "routing/retry_budget.h"
 #include "routing/routed_endpoint.h"
 #include "routing/service_estimate.h"
 
