jobstore: an item's text goes on only where it ends

A leader whose lease lapsed for a moment forgot its runs and began them anew while its own progress was still on its way through the log; both were appended. Ruled out: two leaders (one term), session duplicates (every command has its own index), the splitter (the run was asked with the right last event). Change: progress and results name the event that they go on after; the board ignores progress and refuses results that do not fit; the runner then goes on from what is committed. Test: item_text/run_from_the_start_meets_late_progress and end_of_a_run_that_knew_less_is_refused, both red without the two checks. Conclusion: the state machine, not the leader's memory, decides.

--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -38,12 +38,15 @@
 };
 
 struct item_runner::item_memory {
-  std::string text;  // Of the events since the last committed progress.
+  std::string base_event;  // The last one that is committed.
+  std::string text;        // Of the events since then.
   std::string last_event;
   duration spent{};  // Running so far.
   steady_time not_before{};
   bool is_settling = false;  // Its result is being committed.
-  size_t saving_bytes = 0;   // Of the text; being committed as progress.
+  // The part of the text that is being committed as progress.
+  size_t saving_bytes = 0;
+  std::string saving_event;
 };
 
 item_runner::item_runner(boost::asio::io_context& loop,
@@ -168,8 +171,9 @@
       command.progress.push_back({key.first, {}});
     }
     command.progress.back().items.push_back(
-        {key.second, memory.text, memory.last_event});
+        {key.second, memory.base_event, memory.text, memory.last_event});
     memory.saving_bytes = memory.text.size();
+    memory.saving_event = memory.last_event;
     saved.push_back(key);
   }
   if (saved.empty()) {
@@ -188,16 +192,32 @@
     return;
   }
   const auto found = memories_.find(key);
-  if (found == memories_.end()) {
+  if (found == memories_.end() || found->second.saving_bytes == 0) {
     return;
   }
   item_memory& memory = found->second;
-  if (outcome == commit_outcome::kCommitted && !memory.is_settling) {
+  if (outcome == commit_outcome::kCommitted) {
+    const auto* job = board_.Find(key.first);
+    const bool has_fitted =
+        job != nullptr &&
+        (job->items[key.second].is_listed ||
+         job->items[key.second].last_event == memory.saving_event);
+    if (!has_fitted) {
+      Forget(key);
+      return;
+    }
     memory.text.erase(0, memory.saving_bytes);
+    memory.base_event = memory.saving_event;
   }
   memory.saving_bytes = 0;
 }
 
+// The item goes on from what is committed.
+void item_runner::Forget(const item_key& key) {
+  Cut(key, placement_end::kAbandoned, duration(0));
+  memories_.erase(key);
+}
+
 void item_runner::Abandon() {
   const steady_time now = clock_.Now();
   for (const auto& [key, run] : running_) {
@@ -224,13 +244,13 @@
     return false;
   }
   const auto& at = std::get<placed_endpoint>(placed);
-  const auto memory = memories_.find(key);
-  const bool has_memory =
-      memory != memories_.end() && !memory->second.last_event.empty();
-  // A new leader knows what was committed as progress.
-  const std::string& resume_after = has_memory
-                                        ? memory->second.last_event
-                                        : job->items[key.second].last_event;
+  // A new leader goes on after what was committed as progress.
+  const auto [memory, is_new] = memories_.try_emplace(key);
+  if (is_new || memory->second.last_event.empty()) {
+    memory->second.base_event = job->items[key.second].last_event;
+    memory->second.last_event = memory->second.base_event;
+  }
+  const std::string& resume_after = memory->second.last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
   headers.Add(options_.wire.request_id, item.id);
@@ -269,7 +289,7 @@
     self->last_heard = clock_.Now();
     self->events.Take(bytes);
     if (!self->events.data().empty()) {
-      item_memory& kept = memories_[key];
+      item_memory& kept = memories_.at(key);
       kept.text += self->events.data();
       kept.last_event = self->events.last_id();
     }
@@ -381,7 +401,8 @@
     item_result result;
     result.is_completed = true;
     result.text = memory.text.substr(memory.saving_bytes);
-    Record(key, std::move(result));
+    Record(key, std::move(result),
+           memory.saving_bytes > 0 ? memory.saving_event : memory.base_event);
     return;
   }
   const auto* job = board_.Find(key.first);
@@ -399,7 +420,7 @@
                                {"failures", int64_t{failures}},
                                {"dead", int64_t{is_dead ? 1 : 0}}});
   if (is_dead) {
-    Record(key, {});
+    Record(key, {}, {});
     return;
   }
   if (has_failed) {
@@ -416,18 +437,25 @@
   memories_[key].not_before = clock_.Now() + pause;
 }
 
-void item_runner::Record(const item_key& key, item_result result) {
+void item_runner::Record(const item_key& key,
+                         item_result result,
+                         const std::string& base_event) {
   memories_[key].is_settling = true;
   job_command command;
   command.kind = job_command_kind::kRecord;
   command.job = key.first;
   command.item = key.second;
   command.result = std::move(result);
+  command.base_event = base_event;
   propose_(command, [this, key](commit_outcome outcome) {
     if (outcome == commit_outcome::kUnknown) {
       Abandon();
       return;
     }
+    if (outcome == commit_outcome::kRefused) {
+      Forget(key);
+      return;
+    }
     const auto memory = memories_.find(key);
     if (memory != memories_.end() && outcome == commit_outcome::kCommitted) {
       memories_.erase(memory);
--- a/src/libshallotport/jobstore/item_runner.h
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -30,8 +30,14 @@
 // too.
 class item_runner {
  public:
-  // What became of a command: kUnknown means that leadership was lost.
-  enum class commit_outcome : uint8_t { kCommitted, kNotProposed, kUnknown };
+  // What became of a command: kRefused means that it was committed but does
+  // not fit the state, kUnknown that leadership was lost.
+  enum class commit_outcome : uint8_t {
+    kCommitted,
+    kRefused,
+    kNotProposed,
+    kUnknown
+  };
   // Has a command committed.
   using proposer =
       std::function<void(const job_command& command,
@@ -83,11 +89,15 @@
   void CutSilent(steady_time now);
   void SaveProgress(steady_time now);
   void OnSaved(const item_key& key, commit_outcome outcome);
-  // Forgets everything that is not committed.
+  // Forgets what is not committed, of one item or of all.
+  void Forget(const item_key& key);
   void Abandon();
   std::vector<item_key> Candidates(steady_time now) const;
   void Retry(const item_key& key, duration pause);
-  void Record(const item_key& key, item_result result);
+  // Lists an item's result, whose text goes on after `base_event`.
+  void Record(const item_key& key,
+              item_result result,
+              const std::string& base_event);
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
--- a/src/libshallotport/jobstore/job_board.cc
+++ b/src/libshallotport/jobstore/job_board.cc
@@ -102,6 +102,11 @@
   if (item.is_listed) {
     return job_answer_kind::kDone;  // The first result stands.
   }
+  // Runs of a leader whose lease lapsed may know less than what is committed.
+  const bool goes_on = command.base_event == item.last_event;
+  if (command.result.is_completed && !goes_on) {
+    return job_answer_kind::kConflict;
+  }
   item.is_listed = true;
   if (!job.is_ended) {
     StopWaiting(job, command.item);
@@ -140,8 +145,11 @@
     for (const item_progress& step : each.items) {
       const bool is_open = step.item < found->second.items.size() &&
                            !found->second.items[step.item].is_listed;
-      if (is_open) {
-        item_state& item = found->second.items[step.item];
+      if (!is_open) {
+        continue;
+      }
+      item_state& item = found->second.items[step.item];
+      if (item.last_event == step.base_event) {
         item.text += step.text;
         item.last_event = step.last_event;
       }
--- a/src/libshallotport/jobstore/job_board.h
+++ b/src/libshallotport/jobstore/job_board.h
@@ -36,13 +36,14 @@
   job_command_kind kind = job_command_kind::kSubmit;
   job_id job;
   job_submission submission;
-  uint32_t item = 0;   // Its place in the submission.
-  item_result result;  // Its text goes after that of the item's progress.
+  uint32_t item = 0;       // Its place in the submission.
+  item_result result;      // Its text goes after that of the item's progress.
+  std::string base_event;  // The result's text goes on after this one.
   std::vector<job_progress> progress;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(kind, job, submission, item, result, progress);
+    archive(kind, job, submission, item, result, base_event, progress);
   }
 };
 
--- /dev/null
+++ b/src/libshallotport/jobstore/job_board_test.cc
@@ -0,0 +1,218 @@
+#include "jobstore/job_board.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "base/codec.h"
+
+namespace shallotport {
+
+namespace {
+
+const job_id kJob("job-1");
+
+job_submission MakeJob(const std::string& id, int items, uint64_t limit = 0) {
+  job_submission job;
+  job.job = job_id(id);
+  job.route = "route";
+  job.waiting_tokens_limit = limit;
+  job.objective_ms = 18'000;
+  job.max_runs = 3;
+  for (int i = 0; i < items; ++i) {
+    job_item item;
+    item.id = "item-" + std::to_string(i);
+    item.body = "body-" + std::to_string(i);
+    item.tokens = 100;
+    job.items.push_back(std::move(item));
+  }
+  return job;
+}
+
+// Applies commands with a rising log index and time.
+class board_driver {
+ public:
+  job_answer_kind Apply(const job_command& command) {
+    ++context_.index;
+    context_.leader_time += 10;
+    const auto answer =
+        Decode<job_answer>(board.Apply(context_, EncodeJobCommand(command)));
+    return ValueOf(answer).kind;
+  }
+  job_answer_kind Submit(const job_submission& job) {
+    job_command command;
+    command.kind = job_command_kind::kSubmit;
+    command.job = job.job;
+    command.submission = job;
+    return Apply(command);
+  }
+  job_answer_kind Progress(uint32_t item,
+                           const std::string& base,
+                           const std::string& text,
+                           const std::string& last) {
+    job_command command;
+    command.kind = job_command_kind::kProgress;
+    command.progress = {{kJob, {{item, base, text, last}}}};
+    return Apply(command);
+  }
+  job_answer_kind Record(uint32_t item,
+                         const std::string& base,
+                         const std::string& text) {
+    job_command command;
+    command.kind = job_command_kind::kRecord;
+    command.job = kJob;
+    command.item = item;
+    command.result.is_completed = true;
+    command.result.text = text;
+    command.base_event = base;
+    return Apply(command);
+  }
+  job_answer_kind End() {
+    job_command command;
+    command.kind = job_command_kind::kEnd;
+    command.job = kJob;
+    return Apply(command);
+  }
+  void PassTime(wall_milliseconds by) { context_.leader_time += by; }
+
+  job_board board;
+
+ private:
+  apply_context context_;
+};
+
+// One step of a run's progress or end, and whether it counts.
+struct run_step {
+  bool is_end;
+  std::string base;
+  std::string text;
+  std::string last;
+};
+
+struct run_case {
+  std::string name;
+  std::vector<run_step> steps;
+  std::string text;  // Of the result; empty: none.
+};
+
+class item_text : public testing::TestWithParam<run_case> {};
+
+TEST_P(item_text, HoldsEachEventOnce) {
+  board_driver driver;
+  ASSERT_EQ(driver.Submit(MakeJob("job-1", 1)), job_answer_kind::kDone);
+  for (const run_step& step : GetParam().steps) {
+    if (step.is_end) {
+      driver.Record(0, step.base, step.text);
+    } else {
+      driver.Progress(0, step.base, step.text, step.last);
+    }
+  }
+  const job_answer read = driver.board.Read(kJob, 0);
+  ASSERT_EQ(read.results.size(), GetParam().text.empty() ? 0u : 1u);
+  if (!GetParam().text.empty()) {
+    EXPECT_EQ(read.results[0].text, GetParam().text);
+    EXPECT_EQ(read.results[0].item, "item-0");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    job_board,
+    item_text,
+    testing::Values(run_case{"whole_run", {{true, "", "a\nb\n", ""}}, "a\nb"},
+                    run_case{"resumed_after_progress",
+                             {{false, "", "a\n", "1"}, {true, "1", "b\n", ""}},
+                             "a\nb"},
+                    // A leader whose lease lapsed began the item anew while its
+                    // own progress was still on its way through the log.
+                    run_case{"run_from_the_start_meets_late_progress",
+                             {{false, "", "a\nb\n", "2"},
+                              {false, "", "a\n", "1"},
+                              {true, "2", "c\n", ""}},
+                             "a\nb\nc"},
+                    run_case{"end_of_a_run_that_knew_less_is_refused",
+                             {{false, "", "a\nb\n", "2"},
+                              {true, "", "a\nb\nc\n", ""}},
+                             ""},
+                    run_case{"first_result_stands",
+                             {{true, "", "a\n", ""}, {true, "", "z\n", ""}},
+                             "a"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(job_board_test, AcceptsOnceAndAcknowledgesRepeats) {
+  board_driver driver;
+  EXPECT_EQ(driver.Submit(MakeJob("job-1", 3)), job_answer_kind::kDone);
+  EXPECT_EQ(driver.Submit(MakeJob("job-1", 3)), job_answer_kind::kDone);
+  EXPECT_EQ(driver.board.jobs().size(), 1u);
+  EXPECT_EQ(driver.board.WaitingTokens("route"), 300u);
+}
+
+TEST(job_board_test, WaitingTokensAreBoundedAndFreedByResultsAndEnds) {
+  board_driver driver;
+  EXPECT_EQ(driver.Submit(MakeJob("job-1", 3, 500)), job_answer_kind::kDone);
+  EXPECT_EQ(driver.Submit(MakeJob("job-2", 3, 500)),
+            job_answer_kind::kOverLimit);
+  EXPECT_EQ(driver.Record(0, "", "a\n"), job_answer_kind::kDone);
+  EXPECT_EQ(driver.Submit(MakeJob("job-2", 3, 500)), job_answer_kind::kDone);
+  EXPECT_EQ(driver.End(), job_answer_kind::kDone);
+  EXPECT_EQ(driver.board.WaitingTokens("route"), 300u);
+  // A result after the end frees nothing twice.
+  driver.Record(1, "", "b\n");
+  EXPECT_EQ(driver.board.WaitingTokens("route"), 300u);
+}
+
+TEST(job_board_test, PositionsStandAndBodiesEndWithTheirItems) {
+  board_driver driver;
+  driver.Submit(MakeJob("job-1", 3));
+  EXPECT_EQ(driver.board.ReadItem(kJob, "item-2").body, "body-2");
+  driver.Record(2, "", "c\n");
+  driver.Record(0, "", "a\n");
+  const job_answer read = driver.board.Read(kJob, 0);
+  ASSERT_EQ(read.results.size(), 2u);
+  EXPECT_EQ(read.total, 3u);
+  EXPECT_EQ(read.results[0].item, "item-2");
+  EXPECT_EQ(driver.board.Read(kJob, 1).results[0].item, "item-0");
+  EXPECT_EQ(driver.board.ReadItem(kJob, "item-2").kind,
+            job_answer_kind::kNotFound);
+  EXPECT_EQ(driver.board.ReadItem(kJob, "item-1").kind, job_answer_kind::kDone);
+}
+
+TEST(job_board_test, FinishedJobsStayReadableForThreeMinutes) {
+  board_driver driver;
+  driver.Submit(MakeJob("job-1", 1));
+  driver.Record(0, "", "a\n");
+  driver.PassTime(170'000);
+  driver.Submit(MakeJob("job-2", 1));
+  EXPECT_EQ(driver.board.Read(kJob, 0).results.size(), 1u);
+  driver.PassTime(20'000);
+  driver.Submit(MakeJob("job-3", 1));
+  EXPECT_EQ(driver.board.Read(kJob, 0).kind, job_answer_kind::kNotFound);
+  EXPECT_NE(driver.board.Find(job_id("job-2")), nullptr);  // Still open.
+}
+
+TEST(job_board_test, ASnapshotHoldsEverything) {
+  board_driver driver;
+  driver.Submit(MakeJob("job-1", 2));
+  driver.Progress(1, "", "x\n", "7");
+  driver.Record(0, "", "a\n");
+  std::ostringstream out;
+  ASSERT_TRUE(IsOk(driver.board.BeginSnapshot()->Write(out)));
+  job_board copy;
+  std::istringstream in(out.str());
+  ASSERT_TRUE(IsOk(copy.LoadSnapshot(in)));
+  EXPECT_EQ(copy.Read(kJob, 0).results[0].text, "a");
+  EXPECT_EQ(copy.Find(kJob)->items[1].last_event, "7");
+  EXPECT_EQ(copy.WaitingTokens("route"), 100u);
+}
+
+TEST(job_board_test, MalformedCommandsChangeNothing) {
+  job_board board;
+  apply_context context;
+  board.Apply(context, "no command");
+  EXPECT_TRUE(board.jobs().empty());
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -58,12 +58,13 @@
 // What an unfinished item has got from its endpoints so far.
 struct item_progress {
   uint32_t item = 0;       // Its place in the submission.
-  std::string text;        // Added since the last progress.
-  std::string last_event;  // A run goes on after this one.
+  std::string base_event;  // The text goes on after this one.
+  std::string text;        // Added since then.
+  std::string last_event;  // Of the text.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(item, text, last_event);
+    archive(item, base_event, text, last_event);
   }
 };
 
@@ -73,6 +74,7 @@
   kNotFound = 3,
   kNotLeader = 4,  // Nothing was done here; `leader` may help.
   kUnknown = 5,    // It may or may not have been done.
+  kConflict = 6,   // The text does not go on where the item's text ends.
 };
 
 // Answers every call about jobs; each call uses its own fields.
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -46,7 +46,11 @@
 // Everything but a lost quorum promises that nothing was proposed.
 item_runner::commit_outcome OutcomeOf(const result<std::string>& reply) {
   if (IsOk(reply)) {
-    return item_runner::commit_outcome::kCommitted;
+    const auto answer = Decode<job_answer>(ValueOf(reply));
+    const bool is_refused =
+        IsOk(answer) && ValueOf(answer).kind == job_answer_kind::kConflict;
+    return is_refused ? item_runner::commit_outcome::kRefused
+                      : item_runner::commit_outcome::kCommitted;
   }
   return ErrorOf(reply).kind == error_kind::kNoQuorum
              ? item_runner::commit_outcome::kUnknown
