fleet, consensus: one standby a group, bounded log memory

Change: group_healer keeps one standby beside the voters; a replica's log and flight memory are options.

--- a/src/libshallotport/consensus/replica.h
+++ b/src/libshallotport/consensus/replica.h
@@ -36,9 +36,11 @@
   uint64_t seed = 1;
   uint64_t snapshot_after_bytes = 64u << 20;
   uint32_t snapshot_after_entries = 20'000;
-  uint32_t trailing_entries = 5'000;   // Kept in the log behind a snapshot.
-  uint32_t segment_bytes = 16u << 20;  // Of the log's files.
-  file_system* files = nullptr;        // Null: the operating system's.
+  uint32_t trailing_entries = 5'000;      // Kept in the log behind a snapshot.
+  uint32_t segment_bytes = 16u << 20;     // Of the log's files.
+  uint64_t log_memory_bytes = 16u << 20;  // Of the log, held in memory.
+  uint64_t flight_bytes = 4u << 20;       // Unanswered entries per member.
+  file_system* files = nullptr;           // Null: the operating system's.
 };
 
 // One member of a consensus group: a duty thread that owns the consensus core,
--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -49,6 +49,8 @@
   core.election = options.election;
   core.lease = options.lease;
   core.trailing_entries = options.trailing_entries;
+  core.log_memory_bytes = options.log_memory_bytes;
+  core.flight_bytes = options.flight_bytes;
   core.seed = HashOf(options.host.text(), options.seed);
   return core;
 }
--- a/src/libshallotport/fleet/group_healer.cc
+++ b/src/libshallotport/fleet/group_healer.cc
@@ -32,6 +32,13 @@
                  !leaving.contains(each.member.host);
         }));
   }
+  size_t SoundLearners() const {
+    return static_cast<size_t>(
+        std::count_if(members.begin(), members.end(), [&](const auto& each) {
+          return !each.member.is_voter && !lost.contains(each.member.host) &&
+                 !leaving.contains(each.member.host);
+        }));
+  }
   size_t Voters() const {
     return static_cast<size_t>(
         std::count_if(members.begin(), members.end(),
@@ -96,6 +103,12 @@
 }
 
 std::optional<healing_step> group_healer::AddStandby(const view& seen) const {
+  const size_t sound = seen.SoundVoters();
+  const size_t wanted =
+      options_.standbys + (options_.voters - std::min(options_.voters, sound));
+  if (seen.SoundLearners() >= wanted) {
+    return std::nullopt;
+  }
   for (const auto& [id, host] : seen.live) {
     const bool is_wanted = host->disk != 0 && seen.Member(id) == nullptr &&
                            !seen.leaving.contains(id);
--- a/src/libshallotport/fleet/group_healer.h
+++ b/src/libshallotport/fleet/group_healer.h
@@ -19,13 +19,16 @@
 };
 
 // Decides how the leader of a consensus group changes its members: emptied
-// members are taken in anew, every live host becomes a learner, learners take
-// the place of voters that are silent, and hosts that are retiring leave. Pure.
-// The consensus core refuses steps that would lose the quorum.
+// members are taken in anew, a few live hosts stand by as learners, learners
+// take the place of voters that are silent, and hosts that are retiring leave.
+// Pure. The consensus core refuses steps that would lose the quorum.
 class group_healer {
  public:
   struct options {
     size_t voters = 3;  // 2 * (losses to be borne) + 1.
+    // Learners that hold the state already when a voter is lost. Each costs the
+    // leader a copy of all that is committed.
+    size_t standbys = 1;
     // A frozen or restarted voter is back within this time; replacing it
     // sooner would only copy the state for nothing.
     duration replace_after = std::chrono::seconds(3);
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -20,6 +20,10 @@
 constexpr uint32_t kSnapshotAfterEntries = 8'000;
 constexpr uint32_t kTrailingEntries = 1'000;
 constexpr uint32_t kSegmentBytes = 8u << 20;
+// A store has little more than 100 MB for everything; a member that lags
+// further is fed from the files.
+constexpr uint64_t kLogMemoryBytes = 6u << 20;
+constexpr uint64_t kFlightBytes = 1u << 20;
 
 replica_options GroupOptions(const job_store_options& options,
                              const std::vector<host_id>& founders) {
@@ -31,6 +35,8 @@
   group.snapshot_after_entries = kSnapshotAfterEntries;
   group.trailing_entries = kTrailingEntries;
   group.segment_bytes = kSegmentBytes;
+  group.log_memory_bytes = kLogMemoryBytes;
+  group.flight_bytes = kFlightBytes;
   group.heartbeat = kGroupHeartbeat;
   group.election = kGroupElection;
   group.lease = kGroupLease;
