--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -20,9 +20,8 @@
 // longest with each failure in a row.
 constexpr std::chrono::milliseconds kAvoidAfterFailure{250};
 constexpr std::chrono::milliseconds kLongestAvoidance{4'000};
-// Within this share of a place, loads count as equal and the endpoint of the
-// own failure domain goes first.
-constexpr double kOwnDomainBonus = 0.6;
+// Endpoints of the own failure domain are this much more likely.
+constexpr double kOwnDomainFactor = 2;
 
 }  // namespace
 
@@ -105,6 +104,15 @@
          static_cast<int>(LoadOf(now, found->second) + 0.5);
 }
 
+bool placement::HasRoom(steady_time now, uint32_t reserve) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&](const auto& each) {
+        const endpoint_state& state = each.second;
+        return IsUsable(state) &&
+               LoadOf(now, state) + 1 + reserve <= state.report.slots;
+      });
+}
+
 bool placement::IsUsable(const endpoint_state& state) const {
   return state.is_listed;
 }
@@ -118,8 +126,13 @@
   if (found == by_service_.end() || found->second.empty()) {
     return placement_refusal::kNoEndpoint;
   }
-  endpoint_state* best = nullptr;
-  double best_cost = 0;
+  struct candidate {
+    endpoint_state* state;
+    double load;
+    double weight;  // 0: all places are taken.
+  };
+  std::vector<candidate> candidates;
+  double weights = 0;
   endpoint_state* avoided = nullptr;  // The one to be tried again soonest.
   size_t usable = 0;
   for (const endpoint_id& id : found->second) {
@@ -131,10 +144,10 @@
     if (domains_.IsAvoided(now, state.report.domain)) {
       continue;
     }
+    const double slots = state.report.slots;
     const double load = LoadOf(now, state);
-    const double room = reserve > 0
-                            ? static_cast<double>(state.report.slots) - reserve
-                            : state.report.slots + options_.waiting_allowed;
+    const double room =
+        reserve > 0 ? slots - reserve : slots + options_.waiting_allowed;
     if (load + 1 > room) {
       continue;
     }
@@ -144,17 +157,30 @@
       avoided = is_sooner ? &state : avoided;
       continue;
     }
+    const double free = std::max(slots - load, 0.0) / slots;
     const bool is_own = state.report.domain == options_.domain;
-    const double cost = (load + (is_own ? 0.0 : kOwnDomainBonus)) /
-                            std::max<uint32_t>(state.report.slots, 1) +
-                        UniformUnit(random_) * 0.05;
-    if (best == nullptr || cost < best_cost) {
-      best = &state;
-      best_cost = cost;
-    }
+    const double weight = free * free * free * (is_own ? kOwnDomainFactor : 1);
+    weights += weight;
+    candidates.push_back({&state, load, weight});
   }
-  // Online requests go to an endpoint that failed lately rather than nowhere.
-  if (best == nullptr && reserve == 0) {
+  endpoint_state* best = nullptr;
+  if (weights > 0) {
+    double drawn = UniformUnit(random_) * weights;
+    for (const candidate& each : candidates) {
+      best = each.weight > 0 ? each.state : best;
+      drawn -= each.weight;
+      if (drawn < 0) {
+        break;
+      }
+    }
+  } else if (!candidates.empty()) {
+    best = std::min_element(candidates.begin(), candidates.end(),
+                            [](const candidate& a, const candidate& b) {
+                              return a.load < b.load;
+                            })
+               ->state;
+  } else if (reserve == 0) {
+    // Online requests go to an endpoint that failed lately rather than nowhere.
     best = avoided;
   }
   if (best == nullptr) {
--- a/src/libshallotport/entry/placement.h
+++ b/src/libshallotport/entry/placement.h
@@ -47,7 +47,8 @@
 // Chooses endpoints for requests. Answers the load of several hosts of ours
 // that send to the same endpoints, whose engines admit in order of arrival:
 // it counts the requests of its own, adds what the others are known to have
-// there, and takes the endpoint with the most room. What is sent to an endpoint
+// there, and draws an endpoint, the more likely the more room it has: hosts
+// that all took the emptiest one would meet there. What is sent to an endpoint
 // whose places are all taken would wait behind work that cannot be overtaken,
 // so little is. Pure.
 class placement {
@@ -77,6 +78,9 @@
   // requests wait there.
   int FreePlaces(steady_time now, const endpoint_id& endpoint) const;
 
+  // True when some endpoint has more than `reserve` places free.
+  bool HasRoom(steady_time now, uint32_t reserve) const;
+
   // Places of a service: all, and those taken as far as known.
   struct occupancy {
     uint32_t places = 0;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -1,6 +1,6 @@
 #include "entryhost/entry_host.h"
 
-#include <map>
+#include <algorithm>
 #include <utility>
 
 #include "base/codec.h"
@@ -106,10 +106,17 @@
         {LoadKey(endpoint), static_cast<uint16_t>(running)});
   }
   std::string encoded = Encode(report);
-  if (encoded == last_load_ && now < load_sent_ + kLoadInterval) {
+  const duration pause = encoded == last_load_
+                             ? duration(kLoadInterval)
+                             : duration(LoadExchangeInterval(entry_hosts()));
+  if (now < load_sent_ + pause) {
     return;
   }
   load_sent_ = now;
+  told_load_.clear();
+  for (const load_entry& each : report.entries) {
+    told_load_[each.endpoint] = each.running;
+  }
   last_load_ = std::move(encoded);
   constexpr auto kKind = static_cast<uint8_t>(fleet_frame::kLoad);
   if (now < totals_at_ + kTotalsMissing) {
@@ -129,9 +136,12 @@
   const steady_time now = clock_.Now();
   totals_from_ = link.ip();
   totals_at_ = now;
-  std::map<uint32_t, uint16_t> others;
+  std::map<uint32_t, uint32_t> others;
   for (const load_entry& each : ValueOf(decoded).entries) {
-    others[each.endpoint] = each.running;
+    const auto own = told_load_.find(each.endpoint);
+    const uint32_t told = own == told_load_.end() ? 0 : own->second;
+    others[each.endpoint] =
+        each.running - std::min<uint32_t>(each.running, told);
   }
   for (const auto& [id, entry] : fleet_.endpoints().entries()) {
     const auto found = others.find(LoadKey(id));
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_ENTRYHOST_ENTRY_HOST_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "entry/decision_log.h"
@@ -50,6 +51,7 @@
   const http_listener& callers() const { return callers_; }
 
  private:
+  size_t entry_hosts() const { return fleet_.entry_hosts(); }
   void ExchangeLoad(steady_time now);
   void TakeTotals(host_link& link, std::string_view payload);
   void Drain(steady_time now);
@@ -62,7 +64,8 @@
   entry_duty duty_;
   job_caller jobs_;
   http_listener callers_;
-  std::string last_load_;  // As sent last.
+  std::string last_load_;                   // As sent last.
+  std::map<uint32_t, uint32_t> told_load_;  // The same, by LoadKey().
   steady_time load_sent_{};
   std::string totals_from_;  // The store that adds loads up.
   steady_time totals_at_{};
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -1,6 +1,8 @@
 #ifndef SHALLOTPORT_FLEET_FLEET_MESSAGES_H_
 #define SHALLOTPORT_FLEET_FLEET_MESSAGES_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -128,6 +130,12 @@
   }
 };
 
+// How often loads are exchanged: the cost at the place that adds them up grows
+// with the number of entry hosts.
+constexpr std::chrono::milliseconds LoadExchangeInterval(size_t entry_hosts) {
+  return std::chrono::milliseconds(std::max<size_t>(20, entry_hosts));
+}
+
 // Names an endpoint in load reports, which are sent dozens of times a second.
 uint32_t LoadKey(const endpoint_id& endpoint);
 
--- a/src/libshallotport/fleet/group_host.cc
+++ b/src/libshallotport/fleet/group_host.cc
@@ -124,6 +124,11 @@
   return clock_.Now() < driver_->published_lease_end();
 }
 
+bool group_host::HoldsTerm() const {
+  return !driver_->is_failed() &&
+         driver_->core()->role() == member_role::kLeader;
+}
+
 host_id group_host::leader() const {
   return driver_->published_leader();
 }
--- a/src/libshallotport/fleet/group_host.h
+++ b/src/libshallotport/fleet/group_host.h
@@ -51,6 +51,9 @@
 
   // True while this member leads and its lease holds.
   bool IsLeading() const;
+  // True while this member leads its term, also when its lease lapsed for a
+  // moment.
+  bool HoldsTerm() const;
   // Empty when unknown.
   host_id leader() const;
   uint64_t term() const;
--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -18,6 +18,8 @@
 // A run that made way comes back when the burst has passed its peak.
 constexpr std::chrono::milliseconds kPauseAfterYield{150};
 constexpr std::chrono::milliseconds kSweepInterval{500};
+// Looking for items that may start goes over all that wait.
+constexpr std::chrono::milliseconds kStartInterval{40};
 // Added to a job's retention before items are given up: clocks may jump.
 constexpr wall_milliseconds kRetentionMarginMs = 15'000;
 
@@ -105,7 +107,12 @@
   if (!is_leading_ || routes == nullptr) {
     return;
   }
+  YieldToOnline(now);
   SaveProgress(now);
+  if (now < next_start_ || !endpoints_.HasRoom(now, options_.online_reserve)) {
+    return;
+  }
+  next_start_ = now + kStartInterval;
   for (const item_key& key : Candidates(now)) {
     if (!StartItem(now, *routes, key)) {
       return;  // No room: later items have none either.
@@ -271,7 +278,7 @@
   run->due = job->accepted + job->submission.objective_ms;
   outbound_request out;
   out.method = "POST";
-  out.bytes = FormatRequest("POST", item.path, headers, item.body);
+  out.bytes = FormatRequest("POST", item.path, headers, item.body.text());
   out.echo_header = options_.wire.request_id;
   out.echo_value = item.id;
   const std::weak_ptr<item_run> weak = run;
@@ -452,14 +459,13 @@
       Abandon();
       return;
     }
-    if (outcome == commit_outcome::kRefused) {
+    if (outcome != commit_outcome::kNotProposed) {
+      // Also ends a run that began while the result was on its way.
       Forget(key);
       return;
     }
     const auto memory = memories_.find(key);
-    if (memory != memories_.end() && outcome == commit_outcome::kCommitted) {
-      memories_.erase(memory);
-    } else if (memory != memories_.end()) {
+    if (memory != memories_.end()) {
       // The run has ended: it is asked for its end again.
       memory->second.is_settling = false;
     }
--- a/src/libshallotport/jobstore/item_runner.h
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -71,10 +71,6 @@
   // Starts what has room.
   void Tick(steady_time now, const route_table* routes);
 
-  // Cuts runs at endpoints where online requests have taken the reserve; they
-  // go on later, after their last event.
-  void YieldToOnline(steady_time now);
-
   size_t running_count() const { return running_.size(); }
 
  private:
@@ -86,6 +82,9 @@
   void OnEnd(const item_key& key, call_end end);
   void OnAnswered(const item_key& key, item_run& run);
   void Cut(const item_key& key, placement_end how, duration pause);
+  // Cuts runs at endpoints where online requests have taken the reserve; they
+  // go on later, after their last event.
+  void YieldToOnline(steady_time now);
   void CutSilent(steady_time now);
   void SaveProgress(steady_time now);
   void OnSaved(const item_key& key, commit_outcome outcome);
@@ -114,6 +113,7 @@
   std::map<item_key, item_memory> memories_;
   steady_time next_sweep_{};
   steady_time next_saving_{};
+  steady_time next_start_{};
   // Moving average of how long whole items run.
   duration expected_run_ = std::chrono::seconds(4);
 };
--- a/src/libshallotport/jobstore/job_board.cc
+++ b/src/libshallotport/jobstore/job_board.cc
@@ -1,8 +1,8 @@
 #include "jobstore/job_board.h"
 
 #include <algorithm>
+#include <cstring>
 #include <istream>
-#include <iterator>
 #include <ostream>
 #include <utility>
 
@@ -17,17 +17,49 @@
 constexpr wall_milliseconds kKeepJobMs = 180'000;
 constexpr size_t kMaxReadBytes = 900u << 10;
 
-class text_snapshot final : public snapshot_writer {
- public:
-  explicit text_snapshot(std::string text) : text_(std::move(text)) {}
-  status Write(std::ostream& out) override {
-    out << text_;
-    return success{};
+// Writes and reads a number before each part of a snapshot.
+void WriteNumber(std::ostream& out, uint64_t number) {
+  char bytes[sizeof(number)];
+  std::memcpy(bytes, &number, sizeof(number));
+  out.write(bytes, sizeof(bytes));
+}
+
+bool ReadNumber(std::istream& in, uint64_t& number) {
+  char bytes[sizeof(number)];
+  if (!in.read(bytes, sizeof(bytes))) {
+    return false;
   }
+  std::memcpy(&number, bytes, sizeof(number));
+  return true;
+}
 
- private:
-  const std::string text_;
-};
+// A larger part cannot be a job's, whose commands are bounded.
+constexpr uint64_t kMaxPartBytes = 64u << 20;
+
+template <typename T>
+status ReadPart(std::istream& in, T& part) {
+  uint64_t size = 0;
+  if (!ReadNumber(in, size) || size > kMaxPartBytes) {
+    return MakeError(error_kind::kCorrupt, "job snapshot: bad length");
+  }
+  std::string bytes(size, '\0');
+  if (!in.read(bytes.data(), static_cast<std::streamsize>(size))) {
+    return MakeError(error_kind::kCorrupt, "job snapshot: ends early");
+  }
+  auto decoded = Decode<T>(bytes);
+  if (!IsOk(decoded)) {
+    return ErrorOf(decoded);
+  }
+  part = std::move(ValueOf(decoded));
+  return success{};
+}
+
+template <typename T>
+void WritePart(std::ostream& out, const T& part) {
+  const std::string bytes = Encode(part);
+  WriteNumber(out, bytes.size());
+  out.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+}
 
 }  // namespace
 
@@ -114,16 +146,16 @@
   item_result result = command.result;
   result.item = job.submission.items[command.item].id;
   if (result.is_completed) {
-    result.text = item.text + result.text;
-    if (!result.text.empty()) {
-      result.text.pop_back();  // Line feeds stand between the events.
+    std::string whole = item.text + result.text.text();
+    if (!whole.empty()) {
+      whole.pop_back();  // Line feeds stand between the events.
     }
+    result.text = std::move(whole);
   }
   item.text.clear();
   item.text.shrink_to_fit();
   job.results.push_back(std::move(result));
-  job.submission.items[command.item].body.clear();
-  job.submission.items[command.item].body.shrink_to_fit();
+  job.submission.items[command.item].body.Clear();
   return job_answer_kind::kDone;
 }
 
@@ -211,7 +243,8 @@
   answer.total = static_cast<uint32_t>(job->items.size());
   size_t bytes = 0;
   for (size_t i = after; i < job->results.size(); ++i) {
-    bytes += job->results[i].text.size() + job->results[i].item.size() + 64;
+    bytes +=
+        job->results[i].text.text().size() + job->results[i].item.size() + 64;
     if (!answer.results.empty() && bytes > kMaxReadBytes) {
       break;
     }
@@ -231,24 +264,54 @@
   for (size_t i = 0; i < job->items.size(); ++i) {
     if (job->submission.items[i].id == item && !job->items[i].is_listed) {
       answer.kind = job_answer_kind::kDone;
-      answer.body = job->submission.items[i].body;
+      answer.body = job->submission.items[i].body.text();
     }
   }
   return answer;
 }
 
+// Shares the texts with the board and writes job by job.
+class job_board::writer final : public snapshot_writer {
+ public:
+  explicit writer(kept_state kept) : kept_(std::move(kept)) {}
+
+  status Write(std::ostream& out) override {
+    WritePart(out, kept_.waiting_tokens);
+    WriteNumber(out, kept_.jobs.size());
+    for (const auto& [id, job] : kept_.jobs) {
+      WritePart(out, job);
+    }
+    return success{};
+  }
+
+ private:
+  const kept_state kept_;
+};
+
 std::unique_ptr<snapshot_writer> job_board::BeginSnapshot() const {
-  return std::make_unique<text_snapshot>(Encode(kept_));
+  return std::make_unique<writer>(kept_);
 }
 
 status job_board::LoadSnapshot(std::istream& in) {
-  const std::string text((std::istreambuf_iterator<char>(in)),
-                         std::istreambuf_iterator<char>());
-  auto decoded = Decode<kept_state>(text);
-  if (!IsOk(decoded)) {
-    return ErrorOf(decoded);
+  kept_state read;
+  if (status part = ReadPart(in, read.waiting_tokens); !IsOk(part)) {
+    return part;
+  }
+  uint64_t count = 0;
+  if (!ReadNumber(in, count)) {
+    return MakeError(error_kind::kCorrupt, "job snapshot: no job count");
+  }
+  // Frees the old state first: both together may not fit.
+  kept_ = {};
+  for (uint64_t i = 0; i < count; ++i) {
+    job_state job;
+    if (status part = ReadPart(in, job); !IsOk(part)) {
+      return part;
+    }
+    const job_id id = job.submission.job;
+    read.jobs.emplace(id, std::move(job));
   }
-  kept_ = std::move(ValueOf(decoded));
+  kept_ = std::move(read);
   if (on_loaded) {
     on_loaded();
   }
--- a/src/libshallotport/jobstore/job_board.h
+++ b/src/libshallotport/jobstore/job_board.h
@@ -105,12 +105,8 @@
   struct kept_state {
     std::map<job_id, job_state> jobs;
     std::map<std::string, uint64_t> waiting_tokens;
-
-    template <typename Archive>
-    void serialize(Archive& archive) {
-      archive(jobs, waiting_tokens);
-    }
   };
+  class writer;
 
   job_answer_kind Submit(const apply_context& context,
                          job_submission&& submission);
--- a/src/libshallotport/jobstore/job_board_test.cc
+++ b/src/libshallotport/jobstore/job_board_test.cc
@@ -24,7 +24,7 @@
   for (int i = 0; i < items; ++i) {
     job_item item;
     item.id = "item-" + std::to_string(i);
-    item.body = "body-" + std::to_string(i);
+    item.body = shared_text("body-" + std::to_string(i));
     item.tokens = 100;
     job.items.push_back(std::move(item));
   }
@@ -65,7 +65,7 @@
     command.job = kJob;
     command.item = item;
     command.result.is_completed = true;
-    command.result.text = text;
+    command.result.text = shared_text(text);
     command.base_event = base;
     return Apply(command);
   }
@@ -112,7 +112,7 @@
   const job_answer read = driver.board.Read(kJob, 0);
   ASSERT_EQ(read.results.size(), GetParam().text.empty() ? 0u : 1u);
   if (!GetParam().text.empty()) {
-    EXPECT_EQ(read.results[0].text, GetParam().text);
+    EXPECT_EQ(read.results[0].text.text(), GetParam().text);
     EXPECT_EQ(read.results[0].item, "item-0");
   }
 }
@@ -201,7 +201,7 @@
   job_board copy;
   std::istringstream in(out.str());
   ASSERT_TRUE(IsOk(copy.LoadSnapshot(in)));
-  EXPECT_EQ(copy.Read(kJob, 0).results[0].text, "a");
+  EXPECT_EQ(copy.Read(kJob, 0).results[0].text.text(), "a");
   EXPECT_EQ(copy.Find(kJob)->items[1].last_event, "7");
   EXPECT_EQ(copy.WaitingTokens("route"), 100u);
 }
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "jobstore/shared_text.h"
 
 namespace shallotport {
 
@@ -15,7 +16,7 @@
   std::string id;
   std::string path;
   std::vector<std::pair<std::string, std::string>> headers;
-  std::string body;
+  shared_text body;
   uint64_t tokens = 0;  // Of the prompt and the longest output.
 
   template <typename Archive>
@@ -47,7 +48,7 @@
 struct item_result {
   std::string item;
   bool is_completed = false;  // Otherwise it can never be done.
-  std::string text;
+  shared_text text;
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -175,7 +175,13 @@
     log_.State(is_leading ? "job_leadership_won" : "job_leadership_lost",
                {{"term", static_cast<int64_t>(group_->term())}});
   }
-  runner_.SetLeading(is_leading);
+  // A lapse of the lease is no reason to stop runs; the next leader is.
+  runner_.SetLeading(group_->HoldsTerm() && (is_leading || was_running_));
+  was_running_ = group_->HoldsTerm() && (is_leading || was_running_);
+  if (is_leading && now >= next_totals_) {
+    next_totals_ = now + LoadExchangeInterval(loads_.size());
+    SendTotals(now);
+  }
   runner_.Tick(now, routes_ ? &*routes_ : nullptr);
   ExpireWaiting(now);
   if (is_leading) {
@@ -302,9 +308,10 @@
 }
 
 void job_store_duty::AnswerWaiting(const job_id& job) {
+  const auto* found = board_.Find(job);
   for (auto at = waiting_.begin(); at != waiting_.end();) {
-    const bool is_ready = at->read.job == job &&
-                          !board_.Read(job, at->read.after).results.empty();
+    const bool is_ready = at->read.job == job && found != nullptr &&
+                          found->results.size() > at->read.after;
     if (!is_ready) {
       ++at;
       continue;
@@ -334,24 +341,30 @@
   if (!IsOk(decoded) || link.peer_name.empty()) {
     return;
   }
-  const steady_time now = clock_.Now();
   entry_load& own = loads_[link.peer_name];
-  own.at = now;
+  own.at = clock_.Now();
+  own.link = link.weak_from_this();
+  for (const auto& [endpoint, running] : own.running) {
+    online_[endpoint] -= running;
+  }
   own.running.clear();
   for (const load_entry& each : ValueOf(decoded).entries) {
-    own.running[each.endpoint] = each.running;
+    own.running[each.endpoint] += each.running;
+    online_[each.endpoint] += each.running;
   }
-  if (!IsLeading()) {
-    return;
-  }
-  std::erase_if(loads_, [now](const auto& each) {
-    return now > each.second.at + kLoadKept;
-  });
-  std::map<uint32_t, uint32_t> online;
-  for (const auto& [host, load] : loads_) {
-    for (const auto& [endpoint, running] : load.running) {
-      online[endpoint] += running;
+}
+
+// Every entry host gets the same sums and subtracts its own part.
+void job_store_duty::SendTotals(steady_time now) {
+  for (auto at = loads_.begin(); at != loads_.end();) {
+    if (now <= at->second.at + kLoadKept) {
+      ++at;
+      continue;
+    }
+    for (const auto& [endpoint, running] : at->second.running) {
+      online_[endpoint] -= running;
     }
+    at = loads_.erase(at);
   }
   std::map<uint32_t, uint32_t> batch;
   for (const auto& [endpoint, running] : endpoints_.OwnLoad()) {
@@ -360,17 +373,19 @@
   load_report totals;
   for (const auto& [id, entry] : fleet_.endpoints().entries()) {
     const uint32_t key = LoadKey(id);
-    const uint32_t running = online[key];
+    const uint32_t running = online_[key];
     endpoints_.SetOthers(now, id, running);
-    const auto mine = own.running.find(key);
-    const uint32_t of_asker = mine == own.running.end() ? 0 : mine->second;
-    const uint32_t others = running - std::min(running, of_asker) + batch[key];
-    if (others > 0) {
-      totals.entries.push_back({key, static_cast<uint16_t>(others)});
+    if (running + batch[key] > 0) {
+      totals.entries.push_back(
+          {key, static_cast<uint16_t>(running + batch[key])});
+    }
+  }
+  const std::string encoded = Encode(totals);
+  for (const auto& [host, load] : loads_) {
+    if (const auto link = load.link.lock()) {
+      link->Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), encoded);
     }
   }
-  link.Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), Encode(totals));
-  runner_.YieldToOnline(now);
 }
 
 void job_store_duty::Heal(steady_time now) {
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
@@ -61,6 +62,7 @@
   };
   struct entry_load {
     steady_time at{};
+    std::weak_ptr<host_link> link;
     std::map<uint32_t, uint32_t> running;  // By LoadKey().
   };
 
@@ -82,6 +84,7 @@
   void ExpireWaiting(steady_time now);
   std::string NotLeaderAnswer() const;
   void OnLoad(host_link& link, std::string_view payload);
+  void SendTotals(steady_time now);
   void Heal(steady_time now);
   void TellMembers();
 
@@ -99,6 +102,9 @@
   std::optional<route_table> routes_;
   std::list<waiting_read> waiting_;
   std::map<std::string, entry_load> loads_;
+  std::map<uint32_t, uint32_t> online_;  // The sum of the loads.
+  steady_time next_totals_{};
+  bool was_running_ = false;
   steady_time next_healing_{};
   steady_time next_members_{};
   bool is_healing_ = false;
