--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -19,6 +19,8 @@
   uint64_t caller_left = 0;
   uint64_t tries = 0;
   uint64_t resumed = 0;
+  uint64_t streams_in_time = 0;  // First event within the objective.
+  uint64_t streams_late = 0;
   uint64_t silent = 0;  // Tries that were given up for a second one.
 };
 
--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds kLongestAvoidance{4'000};
 // Endpoints of the own failure domain are this much more likely.
 constexpr double kOwnDomainFactor = 2;
+constexpr double kCutOffFactor = 1'000;
 
 }  // namespace
 
@@ -120,8 +121,7 @@
 std::variant<placed_endpoint, placement_refusal> placement::Begin(
     steady_time now,
     const service_id& service,
-    const std::set<endpoint_id>& excluded,
-    uint32_t reserve) {
+    const placement_wish& wish) {
   const auto found = by_service_.find(service);
   if (found == by_service_.end() || found->second.empty()) {
     return placement_refusal::kNoEndpoint;
@@ -137,17 +137,18 @@
   size_t usable = 0;
   for (const endpoint_id& id : found->second) {
     endpoint_state& state = endpoints_.at(id);
-    if (!IsUsable(state) || excluded.contains(id)) {
+    if (!IsUsable(state) || wish.excluded.contains(id)) {
       continue;
     }
     ++usable;
-    if (domains_.IsAvoided(now, state.report.domain)) {
+    if (domains_.IsAvoided(now, state.report.domain) ||
+        wish.cut_domains.contains(state.report.domain)) {
       continue;
     }
     const double slots = state.report.slots;
     const double load = LoadOf(now, state);
-    const double room =
-        reserve > 0 ? slots - reserve : slots + options_.waiting_allowed;
+    const double room = wish.reserve > 0 ? slots - wish.reserve
+                                         : slots + options_.waiting_allowed;
     if (load + 1 > room) {
       continue;
     }
@@ -159,7 +160,11 @@
     }
     const double free = std::max(slots - load, 0.0) / slots;
     const bool is_own = state.report.domain == options_.domain;
-    const double weight = free * free * free * (is_own ? kOwnDomainFactor : 1);
+    // After one silent domain others may be cut off as well.
+    const double own_factor = !is_own                    ? 1
+                              : wish.cut_domains.empty() ? kOwnDomainFactor
+                                                         : kCutOffFactor;
+    const double weight = free * free * free * own_factor;
     weights += weight;
     candidates.push_back({&state, load, weight});
   }
@@ -179,7 +184,7 @@
                               return a.load < b.load;
                             })
                ->state;
-  } else if (reserve == 0) {
+  } else if (wish.reserve == 0) {
     // Online requests go to an endpoint that failed lately rather than nowhere.
     best = avoided;
   }
@@ -191,7 +196,7 @@
   domains_.NoteTry(now, best->report.domain);
   return placed_endpoint{best->report.endpoint,
                          {best->report.ip, best->report.port},
-                         best->report.domain == options_.domain};
+                         best->report.domain};
 }
 
 void placement::End(steady_time now,
--- a/src/libshallotport/entry/placement.h
+++ b/src/libshallotport/entry/placement.h
@@ -19,7 +19,7 @@
 struct placed_endpoint {
   endpoint_id endpoint;
   endpoint_address address;
-  bool is_own_domain = false;
+  domain_id domain;
 };
 
 // How a request at an endpoint ended, for the choice of later ones.
@@ -33,6 +33,13 @@
   kAbandoned,      // The caller left or its time ran out.
 };
 
+// What a request asks of its endpoint.
+struct placement_wish {
+  std::set<endpoint_id> excluded;   // Tried before.
+  std::set<domain_id> cut_domains;  // Silent when this request tried them.
+  uint32_t reserve = 0;             // Places that stay free: batch work.
+};
+
 // Why no endpoint was chosen.
 enum class placement_refusal : uint8_t { kNoEndpoint, kAllBusy };
 
@@ -65,13 +72,10 @@
                 uint32_t running,
                 uint32_t waiting);
 
-  // Chooses among the service's endpoints but `excluded`; the choice counts as
-  // a request there until End(). `reserve` places stay free (batch work).
-  std::variant<placed_endpoint, placement_refusal> Begin(
-      steady_time now,
-      const service_id& service,
-      const std::set<endpoint_id>& excluded,
-      uint32_t reserve = 0);
+  // Chooses among the service's endpoints; the choice counts as a request there
+  // until End().
+  std::variant<placed_endpoint, placement_refusal>
+  Begin(steady_time now, const service_id& service, const placement_wish& wish);
   void End(steady_time now, const endpoint_id& endpoint, placement_end how);
 
   // Places of an endpoint that nobody has, as far as known; negative when
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -86,7 +86,7 @@
 
 void routed_exchange::Try() {
   const steady_time now = duty_.clock_.Now();
-  auto placed = duty_.placement_.Begin(now, service_, tried_);
+  auto placed = duty_.placement_.Begin(now, service_, wish_);
   if (std::holds_alternative<placement_refusal>(placed)) {
     if (has_begun_) {
       BreakOff("no endpoint to resume at");
@@ -196,7 +196,10 @@
   if (std::exchange(has_begun_, true)) {
     return;
   }
-  sent_head_ = head_;
+  const bool is_in_time =
+      duty_.clock_.Now() <= began_ + duration(route_.objective);
+  ++(is_in_time ? duty_.counters_.streams_in_time
+                : duty_.counters_.streams_late);
   caller_->BeginStream(head_.status, AnswerHeaders());
 }
 
@@ -277,8 +280,13 @@
 
 void routed_exchange::AfterTry(try_outcome outcome, placement_end how) {
   const endpoint_id endpoint = at_->endpoint;
+  const domain_id domain = at_->domain;
   EndPlacement(how);
-  tried_.insert(endpoint);
+  wish_.excluded.insert(endpoint);
+  last_endpoint_ = endpoint;
+  if (how == placement_end::kSilent) {
+    wish_.cut_domains.insert(domain);
+  }
   if (outcome != try_outcome::kNotRun) {
     ++runs_;
   }
@@ -398,20 +406,18 @@
   const auto waited =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - began_);
   const auto places = duty_.placement_.Occupancy(now, service_);
-  duty_.log_.Request(
-      event, {{"request", request_.id.text()},
-              {"route", route_.name},
-              {"config_version", static_cast<int64_t>(version_)},
-              {"service", service_.text()},
-              {"status", int64_t{status}},
-              {"reason", reason},
-              {"last_endpoint",
-               tried_.empty() ? std::string_view("-") : tried_.begin()->text()},
-              {"tries", int64_t{tries_}},
-              {"runs", int64_t{runs_}},
-              {"waited_ms", waited.count()},
-              {"places", int64_t{places.places}},
-              {"taken", int64_t{places.taken}}});
+  duty_.log_.Request(event, {{"request", request_.id.text()},
+                             {"route", route_.name},
+                             {"config_version", static_cast<int64_t>(version_)},
+                             {"service", service_.text()},
+                             {"status", int64_t{status}},
+                             {"reason", reason},
+                             {"last_endpoint", last_endpoint_.text()},
+                             {"tries", int64_t{tries_}},
+                             {"runs", int64_t{runs_}},
+                             {"waited_ms", waited.count()},
+                             {"places", int64_t{places.places}},
+                             {"taken", int64_t{places.taken}}});
 }
 
 void routed_exchange::Finish() {
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -57,13 +57,14 @@
 
   std::unique_ptr<endpoint_call> call_;
   std::optional<placed_endpoint> at_;
-  std::set<endpoint_id> tried_;
+  placement_wish wish_;
+  endpoint_id last_endpoint_;
   uint32_t runs_ = 0;
   uint32_t tries_ = 0;
 
   steady_time last_heard_{};  // From the endpoint of the try at hand.
   response_head head_;        // Of the try at hand.
-  response_head sent_head_;   // Of the stream's first run, sent to the caller.
+
   std::string body_;
   bool is_stream_ = false;
   bool has_begun_ = false;
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -18,7 +18,7 @@
 
 // Many round trips within a region. A lost opening packet is sent again after
 // a second, which is too late for most requests: another endpoint is tried.
-constexpr std::chrono::milliseconds kConnectTimeout{200};
+constexpr std::chrono::milliseconds kConnectTimeout{100};
 // An idle connection without a stated keep-alive time is used again for this
 // long.
 constexpr std::chrono::milliseconds kDefaultKeepAlive{1'500};
--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -245,8 +245,9 @@
     Retry(key, kPauseAfterFailure);
     return true;
   }
-  const auto placed = endpoints_.Begin(now, DrawService(*on, random_), {},
-                                       options_.online_reserve);
+  placement_wish wish;
+  wish.reserve = options_.online_reserve;
+  const auto placed = endpoints_.Begin(now, DrawService(*on, random_), wish);
   if (std::holds_alternative<placement_refusal>(placed)) {
     return false;
   }
