--- /dev/null
+++ b/src/libshallotport/entry/placement_test.cc
@@ -0,0 +1,262 @@
+#include "entry/placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const service_id kService("llm");
+
+endpoint_report MakeReport(int number,
+                           const std::string& domain = "a",
+                           uint32_t slots = 8) {
+  endpoint_report report;
+  report.endpoint = endpoint_id("e" + std::to_string(number));
+  report.service = kService;
+  report.ip = "10.0.0." + std::to_string(number);
+  report.port = 80;
+  report.domain = domain_id(domain);
+  report.slots = slots;
+  report.born_ms = 1;
+  report.sequence = 1;
+  return report;
+}
+
+placement MakePlacement(int endpoints,
+                        uint64_t seed = 1,
+                        const std::string& domain = "a") {
+  placement made({domain_id(domain), 2, seed});
+  for (int i = 0; i < endpoints; ++i) {
+    made.Update(MakeReport(i));
+  }
+  return made;
+}
+
+const placed_endpoint* Placed(
+    const std::variant<placed_endpoint, placement_refusal>& outcome) {
+  return std::get_if<placed_endpoint>(&outcome);
+}
+
+TEST(placement_test, RefusesOnlyWhenAllPlacesAndTheWaitingOnesAreTaken) {
+  placement places = MakePlacement(2);
+  const steady_time now{};
+  for (int i = 0; i < 2 * (8 + 2); ++i) {
+    EXPECT_NE(Placed(places.Begin(now, kService, {})), nullptr) << i;
+  }
+  const auto refused = places.Begin(now, kService, {});
+  EXPECT_EQ(std::get<placement_refusal>(refused), placement_refusal::kAllBusy);
+  places.End(now, endpoint_id("e1"), placement_end::kServed);
+  EXPECT_NE(Placed(places.Begin(now, kService, {})), nullptr);
+}
+
+TEST(placement_test, BatchWorkLeavesItsReserve) {
+  placement places = MakePlacement(1);
+  const steady_time now{};
+  placement_wish batch;
+  batch.reserve = 2;
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_NE(Placed(places.Begin(now, kService, batch)), nullptr);
+  }
+  EXPECT_EQ(Placed(places.Begin(now, kService, batch)), nullptr);
+  EXPECT_NE(Placed(places.Begin(now, kService, {})), nullptr);
+}
+
+TEST(placement_test, LeavingEndpointsGetNothing) {
+  placement places = MakePlacement(2);
+  endpoint_report leaving = MakeReport(0);
+  leaving.stage = endpoint_stage::kDraining;
+  leaving.sequence = 2;
+  places.Update(leaving);
+  for (int i = 0; i < 10; ++i) {
+    const auto placed = places.Begin({}, kService, {});
+    EXPECT_EQ(Placed(placed)->endpoint, endpoint_id("e1"));
+  }
+  leaving.stage = endpoint_stage::kGone;
+  places.Update(leaving);
+  places.Remove(endpoint_id("e1"));
+  EXPECT_EQ(std::get<placement_refusal>(places.Begin({}, kService, {})),
+            placement_refusal::kNoEndpoint);
+}
+
+TEST(placement_test, AnEndpointThatFailedIsTheLastResort) {
+  placement places = MakePlacement(2);
+  const steady_time now{};
+  places.End(now, endpoint_id("e0"), placement_end::kBroken);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Placed(places.Begin(now, kService, {}))->endpoint,
+              endpoint_id("e1"));
+  }
+  EXPECT_EQ(Placed(places.Begin(now, kService, {}))->endpoint,
+            endpoint_id("e0"));
+}
+
+TEST(placement_test, TwoSilentEndpointsMakeTheirDomainSuspect) {
+  placement places({domain_id("a"), 2, 1});
+  for (int i = 0; i < 4; ++i) {
+    places.Update(MakeReport(i, "b"));
+  }
+  places.Update(MakeReport(9, "a", 100));
+  steady_time now{};
+  places.End(now, endpoint_id("e0"), placement_end::kSilent);
+  places.End(now, endpoint_id("e1"), placement_end::kSilent);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Placed(places.Begin(now, kService, {}))->endpoint,
+              endpoint_id("e9"));
+  }
+  // One request a while tries the domain again; an answer clears it.
+  now += milliseconds(5'000);
+  int tries = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto placed = places.Begin(now, kService, {});
+    tries += Placed(placed)->domain == domain_id("b") ? 1 : 0;
+    places.End(now, Placed(placed)->endpoint, placement_end::kAbandoned);
+  }
+  EXPECT_EQ(tries, 1);
+  places.End(now, endpoint_id("e2"), placement_end::kServed);
+  tries = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto placed = places.Begin(now, kService, {});
+    tries += Placed(placed)->domain == domain_id("b") ? 1 : 0;
+    places.End(now, Placed(placed)->endpoint, placement_end::kAbandoned);
+  }
+  EXPECT_GT(tries, 20);
+}
+
+TEST(placement_test, ARequestThatMetSilenceGoesToTheOwnDomainNext) {
+  placement places({domain_id("a"), 2, 1});
+  places.Update(MakeReport(0, "a"));
+  for (int i = 1; i < 20; ++i) {
+    places.Update(MakeReport(i, i % 2 == 0 ? "b" : "c"));
+  }
+  placement_wish wish;
+  wish.cut_domains.insert(domain_id("b"));
+  int own = 0;
+  for (int i = 0; i < 50; ++i) {
+    const auto placed = places.Begin({}, kService, wish);
+    EXPECT_NE(Placed(placed)->domain, domain_id("b"));
+    own += Placed(placed)->domain == domain_id("a") ? 1 : 0;
+    places.End({}, Placed(placed)->endpoint, placement_end::kAbandoned);
+  }
+  EXPECT_GE(own, 45);
+}
+
+TEST(placement_test, AnEndpointsOwnWordCountsOnlyWithoutTheExchange) {
+  placement places = MakePlacement(1);
+  steady_time now{milliseconds(10'000)};
+  places.SetOthers(now, endpoint_id("e0"), 3);
+  places.NoteLoad(now, endpoint_id("e0"), 8, 4);
+  EXPECT_EQ(places.FreePlaces(now, endpoint_id("e0")), 5);
+  now += milliseconds(300);
+  places.NoteLoad(now, endpoint_id("e0"), 8, 4);
+  EXPECT_EQ(places.FreePlaces(now, endpoint_id("e0")), -4);
+  now += milliseconds(2'000);  // What others had is forgotten.
+  EXPECT_EQ(places.FreePlaces(now, endpoint_id("e0")), 8);
+}
+
+// Plays the load of a burst: hosts that learn of each other's requests late
+// send to the same endpoints, which serve in order of arrival. Returns the
+// share of requests that begin within `objective`.
+double ShareInTime(int hosts,
+                   int endpoints,
+                   double requests_per_second,
+                   duration exchange,
+                   bool takes_emptiest) {
+  constexpr uint32_t kSlots = 8;
+  constexpr milliseconds kService_time(700);
+  constexpr milliseconds kObjective(200);
+  constexpr milliseconds kLength(6'000);
+  std::vector<placement> views;
+  for (int host = 0; host < hosts; ++host) {
+    views.push_back(
+        MakePlacement(endpoints, static_cast<uint64_t>(host) + 1, "elsewhere"));
+  }
+  struct ending {
+    steady_time at;
+    int host;
+  };
+  std::vector<std::deque<ending>> running(static_cast<size_t>(endpoints));
+  random_source random(99);
+  std::exponential_distribution<double> gap(requests_per_second);
+  steady_time next_exchange{};
+  int sent = 0;
+  int in_time = 0;
+  double at_s = 0;
+  while (at_s < kLength.count() / 1000.0) {
+    at_s += gap(random);
+    const steady_time now{duration(static_cast<int64_t>(at_s * 1e6))};
+    for (int e = 0; e < endpoints; ++e) {
+      auto& queue = running[static_cast<size_t>(e)];
+      while (!queue.empty() && queue.front().at <= now) {
+        views[static_cast<size_t>(queue.front().host)].End(
+            now, endpoint_id("e" + std::to_string(e)), placement_end::kServed);
+        queue.pop_front();
+      }
+    }
+    if (now >= next_exchange) {
+      next_exchange = now + exchange;
+      for (int e = 0; e < endpoints; ++e) {
+        for (int host = 0; host < hosts; ++host) {
+          const auto& queue = running[static_cast<size_t>(e)];
+          const auto others = std::count_if(
+              queue.begin(), queue.end(),
+              [host](const ending& each) { return each.host != host; });
+          views[static_cast<size_t>(host)].SetOthers(
+              now, endpoint_id("e" + std::to_string(e)),
+              static_cast<uint32_t>(others));
+        }
+      }
+    }
+    ++sent;
+    const int host = static_cast<int>(UniformBelow(random, hosts));
+    placement& view = views[static_cast<size_t>(host)];
+    endpoint_id chosen;
+    if (takes_emptiest) {
+      int best = 0;
+      for (int e = 1; e < endpoints; ++e) {
+        const auto free = [&](int which) {
+          return view.FreePlaces(now, endpoint_id("e" + std::to_string(which)));
+        };
+        best = free(e) > free(best) ? e : best;
+      }
+      chosen = endpoint_id("e" + std::to_string(best));
+    } else {
+      const auto placed = view.Begin(now, kService, {});
+      if (Placed(placed) == nullptr) {
+        continue;
+      }
+      chosen = Placed(placed)->endpoint;
+    }
+    auto& queue =
+        running[static_cast<size_t>(std::stoi(chosen.text().substr(1)))];
+    const steady_time begins =
+        queue.size() < kSlots ? now : queue[queue.size() - kSlots].at;
+    queue.push_back({begins + kService_time, host});
+    in_time += begins <= now + kObjective ? 1 : 0;
+  }
+  return static_cast<double>(in_time) / sent;
+}
+
+// 50 hosts, 90 endpoints, reports 70 ms old, two thirds of all places taken.
+TEST(placement_load_test, HostsWithTheSameViewDoNotMeetAtTheEmptiest) {
+  const double drawn = ShareInTime(50, 90, 650, milliseconds(70), false);
+  const double emptiest = ShareInTime(50, 90, 650, milliseconds(70), true);
+  EXPECT_GT(drawn, 0.97);
+  EXPECT_LT(emptiest, 0.9);
+}
+
+TEST(placement_load_test, AFewHostsUseNearlyAllPlaces) {
+  EXPECT_GT(ShareInTime(6, 18, 170, milliseconds(25), false), 0.95);
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/fleet/known_state_file_test.cc
@@ -0,0 +1,78 @@
+#include "fleet/known_state_file.h"
+
+#include <gtest/gtest.h>
+
+#include "fleet/control_state.h"
+#include "storage/fake_file_system_test_util.h"
+
+namespace shallotport {
+
+namespace {
+
+known_state MakeState(uint64_t version) {
+  known_state state;
+  state.document = {version, "routes"};
+  endpoint_report report;
+  report.endpoint = endpoint_id("e");
+  report.slots = 8;
+  state.reports.push_back(report);
+  return state;
+}
+
+TEST(known_state_file_test, ReadsBackTheLastState) {
+  fake_file_system files;
+  known_state_file file(files, "data");
+  EXPECT_TRUE(file.Load().document.bytes.empty());
+  ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
+  ASSERT_TRUE(IsOk(file.Save(MakeState(2))));
+  const known_state read = known_state_file(files, "data").Load();
+  EXPECT_EQ(read.document.version, 2u);
+  ASSERT_EQ(read.reports.size(), 1u);
+  EXPECT_EQ(read.reports[0].slots, 8u);
+}
+
+TEST(known_state_file_test, ATornFileIsNoFile) {
+  fake_file_system files;
+  known_state_file file(files, "data");
+  ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
+  auto torn = files.Open("data/known");
+  ASSERT_TRUE(IsOk(torn));
+  ASSERT_TRUE(IsOk(ValueOf(torn)->Truncate(20)));
+  EXPECT_TRUE(file.Load().document.bytes.empty());
+}
+
+std::string Put(uint64_t version, const std::string& bytes) {
+  control_command command;
+  command.kind = control_command_kind::kPutDocument;
+  command.document = {version, bytes};
+  return EncodeControlCommand(command);
+}
+
+TEST(control_state_test, TheHighestVersionIsInForceAndStands) {
+  control_state state;
+  int changes = 0;
+  state.on_changed = [&] { ++changes; };
+  state.Apply({}, Put(3, "three"));
+  state.Apply({}, Put(2, "two"));
+  state.Apply({}, Put(3, "other"));
+  EXPECT_EQ(state.document().bytes, "three");
+  EXPECT_EQ(changes, 1);
+  state.Apply({}, "no command");
+  state.Apply({}, Put(7, "seven"));
+  EXPECT_EQ(state.document().version, 7u);
+}
+
+TEST(control_state_test, TheJobGroupIsFoundedOnce) {
+  control_state state;
+  control_command command;
+  command.kind = control_command_kind::kFoundJobGroup;
+  command.founders = {host_id("x")};
+  state.Apply({}, EncodeControlCommand(command));
+  command.founders = {host_id("y")};
+  state.Apply({}, EncodeControlCommand(command));
+  EXPECT_EQ(state.job_founders(), std::vector<host_id>{host_id("x")});
+}
+
+}  // namespace
+
+}  // namespace shallotport
