--- /dev/null
+++ b/src/libshallotport/eventio/endpoint_pool_test.cc
@@ -0,0 +1,180 @@
+#include "eventio/endpoint_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "eventio/boot_clock.h"
+#include "eventio/loopback_test_util.h"
+
+namespace shallotport {
+
+namespace {
+
+// What a call reported.
+struct call_record {
+  int status = 0;
+  std::string body;
+  std::optional<call_end> end;
+  std::unique_ptr<endpoint_call> call;
+};
+
+class endpoint_pool_test : public testing::Test {
+ protected:
+  std::shared_ptr<call_record> Call(uint16_t port, const std::string& id) {
+    auto record = std::make_shared<call_record>();
+    call_events events;
+    events.on_head = [record](response_head head) {
+      record->status = head.status;
+    };
+    events.on_body = [record](std::string_view bytes) {
+      record->body.append(bytes);
+    };
+    events.on_end = [record](call_end end) { record->end = end; };
+    header_list headers;
+    headers.Add("X-Id", id);
+    outbound_request request;
+    request.method = "POST";
+    request.bytes = FormatRequest("POST", "/" + id, headers, "body");
+    request.echo_header = "X-Id";
+    request.echo_value = id;
+    record->call =
+        pool.Start({"127.0.0.1", port}, std::move(request), std::move(events));
+    return record;
+  }
+  call_end Await(const std::shared_ptr<call_record>& record) {
+    EXPECT_TRUE(RunUntil(loop, [&] { return record->end.has_value(); }));
+    return record->end.value_or(call_end::kNotAnswer);
+  }
+
+  boost::asio::io_context loop;
+  boot_clock_source clock;
+  endpoint_pool pool{loop, clock};
+};
+
+std::string Whole(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+struct answer_case {
+  std::string name;
+  std::string answer;  // To the request with the id "one".
+  bool is_closed;      // After it.
+  call_end end;
+  std::string body;
+  bool is_kept;  // The connection serves the next call.
+};
+
+class answers : public endpoint_pool_test,
+                public testing::WithParamInterface<answer_case> {};
+
+TEST_P(answers, EndAsTheyShould) {
+  scripted_endpoint endpoint(
+      loop, [&](raw_connection& connection, const std::string& request) {
+        if (request.starts_with("POST /two")) {
+          connection.Write(Whole("two", "second"));
+          return;
+        }
+        connection.Write(GetParam().answer);
+        if (GetParam().is_closed) {
+          connection.Close();
+        }
+      });
+  const auto first = Call(endpoint.port(), "one");
+  EXPECT_EQ(Await(first), GetParam().end);
+  if (first->end == call_end::kComplete) {
+    EXPECT_EQ(first->body, GetParam().body);
+  }
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(10));
+  const auto second = Call(endpoint.port(), "two");
+  EXPECT_EQ(Await(second), call_end::kComplete);
+  EXPECT_EQ(second->body, "second");
+  EXPECT_EQ(endpoint.connections, GetParam().is_kept ? 1 : 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    answers,
+    testing::Values(
+        answer_case{"whole", Whole("one", "abc"), false, call_end::kComplete,
+                    "abc", true},
+        answer_case{"chunked",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+                    false, call_end::kComplete, "abc", true},
+        answer_case{"unframed", "HTTP/1.1 200 OK\r\n\r\nabc", true,
+                    call_end::kComplete, "abc", false},
+        answer_case{"cut_short",
+                    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true,
+                    call_end::kBroken, "", false},
+        answer_case{"cut_in_chunks",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nab\r\n",
+                    true, call_end::kBroken, "", false},
+        answer_case{"no_answer", "", true, call_end::kBroken, "", false},
+        answer_case{"no_http", "garbage\r\n\r\n", false, call_end::kNotAnswer,
+                    "", false},
+        answer_case{"bytes_after_the_answer",
+                    Whole("one", "abc") + Whole("one", "abc"), false,
+                    call_end::kComplete, "abc", false},
+        answer_case{"a_late_answer_first",
+                    Whole("zero", "old") + Whole("one", "abc"), false,
+                    call_end::kComplete, "abc", true},
+        answer_case{"an_interim_answer_first",
+                    "HTTP/1.1 102 Processing\r\n\r\n" + Whole("one", "abc"),
+                    false, call_end::kComplete, "abc", true},
+        answer_case{"closing",
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                    "Content-Length: 3\r\n\r\nabc",
+                    false, call_end::kComplete, "abc", false},
+        answer_case{"no_time_to_keep",
+                    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+                    "Content-Length: 3\r\n\r\nabc",
+                    false, call_end::kComplete, "abc", false}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(endpoint_pool_test, ARefusedConnectionProvesThatNothingRan) {
+  scripted_endpoint endpoint(loop, [](raw_connection&, const std::string&) {});
+  const uint16_t port = endpoint.port();
+  endpoint.Close();
+  EXPECT_EQ(Await(Call(port, "one")), call_end::kNotSent);
+}
+
+TEST_F(endpoint_pool_test, DroppingACallClosesItsConnection) {
+  bool is_closed = false;
+  std::shared_ptr<raw_connection> at_endpoint;
+  scripted_endpoint endpoint(
+      loop, [&](raw_connection& connection, const std::string&) {
+        at_endpoint = connection.shared_from_this();
+      });
+  const auto record = Call(endpoint.port(), "one");
+  ASSERT_TRUE(RunUntil(loop, [&] { return at_endpoint != nullptr; }));
+  record->call.reset();
+  is_closed = RunUntil(loop, [&] { return at_endpoint->is_ended; });
+  EXPECT_TRUE(is_closed);
+  EXPECT_FALSE(record->end.has_value());
+}
+
+TEST_F(endpoint_pool_test, AnIdleConnectionThatEndsIsNotUsedAgain) {
+  std::shared_ptr<raw_connection> at_endpoint;
+  scripted_endpoint endpoint(
+      loop, [&](raw_connection& connection, const std::string& request) {
+        at_endpoint = connection.shared_from_this();
+        connection.Write(
+            Whole(request.starts_with("POST /two") ? "two" : "one", "abc"));
+      });
+  EXPECT_EQ(Await(Call(endpoint.port(), "one")), call_end::kComplete);
+  EXPECT_EQ(pool.idle_count(), 1u);
+  at_endpoint->Close();
+  EXPECT_TRUE(RunUntil(loop, [&] { return pool.idle_count() == 0; }));
+  EXPECT_EQ(Await(Call(endpoint.port(), "two")), call_end::kComplete);
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -0,0 +1,191 @@
+#include "eventio/http_listener.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "eventio/boot_clock.h"
+#include "eventio/loopback_test_util.h"
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A listener that answers each request with what it understood of it.
+class http_listener_test : public testing::Test {
+ protected:
+  http_listener_test()
+      : listener(loop, clock, [this](inbound_request request, auto exchange) {
+          requests.push_back(request);
+          if (request.target == "/hold") {
+            held.push_back(exchange);
+            return;
+          }
+          exchange->Respond(
+              200, {},
+              request.method + " " + request.target + " " + request.body);
+        }) {
+    // The kernel picks a free port.
+    boost::asio::ip::tcp::acceptor probe(
+        loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    port = probe.local_endpoint().port();
+    probe.close();
+    EXPECT_TRUE(IsOk(listener.Listen("127.0.0.1", port)));
+  }
+
+  std::shared_ptr<raw_connection> Connect() {
+    return ConnectRaw(loop, "127.0.0.1", port);
+  }
+  bool Receives(const std::shared_ptr<raw_connection>& from,
+                const std::string& text) {
+    return RunUntil(
+        loop, [&] { return from->received.find(text) != std::string::npos; });
+  }
+
+  boost::asio::io_context loop;
+  boot_clock_source clock;
+  std::vector<inbound_request> requests;
+  std::vector<std::shared_ptr<http_exchange>> held;
+  uint16_t port = 0;
+  http_listener listener;
+};
+
+constexpr std::string_view kPost =
+    "POST /p/1?q=2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+
+TEST_F(http_listener_test, ReadsARequestSplitAtAnyByte) {
+  for (size_t at = 1; at < kPost.size(); at += 3) {
+    const auto caller = Connect();
+    caller->Write(std::string(kPost.substr(0, at)));
+    loop.restart();
+    loop.run_for(milliseconds(1));
+    caller->Write(std::string(kPost.substr(at)));
+    EXPECT_TRUE(Receives(caller, "POST /p/1?q=2 body")) << "split at " << at;
+  }
+  EXPECT_EQ(requests.back().Path(), "/p/1");
+  EXPECT_EQ(requests.back().Query(), "q=2");
+}
+
+TEST_F(http_listener_test, AnswersPipelinedRequestsInTheirOrder) {
+  const auto caller = Connect();
+  caller->Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(Receives(caller, "GET /2"));
+  EXPECT_LT(caller->received.find("GET /1"), caller->received.find("GET /2"));
+  EXPECT_FALSE(caller->is_ended);
+}
+
+TEST_F(http_listener_test, ReadsBodiesInChunks) {
+  const auto caller = Connect();
+  caller->Write(
+      "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+  EXPECT_TRUE(Receives(caller, "POST /c abc"));
+}
+
+struct bad_request {
+  std::string name;
+  std::string bytes;
+  std::string status;
+};
+
+class refused : public http_listener_test,
+                public testing::WithParamInterface<bad_request> {};
+
+TEST_P(refused, EndsTheConnectionWithTheStatus) {
+  listener_limits limits;
+  limits.header_bytes = 512;
+  limits.body_bytes = 64;
+  listener.SetLimits(limits);
+  const auto caller = Connect();
+  caller->Write(GetParam().bytes);
+  EXPECT_TRUE(Receives(caller, "HTTP/1.1 " + GetParam().status));
+  EXPECT_TRUE(RunUntil(loop, [&] { return caller->is_ended; }));
+  EXPECT_TRUE(requests.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    refused,
+    testing::Values(
+        bad_request{"both_lengths",
+                    "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                    "400"},
+        bad_request{"two_lengths",
+                    "POST / HTTP/1.1\r\nContent-Length: 4\r\n"
+                    "Content-Length: 5\r\n\r\nabcde",
+                    "400"},
+        bad_request{"bare_line_feed", "GET / HTTP/1.1\nHost: h\n\n", "400"},
+        bad_request{"odd_chunk_size",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "zz\r\n",
+                    "400"},
+        bad_request{"no_http", "\x16\x03\x01 hello\r\n\r\n", "400"},
+        bad_request{
+            "large_header",
+            "GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n",
+            "431"},
+        bad_request{"large_body",
+                    "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" +
+                        std::string(65, 'x'),
+                    "413"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(http_listener_test, NoticesACallerWhoLeaves) {
+  const auto caller = Connect();
+  caller->Write("GET /hold HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+  bool has_left = false;
+  held[0]->on_closed = [&] { has_left = true; };
+  caller->Close();
+  EXPECT_TRUE(RunUntil(loop, [&] { return has_left; }));
+}
+
+TEST_F(http_listener_test, ABrokenOffStreamNeverLooksComplete) {
+  const auto caller = Connect();
+  caller->Write("GET /hold HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+  held[0]->BeginStream(200, {});
+  held[0]->SendPiece("data: 1\n\n");
+  ASSERT_TRUE(Receives(caller, "data: 1"));
+  held[0]->Abort();
+  EXPECT_TRUE(RunUntil(loop, [&] { return caller->is_ended; }));
+  EXPECT_EQ(caller->received.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(http_listener_test, DrainingAnswersEndTheirConnections) {
+  const auto idle = Connect();
+  const auto busy = Connect();
+  busy->Write("GET /hold HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(
+      loop, [&] { return !held.empty() && listener.connection_count() == 2; }));
+  listener.StartDraining();
+  listener.CloseIdle();
+  EXPECT_TRUE(RunUntil(loop, [&] { return idle->is_ended; }));
+  held[0]->Respond(200, {}, "late");
+  EXPECT_TRUE(Receives(busy, "Connection: close"));
+  EXPECT_TRUE(Receives(busy, "late"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return listener.connection_count() == 0; }));
+}
+
+TEST_F(http_listener_test, IdleAndSlowConnectionsAreEnded) {
+  const auto idle = Connect();
+  const auto slow = Connect();
+  slow->Write("GET / HT");
+  ASSERT_TRUE(RunUntil(loop, [&] { return listener.connection_count() == 2; }));
+  loop.restart();
+  loop.run_for(milliseconds(20));
+  listener.Sweep(clock.Now() + std::chrono::seconds(4));
+  EXPECT_TRUE(Receives(slow, "408"));
+  EXPECT_FALSE(idle->is_ended);
+  listener.Sweep(clock.Now() + std::chrono::seconds(16));
+  EXPECT_TRUE(RunUntil(loop, [&] { return idle->is_ended; }));
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/eventio/loopback_test_util.h
@@ -0,0 +1,144 @@
+#ifndef SHALLOTPORT_EVENTIO_LOOPBACK_TEST_UTIL_H_
+#define SHALLOTPORT_EVENTIO_LOOPBACK_TEST_UTIL_H_
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace shallotport {
+
+// Runs the loop until `is_done` or the time is up; false in the latter case.
+inline bool RunUntil(
+    boost::asio::io_context& loop,
+    const std::function<bool()>& is_done,
+    std::chrono::milliseconds limit = std::chrono::milliseconds(5'000)) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!is_done() && std::chrono::steady_clock::now() < end) {
+    loop.restart();
+    loop.run_one_for(std::chrono::milliseconds(5));
+  }
+  return is_done();
+}
+
+// A connection whose bytes a test writes and reads as they are.
+class raw_connection : public std::enable_shared_from_this<raw_connection> {
+ public:
+  explicit raw_connection(boost::asio::ip::tcp::socket socket)
+      : socket(std::move(socket)) {}
+
+  void Start() {
+    auto self = shared_from_this();
+    socket.async_read_some(
+        boost::asio::buffer(chunk_),
+        [self](boost::system::error_code failure, size_t size) {
+          if (failure) {
+            self->is_ended = true;
+            return;
+          }
+          self->received.append(self->chunk_.data(), size);
+          if (self->on_received) {
+            self->on_received();
+          }
+          self->Start();
+        });
+  }
+  void Write(const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+  }
+  void Close() {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  std::string received;
+  bool is_ended = false;
+  std::function<void()> on_received;
+
+ private:
+  std::array<char, 4096> chunk_{};
+};
+
+// Opens a connection to a port of this machine.
+inline std::shared_ptr<raw_connection> ConnectRaw(boost::asio::io_context& loop,
+                                                  const std::string& ip,
+                                                  uint16_t port) {
+  boost::asio::ip::tcp::socket socket(loop);
+  boost::system::error_code failure;
+  socket.connect({boost::asio::ip::make_address(ip), port}, failure);
+  auto made = std::make_shared<raw_connection>(std::move(socket));
+  made->is_ended = static_cast<bool>(failure);
+  made->Start();
+  return made;
+}
+
+// An endpoint whose answers a test writes: `on_request` gets each connection
+// with the bytes of one whole request.
+class scripted_endpoint {
+ public:
+  using script = std::function<void(raw_connection& connection,
+                                    const std::string& request)>;
+
+  scripted_endpoint(boost::asio::io_context& loop, script on_request)
+      : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        on_request_(std::move(on_request)) {
+    Accept();
+  }
+
+  uint16_t port() { return acceptor_.local_endpoint().port(); }
+  // Refuses connections from now on.
+  void Close() { acceptor_.close(); }
+
+  std::vector<std::string> requests;
+  int connections = 0;
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code failure,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (failure) {
+        return;
+      }
+      ++connections;
+      auto made = std::make_shared<raw_connection>(std::move(socket));
+      made->on_received = [this, raw = made.get()] { TakeRequests(*raw); };
+      made->Start();
+      Accept();
+    });
+  }
+
+  void TakeRequests(raw_connection& connection) {
+    const size_t head = connection.received.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      return;
+    }
+    size_t length = 0;
+    const size_t field = connection.received.find("Content-Length: ");
+    if (field != std::string::npos && field < head) {
+      length = std::stoul(connection.received.substr(field + 16));
+    }
+    if (connection.received.size() < head + 4 + length) {
+      return;
+    }
+    const std::string request =
+        connection.received.substr(0, head + 4 + length);
+    connection.received.erase(0, request.size());
+    requests.push_back(request);
+    on_request_(connection, request);
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  script on_request_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_EVENTIO_LOOPBACK_TEST_UTIL_H_
