--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -45,6 +45,8 @@
   // True when new callers should come here.
   bool IsReady() const;
 
+  // Of the configuration in force here; 0: none yet.
+  uint64_t fleet_version() const { return fleet_.document().version; }
   entry_duty& duty() { return duty_; }
   job_caller& jobs() { return jobs_; }
   fleet_host& fleet() { return fleet_; }
