--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -12,6 +12,7 @@
 #include "base/retry_budget.h"
 #include "entry/decision_log.h"
 #include "entry/entry_counters.h"
+#include "entry/entry_metrics.h"
 #include "entry/placement.h"
 #include "entry/route_table.h"
 #include "entry/wire_profile.h"
@@ -63,6 +64,7 @@
   placement& endpoints() { return placement_; }
   size_t active_count() const { return active_.size(); }
   const entry_counters& counters() const { return counters_; }
+  const entry_metrics& metrics() const { return metrics_; }
   const endpoint_pool& connections() const { return pool_; }
 
  private:
@@ -78,6 +80,7 @@
   endpoint_pool pool_;
   retry_budget silence_budget_;  // For second tries of slow requests.
   entry_counters counters_;
+  entry_metrics metrics_;
   std::set<std::shared_ptr<routed_exchange>> active_;
   steady_time next_sweep_{};
 };
--- /dev/null
+++ b/src/libshallotport/entry/entry_metrics.h
@@ -0,0 +1,35 @@
+#ifndef SHALLOTPORT_ENTRY_ENTRY_METRICS_H_
+#define SHALLOTPORT_ENTRY_ENTRY_METRICS_H_
+
+#include <map>
+#include <string>
+
+#include "base/latency_histogram.h"
+
+namespace shallotport {
+
+// Latencies of an entry host's requests, by route. Bounded: routes beyond
+// kMaxRoutes share the series of "other".
+class entry_metrics {
+ public:
+  static constexpr size_t kMaxRoutes = 64;
+
+  // From the request's arrival to the first byte of its answer.
+  void ObserveFirstByte(const std::string& route, duration time);
+  // To the end of its answer, refusals and failures included.
+  void ObserveWhole(const std::string& route, duration time);
+
+  void WriteText(std::ostream& out) const;
+
+ private:
+  using series = std::map<std::string, latency_histogram>;
+
+  static latency_histogram& Of(series& all, const std::string& route);
+
+  series first_byte_;
+  series whole_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_ENTRY_METRICS_H_
--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -1,6 +1,7 @@
 #include "entry/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 
@@ -102,7 +103,7 @@
     return 0;
   }
   return static_cast<int>(found->second.report.slots) -
-         static_cast<int>(LoadOf(now, found->second) + 0.5);
+         static_cast<int>(std::lround(LoadOf(now, found->second)));
 }
 
 bool placement::HasRoom(steady_time now, uint32_t reserve) const {
--- a/src/libshallotport/entry/placement_test.cc
+++ b/src/libshallotport/entry/placement_test.cc
@@ -171,10 +171,11 @@
                    duration exchange,
                    bool takes_emptiest) {
   constexpr uint32_t kSlots = 8;
-  constexpr milliseconds kService_time(700);
+  constexpr milliseconds kServiceTime(700);
   constexpr milliseconds kObjective(200);
   constexpr milliseconds kLength(6'000);
   std::vector<placement> views;
+  views.reserve(static_cast<size_t>(hosts));
   for (int host = 0; host < hosts; ++host) {
     views.push_back(
         MakePlacement(endpoints, static_cast<uint64_t>(host) + 1, "elsewhere"));
@@ -239,7 +240,7 @@
         running[static_cast<size_t>(std::stoi(chosen.text().substr(1)))];
     const steady_time begins =
         queue.size() < kSlots ? now : queue[queue.size() - kSlots].at;
-    queue.push_back({begins + kService_time, host});
+    queue.push_back({begins + kServiceTime, host});
     in_time += begins <= now + kObjective ? 1 : 0;
   }
   return static_cast<double>(in_time) / sent;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -196,8 +196,9 @@
   if (std::exchange(has_begun_, true)) {
     return;
   }
-  const bool is_in_time =
-      duty_.clock_.Now() <= began_ + duration(route_.objective);
+  const duration waited = duty_.clock_.Now() - began_;
+  duty_.metrics_.ObserveFirstByte(route_.name, waited);
+  const bool is_in_time = waited <= duration(route_.objective);
   ++(is_in_time ? duty_.counters_.streams_in_time
                 : duty_.counters_.streams_late);
   caller_->BeginStream(head_.status, AnswerHeaders());
@@ -425,6 +426,7 @@
     return;
   }
   caller_->on_closed = nullptr;
+  duty_.metrics_.ObserveWhole(route_.name, duty_.clock_.Now() - began_);
   call_.reset();
   EndPlacement(placement_end::kAbandoned);
   duty_.active_.erase(shared_from_this());
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -48,6 +48,7 @@
   // Of the configuration in force here; 0: none yet.
   uint64_t fleet_version() const { return fleet_.document().version; }
   entry_duty& duty() { return duty_; }
+  const entry_duty& duty() const { return duty_; }
   job_caller& jobs() { return jobs_; }
   fleet_host& fleet() { return fleet_; }
   const http_listener& callers() const { return callers_; }
--- a/src/libshallotport/eventio/endpoint_pool_test.cc
+++ b/src/libshallotport/eventio/endpoint_pool_test.cc
@@ -26,7 +26,7 @@
   std::shared_ptr<call_record> Call(uint16_t port, const std::string& id) {
     auto record = std::make_shared<call_record>();
     call_events events;
-    events.on_head = [record](response_head head) {
+    events.on_head = [record](const response_head& head) {
       record->status = head.status;
     };
     events.on_body = [record](std::string_view bytes) {
@@ -41,17 +41,17 @@
     request.echo_header = "X-Id";
     request.echo_value = id;
     record->call =
-        pool.Start({"127.0.0.1", port}, std::move(request), std::move(events));
+        pool_.Start({"127.0.0.1", port}, std::move(request), std::move(events));
     return record;
   }
   call_end Await(const std::shared_ptr<call_record>& record) {
-    EXPECT_TRUE(RunUntil(loop, [&] { return record->end.has_value(); }));
+    EXPECT_TRUE(RunUntil(loop_, [&] { return record->end.has_value(); }));
     return record->end.value_or(call_end::kNotAnswer);
   }
 
-  boost::asio::io_context loop;
-  boot_clock_source clock;
-  endpoint_pool pool{loop, clock};
+  boost::asio::io_context loop_;
+  boot_clock_source clock_;
+  endpoint_pool pool_{loop_, clock_};
 };
 
 std::string Whole(const std::string& id, const std::string& body) {
@@ -74,7 +74,7 @@
 
 TEST_P(answers, EndAsTheyShould) {
   scripted_endpoint endpoint(
-      loop, [&](raw_connection& connection, const std::string& request) {
+      loop_, [&](raw_connection& connection, const std::string& request) {
         if (request.starts_with("POST /two")) {
           connection.Write(Whole("two", "second"));
           return;
@@ -89,8 +89,8 @@
   if (first->end == call_end::kComplete) {
     EXPECT_EQ(first->body, GetParam().body);
   }
-  loop.restart();
-  loop.run_for(std::chrono::milliseconds(10));
+  loop_.restart();
+  loop_.run_for(std::chrono::milliseconds(10));
   const auto second = Call(endpoint.port(), "two");
   EXPECT_EQ(Await(second), call_end::kComplete);
   EXPECT_EQ(second->body, "second");
@@ -139,7 +139,7 @@
     [](const auto& info) { return info.param.name; });
 
 TEST_F(endpoint_pool_test, ARefusedConnectionProvesThatNothingRan) {
-  scripted_endpoint endpoint(loop, [](raw_connection&, const std::string&) {});
+  scripted_endpoint endpoint(loop_, [](raw_connection&, const std::string&) {});
   const uint16_t port = endpoint.port();
   endpoint.Close();
   EXPECT_EQ(Await(Call(port, "one")), call_end::kNotSent);
@@ -149,13 +149,13 @@
   bool is_closed = false;
   std::shared_ptr<raw_connection> at_endpoint;
   scripted_endpoint endpoint(
-      loop, [&](raw_connection& connection, const std::string&) {
+      loop_, [&](raw_connection& connection, const std::string&) {
         at_endpoint = connection.shared_from_this();
       });
   const auto record = Call(endpoint.port(), "one");
-  ASSERT_TRUE(RunUntil(loop, [&] { return at_endpoint != nullptr; }));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return at_endpoint != nullptr; }));
   record->call.reset();
-  is_closed = RunUntil(loop, [&] { return at_endpoint->is_ended; });
+  is_closed = RunUntil(loop_, [&] { return at_endpoint->is_ended; });
   EXPECT_TRUE(is_closed);
   EXPECT_FALSE(record->end.has_value());
 }
@@ -163,15 +163,15 @@
 TEST_F(endpoint_pool_test, AnIdleConnectionThatEndsIsNotUsedAgain) {
   std::shared_ptr<raw_connection> at_endpoint;
   scripted_endpoint endpoint(
-      loop, [&](raw_connection& connection, const std::string& request) {
+      loop_, [&](raw_connection& connection, const std::string& request) {
         at_endpoint = connection.shared_from_this();
         connection.Write(
             Whole(request.starts_with("POST /two") ? "two" : "one", "abc"));
       });
   EXPECT_EQ(Await(Call(endpoint.port(), "one")), call_end::kComplete);
-  EXPECT_EQ(pool.idle_count(), 1u);
+  EXPECT_EQ(pool_.idle_count(), 1u);
   at_endpoint->Close();
-  EXPECT_TRUE(RunUntil(loop, [&] { return pool.idle_count() == 0; }));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return pool_.idle_count() == 0; }));
   EXPECT_EQ(Await(Call(endpoint.port(), "two")), call_end::kComplete);
 }
 
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -177,7 +177,7 @@
   std::string bytes = FormatHead(status, headers);
   bytes += "Content-Length: 0\r\n\r\n";
   closes_when_sent_ = true;
-  Write(std::move(bytes));
+  Write(bytes);
 }
 
 std::string http_connection::FormatHead(int status,
@@ -193,7 +193,7 @@
   return out;
 }
 
-void http_connection::Write(std::string bytes) {
+void http_connection::Write(std::string_view bytes) {
   if (is_closed_) {
     return;
   }
@@ -276,7 +276,7 @@
   if (!to.is_head_request_) {
     bytes.append(body);
   }
-  to.Write(std::move(bytes));
+  to.Write(bytes);
   to.FinishExchange(to.closes_after_answer_);
 }
 
@@ -289,7 +289,7 @@
       to.closes_after_answer_ || is_draining || to.is_old_version_;
   std::string bytes = to.FormatHead(status, headers);
   bytes += to.is_old_version_ ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
-  to.Write(std::move(bytes));
+  to.Write(bytes);
 }
 
 void http_exchange::SendPiece(std::string_view piece) {
@@ -297,7 +297,7 @@
     return;
   }
   if (connection_->is_old_version_) {
-    connection_->Write(std::string(piece));
+    connection_->Write(piece);
     return;
   }
   char length[20];
@@ -305,7 +305,7 @@
       std::snprintf(length, sizeof(length), "%zx\r\n", piece.size());
   std::string bytes(length, static_cast<size_t>(digits));
   bytes.append(piece).append("\r\n");
-  connection_->Write(std::move(bytes));
+  connection_->Write(bytes);
 }
 
 void http_exchange::EndStream() {
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -39,7 +39,7 @@
   void Parse();
   void Dispatch();
   void Refuse(int status);
-  void Write(std::string bytes);
+  void Write(std::string_view bytes);
   void Flush();
   void FinishExchange(bool is_closing);
   void OnGone();
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -19,39 +19,41 @@
 class http_listener_test : public testing::Test {
  protected:
   http_listener_test()
-      : listener(loop, clock, [this](inbound_request request, auto exchange) {
-          requests.push_back(request);
-          if (request.target == "/hold") {
-            held.push_back(exchange);
-            return;
-          }
-          exchange->Respond(
-              200, {},
-              request.method + " " + request.target + " " + request.body);
-        }) {
+      : listener_(loop_,
+                  clock_,
+                  [this](const inbound_request& request, const auto& exchange) {
+                    requests_.push_back(request);
+                    if (request.target == "/hold") {
+                      held_.push_back(exchange);
+                      return;
+                    }
+                    exchange->Respond(200, {},
+                                      request.method + " " + request.target +
+                                          " " + request.body);
+                  }) {
     // The kernel picks a free port.
     boost::asio::ip::tcp::acceptor probe(
-        loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    port = probe.local_endpoint().port();
+        loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    port_ = probe.local_endpoint().port();
     probe.close();
-    EXPECT_TRUE(IsOk(listener.Listen("127.0.0.1", port)));
+    EXPECT_TRUE(IsOk(listener_.Listen("127.0.0.1", port_)));
   }
 
   std::shared_ptr<raw_connection> Connect() {
-    return ConnectRaw(loop, "127.0.0.1", port);
+    return ConnectRaw(loop_, "127.0.0.1", port_);
   }
   bool Receives(const std::shared_ptr<raw_connection>& from,
                 const std::string& text) {
     return RunUntil(
-        loop, [&] { return from->received.find(text) != std::string::npos; });
+        loop_, [&] { return from->received.find(text) != std::string::npos; });
   }
 
-  boost::asio::io_context loop;
-  boot_clock_source clock;
-  std::vector<inbound_request> requests;
-  std::vector<std::shared_ptr<http_exchange>> held;
-  uint16_t port = 0;
-  http_listener listener;
+  boost::asio::io_context loop_;
+  boot_clock_source clock_;
+  std::vector<inbound_request> requests_;
+  std::vector<std::shared_ptr<http_exchange>> held_;
+  uint16_t port_ = 0;
+  http_listener listener_;
 };
 
 constexpr std::string_view kPost =
@@ -61,13 +63,13 @@
   for (size_t at = 1; at < kPost.size(); at += 3) {
     const auto caller = Connect();
     caller->Write(std::string(kPost.substr(0, at)));
-    loop.restart();
-    loop.run_for(milliseconds(1));
+    loop_.restart();
+    loop_.run_for(milliseconds(1));
     caller->Write(std::string(kPost.substr(at)));
     EXPECT_TRUE(Receives(caller, "POST /p/1?q=2 body")) << "split at " << at;
   }
-  EXPECT_EQ(requests.back().Path(), "/p/1");
-  EXPECT_EQ(requests.back().Query(), "q=2");
+  EXPECT_EQ(requests_.back().Path(), "/p/1");
+  EXPECT_EQ(requests_.back().Query(), "q=2");
 }
 
 TEST_F(http_listener_test, AnswersPipelinedRequestsInTheirOrder) {
@@ -99,12 +101,12 @@
   listener_limits limits;
   limits.header_bytes = 512;
   limits.body_bytes = 64;
-  listener.SetLimits(limits);
+  listener_.SetLimits(limits);
   const auto caller = Connect();
   caller->Write(GetParam().bytes);
   EXPECT_TRUE(Receives(caller, "HTTP/1.1 " + GetParam().status));
-  EXPECT_TRUE(RunUntil(loop, [&] { return caller->is_ended; }));
-  EXPECT_TRUE(requests.empty());
+  EXPECT_TRUE(RunUntil(loop_, [&] { return caller->is_ended; }));
+  EXPECT_TRUE(requests_.empty());
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -138,22 +140,22 @@
 TEST_F(http_listener_test, NoticesACallerWhoLeaves) {
   const auto caller = Connect();
   caller->Write("GET /hold HTTP/1.1\r\n\r\n");
-  ASSERT_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return !held_.empty(); }));
   bool has_left = false;
-  held[0]->on_closed = [&] { has_left = true; };
+  held_[0]->on_closed = [&] { has_left = true; };
   caller->Close();
-  EXPECT_TRUE(RunUntil(loop, [&] { return has_left; }));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return has_left; }));
 }
 
 TEST_F(http_listener_test, ABrokenOffStreamNeverLooksComplete) {
   const auto caller = Connect();
   caller->Write("GET /hold HTTP/1.1\r\n\r\n");
-  ASSERT_TRUE(RunUntil(loop, [&] { return !held.empty(); }));
-  held[0]->BeginStream(200, {});
-  held[0]->SendPiece("data: 1\n\n");
+  ASSERT_TRUE(RunUntil(loop_, [&] { return !held_.empty(); }));
+  held_[0]->BeginStream(200, {});
+  held_[0]->SendPiece("data: 1\n\n");
   ASSERT_TRUE(Receives(caller, "data: 1"));
-  held[0]->Abort();
-  EXPECT_TRUE(RunUntil(loop, [&] { return caller->is_ended; }));
+  held_[0]->Abort();
+  EXPECT_TRUE(RunUntil(loop_, [&] { return caller->is_ended; }));
   EXPECT_EQ(caller->received.find("0\r\n\r\n"), std::string::npos);
 }
 
@@ -161,29 +163,32 @@
   const auto idle = Connect();
   const auto busy = Connect();
   busy->Write("GET /hold HTTP/1.1\r\n\r\n");
-  ASSERT_TRUE(RunUntil(
-      loop, [&] { return !held.empty() && listener.connection_count() == 2; }));
-  listener.StartDraining();
-  listener.CloseIdle();
-  EXPECT_TRUE(RunUntil(loop, [&] { return idle->is_ended; }));
-  held[0]->Respond(200, {}, "late");
+  ASSERT_TRUE(RunUntil(loop_, [&] {
+    return !held_.empty() && listener_.connection_count() == 2;
+  }));
+  listener_.StartDraining();
+  listener_.CloseIdle();
+  EXPECT_TRUE(RunUntil(loop_, [&] { return idle->is_ended; }));
+  held_[0]->Respond(200, {}, "late");
   EXPECT_TRUE(Receives(busy, "Connection: close"));
   EXPECT_TRUE(Receives(busy, "late"));
-  EXPECT_TRUE(RunUntil(loop, [&] { return listener.connection_count() == 0; }));
+  EXPECT_TRUE(
+      RunUntil(loop_, [&] { return listener_.connection_count() == 0; }));
 }
 
 TEST_F(http_listener_test, IdleAndSlowConnectionsAreEnded) {
   const auto idle = Connect();
   const auto slow = Connect();
   slow->Write("GET / HT");
-  ASSERT_TRUE(RunUntil(loop, [&] { return listener.connection_count() == 2; }));
-  loop.restart();
-  loop.run_for(milliseconds(20));
-  listener.Sweep(clock.Now() + std::chrono::seconds(4));
+  ASSERT_TRUE(
+      RunUntil(loop_, [&] { return listener_.connection_count() == 2; }));
+  loop_.restart();
+  loop_.run_for(milliseconds(20));
+  listener_.Sweep(clock_.Now() + std::chrono::seconds(4));
   EXPECT_TRUE(Receives(slow, "408"));
   EXPECT_FALSE(idle->is_ended);
-  listener.Sweep(clock.Now() + std::chrono::seconds(16));
-  EXPECT_TRUE(RunUntil(loop, [&] { return idle->is_ended; }));
+  listener_.Sweep(clock_.Now() + std::chrono::seconds(16));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return idle->is_ended; }));
 }
 
 }  // namespace
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -65,6 +65,7 @@
   bool IsLeading() const { return group_->IsLeading(); }
   bool is_failed() const { return group_->is_failed(); }
   fleet_host& fleet() { return *fleet_; }
+  const fleet_host& fleet() const { return *fleet_; }
   const control_state& state() const { return state_; }
 
  private:
--- a/src/libshallotport/jobstore/item_runner.cc
+++ b/src/libshallotport/jobstore/item_runner.cc
@@ -237,7 +237,7 @@
 // False when no endpoint has room.
 bool item_runner::StartItem(steady_time now,
                             const route_table& routes,
-                            item_key key) {
+                            const item_key& key) {
   const auto* job = board_.Find(key.first);
   const job_item& item = job->submission.items[key.second];
   const route* on = routes.Match(job->submission.host, item.path);
@@ -336,6 +336,7 @@
                  {{"job", key.first.text()},
                   {"item_place", int64_t{key.second}},
                   {"endpoint", running_.at(key)->endpoint.text()}});
+    ++counters_.silent;
     Cut(key, placement_end::kBroken, kPauseAfterBreak);
   }
 }
@@ -357,6 +358,7 @@
       if (free >= static_cast<int>(options_.online_reserve)) {
         break;
       }
+      ++counters_.cut;
       Cut(key, placement_end::kAbandoned, kPauseAfterYield);
       ++free;
     }
@@ -384,6 +386,7 @@
       break;
     case call_end::kBroken:
     case call_end::kNotAnswer:
+      ++counters_.broken;
       endpoints_.End(now, run->endpoint, placement_end::kBroken);
       break;
   }
@@ -398,6 +401,7 @@
     endpoints_.End(
         now, run.endpoint,
         status == 421 ? placement_end::kOtherEndpoint : placement_end::kShed);
+    ++counters_.refused;
     Retry(key, kPauseAfterRefusal);
     return;
   }
@@ -405,6 +409,7 @@
   const bool is_proven = run.head.headers.Find(wire.endpoint_proof) != nullptr;
   if (IsSuccess(status) && is_proven && !run.events.has_partial()) {
     const item_memory& memory = memories_[key];
+    ++counters_.finished;
     expected_run_ += (memory.spent - expected_run_) / 16;
     item_result result;
     result.is_completed = true;
--- a/src/libshallotport/jobstore/item_runner.h
+++ b/src/libshallotport/jobstore/item_runner.h
@@ -43,6 +43,14 @@
       std::function<void(const job_command& command,
                          std::function<void(commit_outcome outcome)> done)>;
 
+  struct counters {
+    uint64_t finished = 0;
+    uint64_t cut = 0;  // Made way for online requests.
+    uint64_t silent = 0;
+    uint64_t broken = 0;
+    uint64_t refused = 0;  // By endpoints without room.
+  };
+
   struct options {
     wire_profile wire;
     // Places of each endpoint that stay free when an item begins: online
@@ -71,6 +79,7 @@
   // Starts what has room.
   void Tick(steady_time now, const route_table* routes);
 
+  const counters& totals() const { return counters_; }
   size_t running_count() const { return running_.size(); }
 
  private:
@@ -78,7 +87,9 @@
   struct item_run;
   struct item_memory;
 
-  bool StartItem(steady_time now, const route_table& routes, item_key key);
+  bool StartItem(steady_time now,
+                 const route_table& routes,
+                 const item_key& key);
   void OnEnd(const item_key& key, call_end end);
   void OnAnswered(const item_key& key, item_run& run);
   void Cut(const item_key& key, placement_end how, duration pause);
@@ -107,6 +118,7 @@
   const proposer propose_;
   random_source random_;
   endpoint_pool pool_;
+  counters counters_;
   bool is_leading_ = false;
   std::map<item_key, std::shared_ptr<item_run>> running_;
   // What is known of items between runs; gone with the leadership.
--- a/src/libshallotport/serving/serving_metrics.cc
+++ b/src/libshallotport/serving/serving_metrics.cc
@@ -1,83 +1,29 @@
 #include "serving/serving_metrics.h"
 
-#include <boost/histogram.hpp>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "base/latency_histogram.h"
+
 namespace shallotport {
 
 namespace {
 
-namespace bh = boost::histogram;
-
-// Logarithmic bins from 0.1 ms to 100 s.
-constexpr unsigned kBins = 60;
-constexpr double kLowestSeconds = 1e-4;
-constexpr double kHighestSeconds = 100.0;
-
-using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
-using latency_histogram = decltype(bh::make_histogram(
-    log_axis(kBins, kLowestSeconds, kHighestSeconds)));
-
-struct latency_series {
-  latency_histogram bins =
-      bh::make_histogram(log_axis(kBins, kLowestSeconds, kHighestSeconds));
-  double sum_seconds = 0;
-  uint64_t count = 0;
-
-  void Observe(duration time) {
-    const double seconds = std::chrono::duration<double>(time).count();
-    bins(seconds);
-    sum_seconds += seconds;
-    ++count;
-  }
-
-  // Upper edge of the bin that holds the quantile; 0 without observations.
-  double Quantile(double share) const {
-    if (count == 0) {
-      return 0;
-    }
-    double seen = 0;
-    for (auto&& bin : bh::indexed(bins, bh::coverage::all)) {
-      seen += *bin;
-      if (seen >= share * static_cast<double>(count)) {
-        return bin.bin().upper();
-      }
-    }
-    return kHighestSeconds;
-  }
-
-  void WriteText(std::ostream& out, std::string_view name) const {
-    out << "# TYPE " << name << " histogram\n";
-    double seen = 0;
-    for (auto&& bin : bh::indexed(bins, bh::coverage::all)) {
-      seen += *bin;
-      if (bin.index() < static_cast<int>(kBins)) {
-        out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << seen
-            << "\n";
-      }
-    }
-    out << name << "_bucket{le=\"+Inf\"} " << count << "\n"
-        << name << "_sum " << sum_seconds << "\n"
-        << name << "_count " << count << "\n";
-  }
-
-  nlohmann::json Summary() const {
-    return {{"count", count},
-            {"p50_s", Quantile(0.50)},
-            {"p95_s", Quantile(0.95)},
-            {"p99_s", Quantile(0.99)}};
-  }
-};
+nlohmann::json Summary(const latency_histogram& series) {
+  return {{"count", series.count()},
+          {"p50_s", series.Quantile(0.50)},
+          {"p95_s", series.Quantile(0.95)},
+          {"p99_s", series.Quantile(0.99)}};
+}
 
 }  // namespace
 
 struct serving_metrics::histograms {
   std::mutex mutex;
-  latency_series whole;
-  latency_series first_byte;
+  latency_histogram whole;
+  latency_histogram first_byte;
   std::map<std::string, uint64_t, std::less<>> replies;
 };
 
@@ -104,8 +50,8 @@
 
 void serving_metrics::WriteState(nlohmann::json& out) const {
   const std::lock_guard lock(histograms_->mutex);
-  out["whole_time"] = histograms_->whole.Summary();
-  out["first_byte"] = histograms_->first_byte.Summary();
+  out["whole_time"] = Summary(histograms_->whole);
+  out["first_byte"] = Summary(histograms_->first_byte);
   for (const auto& [code, count] : histograms_->replies) {
     out["counters"]["replies_" + code] = count;
   }
@@ -114,7 +60,9 @@
 std::string serving_metrics::PrometheusText() const {
   std::ostringstream out;
   const std::lock_guard lock(histograms_->mutex);
+  out << "# TYPE shallotport_request_seconds histogram\n";
   histograms_->whole.WriteText(out, "shallotport_request_seconds");
+  out << "# TYPE shallotport_first_byte_seconds histogram\n";
   histograms_->first_byte.WriteText(out, "shallotport_first_byte_seconds");
   return out.str();
 }
