fleet: what control hosts knew survives a loss of power

Ruled out: a slow election (job group 0.55 s, control group 0.65 s). Change: the file is synced; documents that are applied in one turn make one push. Test: known_state_file_test.ASavedStateSurvivesALossOfPower (red before).

--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -1,10 +1,13 @@
 #include "fleet/control_duty.h"
 
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <set>
 #include <utility>
 
 #include "base/codec.h"
+#include "base/log.h"
 #include "eventio/host_link.h"
 #include "storage/file_system.h"
 
@@ -106,11 +109,17 @@
 
 status control_duty::Open() {
   state_.on_changed = [this] {
-    if (fleet_->NoteDocument(state_.document())) {
-      PushToAll(fleet_frame::kDocument, Encode(state_.document()));
-      is_known_changed_ = true;
-    }
     is_directory_due_ = true;
+    if (std::exchange(is_push_scheduled_, true)) {
+      return;
+    }
+    // Entries that are applied together, as after a restart, make one push.
+    boost::asio::post(loop_, [this, alive = std::weak_ptr<bool>(is_alive_)] {
+      if (!alive.expired()) {
+        is_push_scheduled_ = false;
+        PushDocument();
+      }
+    });
   };
   LoadKnownState();
   fleet_->on_consensus = [this](const host_id&,
@@ -164,6 +173,13 @@
   }
 }
 
+void control_duty::PushDocument() {
+  if (fleet_->NoteDocument(state_.document())) {
+    PushToAll(fleet_frame::kDocument, Encode(state_.document()));
+    is_known_changed_ = true;
+  }
+}
+
 void control_duty::LoadKnownState() {
   const known_state known = known_file_.Load();
   fleet_->NoteDocument(known.document);
@@ -188,7 +204,12 @@
   is_known_changed_ = false;
   const steady_time now = clock_.Now();
   next_known_save_ = now + kKnownSaveInterval;
-  known_file_.Save({fleet_->document(), fleet_->endpoints().Reports(now)});
+  // Without the file a restart only takes longer.
+  const status saved =
+      known_file_.Save({fleet_->document(), fleet_->endpoints().Reports(now)});
+  if (!IsOk(saved)) {
+    LogWarning("control", "known state: " + ErrorOf(saved).detail);
+  }
 }
 
 void control_duty::OnHello(host_link& link, std::string_view payload) {
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -76,6 +76,7 @@
   status Open();
   void OnHello(host_link& link, std::string_view payload);
   void OnJobMembers(std::string_view payload);
+  void PushDocument();
   void PushDirectory();
   void PushToAll(fleet_frame kind, std::string_view payload);
   void Heal(steady_time now);
@@ -92,6 +93,8 @@
   std::unique_ptr<group_host> group_;
   group_healer healer_;
   known_state_file known_file_;
+  bool is_push_scheduled_ = false;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   bool is_known_changed_ = false;
   std::map<endpoint_id, endpoint_stage> saved_stages_;
   steady_time next_known_save_{};
--- a/src/libshallotport/fleet/known_state_file.cc
+++ b/src/libshallotport/fleet/known_state_file.cc
@@ -37,8 +37,14 @@
   if (status written = ValueOf(file)->Append(bytes); !IsOk(written)) {
     return written;
   }
+  if (status synced = ValueOf(file)->Sync(); !IsOk(synced)) {
+    return synced;
+  }
   ValueOf(file).reset();
-  return files_.Rename(fresh, path);
+  if (status renamed = files_.Rename(fresh, path); !IsOk(renamed)) {
+    return renamed;
+  }
+  return files_.SyncFolder(folder_);
 }
 
 known_state known_state_file::Load() const {
--- a/src/libshallotport/fleet/known_state_file.h
+++ b/src/libshallotport/fleet/known_state_file.h
@@ -24,14 +24,15 @@
 };
 
 // Keeps a known_state in a file, so that entry hosts can serve as soon as the
-// processes are back after all of them were killed at once: a new leader and
-// the endpoints' own reports take seconds. The file is a hint and is not
-// synced; the group's log remains the truth about the configuration, and
-// requests name the endpoint that they expect.
+// processes are back after all of them were killed or lost power at once: a new
+// leader and the endpoints' own reports take seconds. The file is a hint: the
+// group's log remains the truth about the configuration, and requests name the
+// endpoint that they expect.
 class known_state_file {
  public:
   known_state_file(file_system& files, std::string folder);
 
+  // Durable when it returns.
   status Save(const known_state& state);
   // Empty when there is no whole file.
   known_state Load() const;
--- a/src/libshallotport/fleet/known_state_file_test.cc
+++ b/src/libshallotport/fleet/known_state_file_test.cc
@@ -31,6 +31,18 @@
   EXPECT_EQ(read.reports[0].slots, 8u);
 }
 
+TEST(known_state_file_test, ASavedStateSurvivesALossOfPower) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    fake_file_system files;
+    random_source random(seed);
+    known_state_file file(files, "data");
+    ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
+    ASSERT_TRUE(IsOk(file.Save(MakeState(2))));
+    files.Crash(random);
+    EXPECT_EQ(file.Load().document.version, 2u) << "seed " << seed;
+  }
+}
+
 TEST(known_state_file_test, ATornFileIsNoFile) {
   fake_file_system files;
   known_state_file file(files, "data");
