--- a/src/libshallotport/entry/placement.cc
+++ b/src/libshallotport/entry/placement.cc
@@ -106,6 +106,13 @@
          static_cast<int>(std::lround(LoadOf(now, found->second)));
 }
 
+duration placement::LoadAge(steady_time now,
+                            const endpoint_id& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found == endpoints_.end() ? duration(0)
+                                   : now - found->second.others_at;
+}
+
 bool placement::HasRoom(steady_time now, uint32_t reserve) const {
   return std::any_of(
       endpoints_.begin(), endpoints_.end(), [&](const auto& each) {
--- a/src/libshallotport/entry/placement.h
+++ b/src/libshallotport/entry/placement.h
@@ -82,6 +82,9 @@
   // requests wait there.
   int FreePlaces(steady_time now, const endpoint_id& endpoint) const;
 
+  // How old the knowledge of others' requests at an endpoint is.
+  duration LoadAge(steady_time now, const endpoint_id& endpoint) const;
+
   // True when some endpoint has more than `reserve` places free.
   bool HasRoom(steady_time now, uint32_t reserve) const;
 
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -23,6 +23,26 @@
 // In the middle of a stream events come every few tens of milliseconds.
 constexpr std::chrono::milliseconds kSilentMidStream{800};
 
+// Words of the log lines.
+std::string_view NameOf(placement_end how) {
+  constexpr std::string_view kNames[] = {"answered", "shed",   "refused",
+                                         "silent",   "broken", "other_endpoint",
+                                         "given_up"};
+  return kNames[static_cast<size_t>(how)];
+}
+
+std::string_view NameOf(try_outcome outcome) {
+  constexpr std::string_view kNames[] = {"not_run", "failed_there",
+                                         "may_have_run"};
+  return kNames[static_cast<size_t>(outcome)];
+}
+
+std::string_view NameOf(next_step next) {
+  constexpr std::string_view kNames[] = {"try_again", "resume",  "refuse",
+                                         "fail",      "pass_on", "break_off"};
+  return kNames[static_cast<size_t>(next)];
+}
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -300,7 +320,21 @@
   state.tries = tries_;
   state.has_begun = has_begun_;
   state.is_time_left = now + kLeastTime < due_;
-  switch (DecideNext(state, outcome)) {
+  const next_step next = DecideNext(state, outcome);
+  const auto load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      duty_.placement_.LoadAge(now, endpoint));
+  duty_.log_.Request("try_failed", {{"request", request_.id.text()},
+                                    {"route", route_.name},
+                                    {"endpoint", endpoint.text()},
+                                    {"domain", domain.text()},
+                                    {"end", NameOf(how)},
+                                    {"outcome", NameOf(outcome)},
+                                    {"status", int64_t{head_.status}},
+                                    {"next", NameOf(next)},
+                                    {"runs", int64_t{runs_}},
+                                    {"max_runs", int64_t{route_.max_runs}},
+                                    {"load_age_ms", load_age.count()}});
+  switch (next) {
     case next_step::kTryAgain:
       Try();
       return;
--- a/src/libshallotport/eventio/host_link.cc
+++ b/src/libshallotport/eventio/host_link.cc
@@ -15,7 +15,9 @@
 namespace ip = boost::asio::ip;
 using error_code = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kConnectTimeout{600};
+// Many round trips within a region: a host that is just starting is dialed
+// again soon.
+constexpr std::chrono::milliseconds kConnectTimeout{250};
 constexpr std::chrono::milliseconds kPingInterval{400};
 // Three lost pings: a link that went silent is replaced well within the three
 // seconds in which a host still counts as connected.
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -11,7 +11,7 @@
 
 using error_code = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kRedialInterval{150};
+constexpr std::chrono::milliseconds kRedialInterval{100};
 
 // A call is its number (8 bytes), its method (1 byte) and its body.
 constexpr size_t kNumberBytes = sizeof(uint64_t);
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -245,6 +245,16 @@
   command.kind = job_command_kind::kSubmit;
   command.submission = std::move(ValueOf(decoded));
   command.job = command.submission.job;
+  const job_submission& job = command.submission;
+  log_.Request("job_submitted",
+               {{"job", job.job.text()},
+                {"route", job.route},
+                {"items", static_cast<int64_t>(job.items.size())},
+                {"waiting_tokens",
+                 static_cast<int64_t>(board_.WaitingTokens(job.route))},
+                {"limit", static_cast<int64_t>(job.waiting_tokens_limit)},
+                {"known", int64_t{board_.Find(job.job) != nullptr ? 1 : 0}},
+                {"term", static_cast<int64_t>(group_->term())}});
   ProposeFor(command, reply);
 }
 
@@ -265,7 +275,19 @@
                                 const std::function<void(std::string)>& reply) {
   group_->Propose(
       EncodeJobCommand(command),
-      [this, reply](const result<std::string>& outcome) {
+      [this, reply, kind = command.kind,
+       job = command.job](const result<std::string>& outcome) {
+        const auto answer = IsOk(outcome)
+                                ? Decode<job_answer>(ValueOf(outcome))
+                                : result<job_answer>(ErrorOf(outcome));
+        const bool is_done =
+            IsOk(answer) && ValueOf(answer).kind == job_answer_kind::kDone;
+        log_.Request(
+            kind == job_command_kind::kSubmit ? "job_answered" : "job_ended",
+            {{"job", job.text()},
+             {"outcome", is_done        ? std::string("committed")
+                         : IsOk(answer) ? std::string("refused")
+                                        : ErrorOf(outcome).detail}});
         if (IsOk(outcome)) {
           reply(ValueOf(outcome));
           return;
