jobstore: tests of the item runner

Cause: two faults of this week (an item that hung on a silent endpoint; a result that was committed while the item ran again ended the process) had no test of their own. Change: a runner over a scripted endpoint with commands that are held back: silence, making way, late commits, lost proposals, dead items, and the order after an outage.

--- /dev/null
+++ b/src/libshallotport/jobstore/item_runner_test.cc
@@ -0,0 +1,279 @@
+#include "jobstore/item_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/codec.h"
+#include "eventio/boot_clock.h"
+#include "eventio/loopback_test_util.h"
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+using commit_outcome = item_runner::commit_outcome;
+
+// A runner over one scripted endpoint. Commands are applied at once, or held
+// back until the test commits or loses them.
+class item_runner_test : public testing::Test {
+ protected:
+  using script = std::function<void(raw_connection& connection,
+                                    const std::string& id,
+                                    const std::string& request)>;
+
+  item_runner_test()
+      : endpoint_(
+            loop_,
+            [this](raw_connection& connection, const std::string& request) {
+              const size_t at = request.find("X-Id: ") + 6;
+              const std::string id =
+                  request.substr(at, request.find('\r', at) - at);
+              order_.push_back(id);
+              answer_(connection, id, request);
+            }),
+        places_({domain_id("a"), 0, 1}),
+        log_(clock_, "test"),
+        runner_(loop_,
+                clock_,
+                Options(),
+                board_,
+                places_,
+                log_,
+                [this](const job_command& command, auto done) {
+                  if (holds_commands_) {
+                    held_.emplace_back(command, std::move(done));
+                  } else {
+                    Commit(command, done);
+                  }
+                }) {
+    endpoint_report report;
+    report.endpoint = endpoint_id("e");
+    report.service = service_id("svc");
+    report.ip = "127.0.0.1";
+    report.port = endpoint_.port();
+    report.slots = 3;
+    report.born_ms = 1;
+    places_.Update(report);
+    board_.on_changed = [this](const job_id& job) {
+      runner_.OnJobChanged(job);
+    };
+    route_configuration configuration;
+    route on;
+    on.name = "r";
+    on.host = "h";
+    on.prefix = "/";
+    on.kind = request_kind::kBatch;
+    on.services = {{service_id("svc"), 1}};
+    configuration.routes = {on};
+    routes_ = route_table(configuration);
+    runner_.SetLeading(true);
+  }
+
+  static item_runner::options Options() {
+    item_runner::options options;
+    options.wire.request_id = "X-Id";
+    options.wire.endpoint_proof = "X-Proof";
+    options.wire.expected_endpoint = "X-Expected";
+    options.wire.not_run = "X-Not-Run";
+    options.wire.resume_after = "X-After";
+    options.silence_timeout = milliseconds(120);
+    return options;
+  }
+
+  void Commit(const job_command& command,
+              const std::function<void(commit_outcome)>& done) {
+    apply_context context;
+    context.index = ++index_;
+    context.leader_time = clock_.WallNow();
+    const auto answer =
+        Decode<job_answer>(board_.Apply(context, EncodeJobCommand(command)));
+    done(ValueOf(answer).kind == job_answer_kind::kConflict
+             ? commit_outcome::kRefused
+             : commit_outcome::kCommitted);
+  }
+
+  void Submit(const std::string& id, int items, uint32_t objective_ms) {
+    job_command command;
+    command.kind = job_command_kind::kSubmit;
+    command.submission.job = job_id(id);
+    command.job = command.submission.job;
+    command.submission.host = "h";
+    command.submission.objective_ms = objective_ms;
+    command.submission.max_runs = 2;
+    for (int i = 0; i < items; ++i) {
+      job_item item;
+      item.id = id + "-" + std::to_string(i);
+      item.path = "/p";
+      command.submission.items.push_back(std::move(item));
+    }
+    Commit(command, [](commit_outcome) {});
+  }
+
+  bool RunUntilDone(const std::function<bool()>& is_done) {
+    return RunUntil(loop_, [&] {
+      runner_.Tick(clock_.Now(), &routes_);
+      return is_done();
+    });
+  }
+  size_t Listed(const std::string& id) {
+    return board_.Read(job_id(id), 0).results.size();
+  }
+
+  static std::string Whole(const std::string& id, const std::string& events) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nX-Proof: p\r\nContent-Length: " +
+           std::to_string(events.size()) + "\r\n\r\n" + events;
+  }
+  static std::string Begun(const std::string& id, const std::string& events) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nX-Proof: p\r\nContent-Length: 999\r\n\r\n" + events;
+  }
+
+  boost::asio::io_context loop_;
+  boot_clock_source clock_;
+  script answer_;
+  std::vector<std::string> order_;
+  scripted_endpoint endpoint_;
+  job_board board_;
+  placement places_;
+  decision_log log_;
+  bool holds_commands_ = false;
+  std::deque<std::pair<job_command, std::function<void(commit_outcome)>>> held_;
+  log_index index_ = 0;
+  std::shared_ptr<raw_connection> second_;  // Of a second run.
+  route_table routes_;
+  item_runner runner_;
+};
+
+constexpr const char* kFirst = "id: 1\ndata: a\n\n";
+constexpr const char* kSecond = "id: 2\ndata: b\n\n";
+
+TEST_F(item_runner_test, ASilentRunGoesOnAfterItsLastEvent) {
+  answer_ = [](raw_connection& connection, const std::string& id,
+               const std::string& request) {
+    const bool is_resumed = request.find("X-After: 1\r\n") != std::string::npos;
+    connection.Write(is_resumed ? Whole(id, kSecond) : Begun(id, kFirst));
+  };
+  Submit("j", 1, 10'000);
+  EXPECT_TRUE(RunUntilDone([&] { return Listed("j") == 1; }));
+  EXPECT_EQ(board_.Read(job_id("j"), 0).results[0].text.text(), "a\nb");
+  EXPECT_EQ(order_.size(), 2u);
+  EXPECT_EQ(runner_.totals().silent, 1u);
+}
+
+TEST_F(item_runner_test, RunsMakeWayForOnlineRequestsAndGoOn) {
+  answer_ = [](raw_connection& connection, const std::string& id,
+               const std::string& request) {
+    const bool is_resumed = request.find("X-After: 1\r\n") != std::string::npos;
+    connection.Write(is_resumed ? Whole(id, kSecond) : Begun(id, kFirst));
+  };
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return order_.size() == 1; }));
+  RunUntil(
+      loop_, [] { return false; }, milliseconds(30));  // Its event.
+  places_.SetOthers(clock_.Now(), endpoint_id("e"), 3);
+  EXPECT_TRUE(RunUntilDone([&] { return runner_.totals().cut == 1; }));
+  EXPECT_EQ(runner_.running_count(), 0u);
+  EXPECT_TRUE(RunUntilDone([&] { return Listed("j") == 1; }));
+  EXPECT_EQ(board_.Read(job_id("j"), 0).results[0].text.text(), "a\nb");
+}
+
+// The second run is cut when the result of the first, proposed before a lapse
+// of the lease, is committed.
+TEST_F(item_runner_test, AResultThatIsCommittedLateEndsASecondRun) {
+  answer_ = [this](raw_connection& connection, const std::string& id,
+                   const std::string&) {
+    if (order_.size() == 1) {
+      connection.Write(Whole(id, kFirst));
+      return;
+    }
+    connection.Write(Begun(id, kFirst));
+    second_ = connection.shared_from_this();
+  };
+  holds_commands_ = true;
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return held_.size() == 1; }));
+  runner_.SetLeading(false);
+  runner_.SetLeading(true);
+  ASSERT_TRUE(RunUntilDone([&] { return second_ != nullptr; }));
+  Commit(held_[0].first, held_[0].second);
+  second_->Write(kSecond);
+  RunUntilDone([&] { return second_->is_ended; });
+  EXPECT_EQ(Listed("j"), 1u);
+  EXPECT_EQ(runner_.running_count(), 0u);
+}
+
+TEST_F(item_runner_test, ALostProposalIsForgottenWithItsRun) {
+  answer_ = [](raw_connection& connection, const std::string& id,
+               const std::string&) { connection.Write(Whole(id, kFirst)); };
+  holds_commands_ = true;
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return held_.size() == 1; }));
+  held_[0].second(commit_outcome::kUnknown);
+  holds_commands_ = false;
+  EXPECT_TRUE(RunUntilDone([&] { return Listed("j") == 1; }));
+  EXPECT_EQ(board_.Read(job_id("j"), 0).results[0].text.text(), "a");
+}
+
+struct failure_case {
+  std::string name;
+  std::string answer;
+  size_t runs;  // Before the item is listed as dead; 0: it is not.
+};
+
+class failed_items : public item_runner_test,
+                     public testing::WithParamInterface<failure_case> {};
+
+TEST_P(failed_items, AreDeadOnlyWhenTheRulesSay) {
+  answer_ = [](raw_connection& connection, const std::string&,
+               const std::string&) {
+    connection.Write("HTTP/1.1 " + GetParam().answer +
+                     "\r\nContent-Length: 0\r\n\r\n");
+  };
+  Submit("j", 1, 10'000);
+  const bool is_dead = GetParam().runs > 0;
+  if (is_dead) {
+    EXPECT_TRUE(RunUntilDone([&] { return Listed("j") == 1; }));
+    EXPECT_FALSE(board_.Read(job_id("j"), 0).results[0].is_completed);
+    EXPECT_EQ(order_.size(), GetParam().runs);
+  } else {
+    EXPECT_TRUE(RunUntilDone([&] { return order_.size() >= 3; }));
+    EXPECT_EQ(Listed("j"), 0u);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    failed_items,
+    testing::Values(failure_case{"can_never_be_done", "422 No", 1},
+                    failure_case{"fails_at_each_run", "500 Oops", 2},
+                    failure_case{"shed", "503 Full\r\nX-Not-Run: 1", 0},
+                    failure_case{"other_endpoint", "429 Later\r\nX-Not-Run: 1",
+                                 0}),
+    [](const auto& info) { return info.param.name; });
+
+// Plays the load after an outage: jobs that can no longer be in time wait with
+// one that can. One place is free for batch work at a time.
+TEST_F(item_runner_test, ItemsThatCanBeInTimeGoBeforeThoseThatCannot) {
+  answer_ = [](raw_connection& connection, const std::string& id,
+               const std::string&) { connection.Write(Whole(id, kFirst)); };
+  places_.SetOthers(clock_.Now() + std::chrono::seconds(5), endpoint_id("e"),
+                    1);
+  Submit("late", 3, 1);
+  Submit("sooner", 2, 30'000);
+  Submit("later", 1, 60'000);
+  EXPECT_TRUE(RunUntilDone([&] { return order_.size() == 6; }));
+  EXPECT_EQ(order_, (std::vector<std::string>{"sooner-0", "sooner-1", "later-0",
+                                              "late-0", "late-1", "late-2"}));
+}
+
+}  // namespace
+
+}  // namespace shallotport
