eventio, entry: listeners pause when descriptors run out

Cause: read in review: a failed accept was tried again at once, which spins while no descriptor is free; standard output was made non-blocking also where it is a terminal that others share. Change: 50 ms between such tries; only pipes and sockets are made non-blocking.

--- a/src/libshallotport/entry/decision_log.cc
+++ b/src/libshallotport/entry/decision_log.cc
@@ -1,6 +1,7 @@
 #include "entry/decision_log.h"
 
 #include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -41,8 +42,12 @@
       host_(std::move(host)),
       refilled_(clock.Now()),
       budget_(kLongestBurst) {
+  // A terminal is shared with others and never blocks for long.
+  struct stat output {};
+  const bool is_pipe = fstat(STDOUT_FILENO, &output) == 0 &&
+                       (S_ISFIFO(output.st_mode) || S_ISSOCK(output.st_mode));
   const int flags = fcntl(STDOUT_FILENO, F_GETFL);
-  if (flags >= 0) {
+  if (is_pipe && flags >= 0) {
     fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   }
 }
--- a/src/libshallotport/eventio/http_listener.cc
+++ b/src/libshallotport/eventio/http_listener.cc
@@ -8,13 +8,20 @@
 
 namespace shallotport {
 
+namespace {
+
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+}  // namespace
+
 http_listener::http_listener(boost::asio::io_context& loop,
                              const clock_source& clock,
                              request_handler on_request)
     : loop_(loop),
       clock_(clock),
       on_request_(std::move(on_request)),
-      acceptor_(loop) {}
+      acceptor_(loop),
+      accept_pause_(loop) {}
 
 http_listener::~http_listener() {
   const auto open = std::exchange(connections_, {});
@@ -59,6 +66,16 @@
       connections_.insert(connection);
       connection->Start();
     }
+    if (failure) {
+      // Out of descriptors, most likely: some are closed in a moment.
+      accept_pause_.expires_after(kAcceptPause);
+      accept_pause_.async_wait([this](boost::system::error_code ended) {
+        if (!ended) {
+          Accept();
+        }
+      });
+      return;
+    }
     Accept();
   });
 }
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_EVENTIO_HTTP_LISTENER_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -98,6 +99,7 @@
   request_handler on_request_;
   listener_limits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_pause_;
   std::set<std::shared_ptr<http_connection>> connections_;
   bool is_draining_ = false;
 };
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -11,6 +11,7 @@
 
 using error_code = boost::system::error_code;
 
+constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr std::chrono::milliseconds kRedialInterval{100};
 
 // A call is its number (8 bytes), its method (1 byte) and its body.
@@ -39,7 +40,8 @@
       clock_(clock),
       own_ip_(std::move(own_ip)),
       port_(port),
-      acceptor_(loop) {}
+      acceptor_(loop),
+      accept_pause_(loop) {}
 
 link_hub::~link_hub() {
   is_closing_ = true;
@@ -88,6 +90,16 @@
           accepted_.insert(link);
           link->StartAccepted();
         }
+        if (failure) {
+          // Out of descriptors, most likely: some are closed in a moment.
+          accept_pause_.expires_after(kAcceptPause);
+          accept_pause_.async_wait([this](boost::system::error_code ended) {
+            if (!ended) {
+              Accept();
+            }
+          });
+          return;
+        }
         Accept();
       });
 }
--- a/src/libshallotport/eventio/link_hub.h
+++ b/src/libshallotport/eventio/link_hub.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_EVENTIO_LINK_HUB_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -99,6 +100,7 @@
   const std::string own_ip_;
   const uint16_t port_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_pause_;
   std::set<std::string> targets_;
   std::map<std::string, std::shared_ptr<host_link>> dialed_;
   std::map<std::string, steady_time> redial_at_;
