--- a/util/consumer.sh
+++ b/util/consumer.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake --preset release >/dev/null
-cmake --build --preset release --target shallotport_deploy shallotport_serving shallotport_membership >/dev/null
+cmake --build --preset release --target shallotport_deploy shallotport_serving shallotport_membership shallotport_entryhost >/dev/null
 prefix=$(mktemp -d /tmp/shallotport-install.XXXXXX)
 trap 'rm -rf "$prefix"' EXIT
 cmake --install build/release --prefix "$prefix" >/dev/null
