eventio: time in which the process stood still is no silence of a link

After a stall of the process longer than the links' limit of 1.3 s, link_hub::Tick closed links before it read what waited in them; a push on such a link was lost until it was dialed again. Ruled out: a late push by the control host (it stood in the socket). Change: ticks further apart than 300 ms excuse the links for the time between; real silence after a stall still closes a link within the limit.

--- a/src/libshallotport/eventio/host_link.cc
+++ b/src/libshallotport/eventio/host_link.cc
@@ -1,5 +1,6 @@
 #include "eventio/host_link.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
@@ -94,6 +95,10 @@
   }
 }
 
+void host_link::ExcuseStall(duration time, steady_time now) {
+  last_heard_ = std::min(last_heard_ + time, now);
+}
+
 void host_link::Send(uint8_t kind, std::string_view payload) {
   if (!is_up()) {
     return;
--- a/src/libshallotport/eventio/host_link.h
+++ b/src/libshallotport/eventio/host_link.h
@@ -29,6 +29,9 @@
   void Close();
   void Detach();
   void Tick(steady_time now);
+  // This process did not run for `time` until now: the other side was not
+  // silent.
+  void ExcuseStall(duration time, steady_time now);
 
   const std::string& ip() const { return ip_; }
   bool is_dialed() const { return is_dialed_; }
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -13,6 +13,9 @@
 
 constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr std::chrono::milliseconds kRedialInterval{100};
+// Ticks that are further apart than three of their usual intervals: the process
+// stood still, and what arrived meanwhile has not been read.
+constexpr std::chrono::milliseconds kStall{300};
 
 // A call is its number (8 bytes), its method (1 byte) and its body.
 constexpr size_t kNumberBytes = sizeof(uint64_t);
@@ -41,7 +44,8 @@
       own_ip_(std::move(own_ip)),
       port_(port),
       acceptor_(loop),
-      accept_pause_(loop) {}
+      accept_pause_(loop),
+      last_tick_(clock.Now()) {}
 
 link_hub::~link_hub() {
   is_closing_ = true;
@@ -256,9 +260,14 @@
   for (const auto& [ip, link] : dialed_) {
     links.push_back(link);
   }
+  const duration since_tick = now - last_tick_;
   for (const auto& link : links) {
+    if (since_tick > kStall) {
+      link->ExcuseStall(since_tick, now);
+    }
     link->Tick(now);
   }
+  last_tick_ = now;
   SetTargets(std::set<std::string>(targets_));
   std::vector<reply_function> late;
   for (auto at = calls_.begin(); at != calls_.end();) {
--- a/src/libshallotport/eventio/link_hub.h
+++ b/src/libshallotport/eventio/link_hub.h
@@ -31,7 +31,8 @@
 
 // The TCP links between this host and others of ours. A host dials those that
 // it wants something from; answers and subscriptions come back on the same
-// link. Links are pinged, and one that stays silent is dialed anew.
+// link. Links are pinged, and one that stays silent is dialed anew; time in
+// which this process itself stood still does not count as silence.
 class link_hub {
  public:
   using frame_handler = std::function<
@@ -107,6 +108,7 @@
   std::set<std::shared_ptr<host_link>> accepted_;
   std::map<uint64_t, pending_call> calls_;
   uint64_t next_call_ = 1;
+  steady_time last_tick_{};
   bool is_closing_ = false;
 };
 
--- /dev/null
+++ b/src/libshallotport/eventio/link_hub_test.cc
@@ -0,0 +1,127 @@
+#include "eventio/link_hub.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "eventio/host_link.h"
+#include "eventio/loopback_test_util.h"
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint16_t kPort = 28741;
+constexpr uint8_t kNews = static_cast<uint8_t>(link_frame::kFirstDutyFrame);
+constexpr milliseconds kTick{100};
+
+// A clock that stands still until the test moves it.
+class set_clock final : public clock_source {
+ public:
+  steady_time Now() const override { return now_; }
+  wall_milliseconds WallNow() const override { return 0; }
+  void Advance(duration by) { now_ += by; }
+
+ private:
+  steady_time now_{std::chrono::hours(1)};
+};
+
+// What happens between a push to the subscriber and the subscriber's next tick.
+struct stall_case {
+  std::string name;
+  // Time that passes with no tick of the subscriber.
+  milliseconds stall{0};
+  // Ticks at the usual interval afterwards, with nothing arriving.
+  int silent_ticks = 0;
+  bool keeps_link = true;
+};
+
+std::ostream& operator<<(std::ostream& out, const stall_case& each) {
+  return out << each.name;
+}
+
+class link_hub_test : public testing::TestWithParam<stall_case> {
+ protected:
+  void SetUp() override {
+    subscriber_ = std::make_unique<link_hub>(loop_, clock_, "127.0.2.1", kPort);
+    // A loop of its own: it runs on while the subscriber stalls.
+    publisher_ = std::make_unique<link_hub>(other_loop_, other_clock_,
+                                            "127.0.2.2", kPort);
+    subscriber_->on_frame = [this](host_link&, uint8_t kind,
+                                   std::string_view payload) {
+      if (kind == kNews) {
+        received_.emplace_back(payload);
+      }
+    };
+    subscriber_->on_link_down = [this](host_link&) { ++downs_; };
+    ASSERT_TRUE(IsOk(publisher_->Listen()));
+    subscriber_->SetTargets({"127.0.2.2"});
+    ASSERT_TRUE(RunBothUntil([this] {
+      return subscriber_->IsUp("127.0.2.2") && !publisher_->accepted().empty();
+    }));
+    subscriber_->Tick(clock_.Now());
+  }
+
+  bool RunBothUntil(const std::function<bool()>& is_done) {
+    const auto end = std::chrono::steady_clock::now() + milliseconds(3'000);
+    while (!is_done() && std::chrono::steady_clock::now() < end) {
+      for (auto* loop : {&loop_, &other_loop_}) {
+        loop->restart();
+        loop->run_for(milliseconds(2));
+      }
+    }
+    return is_done();
+  }
+
+  void Push(const std::string& news) {
+    (*publisher_->accepted().begin())->Send(kNews, news);
+    other_loop_.restart();
+    other_loop_.run_for(milliseconds(10));
+  }
+
+  boost::asio::io_context loop_;
+  boost::asio::io_context other_loop_;
+  set_clock clock_;
+  set_clock other_clock_;
+  std::unique_ptr<link_hub> subscriber_;
+  std::unique_ptr<link_hub> publisher_;
+  std::vector<std::string> received_;
+  int downs_ = 0;
+};
+
+TEST_P(link_hub_test, SilenceCountsOnlyWhileTheProcessRuns) {
+  Push("leave");
+  clock_.Advance(GetParam().stall);
+  subscriber_->Tick(clock_.Now());
+  for (int tick = 0; tick < GetParam().silent_ticks; ++tick) {
+    clock_.Advance(kTick);
+    subscriber_->Tick(clock_.Now());
+  }
+  EXPECT_EQ(downs_, GetParam().keeps_link ? 0 : 1);
+  if (GetParam().keeps_link) {
+    EXPECT_TRUE(RunBothUntil([this] { return !received_.empty(); }));
+    EXPECT_EQ(received_, std::vector<std::string>{"leave"});
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    stalls,
+    link_hub_test,
+    testing::Values(
+        stall_case{"no_stall"},
+        stall_case{"stalled_past_the_limit", milliseconds(3'100)},
+        stall_case{"stalled_for_a_minute", milliseconds(60'000)},
+        stall_case{"silent_after_a_stall", milliseconds(3'100), 14, false},
+        stall_case{"silent_without_a_stall", milliseconds(0), 14, false}),
+    [](const auto& each) { return each.param.name; });
+
+}  // namespace
+
+}  // namespace shallotport
