--- a/util/fuzz.sh
+++ b/util/fuzz.sh
@@ -12,7 +12,7 @@
 limits=(-runs=20000 -seed=1)
 [ "${1:---brief}" = --brief ] || limits=(-max_total_time="$1")
 for target in "${targets[@]}"; do
-  program=$(find build/fuzz/src -type f -name "$target" -perm -u+x | head -n 1)
+  program=$(find build/fuzz/src build/fuzz/platform -type f -name "$target" -perm -u+x | head -n 1)
   kept=build/fuzz/corpus/$target
   mkdir -p "$kept"
   echo "-- $target"
