shallotportd: roles of a fleet and both settings formats on one command line

Ruled out: linking the roles into shallotportd: deploy/system.toml would build ulfius and all slices of the daemon for a program that uses neither. Change: `shallotportd entry|control|store` becomes shallotport-fleet, which is installed beside it; `--check` takes settings of both formats; shallotport-fleet takes `--settings FILE` and `--link-bind IP`, which accepts and dials links between hosts at another address than the announced one.

--- a/src/libshallotport/eventio/host_link.cc
+++ b/src/libshallotport/eventio/host_link.cc
@@ -45,10 +45,16 @@
   OnConnected();
 }
 
-void host_link::Dial(uint16_t port) {
+void host_link::Dial(uint16_t port, const std::string& source_ip) {
   since_ = hub_->clock_.Now();
   error_code failure;
   const ip::address address = ip::make_address(ip_, failure);
+  if (!failure && !source_ip.empty()) {
+    socket_.open(ip::tcp::v4(), failure);
+    if (!failure) {
+      socket_.bind({ip::make_address(source_ip, failure), 0}, failure);
+    }
+  }
   if (failure) {
     Close();
     return;
--- a/src/libshallotport/eventio/host_link.h
+++ b/src/libshallotport/eventio/host_link.h
@@ -22,7 +22,8 @@
   host_link(link_hub& hub, std::string ip);
 
   void StartAccepted();
-  void Dial(uint16_t port);
+  // From the address `source_ip`; empty: the system picks one.
+  void Dial(uint16_t port, const std::string& source_ip);
   // Dropped when the link is not up; ends the link when the other side takes
   // nothing for so long that its queue is full.
   void Send(uint8_t kind, std::string_view payload);
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -38,11 +38,13 @@
 link_hub::link_hub(boost::asio::io_context& loop,
                    const clock_source& clock,
                    std::string own_ip,
-                   uint16_t port)
+                   uint16_t port,
+                   std::string bind_ip)
     : loop_(loop),
       clock_(clock),
       own_ip_(std::move(own_ip)),
       port_(port),
+      bind_ip_(std::move(bind_ip)),
       acceptor_(loop),
       accept_pause_(loop),
       last_tick_(clock.Now()) {}
@@ -62,7 +64,8 @@
 status link_hub::Listen() {
   namespace ip = boost::asio::ip;
   error_code failure;
-  const ip::tcp::endpoint at(ip::make_address(own_ip_, failure), port_);
+  const std::string& listen_ip = bind_ip_.empty() ? own_ip_ : bind_ip_;
+  const ip::tcp::endpoint at(ip::make_address(listen_ip, failure), port_);
   if (!failure) {
     acceptor_.open(at.protocol(), failure);
   }
@@ -75,7 +78,7 @@
   }
   if (failure) {
     return MakeError(error_kind::kInternal,
-                     "cannot listen for hosts on " + own_ip_ + ":" +
+                     "cannot listen for hosts on " + listen_ip + ":" +
                          std::to_string(port_) + ": " + failure.message());
   }
   Accept();
@@ -134,7 +137,7 @@
   redial_at_[ip] = clock_.Now() + kRedialInterval;
   auto link = std::make_shared<host_link>(*this, ip);
   dialed_[ip] = link;
-  link->Dial(port_);
+  link->Dial(port_, bind_ip_);
 }
 
 void link_hub::Send(const std::string& ip,
--- a/src/libshallotport/eventio/link_hub.h
+++ b/src/libshallotport/eventio/link_hub.h
@@ -45,10 +45,13 @@
                          std::string_view body,
                          std::function<void(std::string)> reply)>;
 
+  // Other hosts reach this one at `own_ip`. Links are accepted on `bind_ip` and
+  // dialed from there, where that is another address; empty: `own_ip`.
   link_hub(boost::asio::io_context& loop,
            const clock_source& clock,
            std::string own_ip,
-           uint16_t port);
+           uint16_t port,
+           std::string bind_ip = {});
   ~link_hub();
 
   status Listen();
@@ -100,6 +103,7 @@
   const clock_source& clock_;
   const std::string own_ip_;
   const uint16_t port_;
+  const std::string bind_ip_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_pause_;
   std::set<std::string> targets_;
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -28,7 +28,11 @@
     : clock_(clock),
       options_(std::move(options)),
       links_to_stores_(links_to_stores),
-      hub_(loop, clock, options_.self.host.text(), options_.port) {
+      hub_(loop,
+           clock,
+           options_.self.host.text(),
+           options_.port,
+           options_.link_bind_ip) {
   hub_.on_frame = [this](host_link& link, uint8_t kind,
                          std::string_view payload) {
     OnFrame(link, kind, payload);
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -22,6 +22,9 @@
   host_announcement self;
   uint16_t port = 0;                  // Between hosts; the same on all.
   std::vector<std::string> seed_ips;  // Some of the control hosts.
+  // Where links between hosts are accepted and dialed from, when that is not
+  // the address under which the others know this host; empty: it is.
+  std::string link_bind_ip;
 };
 
 // This host's part in the fleet: it joins through the seeds, keeps a link to
--- a/src/shallotportd/main.cc
+++ b/src/shallotportd/main.cc
@@ -2,11 +2,16 @@
 
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
+#include <span>
+#include <sstream>
 #include <string>
+#include <vector>
 
 #include "base/log.h"
 #include "daemon.h"
+#include "fleet_program.h"
 #include "settings/host_settings.h"
 
 namespace {
@@ -18,9 +23,13 @@
 constexpr const char* kUsage =
     "usage: shallotportd --settings FILE\n"
     "       shallotportd --check FILE\n"
+    "       shallotportd entry|control|store [OPTION]...\n"
     "\n"
     "  --settings FILE  run a host with these settings until SIGTERM\n"
-    "  --check FILE     check the settings and exit: 0 good, 1 bad\n"
+    "  --check FILE     check the settings and exit: 0 good, another bad;\n"
+    "                   also settings of a fleet, lines KEY=VALUE\n"
+    "  entry, control, store  run this role of a fleet; its options:\n"
+    "                   shallotportd entry --help\n"
     "  --help           this text\n"
     "  --version        the version\n";
 
@@ -63,6 +72,19 @@
   return parsed;
 }
 
+int HandOver(std::span<const std::string> words) {
+  const shallotport::error failure = shallotport::RunFleetProgram(words);
+  std::cerr << "shallotportd: " << failure.detail << "\n";
+  return kExitFailed;
+}
+
+bool IsFleetSettingsFile(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return shallotport::HasFleetSettingsFormat(text.str());
+}
+
 int RunUntilSignal(const shallotport::host_settings& settings) {
   // Blocked before any thread starts, so that only sigwait() sees them.
   sigset_t signals;
@@ -93,6 +115,12 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (argc > 1 && shallotport::IsFleetRole(argv[1])) {
+    // The role goes last there.
+    std::vector<std::string> words(argv + 2, argv + argc);
+    words.emplace_back(argv[1]);
+    return HandOver(words);
+  }
   const command_line parsed = ParseCommandLine(argc, argv);
   if (parsed.is_bad) {
     std::cerr << kUsage;
@@ -106,6 +134,10 @@
     std::cout << "shallotportd 0.1.0\n";
     return kExitOk;
   }
+  if (parsed.is_check_only && IsFleetSettingsFile(parsed.settings_path)) {
+    return HandOver(std::vector<std::string>{"--settings", parsed.settings_path,
+                                             "--check", "entry"});
+  }
   const auto settings = shallotport::LoadHostSettings(parsed.settings_path);
   if (!shallotport::IsOk(settings)) {
     std::cerr << shallotport::ErrorOf(settings).detail << "\n";
