--- a/src/libshallotport/eventio/http_listener.cc
+++ b/src/libshallotport/eventio/http_listener.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "eventio/http_connection.h"
+#include "eventio/socket_options.h"
 
 namespace shallotport {
 
@@ -31,23 +32,8 @@
 }
 
 status http_listener::Listen(const std::string& address, uint16_t port) {
-  namespace ip = boost::asio::ip;
-  boost::system::error_code failure;
-  const ip::tcp::endpoint at(ip::make_address(address, failure), port);
-  if (!failure) {
-    acceptor_.open(at.protocol(), failure);
-  }
-  if (!failure) {
-    acceptor_.set_option(ip::tcp::acceptor::reuse_address(true), failure);
-    acceptor_.bind(at, failure);
-  }
-  if (!failure) {
-    acceptor_.listen(1024, failure);
-  }
-  if (failure) {
-    return MakeError(error_kind::kInternal, "cannot listen on " + address +
-                                                ":" + std::to_string(port) +
-                                                ": " + failure.message());
+  if (status opened = OpenAcceptor(acceptor_, address, port); !IsOk(opened)) {
+    return opened;
   }
   Accept();
   return success{};
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "eventio/host_link.h"
+#include "eventio/socket_options.h"
 
 namespace shallotport {
 
@@ -62,24 +63,9 @@
 }
 
 status link_hub::Listen() {
-  namespace ip = boost::asio::ip;
-  error_code failure;
-  const std::string& listen_ip = bind_ip_.empty() ? own_ip_ : bind_ip_;
-  const ip::tcp::endpoint at(ip::make_address(listen_ip, failure), port_);
-  if (!failure) {
-    acceptor_.open(at.protocol(), failure);
-  }
-  if (!failure) {
-    acceptor_.set_option(ip::tcp::acceptor::reuse_address(true), failure);
-    acceptor_.bind(at, failure);
-  }
-  if (!failure) {
-    acceptor_.listen(256, failure);
-  }
-  if (failure) {
-    return MakeError(error_kind::kInternal,
-                     "cannot listen for hosts on " + listen_ip + ":" +
-                         std::to_string(port_) + ": " + failure.message());
+  const std::string& ip = bind_ip_.empty() ? own_ip_ : bind_ip_;
+  if (status opened = OpenAcceptor(acceptor_, ip, port_); !IsOk(opened)) {
+    return opened;
   }
   Accept();
   return success{};
--- a/src/libshallotport/eventio/socket_options.cc
+++ b/src/libshallotport/eventio/socket_options.cc
@@ -3,6 +3,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/ip/address.hpp>
+
 namespace shallotport {
 
 namespace {
@@ -14,6 +16,8 @@
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
+// Connections of a burst that wait to be accepted.
+constexpr int kBacklog = 1'024;
 
 }  // namespace
 
@@ -34,4 +38,28 @@
              sizeof(kKeepAliveProbes));
 }
 
+status OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                    const std::string& ip,
+                    uint16_t port) {
+  using boost::asio::ip::tcp;
+  boost::system::error_code failure;
+  const tcp::endpoint at(boost::asio::ip::make_address(ip, failure), port);
+  if (!failure) {
+    acceptor.open(at.protocol(), failure);
+  }
+  if (!failure) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    acceptor.bind(at, failure);
+  }
+  if (!failure) {
+    acceptor.listen(kBacklog, failure);
+  }
+  if (failure) {
+    return MakeError(error_kind::kInternal, "cannot listen on " + ip + ":" +
+                                                std::to_string(port) + ": " +
+                                                failure.message());
+  }
+  return success{};
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/eventio/socket_options.h
+++ b/src/libshallotport/eventio/socket_options.h
@@ -2,6 +2,10 @@
 #define SHALLOTPORT_EVENTIO_SOCKET_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+
+#include "base/result.h"
 
 namespace shallotport {
 
@@ -9,6 +13,12 @@
 // acknowledges anything.
 void SetStreamOptions(boost::asio::ip::tcp::socket& socket);
 
+// Opens `acceptor` and listens at an address, which may have been in use a
+// moment ago. The error names the address.
+status OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                    const std::string& ip,
+                    uint16_t port);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_EVENTIO_SOCKET_OPTIONS_H_
--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -52,27 +52,16 @@
 }
 
 replica_options GroupOptions(const control_options& options) {
-  replica_options group;
-  group.group = kControlGroup;
-  group.host = options.fleet.self.host;
-  group.folder = options.data_folder + "/control";
+  // The seeds of the first start are the same on all hosts.
+  const std::vector<host_id> founders(options.fleet.seed_ips.begin(),
+                                      options.fleet.seed_ips.end());
+  replica_options group =
+      MakeGroupOptions(kControlGroup, options.fleet.self,
+                       options.data_folder + "/control", founders);
   group.snapshot_after_bytes = kSnapshotAfterBytes;
   group.snapshot_after_entries = kSnapshotAfterEntries;
   group.trailing_entries = kTrailingEntries;
   group.segment_bytes = kSegmentBytes;
-  group.heartbeat = kGroupHeartbeat;
-  group.election = kGroupElection;
-  group.lease = kGroupLease;
-  // The seeds of the first start are the same on all hosts.
-  const auto& seeds = options.fleet.seed_ips;
-  const bool is_founder =
-      options.fleet.self.is_first_start &&
-      std::find(seeds.begin(), seeds.end(), group.host.text()) != seeds.end();
-  if (is_founder) {
-    for (const std::string& ip : seeds) {
-      group.initial_members.emplace_back(ip);
-    }
-  }
   return group;
 }
 
--- a/src/libshallotport/fleet/group_host.cc
+++ b/src/libshallotport/fleet/group_host.cc
@@ -14,6 +14,12 @@
 
 // Bounds the wait between two looks at a stop or a snapshot under way.
 constexpr std::chrono::milliseconds kLongestWait{200};
+// Times of a group within a region, where a round trip takes a few
+// milliseconds: a lost leader is replaced within about a second, and two lost
+// packets in a row do not depose one.
+constexpr std::chrono::milliseconds kHeartbeat{110};
+constexpr std::chrono::milliseconds kLease{330};
+constexpr std::chrono::milliseconds kElection{480};
 
 }  // namespace
 
@@ -29,6 +35,26 @@
   }
 }
 
+replica_options MakeGroupOptions(uint32_t group,
+                                 const host_announcement& self,
+                                 std::string folder,
+                                 const std::vector<host_id>& founders) {
+  replica_options options;
+  options.group = group;
+  options.host = self.host;
+  options.folder = std::move(folder);
+  options.heartbeat = kHeartbeat;
+  options.election = kElection;
+  options.lease = kLease;
+  const bool is_founder =
+      self.is_first_start &&
+      std::find(founders.begin(), founders.end(), self.host) != founders.end();
+  if (is_founder) {
+    options.initial_members = founders;
+  }
+  return options;
+}
+
 result<std::unique_ptr<group_host>> group_host::Open(
     boost::asio::io_context& loop,
     const clock_source& clock,
--- a/src/libshallotport/fleet/group_host.h
+++ b/src/libshallotport/fleet/group_host.h
@@ -13,17 +13,19 @@
 #include "consensus/consensus_core.h"
 #include "consensus/replica.h"
 #include "consensus/replicated_state.h"
+#include "fleet/fleet_messages.h"
 
 namespace shallotport {
 
 class replica_driver;
 
-// Times of a group within a region, where a round trip takes a few
-// milliseconds: a lost leader is replaced within about a second, and two lost
-// packets in a row do not depose one.
-inline constexpr std::chrono::milliseconds kGroupHeartbeat{110};
-inline constexpr std::chrono::milliseconds kGroupLease{330};
-inline constexpr std::chrono::milliseconds kGroupElection{480};
+// The options that all groups of the fleet share: who this member is, its
+// folder, the times, and, on the first start of a founder, the first members.
+// Sizes are left to the caller.
+replica_options MakeGroupOptions(uint32_t group,
+                                 const host_announcement& self,
+                                 std::string folder,
+                                 const std::vector<host_id>& founders);
 
 // One member of a consensus group that runs on an event loop's thread. Events
 // of one turn share a sync. Syncs block the loop: a host whose disk stalls
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -27,25 +27,14 @@
 
 replica_options GroupOptions(const job_store_options& options,
                              const std::vector<host_id>& founders) {
-  replica_options group;
-  group.group = kJobGroup;
-  group.host = options.fleet.self.host;
-  group.folder = options.data_folder + "/jobs";
+  replica_options group = MakeGroupOptions(
+      kJobGroup, options.fleet.self, options.data_folder + "/jobs", founders);
   group.snapshot_after_bytes = kSnapshotAfterBytes;
   group.snapshot_after_entries = kSnapshotAfterEntries;
   group.trailing_entries = kTrailingEntries;
   group.segment_bytes = kSegmentBytes;
   group.log_memory_bytes = kLogMemoryBytes;
   group.flight_bytes = kFlightBytes;
-  group.heartbeat = kGroupHeartbeat;
-  group.election = kGroupElection;
-  group.lease = kGroupLease;
-  const bool is_founder =
-      options.fleet.self.is_first_start &&
-      std::find(founders.begin(), founders.end(), group.host) != founders.end();
-  if (is_founder) {
-    group.initial_members = founders;
-  }
   return group;
 }
 
