fleet: an end that names no start ends every start from before it

An endpoint that was cut off from its start on took its leave with DELETE, which does not say of which start it is; no control host knew the endpoint, so the end was kept with the start 0, and its first report, late by the cut, named a later start: entry hosts used it again 2.1 s after the acknowledged leave. Ruled out: pushes lost on links (all six entry hosts logged the late report as ready), and the stall excuse of the links (no stall logged). Change: such an end carries the time at which it was heard. Reports of starts from before that time are ignored for 15 s after it, when the endpoint is gone and what it sent has arrived; a start from after it counts at once.

--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -341,9 +341,21 @@
   }
 }
 
-const endpoint_directory::entry* control_duty::FindEndpoint(
-    const endpoint_id& id) const {
-  return fleet_->endpoints().Find(id);
+void control_duty::EndEndpoint(const endpoint_id& endpoint, uint64_t born_ms) {
+  endpoint_report end;
+  if (const auto* known = fleet_->endpoints().Find(endpoint)) {
+    end = known->report;
+  }
+  end.endpoint = endpoint;
+  end.stage = endpoint_stage::kGone;
+  end.age_ms = 0;
+  end.left_ms = 0;
+  if (born_ms != 0) {
+    end.born_ms = born_ms;
+  } else {
+    end.left_ms = static_cast<uint64_t>(clock_.WallNow());
+  }
+  ReportEndpoint(end);
 }
 
 void control_duty::Retire(const std::string& host_name, status_reply reply) {
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -53,7 +53,9 @@
   // A report by an endpoint itself; passed on before this returns.
   void ReportEndpoint(const endpoint_report& report);
   // What is known of an endpoint; null: nothing.
-  const endpoint_directory::entry* FindEndpoint(const endpoint_id& id) const;
+  // `born_ms` is the start of the incarnation that leaves; 0: it did not say,
+  // and whichever runs now is meant.
+  void EndEndpoint(const endpoint_id& endpoint, uint64_t born_ms);
 
   // Begins to empty a job store. kNotFound: no such host; kConflict: too few
   // would be left.
--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -12,11 +12,29 @@
 // A silent endpoint may still serve: it is the senders' experience that tells.
 constexpr std::chrono::seconds kKeepSilent{60};
 
+// An endpoint that leaves is gone by then, and what it reported before has
+// arrived: who still reports has started anew, whatever the clocks say.
+constexpr std::chrono::seconds kLeaveSettled{15};
+
 auto OrderOf(const endpoint_report& report) {
   return std::make_tuple(report.born_ms, report.stage == endpoint_stage::kGone,
                          report.sequence);
 }
 
+// An end of an unnamed start ends the known one, too, if that was there then.
+bool EndsStart(const endpoint_report& end, const endpoint_report& known) {
+  return end.left_ms > known.left_ms && known.born_ms <= end.left_ms;
+}
+
+// After such an end: a report from before it may still be on its way.
+bool IsFromBeforeEnd(steady_time now,
+                     const endpoint_report& report,
+                     const endpoint_directory::entry& known) {
+  return known.report.left_ms != 0 && report.left_ms == 0 &&
+         report.born_ms <= known.report.left_ms &&
+         now < known.heard + kLeaveSettled;
+}
+
 }  // namespace
 
 bool endpoint_directory::Apply(steady_time now, const endpoint_report& report) {
@@ -27,7 +45,11 @@
     return true;
   }
   entry& known = found->second;
-  if (OrderOf(report) <= OrderOf(known.report)) {
+  const bool is_newer = OrderOf(report) > OrderOf(known.report);
+  if (!is_newer && !EndsStart(report, known.report)) {
+    return false;
+  }
+  if (IsFromBeforeEnd(now, report, known)) {
     return false;
   }
   // A draining endpoint does not become ready again within one start.
@@ -37,6 +59,7 @@
   if (was_draining && next.stage == endpoint_stage::kReady) {
     next.stage = endpoint_stage::kDraining;
   }
+  next.born_ms = std::max(next.born_ms, known.report.born_ms);
   known.heard = std::max(known.heard, heard);
   known.report = std::move(next);
   return true;
--- a/src/libshallotport/fleet/endpoint_directory_test.cc
+++ b/src/libshallotport/fleet/endpoint_directory_test.cc
@@ -72,6 +72,73 @@
                                2}),
     [](const auto& info) { return info.param.name; });
 
+// A leave that does not say of which start it is, heard at `left` by the
+// host's time of day.
+endpoint_report Leave(uint64_t left, uint64_t born = 0) {
+  endpoint_report report = Report(born, 0, kGone);
+  report.left_ms = left;
+  return report;
+}
+
+struct leave_case {
+  std::string name;
+  std::vector<endpoint_report> reports;  // As they arrive.
+  std::chrono::seconds last_after{0};    // The last one, after the others.
+  endpoint_stage stage;                  // At the end.
+};
+
+class unnamed_leave : public testing::TestWithParam<leave_case> {};
+
+TEST_P(unnamed_leave, EndsEachStartFromBeforeIt) {
+  endpoint_directory directory;
+  const auto& reports = GetParam().reports;
+  for (size_t i = 0; i < reports.size(); ++i) {
+    const bool is_last = i + 1 == reports.size();
+    directory.Apply(
+        steady_time(is_last ? GetParam().last_after : std::chrono::seconds(0)),
+        reports[i]);
+  }
+  const auto* found = directory.Find(endpoint_id("e"));
+  ASSERT_NE(found, nullptr);
+  EXPECT_EQ(found->report.stage, GetParam().stage);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    unnamed_leave,
+    testing::Values(
+        leave_case{"a_late_report_of_a_start_that_was_not_known",
+                   {Leave(1'000), Report(900, 1, kReady)},
+                   std::chrono::seconds(2),
+                   kGone},
+        leave_case{
+            "a_late_report_of_a_later_start_than_the_known_one",
+            {Report(500, 7, kReady), Leave(1'000, 500), Report(900, 1, kReady)},
+            std::chrono::seconds(2),
+            kGone},
+        leave_case{"a_start_after_the_leave",
+                   {Leave(1'000), Report(1'001, 1, kReady)},
+                   std::chrono::seconds(2),
+                   kReady},
+        leave_case{"a_start_that_still_reports_long_after_the_leave",
+                   {Leave(1'000), Report(900, 30, kReady)},
+                   std::chrono::seconds(16),
+                   kReady},
+        leave_case{"a_leave_that_another_host_heard_without_knowing_the_start",
+                   {Report(900, 1, kReady), Leave(1'000)},
+                   std::chrono::seconds(0),
+                   kGone},
+        leave_case{"the_known_start_whose_clock_is_ahead",
+                   {Report(2'000, 1, kReady), Leave(1'000, 2'000),
+                    Report(2'000, 2, kReady)},
+                   std::chrono::seconds(20),
+                   kGone},
+        leave_case{"a_leave_from_before_the_known_start",
+                   {Report(1'500, 1, kReady), Leave(1'000)},
+                   std::chrono::seconds(0),
+                   kReady}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(endpoint_directory_test, AnEndIsRememberedLongerThanSilence) {
   endpoint_directory directory;
   directory.Apply({}, Report(1, 5, kGone));
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -25,11 +25,14 @@
   uint64_t born_ms = 0;
   uint64_t sequence = 0;
   uint32_t age_ms = 0;  // Since a control host heard it.
+  // Of an end that did not say of which start it is: when it was heard, in Unix
+  // milliseconds. It ends every start from before. Otherwise 0.
+  uint64_t left_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(endpoint, service, ip, port, domain, slots, stage, cold_ms, born_ms,
-            sequence, age_ms);
+            sequence, age_ms, left_ms);
   }
 };
 
