--- a/src/libshallotport/eventio/link_hub_test.cc
+++ b/src/libshallotport/eventio/link_hub_test.cc
@@ -1,6 +1,7 @@
 #include "eventio/link_hub.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -18,7 +19,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr uint16_t kPort = 28741;
+constexpr const char* kSubscriberIp = "127.0.9.1";
+constexpr const char* kPublisherIp = "127.0.9.2";
 constexpr uint8_t kNews = static_cast<uint8_t>(link_frame::kFirstDutyFrame);
 constexpr milliseconds kTick{100};
 
@@ -50,10 +52,11 @@
 class link_hub_test : public testing::TestWithParam<stall_case> {
  protected:
   void SetUp() override {
-    subscriber_ = std::make_unique<link_hub>(loop_, clock_, "127.0.2.1", kPort);
+    subscriber_ =
+        std::make_unique<link_hub>(loop_, clock_, kSubscriberIp, port_);
     // A loop of its own: it runs on while the subscriber stalls.
     publisher_ = std::make_unique<link_hub>(other_loop_, other_clock_,
-                                            "127.0.2.2", kPort);
+                                            kPublisherIp, port_);
     subscriber_->on_frame = [this](host_link&, uint8_t kind,
                                    std::string_view payload) {
       if (kind == kNews) {
@@ -62,9 +65,9 @@
     };
     subscriber_->on_link_down = [this](host_link&) { ++downs_; };
     ASSERT_TRUE(IsOk(publisher_->Listen()));
-    subscriber_->SetTargets({"127.0.2.2"});
+    subscriber_->SetTargets({kPublisherIp});
     ASSERT_TRUE(RunBothUntil([this] {
-      return subscriber_->IsUp("127.0.2.2") && !publisher_->accepted().empty();
+      return subscriber_->IsUp(kPublisherIp) && !publisher_->accepted().empty();
     }));
     subscriber_->Tick(clock_.Now());
   }
@@ -86,6 +89,8 @@
     other_loop_.run_for(milliseconds(10));
   }
 
+  // Differs between test processes that run at the same time.
+  const uint16_t port_ = static_cast<uint16_t>(20'000 + getpid() % 10'000);
   boost::asio::io_context loop_;
   boost::asio::io_context other_loop_;
   set_clock clock_;
