soak: SIGINT and SIGTERM end the hosts, too

Cause: util/data_path.sh stopped the soak by a signal and nine hosts ran on; the same would follow a Ctrl-C. The script's own search for them is gone. No automatic test.

--- a/util/data_path.sh
+++ b/util/data_path.sh
@@ -14,13 +14,7 @@
 # shellcheck source=util/cluster.sh
 . util/cluster.sh
 soak_id=
-# A killed soak leaves its hosts behind.
-stop_fleet() {
-  local id
-  [ -z "$soak_id" ] || kill "$soak_id" 2>/dev/null || true
-  for id in $(pgrep -f "$work/fleet/"); do kill "$id" 2>/dev/null || true; done
-}
-trap 'stop_cluster || true; stop_fleet; rm -rf "$work"' EXIT
+trap 'stop_cluster || true; [ -z "$soak_id" ] || { kill "$soak_id" 2>/dev/null || true; wait "$soak_id" || true; }; rm -rf "$work"' EXIT
 
 # cost ID...: processor milliseconds, context switches, largest resident kB and
 # threads of these processes.
