--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -16,7 +16,11 @@
 namespace {
 
 constexpr uint32_t kControlGroup = 1;
+// Hosts hear from every control host; a host that hears from a single one must
+// not take the others for lost meanwhile.
 constexpr std::chrono::milliseconds kDirectoryInterval{1'000};
+constexpr std::chrono::milliseconds kMaxDirectoryInterval{2'000};
+constexpr size_t kUsualControlHosts = 3;
 constexpr std::chrono::milliseconds kHealingInterval{200};
 // Interval for saving new endpoints; a leave is saved at once.
 constexpr std::chrono::milliseconds kKnownSaveInterval{300};
@@ -152,7 +156,11 @@
   fleet_->Tick(now);
   if (needs_directory_push_ || now >= next_directory_) {
     needs_directory_push_ = false;
-    next_directory_ = now + kDirectoryInterval;
+    const size_t control_hosts = fleet_->LiveHosts(host_role::kControl).size();
+    next_directory_ =
+        now + std::clamp<duration>(
+                  kDirectoryInterval * control_hosts / kUsualControlHosts,
+                  kDirectoryInterval, kMaxDirectoryInterval);
     PushDirectory();
   }
   if (is_known_state_dirty_ && now >= next_known_save_) {
@@ -340,7 +348,8 @@
 }
 
 void control_duty::ReportEndpoint(const endpoint_report& report) {
-  if (fleet_->RecordEndpoint(report)) {
+  if (fleet_->RecordEndpoint(report) &&
+      report_filter_.ShouldPassOn(clock_.Now(), report)) {
     PushToAll(fleet_frame::kEndpoint, Encode(endpoint_update{{report}}));
   }
 }
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -13,6 +13,7 @@
 #include "fleet/group_healer.h"
 #include "fleet/group_replica.h"
 #include "fleet/known_state_file.h"
+#include "fleet/report_filter.h"
 
 namespace shallotport {
 
@@ -99,6 +100,7 @@
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   bool is_known_state_dirty_ = false;
   std::map<endpoint_id, endpoint_stage> saved_stages_;
+  report_filter report_filter_;
   steady_time next_known_save_{};
   steady_time next_directory_{};
   steady_time next_healing_{};
