--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -29,6 +29,8 @@
 // others are used.
 constexpr double kOwnDomainFactor = 8;
 constexpr double kIsolatedOwnDomainFactor = 1'000;
+// Bounds the memory while nobody asks for the failures.
+constexpr size_t kMaxFailures = 20;
 
 }  // namespace
 
@@ -163,7 +165,7 @@
     }
     const double slots = state.report.slots;
     const double load = EstimatedLoad(now, state);
-    const double capacity = constraints.reserved_slots > 0
+    const double capacity = constraints.is_batch
                                 ? slots - constraints.reserved_slots
                                 : slots + options_.max_waiting;
     if (load + 1 > capacity) {
@@ -205,7 +207,7 @@
                                   return a.load < b.load;
                                 })
                    ->state;
-  } else if (constraints.reserved_slots == 0) {
+  } else if (!constraints.is_batch) {
     // Online requests prefer an endpoint in backoff to being refused.
     selected = first_out_of_backoff;
   }
@@ -213,11 +215,72 @@
     return usable_count == 0 ? selection_failure::kNoEndpoint
                              : selection_failure::kAllBusy;
   }
-  ++selected->own_load;
-  reachability_.RecordAttempt(now, selected->report.domain);
-  return selected_endpoint{selected->report.endpoint,
-                           {selected->report.ip, selected->report.port},
-                           selected->report.domain};
+  return Take(now, *selected);
+}
+
+selected_endpoint endpoint_selector::Take(steady_time now,
+                                          endpoint_state& state) {
+  ++state.own_load;
+  reachability_.RecordAttempt(now, state.report.domain);
+  return selected_endpoint{state.report.endpoint,
+                           {state.report.ip, state.report.port},
+                           state.report.domain};
+}
+
+std::optional<selected_endpoint> endpoint_selector::AcquireGranted(
+    steady_time now,
+    const endpoint_id& endpoint,
+    const selection_constraints& constraints) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return std::nullopt;
+  }
+  endpoint_state& state = found->second;
+  const domain_id& domain = state.report.domain;
+  const bool is_avoided = !IsUsable(state) || now < state.backoff_until ||
+                          constraints.excluded.contains(endpoint) ||
+                          constraints.unreachable_domains.contains(domain) ||
+                          reachability_.IsInBackoff(now, domain);
+  if (is_avoided) {
+    return std::nullopt;
+  }
+  return Take(now, state);
+}
+
+std::vector<endpoint_id> endpoint_selector::TakeFailures() {
+  return std::exchange(failures_, {});
+}
+
+std::vector<endpoint_id> endpoint_selector::EndpointsInBackoff(
+    steady_time now,
+    const service_id& service) const {
+  std::vector<endpoint_id> in_backoff;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return in_backoff;
+  }
+  for (const endpoint_id& id : found->second) {
+    if (now < endpoints_.at(id).backoff_until) {
+      in_backoff.push_back(id);
+    }
+  }
+  return in_backoff;
+}
+
+std::vector<domain_id> endpoint_selector::DomainsInBackoff(
+    steady_time now,
+    const service_id& service) const {
+  std::set<domain_id> in_backoff;
+  const auto found = by_service_.find(service);
+  if (found != by_service_.end()) {
+    for (const endpoint_id& id : found->second) {
+      const domain_id& domain = endpoints_.at(id).report.domain;
+      if (reachability_.IsInBackoff(now, domain)) {
+        in_backoff.insert(domain);
+      }
+    }
+  }
+  return {in_backoff.begin(), in_backoff.end()};
 }
 
 void endpoint_selector::Release(steady_time now,
@@ -235,6 +298,11 @@
     reachability_.RecordResponse(state.report.domain);
   }
   switch (outcome) {
+    case endpoint_outcome::kFailed:
+      if (failures_.size() < kMaxFailures) {
+        failures_.push_back(endpoint);
+      }
+      [[fallthrough]];
     case endpoint_outcome::kServed:
       state.failures = 0;
       break;
@@ -295,6 +363,11 @@
   return loads;
 }
 
+uint32_t endpoint_selector::OwnLoad(const endpoint_id& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found == endpoints_.end() ? 0 : found->second.own_load;
+}
+
 bool endpoint_selector::IsServing(const endpoint_id& endpoint) const {
   const auto found = endpoints_.find(endpoint);
   return found != endpoints_.end() && found->second.is_ready;
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 #include <vector>
@@ -31,13 +32,17 @@
   kBroken,         // The connection or response broke.
   kOtherEndpoint,  // The address now belongs to another endpoint.
   kCancelled,      // This host ended it early.
+  kFailed,         // The endpoint answered with an error.
 };
 
 // Restrictions on the selection for one request.
 struct selection_constraints {
   std::set<endpoint_id> excluded;           // Already attempted.
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
-  uint32_t reserved_slots = 0;              // Kept free by batch requests.
+  // Batch requests take free slots only; others may also wait at an endpoint.
+  bool is_batch = false;
+  uint32_t reserved_slots =
+      0;  // Of each endpoint, kept free by batch requests.
 };
 
 // Why no endpoint was selected.
@@ -79,10 +84,26 @@
       steady_time now,
       const service_id& service,
       const selection_constraints& constraints);
+  // As Acquire(), of one endpoint that was granted to the request; nullopt if
+  // this host does not use that endpoint now.
+  std::optional<selected_endpoint> AcquireGranted(
+      steady_time now,
+      const endpoint_id& endpoint,
+      const selection_constraints& constraints);
   void Release(steady_time now,
                const endpoint_id& endpoint,
                endpoint_outcome outcome);
 
+  // Endpoints that failed requests since the last call; one entry a request.
+  std::vector<endpoint_id> TakeFailures();
+
+  // What a service's requests avoid now: endpoints in backoff, and failure
+  // domains that seem to be partitioned from this host.
+  std::vector<endpoint_id> EndpointsInBackoff(steady_time now,
+                                              const service_id& service) const;
+  std::vector<domain_id> DomainsInBackoff(steady_time now,
+                                          const service_id& service) const;
+
   // Slots of an endpoint that are free by the known load; negative when
   // requests wait there.
   int FreeSlots(steady_time now, const endpoint_id& endpoint) const;
@@ -101,6 +122,7 @@
   slot_usage SlotUsage(steady_time now, const service_id& service) const;
   // Own load of each endpoint that has any.
   std::vector<std::pair<endpoint_id, uint32_t>> OwnLoad() const;
+  uint32_t OwnLoad(const endpoint_id& endpoint) const;
   bool IsServing(const endpoint_id& endpoint) const;
 
  private:
@@ -114,6 +136,7 @@
     uint32_t failures = 0;  // In a row.
   };
 
+  selected_endpoint Take(steady_time now, endpoint_state& state);
   double EstimatedLoad(steady_time now, const endpoint_state& state) const;
   bool IsUsable(const endpoint_state& state) const;
 
@@ -122,6 +145,7 @@
   domain_reachability reachability_;
   std::map<endpoint_id, endpoint_state> endpoints_;
   std::map<service_id, std::set<endpoint_id>> by_service_;
+  std::vector<endpoint_id> failures_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -63,6 +63,7 @@
   endpoint_selector selector = MakeSelector(1);
   const steady_time now{};
   selection_constraints batch;
+  batch.is_batch = true;
   batch.reserved_slots = 2;
   for (int i = 0; i < 6; ++i) {
     EXPECT_NE(Selected(selector.Acquire(now, kService, batch)), nullptr);
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -1,7 +1,9 @@
 #include "jobstore/item_dispatcher.h"
 
 #include <algorithm>
-#include <tuple>
+#include <cmath>
+#include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -46,6 +48,7 @@
   std::string text;        // Of the events after base_event.
   std::string last_event;
   duration time_spent{};  // Executing, over all attempts.
+  steady_time first_attempt_at{};
   steady_time retry_at{};
   bool is_committing_result = false;
   // The prefix of the text that is being committed as progress, and its last
@@ -112,8 +115,7 @@
   }
   YieldToOnline(now);
   CommitProgress(now);
-  if (now < next_dispatch_at_ ||
-      !endpoints_.HasFreeSlots(now, options_.online_reserve)) {
+  if (now < next_dispatch_at_ || !endpoints_.HasFreeSlots(now, 0)) {
     return;
   }
   next_dispatch_at_ = now + kDispatchInterval;
@@ -124,12 +126,11 @@
   }
 }
 
-// The items that may be sent now, ordered by deadline. Those that cannot meet
-// their deadline any more come after those that can.
+// The items that may be sent now, in the schedule's order.
 std::vector<item_dispatcher::item_key> item_dispatcher::Candidates(
     steady_time now) const {
   const wall_milliseconds wall = clock_.WallNow();
-  using ranked_item = std::tuple<bool, wall_milliseconds, item_key>;
+  using ranked_item = std::pair<item_rank, item_key>;
   std::vector<ranked_item> ranked;
   for (const auto& [id, job] : table_.jobs()) {
     if (!job.IsOpen()) {
@@ -151,17 +152,14 @@
         }
         time_spent = pending.time_spent;
       }
-      const auto needed = std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::max(expected_duration_ - time_spent, expected_duration_ / 8));
-      const bool is_late = wall + needed.count() > deadline;
-      ranked.emplace_back(is_late, deadline, key);
+      ranked.emplace_back(schedule_.Rank(wall, {deadline, time_spent}), key);
     }
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<item_key> keys;
   keys.reserve(ranked.size());
   for (const ranked_item& each : ranked) {
-    keys.push_back(std::get<item_key>(each));
+    keys.push_back(each.second);
   }
   return keys;
 }
@@ -242,6 +240,13 @@
   pending_items_.clear();
 }
 
+bool item_dispatcher::HasSlotsAboveReserve(steady_time now,
+                                           const service_id& service) const {
+  const auto usage = endpoints_.SlotUsage(now, service);
+  const double reserve = std::ceil(options_.online_reserve * usage.slots);
+  return usage.taken + 1 + reserve <= usage.slots;
+}
+
 // False when no endpoint has a free slot.
 bool item_dispatcher::BeginAttempt(steady_time now,
                                    const route_table& routes,
@@ -253,10 +258,13 @@
     ScheduleRetry(key, kRetryDelayAfterFailure);
     return true;
   }
+  const service_id service = DrawService(*matched_route, random_);
+  if (!HasSlotsAboveReserve(now, service)) {
+    return false;
+  }
   selection_constraints constraints;
-  constraints.reserved_slots = options_.online_reserve;
-  const auto selection = endpoints_.Acquire(
-      now, DrawService(*matched_route, random_), constraints);
+  constraints.is_batch = true;
+  const auto selection = endpoints_.Acquire(now, service, constraints);
   if (std::holds_alternative<selection_failure>(selection)) {
     return false;
   }
@@ -267,6 +275,9 @@
     item_state->second.base_event = job->items[key.second].last_event;
     item_state->second.last_event = item_state->second.base_event;
   }
+  if (item_state->second.first_attempt_at == steady_time{}) {
+    item_state->second.first_attempt_at = now;
+  }
   const std::string& resume_after = item_state->second.last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
@@ -354,27 +365,41 @@
 }
 
 void item_dispatcher::YieldToOnline(steady_time now) {
-  // By endpoint, the attempt with the latest deadline first.
-  using attempts_by_deadline =
-      std::multimap<wall_milliseconds, item_key, std::greater<>>;
-  std::map<endpoint_id, attempts_by_deadline> attempts;
+  std::set<endpoint_id> occupied;
   for (const auto& [key, attempt] : attempts_) {
-    attempts[attempt->endpoint].emplace(attempt->deadline, key);
+    occupied.insert(attempt->endpoint);
   }
-  for (const auto& [endpoint, by_deadline] : attempts) {
-    int free = endpoints_.FreeSlots(now, endpoint);
-    if (free >= 1) {
+  for (const endpoint_id& endpoint : occupied) {
+    while (YieldSlot(now, endpoint)) {
+    }
+  }
+}
+
+bool item_dispatcher::YieldSlot(steady_time now, const endpoint_id& endpoint) {
+  if (endpoints_.FreeSlots(now, endpoint) >= 0) {
+    return false;
+  }
+  const wall_milliseconds wall = clock_.WallNow();
+  std::optional<std::pair<item_rank, item_key>> last;
+  for (const auto& [key, attempt] : attempts_) {
+    if (attempt->endpoint != endpoint) {
       continue;
     }
-    for (const auto& [deadline, key] : by_deadline) {
-      if (free >= static_cast<int>(options_.online_reserve)) {
-        break;
-      }
-      ++counters_.yielded;
-      AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterYield);
-      ++free;
+    const duration time_spent =
+        pending_items_.at(key).time_spent + (now - attempt->begun_at);
+    std::pair ranked(schedule_.Rank(wall, {attempt->deadline, time_spent}),
+                     key);
+    if (!last || *last < ranked) {
+      last = std::move(ranked);
     }
   }
+  if (!last) {
+    return false;
+  }
+  ++counters_.yielded;
+  AbortAttempt(last->second, endpoint_outcome::kCancelled,
+               kRetryDelayAfterYield);
+  return true;
 }
 
 void item_dispatcher::OnAttemptEnd(const item_key& key, call_end end) {
@@ -425,7 +450,8 @@
   if (IsSuccess(status) && is_proven && !attempt.events.has_partial()) {
     const pending_item& item_state = pending_items_[key];
     ++counters_.finished;
-    expected_duration_ += (item_state.time_spent - expected_duration_) / 16;
+    schedule_.RecordFinished(item_state.time_spent,
+                             now - item_state.first_attempt_at);
     item_result result;
     result.is_completed = true;
     result.text = item_state.text.substr(item_state.committing_bytes);
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -17,18 +17,18 @@
 #include "entry/route_table.h"
 #include "entry/wire_profile.h"
 #include "eventio/endpoint_connection_pool.h"
+#include "jobstore/item_schedule.h"
 #include "jobstore/job_table.h"
 
 namespace shallotport {
 
 // Sends the items of open jobs to endpoints while this host leads the job
-// group. Owned by job_store_duty; runs on its event loop. Items with the
-// earliest deadline are sent first; items that can no longer meet theirs are
-// sent last. Items only take slots above a reserve that stays free for online
-// requests: engines admit in order of arrival, so an item that waits in an
-// engine would delay the online requests behind it. A broken attempt is resumed
-// after its last event. Progress is committed every second, so that the next
-// leader resumes there as well.
+// group. Owned by job_store_duty; runs on its event loop. An item_schedule says
+// which items are sent first. Items only take free slots: engines admit in
+// order of arrival, so an item that waits in an engine would delay the online
+// requests behind it. A broken attempt is resumed after its last event.
+// Progress is committed every second, so that the next leader resumes there as
+// well.
 class item_dispatcher {
  public:
   // Result of proposing a command. kRefused: committed, but in conflict with
@@ -55,10 +55,10 @@
 
   struct options {
     wire_profile wire;
-    // Slots of each endpoint that stay free when an item's attempt begins, so
-    // that online requests find one at once. Attempts are aborted when online
-    // requests have taken the reserve.
-    uint32_t online_reserve = 1;
+    // Share of a service's slots that stays free when an item's attempt begins,
+    // so that most online requests find a free one. An online request that is
+    // granted a slot of an item's attempt aborts that attempt.
+    double online_reserve = 0.04;
     // An attempt that receives nothing for this long is retried at another
     // endpoint. Engines emit an event every few tens of milliseconds;
     // processing a prompt behind others takes under a second.
@@ -85,6 +85,10 @@
   // begins attempts as far as there are free slots.
   void Tick(steady_time now, const route_table* routes);
 
+  // Aborts one attempt at an endpoint that has more requests than slots; false
+  // if there is none.
+  bool YieldSlot(steady_time now, const endpoint_id& endpoint);
+
   const counters& totals() const { return counters_; }
   size_t running_count() const { return attempts_.size(); }
 
@@ -101,8 +105,8 @@
   void AbortAttempt(const item_key& key,
                     endpoint_outcome outcome,
                     duration delay);
-  // Aborts attempts at endpoints where online requests have taken the reserve;
-  // they are resumed later, after their last event.
+  // Aborts attempts at endpoints where online requests wait; they are resumed
+  // later, after their last event.
   void YieldToOnline(steady_time now);
   void AbortSilent(steady_time now);
   void CommitProgress(steady_time now);
@@ -111,6 +115,7 @@
   // all. The items are resumed from their committed progress.
   void DiscardUncommitted(const item_key& key);
   void DiscardAllUncommitted();
+  bool HasSlotsAboveReserve(steady_time now, const service_id& service) const;
   std::vector<item_key> Candidates(steady_time now) const;
   void ScheduleRetry(const item_key& key, duration delay);
   // Commits an item's result, whose text continues after `base_event`.
@@ -136,8 +141,7 @@
   steady_time next_sweep_at_{};
   steady_time next_progress_commit_at_{};
   steady_time next_dispatch_at_{};
-  // Moving average of an item's execution time over all of its attempts.
-  duration expected_duration_ = std::chrono::seconds(4);
+  item_schedule schedule_;
 };
 
 }  // namespace shallotport
