--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -53,6 +53,12 @@
   routed->Begin();
 }
 
+void entry_duty::NotifyLoadChanged() const {
+  if (on_load_changed) {
+    on_load_changed();
+  }
+}
+
 void entry_duty::Tick(steady_time now) {
   const std::vector<std::shared_ptr<routed_exchange>> all(active_.begin(),
                                                           active_.end());
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_ENTRY_ENTRY_DUTY_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -15,10 +16,12 @@
 #include "entry/entry_counters.h"
 #include "entry/entry_metrics.h"
 #include "entry/route_table.h"
+#include "entry/usual_time_limit.h"
 #include "entry/wire_profile.h"
 #include "eventio/endpoint_connection_pool.h"
 #include "eventio/http_listener.h"
 #include "fleet/endpoint_directory.h"
+#include "slots/slot_messages.h"
 
 namespace shallotport {
 
@@ -50,6 +53,15 @@
              decision_log& log);
   ~entry_duty();
 
+  // Requests a slot for an online request; false if nobody can be asked, and
+  // then the handler is not called. May be empty: this host selects endpoints
+  // by itself.
+  using slot_reply_handler = std::function<void(slot_reply reply)>;
+  std::function<bool(const slot_request& request, slot_reply_handler on_reply)>
+      request_slot;
+  // Called when an attempt began or ended.
+  std::function<void()> on_load_changed;
+
   // Applies a configuration unless one of the same or a higher version is in
   // force.
   void SetRoutes(route_configuration configuration);
@@ -73,6 +85,8 @@
  private:
   friend class routed_exchange;
 
+  void NotifyLoadChanged() const;
+
   boost::asio::io_context& loop_;
   const clock_source& clock_;
   const options options_;
@@ -84,6 +98,7 @@
   retry_budget slow_retry_budget_;  // For retries of slow requests.
   entry_counters counters_;
   entry_metrics metrics_;
+  usual_time_limit usual_time_limit_;
   std::set<std::shared_ptr<routed_exchange>> active_;
   steady_time next_sweep_{};
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "fleet/fleet_messages.h"
+
 namespace shallotport {
 
 namespace {
@@ -21,14 +23,24 @@
 // An endpoint that sent nothing for this share of the objective has probably
 // lost the request; a retry may still meet the objective.
 constexpr double kUnresponsiveShare = 0.6;
+// While fewer than this share of a service's slots are taken, a free one is
+// found without a request for it.
+constexpr double kScarceShare = 0.5;
+// A request that waits in an engine's queue for longer than this share of its
+// objective would be late.
+constexpr double kUsefulWaitShare = 0.5;
+// A caller that was refused before is served late rather than refused again.
+constexpr std::chrono::milliseconds kReturnedCallerWait{1'000};
+// Callers follow a retry delay up to this share of the time that they have.
+constexpr int64_t kRetryAfterDivisor = 3;
 // Within a stream, events arrive every few tens of milliseconds.
 constexpr std::chrono::milliseconds kStreamGapTimeout{800};
 
 // Values of log fields.
 std::string_view LogName(endpoint_outcome end) {
-  constexpr std::string_view kNames[] = {"answered", "shed",   "refused",
-                                         "silent",   "broken", "other_endpoint",
-                                         "given_up"};
+  constexpr std::string_view kNames[] = {
+      "answered", "shed",           "refused",  "silent",
+      "broken",   "other_endpoint", "given_up", "answered"};
   return kNames[static_cast<size_t>(end)];
 }
 
@@ -89,6 +101,8 @@
     limit = std::min(limit, request_.time_limit);
   }
   deadline_ = received_at_ + limit;
+  elapsed_before_ = duty.usual_time_limit_.RecordAndGetElapsed(
+      route_.name, request_.time_limit);
   last_event_id_ = request_.resume_after;
 }
 
@@ -106,6 +120,84 @@
 }
 
 void routed_exchange::StartAttempt() {
+  const steady_time now = duty_.clock_.Now();
+  const auto usage = duty_.selector_.SlotUsage(now, service_);
+  const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
+  if (is_scarce && duty_.request_slot) {
+    is_awaiting_slot_ = true;
+    const bool is_requested =
+        duty_.request_slot(MakeSlotRequest(now),
+                           [weak = weak_from_this()](const slot_reply& reply) {
+                             if (const auto self = weak.lock()) {
+                               self->OnSlotReply(reply);
+                             }
+                           });
+    if (is_requested) {
+      return;
+    }
+    is_awaiting_slot_ = false;
+  }
+  StartAttemptAtOwnSelection();
+}
+
+slot_request routed_exchange::MakeSlotRequest(steady_time now) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  slot_request request;
+  request.service = service_;
+  request.domain = duty_.options_.selector.domain;
+  for (const endpoint_id& each :
+       duty_.selector_.EndpointsInBackoff(now, service_)) {
+    request.avoided_endpoints.push_back(LoadKey(each));
+  }
+  for (const endpoint_id& each : constraints_.excluded) {
+    request.avoided_endpoints.push_back(LoadKey(each));
+  }
+  for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
+    request.failed_endpoints.push_back(LoadKey(each));
+  }
+  request.avoided_domains = duty_.selector_.DomainsInBackoff(now, service_);
+  request.avoided_domains.insert(request.avoided_domains.end(),
+                                 constraints_.unreachable_domains.begin(),
+                                 constraints_.unreachable_domains.end());
+  const auto elapsed = duration_cast<milliseconds>(now - received_at_);
+  const auto remaining = duration_cast<milliseconds>(deadline_ - now);
+  const bool may_refuse = executions_ == 0 && !has_response_begun_;
+  const bool has_returned = elapsed_before_.count() > 0;
+  const auto useful_wait =
+      has_returned || !may_refuse
+          ? kReturnedCallerWait
+          : duration_cast<milliseconds>(route_.objective * kUsefulWaitShare) -
+                elapsed;
+  request.max_wait_ms = static_cast<uint32_t>(
+      std::clamp<int64_t>(useful_wait.count(), 0, remaining.count()));
+  request.max_retry_after_ms = static_cast<uint32_t>(
+      std::max<int64_t>(remaining.count() / kRetryAfterDivisor, 0));
+  return request;
+}
+
+void routed_exchange::OnSlotReply(const slot_reply& reply) {
+  if (is_finished_ || !std::exchange(is_awaiting_slot_, false)) {
+    return;
+  }
+  const bool may_refuse = executions_ == 0 && !has_response_begun_;
+  if (reply.kind == slot_reply_kind::kRefused && may_refuse) {
+    ++duty_.counters_.refused_busy;
+    RefuseUntil(error_kind::kNoCapacity, reply.retry_after_ms);
+    return;
+  }
+  if (reply.kind == slot_reply_kind::kGranted) {
+    const auto granted = duty_.selector_.AcquireGranted(
+        duty_.clock_.Now(), reply.endpoint, constraints_);
+    if (granted) {
+      SendTo(*granted);
+      return;
+    }
+  }
+  StartAttemptAtOwnSelection();
+}
+
+void routed_exchange::StartAttemptAtOwnSelection() {
   const steady_time now = duty_.clock_.Now();
   auto selection = duty_.selector_.Acquire(now, service_, constraints_);
   if (std::holds_alternative<selection_failure>(selection)) {
@@ -123,7 +215,13 @@
     }
     return;
   }
-  selected_ = std::get<selected_endpoint>(selection);
+  SendTo(std::get<selected_endpoint>(std::move(selection)));
+}
+
+void routed_exchange::SendTo(selected_endpoint endpoint) {
+  const steady_time now = duty_.clock_.Now();
+  selected_ = std::move(endpoint);
+  duty_.NotifyLoadChanged();
   ++attempts_;
   ++duty_.counters_.attempts;
   last_received_at_ = now;
@@ -291,7 +389,7 @@
     return;
   }
   if (!IsSuccess(head_.status)) {
-    OnAttemptFailed(attempt_result::kEndpointFailed, endpoint_outcome::kServed);
+    OnAttemptFailed(attempt_result::kEndpointFailed, endpoint_outcome::kFailed);
     return;
   }
   if (!has_endpoint_proof || body_.size() >= kMaxResponseBytes ||
@@ -371,6 +469,7 @@
   if (selected_) {
     duty_.selector_.Release(duty_.clock_.Now(), selected_->endpoint, end);
     selected_.reset();
+    duty_.NotifyLoadChanged();
   }
 }
 
@@ -413,11 +512,14 @@
 }
 
 void routed_exchange::Refuse(error_kind kind) {
-  header_list headers;
   const auto jitter = static_cast<int64_t>(
       UniformBelow(duty_.random_, static_cast<uint64_t>(kRetryJitterMs)));
-  headers.Add(duty_.options_.wire.retry_after,
-              FormatSeconds(kMinRetryAfterMs + jitter));
+  RefuseUntil(kind, kMinRetryAfterMs + jitter);
+}
+
+void routed_exchange::RefuseUntil(error_kind kind, int64_t retry_after_ms) {
+  header_list headers;
+  headers.Add(duty_.options_.wire.retry_after, FormatSeconds(retry_after_ms));
   const int status = 503;
   Log("request_refused", Answer(kind).code, status);
   caller_->Respond(status, headers, {});
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -29,7 +29,12 @@
   void Tick(steady_time now);
 
  private:
+  // Selects an endpoint, or requests a slot if slots of the service are scarce.
   void StartAttempt();
+  slot_request MakeSlotRequest(steady_time now);
+  void OnSlotReply(const slot_reply& reply);
+  void StartAttemptAtOwnSelection();
+  void SendTo(selected_endpoint endpoint);
   std::string FormatAttempt(const selected_endpoint& at, steady_time now) const;
   void OnHead(response_head head);
   void OnBody(std::string_view bytes);
@@ -41,6 +46,7 @@
   void BeginResponse();
 
   void Refuse(error_kind kind);
+  void RefuseUntil(error_kind kind, int64_t retry_after_ms);
   void Fail(int status, std::string_view reason);
   void ForwardFailure();
   void AbortStream(std::string_view reason);
@@ -63,6 +69,9 @@
   endpoint_id last_endpoint_;
   uint32_t executions_ = 0;
   uint32_t attempts_ = 0;
+  bool is_awaiting_slot_ = false;
+  // Since the caller's first attempt, as far as is known.
+  std::chrono::milliseconds elapsed_before_{0};
 
   steady_time last_received_at_{};  // From the endpoint of the current attempt.
   response_head head_;              // Of the current attempt.
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -10,12 +10,12 @@
 
 namespace {
 
-// Unchanged load is sent at this interval; changes are sent at the load
-// exchange interval.
-constexpr std::chrono::milliseconds kUnchangedLoadInterval{100};
+// Changed load is sent at once, but not more often than this.
+constexpr std::chrono::milliseconds kChangedLoadInterval{5};
+constexpr std::chrono::milliseconds kUnchangedLoadInterval{250};
 // Without totals for this long, the load is sent to all job stores: the leader
 // of the job group may have changed.
-constexpr std::chrono::milliseconds kTotalsTimeout{300};
+constexpr std::chrono::milliseconds kTotalsTimeout{700};
 constexpr std::chrono::milliseconds kSweepInterval{300};
 // The load balancer checks readiness every second and removes a host after two
 // failed checks.
@@ -38,6 +38,7 @@
       fleet_(loop, clock, options_.fleet, true),
       duty_(loop, clock, options_.entry, log),
       jobs_(loop, clock, fleet_),
+      slots_(clock, fleet_),
       callers_(loop, clock, std::move(on_request)) {
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
@@ -63,6 +64,11 @@
                      {"age_ms", int64_t{entry.report.age_ms}}});
     }
   };
+  duty_.request_slot = [this](const slot_request& request,
+                              entry_duty::slot_reply_handler on_reply) {
+    return slots_.Request(request, std::move(on_reply));
+  };
+  duty_.on_load_changed = [this] { ExchangeLoad(clock_.Now()); };
   fleet_.on_unhandled_frame = [this](host_link& link, uint8_t kind,
                                      std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
@@ -71,6 +77,11 @@
   };
 }
 
+// Open callers' connections end requests when the listener is destroyed.
+entry_host::~entry_host() {
+  duty_.on_load_changed = nullptr;
+}
+
 status entry_host::Start() {
   if (status started = fleet_.Start(); !IsOk(started)) {
     return started;
@@ -109,10 +120,9 @@
         {LoadKey(endpoint), static_cast<uint16_t>(running)});
   }
   std::string encoded = Encode(report);
-  const duration interval =
-      encoded == last_sent_report_
-          ? duration(kUnchangedLoadInterval)
-          : duration(LoadExchangeInterval(entry_host_count()));
+  const duration interval = encoded == last_sent_report_
+                                ? duration(kUnchangedLoadInterval)
+                                : duration(kChangedLoadInterval);
   if (now < load_sent_at_ + interval) {
     return;
   }
@@ -140,6 +150,7 @@
   const steady_time now = clock_.Now();
   totals_sender_ip_ = link.ip();
   totals_received_at_ = now;
+  slots_.SetLeader(now, link.ip());
   std::map<uint32_t, uint32_t> peer_loads;
   for (const load_entry& each : ValueOf(decoded).entries) {
     const auto own = sent_load_.find(each.endpoint);
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -10,6 +10,7 @@
 #include "eventio/http_listener.h"
 #include "fleet/fleet_host.h"
 #include "jobstore/job_store_client.h"
+#include "slots/slot_client.h"
 
 namespace shallotport {
 
@@ -36,6 +37,7 @@
              document_reader read_document,
              http_listener::request_handler on_request,
              decision_log& log);
+  ~entry_host();
 
   status Start();
   void Tick(steady_time now);
@@ -51,11 +53,11 @@
   entry_duty& duty() { return duty_; }
   const entry_duty& duty() const { return duty_; }
   job_store_client& jobs() { return jobs_; }
+  const slot_client& slots() const { return slots_; }
   fleet_host& fleet() { return fleet_; }
   const http_listener& callers() const { return callers_; }
 
  private:
-  size_t entry_host_count() const { return fleet_.entry_host_count(); }
   void ExchangeLoad(steady_time now);
   void ApplyLoadTotals(host_link& link, std::string_view payload);
   void Drain(steady_time now);
@@ -67,6 +69,7 @@
   fleet_host fleet_;
   entry_duty duty_;
   job_store_client jobs_;
+  slot_client slots_;
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -25,12 +25,13 @@
   kJobMembers = 23,  // job_group_members, from that leader to control hosts.
 };
 
-// Calls from entry hosts to the job group.
+// Calls from entry hosts to the leader of the job group.
 enum class fleet_call : uint8_t {
   kSubmitJob = 1,
   kReadJob = 2,
   kReadItem = 3,
   kEndJob = 4,
+  kRequestSlot = 5,  // slot_request; the reply is a slot_reply.
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
@@ -131,10 +132,11 @@
   }
 };
 
-// Interval of the load exchange: the cost at the job store that sums the loads
-// grows with the number of entry hosts.
-constexpr std::chrono::milliseconds LoadExchangeInterval(size_t entry_hosts) {
-  return std::chrono::milliseconds(std::max<size_t>(20, entry_hosts));
+// Interval at which the job group's leader sends load totals: their cost grows
+// with the number of entry hosts.
+constexpr std::chrono::milliseconds LoadTotalsInterval(size_t entry_hosts) {
+  return std::chrono::milliseconds(
+      std::clamp<size_t>(2 * entry_hosts, 50, 300));
 }
 
 // Short key of an endpoint in load reports, which are sent dozens of times a
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -17,6 +17,8 @@
 // An entry host that reports no load for this long has failed or is
 // partitioned.
 constexpr std::chrono::milliseconds kLoadTimeout{1'000};
+// A new leader receives the load of most entry hosts within this time.
+constexpr std::chrono::milliseconds kLoadSettleTime{300};
 constexpr uint64_t kSnapshotAfterBytes = 24u << 20;
 constexpr uint32_t kSnapshotAfterEntries = 8'000;
 constexpr uint32_t kTrailingEntries = 1'000;
@@ -99,6 +101,7 @@
   };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
     endpoints_.Update(entry.report);
+    slots_.Update(entry.report);
   };
   fleet_.on_consensus = [this](const host_id&, const group_envelope& envelope) {
     if (envelope.group == kJobGroup && group_ != nullptr) {
@@ -117,10 +120,10 @@
       }
     }
   };
-  fleet_.hub().on_call = [this](host_link&, uint8_t method,
+  fleet_.hub().on_call = [this](host_link& link, uint8_t method,
                                 std::string_view body,
                                 const std::function<void(std::string)>& reply) {
-    OnCall(method, body, reply);
+    OnCall(link, method, body, reply);
   };
 }
 
@@ -165,6 +168,7 @@
   const bool is_leading = group_->IsLeading();
   if (was_leading_ != is_leading) {
     was_leading_ = is_leading;
+    leading_since_ = now;
     log_.LogState(is_leading ? "job_leadership_won" : "job_leadership_lost",
                   {{"term", static_cast<int64_t>(group_->term())}});
   }
@@ -173,8 +177,9 @@
   dispatcher_.SetLeading(group_->IsTermLeader() &&
                          (is_leading || was_dispatching_));
   was_dispatching_ = group_->IsTermLeader() && (is_leading || was_dispatching_);
-  if (is_leading && now >= next_load_totals_at_) {
-    next_load_totals_at_ = now + LoadExchangeInterval(entry_loads_.size());
+  if (is_leading && now >= next_load_totals_at_ &&
+      now >= leading_since_ + kLoadSettleTime) {
+    next_load_totals_at_ = now + LoadTotalsInterval(entry_loads_.size());
     PushLoadTotals(now);
   }
   dispatcher_.Tick(now, routes_ ? &*routes_ : nullptr);
@@ -196,9 +201,14 @@
   group_->Stop(std::move(done));
 }
 
-void job_store_duty::OnCall(uint8_t method,
+void job_store_duty::OnCall(const host_link& link,
+                            uint8_t method,
                             std::string_view body,
                             const std::function<void(std::string)>& reply) {
+  if (static_cast<fleet_call>(method) == fleet_call::kRequestSlot) {
+    AllocateSlot(link, body, reply);
+    return;
+  }
   if (!IsLeading()) {
     reply(NotLeaderReply());
     return;
@@ -216,6 +226,8 @@
     case fleet_call::kEndJob:
       Cancel(body, reply);
       return;
+    case fleet_call::kRequestSlot:
+      return;  // Handled above.
   }
   reply(Encode(job_store_reply{}));
 }
@@ -355,24 +367,62 @@
   }
 }
 
-// Adds up the requests that the entry hosts have at the endpoints. The sums
-// limit the batch items of this host and are sent back to the entry hosts as
-// peer load.
+// Counts the requests that the entry hosts have at the endpoints. They limit
+// the batch items of this host and are sent back to the entry hosts as peer
+// load.
 void job_store_duty::RecordLoad(host_link& link, std::string_view payload) {
   const auto decoded = Decode<load_report>(payload);
   if (!IsOk(decoded) || link.peer_name.empty()) {
     return;
   }
+  const steady_time now = clock_.Now();
   entry_load& entry = entry_loads_[link.peer_name];
-  entry.received_at = clock_.Now();
+  entry.received_at = now;
   entry.link = link.weak_from_this();
-  for (const auto& [endpoint, running] : entry.in_flight) {
-    online_load_[endpoint] -= running;
-  }
-  entry.in_flight.clear();
+  slots_.RecordLoad(now, link.peer_name, ValueOf(decoded));
   for (const load_entry& each : ValueOf(decoded).entries) {
-    entry.in_flight[each.endpoint] += each.running;
-    online_load_[each.endpoint] += each.running;
+    const auto endpoint = slots_.endpoint_ids().find(each.endpoint);
+    if (endpoint != slots_.endpoint_ids().end()) {
+      endpoints_.SetPeerLoad(now, endpoint->second,
+                             slots_.OnlineLoad(each.endpoint));
+    }
+  }
+}
+
+void job_store_duty::UpdateBatchLoad() {
+  for (const auto& [key, endpoint] : slots_.endpoint_ids()) {
+    slots_.SetBatchLoad(key, endpoints_.OwnLoad(endpoint));
+  }
+}
+
+// A batch request whose slot is granted is aborted at once, so that its slot is
+// free when the online request arrives at the endpoint.
+void job_store_duty::AllocateSlot(
+    const host_link& link,
+    std::string_view body,
+    const std::function<void(std::string)>& reply) {
+  const auto decoded = Decode<slot_request>(body);
+  const steady_time now = clock_.Now();
+  const bool can_allocate = IsLeading() && IsOk(decoded) &&
+                            !link.peer_name.empty() &&
+                            now >= leading_since_ + kLoadSettleTime;
+  if (!can_allocate) {
+    reply(Encode(slot_reply{}));
+    return;
+  }
+  UpdateBatchLoad();
+  const slot_decision decision =
+      slots_.Allocate(now, link.peer_name, ValueOf(decoded));
+  reply(Encode(decision.reply));
+  if (decision.reply.kind != slot_reply_kind::kGranted) {
+    ++slot_counters_.refused;
+    return;
+  }
+  ++slot_counters_.granted;
+  const endpoint_id& endpoint = decision.reply.endpoint;
+  endpoints_.SetPeerLoad(now, endpoint, slots_.OnlineLoad(LoadKey(endpoint)));
+  if (decision.needs_yield) {
+    dispatcher_.YieldSlot(now, endpoint);
   }
 }
 
@@ -383,23 +433,16 @@
       ++at;
       continue;
     }
-    for (const auto& [endpoint, running] : at->second.in_flight) {
-      online_load_[endpoint] -= running;
-    }
+    slots_.RemoveHost(at->first);
     at = entry_loads_.erase(at);
   }
-  std::map<uint32_t, uint32_t> batch;
-  for (const auto& [endpoint, running] : endpoints_.OwnLoad()) {
-    batch[LoadKey(endpoint)] = running;
-  }
   load_report totals;
-  for (const auto& [id, entry] : fleet_.endpoints().entries()) {
-    const uint32_t key = LoadKey(id);
-    const uint32_t running = online_load_[key];
-    endpoints_.SetPeerLoad(now, id, running);
-    if (running + batch[key] > 0) {
-      totals.entries.push_back(
-          {key, static_cast<uint16_t>(running + batch[key])});
+  for (const auto& [key, endpoint] : slots_.endpoint_ids()) {
+    const uint32_t online = slots_.OnlineLoad(key);
+    endpoints_.SetPeerLoad(now, endpoint, online);
+    const uint32_t total = online + endpoints_.OwnLoad(endpoint);
+    if (total > 0) {
+      totals.entries.push_back({key, static_cast<uint16_t>(total)});
     }
   }
   const std::string encoded = Encode(totals);
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -18,6 +18,7 @@
 #include "fleet/group_replica.h"
 #include "jobstore/item_dispatcher.h"
 #include "jobstore/job_table.h"
+#include "slots/slot_allocator.h"
 
 namespace shallotport {
 
@@ -46,6 +47,12 @@
                  document_reader read_document,
                  decision_log& log);
 
+  // Slot requests of entry hosts, by decision.
+  struct slot_counters {
+    uint64_t granted = 0;
+    uint64_t refused = 0;
+  };
+
   status Start();
   void Tick(steady_time now);
   void Stop(std::function<void()> done);
@@ -55,6 +62,7 @@
   fleet_host& fleet() { return fleet_; }
   const job_table& table() const { return table_; }
   const item_dispatcher& dispatcher() const { return dispatcher_; }
+  const slot_counters& slot_totals() const { return slot_counters_; }
 
  private:
   struct waiting_read {
@@ -65,11 +73,11 @@
   struct entry_load {
     steady_time received_at{};
     std::weak_ptr<host_link> link;
-    std::map<uint32_t, uint32_t> in_flight;  // By LoadKey().
   };
 
   status OpenGroupIfReady();
-  void OnCall(uint8_t method,
+  void OnCall(const host_link& link,
+              uint8_t method,
               std::string_view body,
               const std::function<void(std::string)>& reply);
   void Submit(std::string_view body,
@@ -85,6 +93,11 @@
   void ReplyToWaitingReads(const job_id& job);
   void ExpireWaitingReads(steady_time now);
   std::string NotLeaderReply() const;
+  void AllocateSlot(const host_link& link,
+                    std::string_view body,
+                    const std::function<void(std::string)>& reply);
+  // Passes the batch requests at each endpoint to the allocator.
+  void UpdateBatchLoad();
   void RecordLoad(host_link& link, std::string_view payload);
   void PushLoadTotals(steady_time now);
   void Heal(steady_time now);
@@ -104,14 +117,15 @@
   std::optional<route_table> routes_;
   std::list<waiting_read> waiting_reads_;
   std::map<std::string, entry_load> entry_loads_;
-  // Sum of entry_loads_, by LoadKey().
-  std::map<uint32_t, uint32_t> online_load_;
+  slot_allocator slots_;
+  slot_counters slot_counters_;
   steady_time next_load_totals_at_{};
   bool was_dispatching_ = false;
   steady_time next_heal_at_{};
   steady_time next_members_push_at_{};
   bool is_healing_ = false;
   bool was_leading_ = false;
+  steady_time leading_since_{};
 };
 
 }  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -0,0 +1,359 @@
+#include "slots/slot_allocator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace shallotport {
+
+namespace {
+
+// A load report that was sent before its host received a grant does not list
+// it. Grants count for at least this long.
+constexpr std::chrono::milliseconds kGrantTransitTime{25};
+// An endpoint that two hosts avoided within this time is avoided for all.
+constexpr std::chrono::milliseconds kAvoidanceWindow{500};
+constexpr size_t kHostsForAvoidance = 2;
+// An endpoint fails requests when they are this share of those that ended
+// lately, and at least this many.
+constexpr double kFailingShare = 0.2;
+constexpr double kMinFailures = 2;
+constexpr std::chrono::milliseconds kCountHalfLife{2'000};
+// Assumed until requests of the service have ended.
+constexpr std::chrono::milliseconds kInitialDuration{500};
+constexpr int kDurationSamples = 16;  // In the moving average.
+// Positions in an endpoint's queue for requests that may wait for long.
+constexpr uint32_t kMaxWaiting = 8;
+constexpr std::chrono::milliseconds kMinRetryAfter{100};
+// Of the slots that become free, the share that is expected to be available to
+// callers who return after a refusal; the others go to new requests.
+constexpr double kReturnShare = 0.25;
+
+duration Average(duration mean, duration sample) {
+  return mean.count() == 0 ? sample : mean + (sample - mean) / kDurationSamples;
+}
+
+}  // namespace
+
+// How well an endpoint suits a request; the lowest is selected.
+struct slot_allocator::candidate {
+  enum class preference : uint8_t {
+    kFreeInOwnDomain,
+    kBatchInOwnDomain,
+    kFree,
+    kBatch,
+    kFailing,
+    kQueue,
+    kUnusable,
+  };
+
+  preference rank = preference::kUnusable;
+  duration wait{};
+  double load = 0;  // Share of the slots.
+  uint32_t key = 0;
+
+  auto Order() const { return std::tuple(rank, wait, load, key); }
+};
+
+void slot_allocator::Update(const endpoint_report& report) {
+  const uint32_t key = LoadKey(report.endpoint);
+  if (report.stage == endpoint_stage::kLeft) {
+    endpoints_.erase(key);
+    endpoint_ids_.erase(key);
+    return;
+  }
+  endpoint_state& state = endpoints_[key];
+  if (state.report.start_time_ms != report.start_time_ms) {
+    state.uses.clear();
+    state.avoided_by.clear();
+    state.mean_duration = {};
+    state.ended = 0;
+    state.failed = 0;
+  }
+  state.report = report;
+  state.is_ready = report.stage == endpoint_stage::kReady;
+  endpoint_ids_[key] = report.endpoint;
+}
+
+void slot_allocator::SetBatchLoad(uint32_t endpoint, uint32_t running) {
+  const auto found = endpoints_.find(endpoint);
+  if (found != endpoints_.end()) {
+    found->second.batch_load = running;
+  }
+}
+
+uint32_t slot_allocator::OnlineLoad(uint32_t endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found == endpoints_.end()
+             ? 0
+             : static_cast<uint32_t>(found->second.uses.size());
+}
+
+duration slot_allocator::MeanDuration(const endpoint_state& state) const {
+  if (state.mean_duration.count() > 0) {
+    return state.mean_duration;
+  }
+  const auto found = services_.find(state.report.service);
+  const bool is_known =
+      found != services_.end() && found->second.mean_duration.count() > 0;
+  return is_known ? found->second.mean_duration : duration(kInitialDuration);
+}
+
+void slot_allocator::RecordDuration(endpoint_state& state, duration elapsed) {
+  state.mean_duration = Average(state.mean_duration, elapsed);
+  service_state& service = services_[state.report.service];
+  service.mean_duration = Average(service.mean_duration, elapsed);
+}
+
+bool slot_allocator::IsAvoidedByOthers(steady_time now,
+                                       const endpoint_state& state) const {
+  const auto recent = std::count_if(
+      state.avoided_by.begin(), state.avoided_by.end(),
+      [now](const auto& each) { return now < each.second + kAvoidanceWindow; });
+  return static_cast<size_t>(recent) >= kHostsForAvoidance;
+}
+
+void slot_allocator::DecayCounts(steady_time now, endpoint_state& state) {
+  const std::chrono::duration<double> age = now - state.counted_at;
+  const std::chrono::duration<double> half_life = kCountHalfLife;
+  const double factor = std::exp2(-std::max(age / half_life, 0.0));
+  state.ended *= factor;
+  state.failed *= factor;
+  state.counted_at = now;
+}
+
+bool slot_allocator::IsFailing(const endpoint_state& state) {
+  return state.failed >= kMinFailures &&
+         state.failed >= kFailingShare * state.ended;
+}
+
+slot_allocator::candidate slot_allocator::Rank(steady_time now,
+                                               const slot_request& request,
+                                               uint32_t key,
+                                               endpoint_state& state) const {
+  using preference = candidate::preference;
+  candidate ranked;
+  ranked.key = key;
+  const auto contains = [](const auto& list, const auto& value) {
+    return std::find(list.begin(), list.end(), value) != list.end();
+  };
+  const uint32_t slots = state.report.slots;
+  if (!state.is_ready || slots == 0 ||
+      contains(request.avoided_endpoints, key) ||
+      contains(request.avoided_domains, state.report.domain) ||
+      IsAvoidedByOthers(now, state)) {
+    return ranked;
+  }
+  const auto online = static_cast<uint32_t>(state.uses.size());
+  const uint32_t total = online + state.batch_load;
+  const bool is_own_domain = state.report.domain == request.domain;
+  ranked.load = static_cast<double>(total) / slots;
+  if (IsFailing(state) && online < slots) {
+    ranked.rank = preference::kFailing;
+    return ranked;
+  }
+  if (total < slots) {
+    ranked.rank =
+        is_own_domain ? preference::kFreeInOwnDomain : preference::kFree;
+    return ranked;
+  }
+  if (online < slots) {
+    ranked.rank =
+        is_own_domain ? preference::kBatchInOwnDomain : preference::kBatch;
+    return ranked;
+  }
+  if (online >= slots + kMaxWaiting) {
+    return ranked;
+  }
+  ranked.rank = preference::kQueue;
+  ranked.wait = ExpectedWait(now, state);
+  return ranked;
+}
+
+// Requests that have started are expected to take the mean duration, and those
+// that wait to start in order of arrival.
+duration slot_allocator::ExpectedWait(steady_time now,
+                                      const endpoint_state& state) const {
+  const duration mean = MeanDuration(state);
+  std::vector<duration> slots_free_in;
+  size_t waiting = 0;
+  for (const slot_use& use : state.uses) {
+    if (use.has_started) {
+      // A request that is overdue can still take a while.
+      slots_free_in.push_back(
+          std::max<duration>(use.started_at + mean - now, mean / 4));
+    } else {
+      ++waiting;
+    }
+  }
+  std::sort(slots_free_in.begin(), slots_free_in.end());
+  const size_t slots = slots_free_in.size();
+  return slots == 0 ? duration(0)
+                    : slots_free_in[waiting % slots] +
+                          mean * static_cast<int64_t>(waiting / slots);
+}
+
+void slot_allocator::StartWaiting(steady_time now, endpoint_state& state) {
+  auto running = static_cast<uint32_t>(
+      std::count_if(state.uses.begin(), state.uses.end(),
+                    [](const slot_use& use) { return use.has_started; }));
+  for (slot_use& use : state.uses) {
+    if (running >= state.report.slots) {
+      return;
+    }
+    if (!use.has_started) {
+      use.has_started = true;
+      use.started_at = now;
+      ++running;
+    }
+  }
+}
+
+slot_decision slot_allocator::Allocate(steady_time now,
+                                       const std::string& host,
+                                       const slot_request& request) {
+  for (const uint32_t key : request.avoided_endpoints) {
+    const auto avoided = endpoints_.find(key);
+    if (avoided != endpoints_.end()) {
+      avoided->second.avoided_by[host] = now;
+    }
+  }
+  for (const uint32_t key : request.failed_endpoints) {
+    const auto failed = endpoints_.find(key);
+    if (failed != endpoints_.end()) {
+      DecayCounts(now, failed->second);
+      failed->second.failed += 1;
+    }
+  }
+  candidate best;
+  for (auto& [key, state] : endpoints_) {
+    if (state.report.service != request.service) {
+      continue;
+    }
+    if (state.failed > 0) {
+      DecayCounts(now, state);
+    }
+    const candidate ranked = Rank(now, request, key, state);
+    if (ranked.Order() < best.Order()) {
+      best = ranked;
+    }
+  }
+  slot_decision decision;
+  if (best.rank == candidate::preference::kUnusable) {
+    decision.reply.kind = slot_reply_kind::kNoEndpoint;
+    return decision;
+  }
+  if (best.wait > std::chrono::milliseconds(request.max_wait_ms)) {
+    return Refuse(now, request, best.wait);
+  }
+  endpoint_state& state = endpoints_.at(best.key);
+  state.uses.push_back({host, now});
+  StartWaiting(now, state);
+  ++host_loads_[host][best.key];
+  decision.reply.kind = slot_reply_kind::kGranted;
+  decision.reply.endpoint = state.report.endpoint;
+  decision.expected_wait = best.wait;
+  decision.needs_yield =
+      state.uses.size() <= state.report.slots &&
+      state.uses.size() + state.batch_load > state.report.slots;
+  return decision;
+}
+
+slot_decision slot_allocator::Refuse(steady_time now,
+                                     const slot_request& request,
+                                     duration expected_wait) {
+  uint32_t slots = 0;
+  for (const auto& [key, state] : endpoints_) {
+    const bool is_usable =
+        state.is_ready && state.report.service == request.service;
+    slots += is_usable ? state.report.slots : 0;
+  }
+  service_state& service = services_[request.service];
+  const duration mean = service.mean_duration.count() > 0
+                            ? service.mean_duration
+                            : duration(kInitialDuration);
+  const auto interval = std::chrono::duration_cast<duration>(
+      mean / (kReturnShare * std::max<uint32_t>(slots, 1)));
+  const steady_time earliest =
+      now + std::max<duration>(expected_wait, kMinRetryAfter);
+  const steady_time latest =
+      now +
+      std::max<duration>(std::chrono::milliseconds(request.max_retry_after_ms),
+                         kMinRetryAfter);
+  service.last_return_at = std::clamp(
+      std::max(service.last_return_at + interval, earliest), now, latest);
+  slot_decision decision;
+  decision.expected_wait = expected_wait;
+  decision.reply.kind = slot_reply_kind::kRefused;
+  decision.reply.retry_after_ms = static_cast<uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(service.last_return_at - now)
+          .count());
+  return decision;
+}
+
+void slot_allocator::RecordLoad(steady_time now,
+                                const std::string& host,
+                                const load_report& report) {
+  std::map<uint32_t, uint32_t>& known = host_loads_[host];
+  std::map<uint32_t, uint32_t> reported;
+  for (const load_entry& each : report.entries) {
+    if (endpoints_.contains(each.endpoint)) {
+      reported[each.endpoint] = each.running;
+    }
+  }
+  for (const auto& [key, count] : known) {
+    reported.try_emplace(key, 0);
+  }
+  known.clear();
+  for (const auto& [key, count] : reported) {
+    const auto found = endpoints_.find(key);
+    if (found == endpoints_.end()) {
+      continue;
+    }
+    endpoint_state& state = found->second;
+    std::vector<slot_use>& uses = state.uses;
+    const auto is_own = [&host](const slot_use& use) {
+      return use.host == host;
+    };
+    auto own =
+        static_cast<uint32_t>(std::count_if(uses.begin(), uses.end(), is_own));
+    while (own > count) {
+      const auto oldest = std::find_if(uses.begin(), uses.end(), is_own);
+      if (now < oldest->granted_at + kGrantTransitTime) {
+        break;
+      }
+      if (oldest->has_started) {
+        RecordDuration(state, now - oldest->started_at);
+      }
+      DecayCounts(now, state);
+      state.ended += 1;
+      uses.erase(oldest);
+      --own;
+    }
+    for (; own < count; ++own) {
+      uses.push_back({host, now});
+    }
+    StartWaiting(now, state);
+    if (own > 0) {
+      known[key] = own;
+    }
+  }
+}
+
+void slot_allocator::RemoveHost(const std::string& host) {
+  const auto found = host_loads_.find(host);
+  if (found == host_loads_.end()) {
+    return;
+  }
+  for (const auto& [key, count] : found->second) {
+    const auto endpoint = endpoints_.find(key);
+    if (endpoint != endpoints_.end()) {
+      std::erase_if(endpoint->second.uses,
+                    [&host](const slot_use& use) { return use.host == host; });
+    }
+  }
+  host_loads_.erase(found);
+}
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -0,0 +1,121 @@
+#ifndef SHALLOTPORT_SLOTS_SLOT_ALLOCATOR_H_
+#define SHALLOTPORT_SLOTS_SLOT_ALLOCATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "fleet/endpoint_report.h"
+#include "fleet/fleet_messages.h"
+#include "slots/slot_messages.h"
+
+namespace shallotport {
+
+// What the allocator decided about a slot request.
+struct slot_decision {
+  slot_reply reply;
+  // The granted slot is taken by a batch request, which has to be aborted.
+  bool needs_yield = false;
+  // Expected time in the endpoint's queue; 0 if a slot is free.
+  duration expected_wait{};
+};
+
+// Grants the slots of all endpoints to the entry hosts' online requests, so
+// that hosts that choose at the same time do not meet at an endpoint whose
+// engine admits requests in order of arrival. Counts the requests of each host
+// at each endpoint: its own grants at once, corrected by the hosts' load
+// reports. Owned by job_store_duty, used while that host leads the job group,
+// so that batch requests are counted exactly as well. Pure.
+//
+// Answers bursts in which online requests take nearly all slots. In order of
+// preference, a request gets a free slot, a slot of a batch request, or a
+// position at the endpoint that is expected to start it first; if that is too
+// late to be useful, it is refused at once. An endpoint that fails many
+// requests ends them quickly and has free slots; it is used after all others.
+// Refused callers are told to return at a rate that is a fraction of the rate
+// at which slots become free.
+//
+// Granting slots is no lock: an endpoint that gets more requests than slots
+// queues them. Two hosts that both believe to be the leader do no harm.
+class slot_allocator {
+ public:
+  void Update(const endpoint_report& report);
+  // Requests that the job group has at an endpoint.
+  void SetBatchLoad(uint32_t endpoint, uint32_t running);
+
+  // Counts a granted slot for `host` until a load report no longer lists it.
+  slot_decision Allocate(steady_time now,
+                         const std::string& host,
+                         const slot_request& request);
+  // Replaces what is known of a host's load by its report.
+  void RecordLoad(steady_time now,
+                  const std::string& host,
+                  const load_report& report);
+  // The host has failed or is partitioned from this one.
+  void RemoveHost(const std::string& host);
+
+  // Online requests at an endpoint.
+  uint32_t OnlineLoad(uint32_t endpoint) const;
+  const std::map<uint32_t, endpoint_id>& endpoint_ids() const {
+    return endpoint_ids_;
+  }
+
+ private:
+  // One online request at an endpoint.
+  struct slot_use {
+    std::string host;
+    steady_time granted_at{};
+    steady_time started_at{};  // As far as can be told from here.
+    bool has_started = false;
+  };
+  struct endpoint_state {
+    endpoint_report report;
+    bool is_ready = false;
+    uint32_t batch_load = 0;
+    std::vector<slot_use> uses;  // In order of arrival.
+    duration mean_duration{};    // Of online requests; 0: unknown.
+    // Requests that ended, and those of them that ended with an error, both
+    // decaying with their age.
+    double ended = 0;
+    double failed = 0;
+    steady_time counted_at{};
+    // Hosts that avoid this endpoint, and when they last said so.
+    std::map<std::string, steady_time> avoided_by;
+  };
+  struct service_state {
+    duration mean_duration{};
+    steady_time last_return_at{};  // Of the callers that were refused.
+  };
+  struct candidate;
+
+  candidate Rank(steady_time now,
+                 const slot_request& request,
+                 uint32_t key,
+                 endpoint_state& state) const;
+  // Ages the counts of ended requests.
+  static void DecayCounts(steady_time now, endpoint_state& state);
+  static bool IsFailing(const endpoint_state& state);
+  bool IsAvoidedByOthers(steady_time now, const endpoint_state& state) const;
+  // How long another request would wait in the endpoint's queue.
+  duration ExpectedWait(steady_time now, const endpoint_state& state) const;
+  static void StartWaiting(steady_time now, endpoint_state& state);
+  duration MeanDuration(const endpoint_state& state) const;
+  void RecordDuration(endpoint_state& state, duration elapsed);
+  slot_decision Refuse(steady_time now,
+                       const slot_request& request,
+                       duration expected_wait);
+
+  std::map<uint32_t, endpoint_state> endpoints_;  // By LoadKey().
+  std::map<uint32_t, endpoint_id> endpoint_ids_;
+  std::map<service_id, service_state> services_;
+  // Endpoints with requests of a host.
+  std::map<std::string, std::map<uint32_t, uint32_t>> host_loads_;
+};
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_SLOTS_SLOT_ALLOCATOR_H_
