--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -12,6 +12,8 @@
 
 // Changed load is sent at once, but not more often than this.
 constexpr std::chrono::milliseconds kChangedLoadInterval{5};
+// While the load is sent to all job stores.
+constexpr std::chrono::milliseconds kLoadToAllInterval{150};
 constexpr std::chrono::milliseconds kUnchangedLoadInterval{250};
 // Without totals for this long, the load is sent to all job stores: the leader
 // of the job group may have changed.
@@ -120,9 +122,11 @@
         {LoadKey(endpoint), static_cast<uint16_t>(running)});
   }
   std::string encoded = Encode(report);
+  const bool has_leader = now < totals_received_at_ + kTotalsTimeout;
   const duration interval = encoded == last_sent_report_
                                 ? duration(kUnchangedLoadInterval)
-                                : duration(kChangedLoadInterval);
+                            : has_leader ? duration(kChangedLoadInterval)
+                                         : duration(kLoadToAllInterval);
   if (now < load_sent_at_ + interval) {
     return;
   }
@@ -133,7 +137,7 @@
   }
   last_sent_report_ = std::move(encoded);
   constexpr auto kKind = static_cast<uint8_t>(fleet_frame::kLoad);
-  if (now < totals_received_at_ + kTotalsTimeout) {
+  if (has_leader) {
     fleet_.hub().Send(totals_sender_ip_, kKind, last_sent_report_);
     return;
   }
