--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -161,18 +161,20 @@
                                  constraints_.unreachable_domains.begin(),
                                  constraints_.unreachable_domains.end());
   const auto elapsed = duration_cast<milliseconds>(now - received_at_);
-  const auto remaining = duration_cast<milliseconds>(deadline_ - now);
+  const auto remaining =
+      std::max(duration_cast<milliseconds>(deadline_ - now), milliseconds(0));
   const bool may_refuse = executions_ == 0 && !has_response_begun_;
   const bool has_returned = elapsed_before_.count() > 0;
+  const bool has_objective = route_.objective.count() > 0;
   const auto useful_wait =
-      has_returned || !may_refuse
+      has_returned || !may_refuse || !has_objective
           ? kReturnedCallerWait
           : duration_cast<milliseconds>(route_.objective * kUsefulWaitShare) -
                 elapsed;
   request.max_wait_ms = static_cast<uint32_t>(
       std::clamp<int64_t>(useful_wait.count(), 0, remaining.count()));
-  request.max_retry_after_ms = static_cast<uint32_t>(
-      std::max<int64_t>(remaining.count() / kRetryAfterDivisor, 0));
+  request.max_retry_after_ms =
+      static_cast<uint32_t>(remaining.count() / kRetryAfterDivisor);
   return request;
 }
 
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -128,10 +128,11 @@
          state.failed >= kFailingShare * state.ended;
 }
 
-slot_allocator::candidate slot_allocator::Rank(steady_time now,
-                                               const slot_request& request,
-                                               uint32_t key,
-                                               endpoint_state& state) const {
+slot_allocator::candidate slot_allocator::Rank(
+    steady_time now,
+    const slot_request& request,
+    uint32_t key,
+    const endpoint_state& state) const {
   using preference = candidate::preference;
   candidate ranked;
   ranked.key = key;
@@ -250,7 +251,7 @@
   endpoint_state& state = endpoints_.at(best.key);
   state.uses.push_back({host, now});
   StartWaiting(now, state);
-  ++host_loads_[host][best.key];
+  host_endpoints_[host].insert(best.key);
   decision.reply.kind = slot_reply_kind::kGranted;
   decision.reply.endpoint = state.report.endpoint;
   decision.expected_wait = best.wait;
@@ -295,14 +296,14 @@
 void slot_allocator::RecordLoad(steady_time now,
                                 const std::string& host,
                                 const load_report& report) {
-  std::map<uint32_t, uint32_t>& known = host_loads_[host];
+  std::set<uint32_t>& known = host_endpoints_[host];
   std::map<uint32_t, uint32_t> reported;
   for (const load_entry& each : report.entries) {
     if (endpoints_.contains(each.endpoint)) {
       reported[each.endpoint] = each.running;
     }
   }
-  for (const auto& [key, count] : known) {
+  for (const uint32_t key : known) {
     reported.try_emplace(key, 0);
   }
   known.clear();
@@ -336,24 +337,24 @@
     }
     StartWaiting(now, state);
     if (own > 0) {
-      known[key] = own;
+      known.insert(key);
     }
   }
 }
 
 void slot_allocator::RemoveHost(const std::string& host) {
-  const auto found = host_loads_.find(host);
-  if (found == host_loads_.end()) {
+  const auto found = host_endpoints_.find(host);
+  if (found == host_endpoints_.end()) {
     return;
   }
-  for (const auto& [key, count] : found->second) {
+  for (const uint32_t key : found->second) {
     const auto endpoint = endpoints_.find(key);
     if (endpoint != endpoints_.end()) {
       std::erase_if(endpoint->second.uses,
                     [&host](const slot_use& use) { return use.host == host; });
     }
   }
-  host_loads_.erase(found);
+  host_endpoints_.erase(found);
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,16 +95,18 @@
   candidate Rank(steady_time now,
                  const slot_request& request,
                  uint32_t key,
-                 endpoint_state& state) const;
+                 const endpoint_state& state) const;
   // Ages the counts of ended requests.
   static void DecayCounts(steady_time now, endpoint_state& state);
   static bool IsFailing(const endpoint_state& state);
   bool IsAvoidedByOthers(steady_time now, const endpoint_state& state) const;
   // How long another request would wait in the endpoint's queue.
   duration ExpectedWait(steady_time now, const endpoint_state& state) const;
+  // Records the start of waiting requests for which a slot is free.
   static void StartWaiting(steady_time now, endpoint_state& state);
   duration MeanDuration(const endpoint_state& state) const;
   void RecordDuration(endpoint_state& state, duration elapsed);
+  // Tells the caller to return when its turn among the refused ones comes.
   slot_decision Refuse(steady_time now,
                        const slot_request& request,
                        duration expected_wait);
@@ -112,8 +114,8 @@
   std::map<uint32_t, endpoint_state> endpoints_;  // By LoadKey().
   std::map<uint32_t, endpoint_id> endpoint_ids_;
   std::map<service_id, service_state> services_;
-  // Endpoints with requests of a host.
-  std::map<std::string, std::map<uint32_t, uint32_t>> host_loads_;
+  // Endpoints, by LoadKey(), with requests of a host.
+  std::map<std::string, std::set<uint32_t>> host_endpoints_;
 };
 
 }  // namespace shallotport
