entry: a silent attempt is kept until another one has output

What callers saw: a stream was broken off, or a request got 502, although its endpoint would have gone on: the request had been read whole and sent to a sound endpoint.

Cause: an attempt that sent nothing for 800 ms within a stream, or for 0.6 of the objective before it, was cancelled first; only then another endpoint was looked for. If none was known, all were busy, or the new attempt failed, the caller got nothing. Sound endpoints pause for a second or so. Class: work that is under way is given up on a suspicion, before its replacement is certain.

Change: the second attempt begins beside the silent one. Whichever has output first (an event of a stream, a whole response otherwise) serves the caller, and the other one is cancelled at that moment. When one fails the other goes on, and when no endpoint takes the second attempt the first is simply kept. When a second attempt begins is decided by takeover_policy, as before: same limits, same budget.

--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -16,16 +16,13 @@
   uint64_t failed_in_doubt = 0;
   uint64_t timed_out = 0;
   uint64_t streams_aborted = 0;  // Responses that had begun.
-  // Of these, and of `failed_in_doubt`: after this host ended the attempt at a
-  // silent endpoint.
-  uint64_t streams_aborted_after_silence = 0;
-  uint64_t failed_after_silence = 0;
   uint64_t callers_disconnected = 0;
   uint64_t attempts = 0;
   uint64_t resumed = 0;
   uint64_t first_events_in_time = 0;  // First event within the objective.
   uint64_t first_events_late = 0;
-  uint64_t unresponsive_attempts = 0;  // Cancelled for a retry elsewhere.
+  uint64_t second_attempts = 0;  // Begun beside one that was silent.
+  uint64_t takeovers = 0;        // Second attempts that served the caller.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "entry/takeover_policy.h"
 #include "fleet/fleet_messages.h"
 
 namespace shallotport {
@@ -20,9 +21,8 @@
 // all return at the same time.
 constexpr int64_t kRetryJitterMs = 300;
 constexpr int64_t kMinRetryAfterMs = 100;
-// An endpoint that sent nothing for this share of the objective has probably
-// lost the request; a retry may still meet the objective.
-constexpr double kUnresponsiveShare = 0.6;
+// After no endpoint took a second attempt.
+constexpr std::chrono::milliseconds kSecondAttemptDelay{150};
 // While fewer than this share of a service's slots are taken, a free one is
 // found without a request for it.
 constexpr double kScarceShare = 0.5;
@@ -33,8 +33,6 @@
 constexpr std::chrono::milliseconds kReturnedCallerWait{1'000};
 // Callers follow a retry delay up to this share of the time that they have.
 constexpr int64_t kRetryAfterDivisor = 3;
-// Within a stream, events arrive every few tens of milliseconds.
-constexpr std::chrono::milliseconds kStreamGapTimeout{800};
 
 // Values of log fields.
 std::string_view LogName(endpoint_outcome end) {
@@ -112,7 +110,6 @@
   caller_->on_disconnected = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       ++self->duty_.counters_.callers_disconnected;
-      self->ReleaseEndpoint(endpoint_outcome::kCancelled);
       self->Finish();
     }
   };
@@ -120,6 +117,9 @@
 }
 
 void routed_exchange::StartAttempt() {
+  if (is_awaiting_slot_) {
+    return;  // For a second attempt, which now becomes the only one.
+  }
   const steady_time now = duty_.clock_.Now();
   const auto usage = duty_.selector_.SlotUsage(now, service_);
   const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
@@ -140,7 +140,7 @@
   StartAttemptAtOwnSelection();
 }
 
-slot_request routed_exchange::MakeSlotRequest(steady_time now) {
+slot_request routed_exchange::MakeSlotRequest(steady_time now) const {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   slot_request request;
@@ -150,7 +150,7 @@
        duty_.selector_.EndpointsInBackoff(now, service_)) {
     request.avoided_endpoints.push_back(LoadKey(each));
   }
-  for (const endpoint_id& each : constraints_.excluded) {
+  for (const endpoint_id& each : CurrentConstraints().excluded) {
     request.avoided_endpoints.push_back(LoadKey(each));
   }
   for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
@@ -163,7 +163,8 @@
   const auto elapsed = duration_cast<milliseconds>(now - received_at_);
   const auto remaining =
       std::max(duration_cast<milliseconds>(deadline_ - now), milliseconds(0));
-  const bool may_refuse = executions_ == 0 && !has_response_begun_;
+  const bool may_refuse =
+      current_ == nullptr && executions_ == 0 && !has_response_begun_;
   const bool has_returned = elapsed_before_.count() > 0;
   const bool has_objective = route_.objective.count() > 0;
   const auto useful_wait =
@@ -182,15 +183,23 @@
   if (is_finished_ || !std::exchange(is_awaiting_slot_, false)) {
     return;
   }
-  const bool may_refuse = executions_ == 0 && !has_response_begun_;
-  if (reply.kind == slot_reply_kind::kRefused && may_refuse) {
-    ++duty_.counters_.refused_busy;
-    RefuseUntil(error_kind::kNoCapacity, reply.retry_after_ms);
-    return;
+  if (current_ != nullptr && !NeedsSecond(duty_.clock_.Now())) {
+    return;  // The endpoint has gone on meanwhile.
+  }
+  if (reply.kind == slot_reply_kind::kRefused) {
+    if (current_ != nullptr) {
+      DeferSecondAttempt();
+      return;
+    }
+    if (executions_ == 0 && !has_response_begun_) {
+      ++duty_.counters_.refused_busy;
+      RefuseUntil(error_kind::kNoCapacity, reply.retry_after_ms);
+      return;
+    }
   }
   if (reply.kind == slot_reply_kind::kGranted) {
     const auto granted = duty_.selector_.AcquireGranted(
-        duty_.clock_.Now(), reply.endpoint, constraints_);
+        duty_.clock_.Now(), reply.endpoint, CurrentConstraints());
     if (granted) {
       SendTo(*granted);
       return;
@@ -199,62 +208,83 @@
   StartAttemptAtOwnSelection();
 }
 
+selection_constraints routed_exchange::CurrentConstraints() const {
+  selection_constraints constraints = constraints_;
+  if (current_ != nullptr) {
+    constraints.excluded.insert(current_->at.endpoint);
+  }
+  return constraints;
+}
+
 void routed_exchange::StartAttemptAtOwnSelection() {
   const steady_time now = duty_.clock_.Now();
-  auto selection = duty_.selector_.Acquire(now, service_, constraints_);
-  if (std::holds_alternative<selection_failure>(selection)) {
-    if (has_response_begun_) {
-      AbortStream("no endpoint available to resume the stream");
-    } else if (executions_ > 0) {
-      Fail(502, "no other endpoint available for a retry");
-    } else if (std::get<selection_failure>(selection) ==
-               selection_failure::kAllBusy) {
-      ++duty_.counters_.refused_busy;
-      Refuse(error_kind::kNoCapacity);
-    } else {
-      ++duty_.counters_.refused_no_endpoint;
-      Refuse(error_kind::kEndpointRefused);
-    }
+  auto selection = duty_.selector_.Acquire(now, service_, CurrentConstraints());
+  if (std::holds_alternative<selected_endpoint>(selection)) {
+    SendTo(std::get<selected_endpoint>(std::move(selection)));
     return;
   }
-  SendTo(std::get<selected_endpoint>(std::move(selection)));
+  if (current_ != nullptr) {
+    DeferSecondAttempt();
+  } else if (has_response_begun_) {
+    AbortStream("no endpoint available to resume the stream");
+  } else if (executions_ > 0) {
+    Fail(502, "no other endpoint available for a retry");
+  } else if (std::get<selection_failure>(selection) ==
+             selection_failure::kAllBusy) {
+    ++duty_.counters_.refused_busy;
+    Refuse(error_kind::kNoCapacity);
+  } else {
+    ++duty_.counters_.refused_no_endpoint;
+    Refuse(error_kind::kEndpointRefused);
+  }
 }
 
 void routed_exchange::SendTo(selected_endpoint endpoint) {
   const steady_time now = duty_.clock_.Now();
-  selected_ = std::move(endpoint);
-  duty_.NotifyLoadChanged();
+  const auto attempt = std::make_shared<endpoint_attempt>();
+  attempt->at = std::move(endpoint);
+  attempt->last_received_at = now;
   ++attempts_;
   ++duty_.counters_.attempts;
-  last_received_at_ = now;
-  head_ = {};
-  body_.clear();
-  is_stream_ = false;
-  events_.Reset();
+  if (current_ == nullptr) {
+    current_ = attempt;
+  } else {
+    second_ = attempt;
+    duty_.slow_retry_budget_.TryTake();
+    ++duty_.counters_.second_attempts;
+  }
+  duty_.NotifyLoadChanged();
   outbound_request out;
   out.method = request_.wire.method;
-  out.bytes = FormatAttempt(*selected_, now);
+  out.bytes = FormatAttempt(attempt->at, now);
   out.echo_header = duty_.options_.wire.request_id;
   out.echo_value = request_.id.text();
-  const std::weak_ptr<routed_exchange> weak = weak_from_this();
-  call_events events;
-  events.on_head = [weak](response_head head) {
-    if (const auto self = weak.lock()) {
-      self->OnHead(std::move(head));
+  const auto notify = [exchange = weak_from_this(),
+                       weak = std::weak_ptr(attempt)](const auto& handle) {
+    const auto self = exchange.lock();
+    const auto open = weak.lock();
+    if (self != nullptr && open != nullptr) {
+      handle(*self, open);
     }
   };
-  events.on_body = [weak](std::string_view bytes) {
-    if (const auto self = weak.lock()) {
-      self->OnBody(bytes);
-    }
+  call_events events;
+  events.on_head = [notify](response_head head) {
+    notify([&head](routed_exchange& self, const attempt_ptr& open) {
+      self.OnHead(*open, std::move(head));
+    });
   };
-  events.on_end = [weak](call_end end) {
-    if (const auto self = weak.lock()) {
-      self->OnEnd(end);
-    }
+  events.on_body = [notify](std::string_view bytes) {
+    notify([bytes](routed_exchange& self, const attempt_ptr& open) {
+      self.OnBody(open, bytes);
+    });
+  };
+  events.on_end = [notify](call_end end) {
+    notify([end](routed_exchange& self, const attempt_ptr& open) {
+      self.OnEnd(open, end);
+    });
   };
-  call_ =
-      duty_.pool_.Start(selected_->address, std::move(out), std::move(events));
+  attempt->call =
+      duty_.pool_.Start(attempt->at.address, std::move(out), std::move(events));
 }
 
 std::string routed_exchange::FormatAttempt(const selected_endpoint& at,
@@ -281,41 +311,43 @@
                        request_.wire.body);
 }
 
-void routed_exchange::OnHead(response_head head) {
+void routed_exchange::OnHead(endpoint_attempt& attempt, response_head head) {
   const wire_profile& wire = duty_.options_.wire;
   const steady_time now = duty_.clock_.Now();
   if (const auto load = ParseLoad(head.headers.Value(wire.load))) {
-    duty_.selector_.RecordLoad(now, selected_->endpoint, load->first,
+    duty_.selector_.RecordLoad(now, attempt.at.endpoint, load->first,
                                load->second);
   }
-  head_ = std::move(head);
-  const bool is_event_stream =
-      head_.headers.Value("Content-Type").starts_with("text/event-stream");
-  is_stream_ = IsSuccess(head_.status) && is_event_stream;
+  attempt.head = std::move(head);
+  const bool is_event_stream = attempt.head.headers.Value("Content-Type")
+                                   .starts_with("text/event-stream");
+  attempt.is_stream = IsSuccess(attempt.head.status) && is_event_stream;
 }
 
-void routed_exchange::OnBody(std::string_view bytes) {
-  if (!is_stream_) {
-    if (body_.size() + bytes.size() <= kMaxResponseBytes) {
-      body_.append(bytes);
+void routed_exchange::OnBody(const attempt_ptr& attempt,
+                             std::string_view bytes) {
+  if (!attempt->is_stream) {
+    if (attempt->body.size() + bytes.size() <= kMaxResponseBytes) {
+      attempt->body.append(bytes);
     }
     return;
   }
-  last_received_at_ = duty_.clock_.Now();
-  const std::string complete_events = events_.Feed(bytes);
+  attempt->last_received_at = duty_.clock_.Now();
+  const std::string complete_events = attempt->events.Feed(bytes);
   if (complete_events.empty()) {
     return;
   }
-  BeginResponse();
-  if (!events_.last_id().empty()) {
-    last_event_id_ = events_.last_id();
+  KeepOnly(attempt);
+  BeginResponse(*attempt);
+  if (!attempt->events.last_id().empty()) {
+    last_event_id_ = attempt->events.last_id();
   }
   caller_->SendChunk(complete_events);
 }
 
 // The response's head is sent with its first event: until then another endpoint
 // can take over the request.
-void routed_exchange::BeginResponse() {
+void routed_exchange::BeginResponse(const endpoint_attempt& attempt) {
   if (std::exchange(has_response_begun_, true)) {
     return;
   }
@@ -324,12 +356,13 @@
   const bool is_in_time = waited <= duration(route_.objective);
   ++(is_in_time ? duty_.counters_.first_events_in_time
                 : duty_.counters_.first_events_late);
-  caller_->BeginStream(head_.status, ResponseHeaders());
+  caller_->BeginStream(attempt.head.status, ResponseHeaders(attempt));
 }
 
-header_list routed_exchange::ResponseHeaders() const {
+header_list routed_exchange::ResponseHeaders(
+    const endpoint_attempt& attempt) const {
   header_list headers;
-  for (const auto& [name, value] : head_.headers.fields()) {
+  for (const auto& [name, value] : attempt.head.headers.fields()) {
     if (!IsConnectionHeader(name) &&
         !EqualsIgnoringCase(name, duty_.options_.wire.load)) {
       headers.Add(name, value);
@@ -338,26 +371,29 @@
   return headers;
 }
 
-void routed_exchange::OnEnd(call_end end) {
+void routed_exchange::OnEnd(const attempt_ptr& attempt, call_end end) {
   const auto self = shared_from_this();
-  call_.reset();
+  attempt->call.reset();
   const wire_profile& wire = duty_.options_.wire;
   switch (end) {
     case call_end::kComplete:
-      OnCompleteResponse();
+      OnCompleteResponse(attempt);
       return;
     case call_end::kNotSent:
-      OnAttemptFailed(attempt_result::kNotExecuted,
+      OnAttemptFailed(attempt, attempt_result::kNotExecuted,
                       endpoint_outcome::kUnreachable);
       return;
     case call_end::kConnectTimeout:
-      OnAttemptFailed(attempt_result::kNotExecuted, endpoint_outcome::kSilent);
+      OnAttemptFailed(attempt, attempt_result::kNotExecuted,
+                      endpoint_outcome::kSilent);
       return;
     case call_end::kBroken:
     case call_end::kInvalidResponse: {
       // A refusal is valid even if its body is incomplete.
-      const bool is_refused = head_.headers.Find(wire.not_executed) != nullptr;
+      const bool is_refused =
+          attempt->head.headers.Find(wire.not_executed) != nullptr;
       OnAttemptFailed(
+          attempt,
           is_refused ? attempt_result::kNotExecuted : attempt_result::kInDoubt,
           endpoint_outcome::kBroken);
       return;
@@ -365,52 +401,62 @@
   }
 }
 
-void routed_exchange::OnCompleteResponse() {
+void routed_exchange::OnCompleteResponse(const attempt_ptr& attempt) {
   const wire_profile& wire = duty_.options_.wire;
+  const int status = attempt->head.status;
   const bool is_not_executed =
-      head_.headers.Find(wire.not_executed) != nullptr || head_.status == 421;
+      attempt->head.headers.Find(wire.not_executed) != nullptr || status == 421;
   if (is_not_executed) {
-    OnAttemptFailed(attempt_result::kNotExecuted,
-                    head_.status == 421 ? endpoint_outcome::kOtherEndpoint
-                                        : endpoint_outcome::kShed);
+    OnAttemptFailed(attempt, attempt_result::kNotExecuted,
+                    status == 421 ? endpoint_outcome::kOtherEndpoint
+                                  : endpoint_outcome::kShed);
     return;
   }
   const bool has_endpoint_proof =
-      head_.headers.Find(wire.endpoint_proof) != nullptr;
-  if (is_stream_) {
-    if (events_.has_partial() || !has_endpoint_proof) {
-      OnAttemptFailed(attempt_result::kInDoubt, endpoint_outcome::kBroken);
+      attempt->head.headers.Find(wire.endpoint_proof) != nullptr;
+  if (attempt->is_stream) {
+    if (attempt->events.has_partial() || !has_endpoint_proof) {
+      OnAttemptFailed(attempt, attempt_result::kInDoubt,
+                      endpoint_outcome::kBroken);
       return;
     }
-    BeginResponse();
-    ReleaseEndpoint(endpoint_outcome::kServed);
-    ++duty_.counters_.served;
-    duty_.slow_retry_budget_.OnSuccess();
-    caller_->EndStream();
-    Finish();
+  } else if (!IsSuccess(status)) {
+    OnAttemptFailed(attempt, attempt_result::kEndpointFailed,
+                    endpoint_outcome::kFailed);
     return;
-  }
-  if (!IsSuccess(head_.status)) {
-    OnAttemptFailed(attempt_result::kEndpointFailed, endpoint_outcome::kFailed);
+  } else if (!has_endpoint_proof || attempt->body.size() >= kMaxResponseBytes ||
+             has_response_begun_) {
+    OnAttemptFailed(attempt, attempt_result::kInDoubt,
+                    endpoint_outcome::kBroken);
     return;
   }
-  if (!has_endpoint_proof || body_.size() >= kMaxResponseBytes ||
-      has_response_begun_) {
-    OnAttemptFailed(attempt_result::kInDoubt, endpoint_outcome::kBroken);
-    return;
-  }
-  ReleaseEndpoint(endpoint_outcome::kServed);
+  KeepOnly(attempt);
+  EndAttempt(*attempt, endpoint_outcome::kServed);
+  current_.reset();
   ++duty_.counters_.served;
   duty_.slow_retry_budget_.OnSuccess();
-  caller_->Respond(head_.status, ResponseHeaders(), body_);
+  if (attempt->is_stream) {
+    BeginResponse(*attempt);
+    caller_->EndStream();
+  } else {
+    caller_->Respond(status, ResponseHeaders(*attempt), attempt->body);
+  }
   Finish();
 }
 
-void routed_exchange::OnAttemptFailed(attempt_result outcome,
+void routed_exchange::OnAttemptFailed(const attempt_ptr& attempt,
+                                      attempt_result outcome,
                                       endpoint_outcome end) {
-  const endpoint_id endpoint = selected_->endpoint;
-  const domain_id domain = selected_->domain;
-  ReleaseEndpoint(end);
+  const endpoint_id endpoint = attempt->at.endpoint;
+  const domain_id domain = attempt->at.domain;
+  const bool was_second = attempt == second_;
+  EndAttempt(*attempt, end);
+  if (was_second) {
+    second_.reset();
+    DeferSecondAttempt();
+  } else {
+    current_ = std::exchange(second_, nullptr);
+  }
   constraints_.excluded.insert(endpoint);
   last_endpoint_ = endpoint;
   if (end == endpoint_outcome::kSilent) {
@@ -418,6 +464,8 @@
   }
   if (outcome != attempt_result::kNotExecuted) {
     ++executions_;
+  } else if (!was_second) {
+    ++refusals_;
   }
   const steady_time now = duty_.clock_.Now();
   attempt_history history;
@@ -425,24 +473,29 @@
   history.is_resumable = route_.is_resumable;
   history.max_executions = route_.max_executions;
   history.executions = executions_;
-  history.attempts = attempts_;
+  history.attempts = executions_ + refusals_;
   history.has_response_begun = has_response_begun_;
   history.has_time_left = now + kMinAttemptTime < deadline_;
+  const bool is_other_under_way = current_ != nullptr;
   const retry_decision next = DecideRetry(history, outcome);
   const auto load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
       duty_.selector_.PeerLoadAge(now, endpoint));
-  duty_.log_.LogRequest("try_failed",
-                        {{"request", request_.id.text()},
-                         {"route", route_.name},
-                         {"endpoint", endpoint.text()},
-                         {"domain", domain.text()},
-                         {"end", LogName(end)},
-                         {"outcome", LogName(outcome)},
-                         {"status", int64_t{head_.status}},
-                         {"next", LogName(next)},
-                         {"runs", int64_t{executions_}},
-                         {"max_runs", int64_t{route_.max_executions}},
-                         {"load_age_ms", load_age.count()}});
+  duty_.log_.LogRequest(
+      "try_failed",
+      {{"request", request_.id.text()},
+       {"route", route_.name},
+       {"endpoint", endpoint.text()},
+       {"domain", domain.text()},
+       {"end", LogName(end)},
+       {"outcome", LogName(outcome)},
+       {"status", int64_t{attempt->head.status}},
+       {"next", is_other_under_way ? "other_attempt" : LogName(next)},
+       {"runs", int64_t{executions_}},
+       {"max_runs", int64_t{route_.max_executions}},
+       {"load_age_ms", load_age.count()}});
+  if (is_other_under_way) {
+    return;
+  }
   switch (next) {
     case retry_decision::kRetry:
       StartAttempt();
@@ -459,7 +512,7 @@
       Fail(502, "the endpoint's answer broke");
       return;
     case retry_decision::kForwardFailure:
-      ForwardFailure();
+      ForwardFailure(*attempt);
       return;
     case retry_decision::kAbort:
       AbortStream("the endpoint's stream broke");
@@ -467,27 +520,59 @@
   }
 }
 
-void routed_exchange::ReleaseEndpoint(endpoint_outcome end) {
-  if (selected_) {
-    duty_.selector_.Release(duty_.clock_.Now(), selected_->endpoint, end);
-    selected_.reset();
-    duty_.NotifyLoadChanged();
+void routed_exchange::EndAttempt(endpoint_attempt& attempt,
+                                 endpoint_outcome end) {
+  attempt.call.reset();
+  duty_.selector_.Release(duty_.clock_.Now(), attempt.at.endpoint, end);
+  duty_.NotifyLoadChanged();
+}
+
+void routed_exchange::KeepOnly(const attempt_ptr& attempt) {
+  if (second_ == nullptr) {
+    return;
   }
+  const bool is_takeover = attempt == second_;
+  const attempt_ptr other = is_takeover ? current_ : second_;
+  current_ = attempt;
+  second_.reset();
+  ++executions_;  // The other one may have been executed.
+  constraints_.excluded.insert(other->at.endpoint);
+  duty_.counters_.takeovers += is_takeover ? 1 : 0;
+  const auto silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(
+      duty_.clock_.Now() - other->last_received_at);
+  duty_.log_.LogRequest(
+      is_takeover ? "second_try_took_over" : "second_try_ended",
+      {{"request", request_.id.text()},
+       {"route", route_.name},
+       {"endpoint", attempt->at.endpoint.text()},
+       {"ended_endpoint", other->at.endpoint.text()},
+       {"silent_ms", silent_for.count()}});
+  EndAttempt(*other, endpoint_outcome::kCancelled);
 }
 
-// Only for requests that may be executed again.
-bool routed_exchange::IsUnresponsive(steady_time now) const {
-  if (!selected_ || !route_.IsRepeatable() ||
-      executions_ + 1 >= route_.max_executions ||
-      route_.objective.count() == 0) {
-    return false;
+bool routed_exchange::NeedsSecond(steady_time now) const {
+  attempt_silence state;
+  state.is_repeatable = route_.IsRepeatable();
+  state.has_response_begun = has_response_begun_;
+  state.has_second_attempt = second_ != nullptr;
+  state.executions = executions_;
+  state.max_executions = route_.max_executions;
+  state.silent_for = now - current_->last_received_at;
+  state.objective = route_.objective;
+  return NeedsSecondAttempt(state);
+}
+
+void routed_exchange::BeginSecondIfSilent(steady_time now) {
+  const bool may_begin = current_ != nullptr && !is_awaiting_slot_ &&
+                         now >= next_second_at_ &&
+                         duty_.slow_retry_budget_.HasToken();
+  if (may_begin && NeedsSecond(now)) {
+    StartAttempt();
   }
-  const duration first_byte_limit = std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(
-          kUnresponsiveShare * static_cast<double>(route_.objective.count())));
-  const duration limit =
-      has_response_begun_ ? kStreamGapTimeout : first_byte_limit;
-  return now > last_received_at_ + limit;
+}
+
+void routed_exchange::DeferSecondAttempt() {
+  next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
 }
 
 void routed_exchange::Tick(steady_time now) {
@@ -496,17 +581,10 @@
   }
   const auto self = shared_from_this();
   if (now < deadline_) {
-    if (IsUnresponsive(now) && duty_.slow_retry_budget_.TryTake()) {
-      ++duty_.counters_.unresponsive_attempts;
-      has_ended_silent_attempt_ = true;
-      call_.reset();
-      OnAttemptFailed(attempt_result::kInDoubt, endpoint_outcome::kCancelled);
-    }
+    BeginSecondIfSilent(now);
     return;
   }
   ++duty_.counters_.timed_out;
-  call_.reset();
-  ReleaseEndpoint(endpoint_outcome::kCancelled);
   if (has_response_begun_) {
     AbortStream("time limit");
   } else {
@@ -531,23 +609,21 @@
 
 void routed_exchange::Fail(int status, std::string_view reason) {
   ++duty_.counters_.failed_in_doubt;
-  duty_.counters_.failed_after_silence += has_ended_silent_attempt_ ? 1 : 0;
   Log("request_failed", reason, status);
   caller_->Respond(status, {}, {});
   Finish();
 }
 
-void routed_exchange::ForwardFailure() {
+void routed_exchange::ForwardFailure(const endpoint_attempt& attempt) {
+  const int status = attempt.head.status;
   ++duty_.counters_.forwarded_failures;
-  Log("request_failed", "the endpoint returned an error", head_.status);
-  caller_->Respond(head_.status, ResponseHeaders(), body_);
+  Log("request_failed", "the endpoint returned an error", status);
+  caller_->Respond(status, ResponseHeaders(attempt), attempt.body);
   Finish();
 }
 
 void routed_exchange::AbortStream(std::string_view reason) {
   ++duty_.counters_.streams_aborted;
-  duty_.counters_.streams_aborted_after_silence +=
-      has_ended_silent_attempt_ ? 1 : 0;
   Log("stream_broken_off", reason, 0);
   caller_->Abort();
   Finish();
@@ -581,8 +657,12 @@
   }
   caller_->on_disconnected = nullptr;
   duty_.metrics_.ObserveTotal(route_.name, duty_.clock_.Now() - received_at_);
-  call_.reset();
-  ReleaseEndpoint(endpoint_outcome::kCancelled);
+  for (const attempt_ptr& each :
+       {std::exchange(current_, nullptr), std::exchange(second_, nullptr)}) {
+    if (each != nullptr) {
+      EndAttempt(*each, endpoint_outcome::kCancelled);
+    }
+  }
   duty_.active_.erase(shared_from_this());
 }
 
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -8,8 +8,8 @@
 #include <string_view>
 
 #include "entry/attempt_policy.h"
+#include "entry/endpoint_attempt.h"
 #include "entry/entry_duty.h"
-#include "entry/event_splitter.h"
 
 namespace shallotport {
 
@@ -24,34 +24,47 @@
                   std::shared_ptr<http_exchange> caller);
 
   void Begin();
-  // Fails the request when its deadline has passed, and retries an attempt
-  // whose endpoint is unresponsive.
+  // Fails the request when its deadline has passed, and begins a second attempt
+  // beside one whose endpoint is silent.
   void Tick(steady_time now);
 
  private:
+  using attempt_ptr = std::shared_ptr<endpoint_attempt>;
+
   // Selects an endpoint, or requests a slot if slots of the service are scarce.
+  // The attempt is a second one if another is under way.
   void StartAttempt();
-  slot_request MakeSlotRequest(steady_time now);
+  slot_request MakeSlotRequest(steady_time now) const;
   void OnSlotReply(const slot_reply& reply);
   void StartAttemptAtOwnSelection();
+  // The constraints of the request, and those by its attempts under way.
+  selection_constraints CurrentConstraints() const;
   void SendTo(selected_endpoint endpoint);
   std::string FormatAttempt(const selected_endpoint& at, steady_time now) const;
-  void OnHead(response_head head);
-  void OnBody(std::string_view bytes);
-  void OnEnd(call_end end);
-  void OnCompleteResponse();
-  void OnAttemptFailed(attempt_result outcome, endpoint_outcome end);
-  void ReleaseEndpoint(endpoint_outcome end);
-  bool IsUnresponsive(steady_time now) const;
-  void BeginResponse();
+  void OnHead(endpoint_attempt& attempt, response_head head);
+  void OnBody(const attempt_ptr& attempt, std::string_view bytes);
+  void OnEnd(const attempt_ptr& attempt, call_end end);
+  void OnCompleteResponse(const attempt_ptr& attempt);
+  void OnAttemptFailed(const attempt_ptr& attempt,
+                       attempt_result outcome,
+                       endpoint_outcome end);
+  // `attempt` has output for the caller: ends the other one, if any.
+  void KeepOnly(const attempt_ptr& attempt);
+  // Cancels the attempt's call if it has not ended.
+  void EndAttempt(endpoint_attempt& attempt, endpoint_outcome end);
+  // Whether `current_` is silent and may be executed once more beside it.
+  bool NeedsSecond(steady_time now) const;
+  void BeginSecondIfSilent(steady_time now);
+  void DeferSecondAttempt();
+  void BeginResponse(const endpoint_attempt& attempt);
 
   void Refuse(error_kind kind);
   void RefuseUntil(error_kind kind, int64_t retry_after_ms);
   void Fail(int status, std::string_view reason);
-  void ForwardFailure();
+  void ForwardFailure(const endpoint_attempt& attempt);
   void AbortStream(std::string_view reason);
   void Finish();
-  header_list ResponseHeaders() const;
+  header_list ResponseHeaders(const endpoint_attempt& attempt) const;
   void Log(std::string_view event, std::string_view reason, int status);
 
   entry_duty& duty_;
@@ -63,24 +76,21 @@
   steady_time deadline_{};  // By the route's timeout or the caller's limit.
   service_id service_;
 
-  std::unique_ptr<endpoint_call> call_;
-  std::optional<selected_endpoint> selected_;
+  // Its response goes to the caller. Null before the first attempt, and between
+  // attempts.
+  attempt_ptr current_;
+  attempt_ptr second_;  // Begun while `current_` is silent.
+  steady_time next_second_at_{};
   selection_constraints constraints_;
   endpoint_id last_endpoint_;
-  uint32_t executions_ = 0;
-  uint32_t attempts_ = 0;
+  uint32_t executions_ = 0;  // Of ended attempts.
+  uint32_t refusals_ = 0;    // Ended attempts that were not executed.
+  uint32_t attempts_ = 0;    // Of any kind.
   bool is_awaiting_slot_ = false;
-  bool has_ended_silent_attempt_ = false;
   // Since the caller's first attempt, as far as is known.
   std::chrono::milliseconds elapsed_before_{0};
 
-  steady_time last_received_at_{};  // From the endpoint of the current attempt.
-  response_head head_;              // Of the current attempt.
-
-  std::string body_;
-  bool is_stream_ = false;
   bool has_response_begun_ = false;
-  event_splitter events_;
   std::string last_event_id_;
   bool is_finished_ = false;
 };
--- /dev/null
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -0,0 +1,29 @@
+#ifndef SHALLOTPORT_ENTRY_TAKEOVER_POLICY_H_
+#define SHALLOTPORT_ENTRY_TAKEOVER_POLICY_H_
+
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace shallotport {
+
+// State of a request whose attempt is under way.
+struct attempt_silence {
+  bool is_repeatable = false;
+  bool has_response_begun = false;
+  bool has_second_attempt = false;
+  uint32_t executions = 0;  // That have ended.
+  uint32_t max_executions = 1;
+  duration silent_for{};
+  duration objective{};  // 0: none.
+};
+
+// True if a second attempt should begin beside one that is silent: its endpoint
+// has probably lost the request. A sound endpoint may pause for as long, so the
+// silent attempt is kept until the second one produces output; whichever does
+// so first serves the caller. Pure.
+bool NeedsSecondAttempt(const attempt_silence& state);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ENTRY_TAKEOVER_POLICY_H_
--- /dev/null
+++ b/src/libshallotport/entry/takeover_policy_test.cc
@@ -0,0 +1,64 @@
+#include "entry/takeover_policy.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct silence_case {
+  std::string name;
+  attempt_silence state;
+  bool expected;
+};
+
+// A repeatable request with an objective of 300 ms that may be executed twice.
+attempt_silence SilentFor(milliseconds time, bool has_response_begun) {
+  attempt_silence state;
+  state.is_repeatable = true;
+  state.has_response_begun = has_response_begun;
+  state.max_executions = 2;
+  state.silent_for = time;
+  state.objective = milliseconds(300);
+  return state;
+}
+
+template <typename T>
+attempt_silence With(T attempt_silence::*member, T value) {
+  attempt_silence state = SilentFor(milliseconds(2'000), false);
+  state.*member = value;
+  return state;
+}
+
+class takeover_policy : public testing::TestWithParam<silence_case> {};
+
+TEST_P(takeover_policy, BeginsASecondAttempt) {
+  EXPECT_EQ(NeedsSecondAttempt(GetParam().state), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    takeover_policy,
+    testing::Values(
+        silence_case{"no_byte_yet", SilentFor(milliseconds(170), false), false},
+        silence_case{"no_byte_for_long", SilentFor(milliseconds(190), false),
+                     true},
+        silence_case{"gap", SilentFor(milliseconds(790), true), false},
+        silence_case{"long_gap", SilentFor(milliseconds(810), true), true},
+        silence_case{"not_repeatable",
+                     With(&attempt_silence::is_repeatable, false), false},
+        silence_case{"under_way",
+                     With(&attempt_silence::has_second_attempt, true), false},
+        silence_case{"executed_before",
+                     With(&attempt_silence::executions, uint32_t{1}), false},
+        silence_case{"no_objective",
+                     With(&attempt_silence::objective, duration(0)), false}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+
+}  // namespace shallotport
