eventio: a connection with unread bytes is not closed as idle

What callers could see: a request sent on an open connection, within four fifths of the idle limit that its caller knew, was met by a reset.

A body that came slowly was closed silently.

Change: the limit is the one in force when the connection became idle, or the present one if that is longer; a connection with unread bytes or a begun request is kept; a late body is answered 408.

--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -1,5 +1,6 @@
 #include "eventio/http_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -22,7 +23,12 @@
 http_connection::http_connection(http_listener& listener,
                                  boost::asio::ip::tcp::socket socket)
     : listener_(&listener), socket_(std::move(socket)) {
-  phase_begun_at_ = listener.clock_.Now();
+  BeginIdle();
+}
+
+void http_connection::BeginIdle() {
+  phase_begun_at_ = listener_->clock_.Now();
+  idle_timeout_ = listener_->limits_.idle_timeout;
 }
 
 void http_connection::Start() {
@@ -92,17 +98,17 @@
 }
 
 void http_connection::CloseIfIdle() {
-  if (!is_serving_ && input_.empty() && !is_sending_) {
-    CloseAsIdle();
+  const bool is_idle =
+      !is_serving_ && !is_sending_ && !has_started_request_ && input_.empty();
+  if (is_idle && !HasUnreadInput()) {
+    ++listener_->counters_.closed_idle;
+    Close();
   }
 }
 
-void http_connection::CloseAsIdle() {
+bool http_connection::HasUnreadInput() const {
   error_code failure;
-  const bool has_input = !input_.empty() || socket_.available(failure) > 0;
-  ++listener_->counters_.closed_idle;
-  listener_->counters_.closed_with_input += has_input ? 1 : 0;
-  Close();
+  return socket_.available(failure) > 0;
 }
 
 void http_connection::Sweep(steady_time now) {
@@ -113,12 +119,18 @@
       has_started_request_ &&
       now > phase_begun_at_ + listener_->limits_.header_timeout && parser_ &&
       !parser_->is_header_done();
-  const bool is_idle = now > phase_begun_at_ + listener_->limits_.idle_timeout;
-  if (is_header_late) {
+  const bool is_over_idle_timeout =
+      now > phase_begun_at_ +
+                std::max(idle_timeout_, listener_->limits_.idle_timeout);
+  if ((!is_header_late && !is_over_idle_timeout) || HasUnreadInput()) {
+    return;
+  }
+  if (has_started_request_) {
     Reject(408);
-  } else if (is_idle) {
-    CloseAsIdle();
+    return;
   }
+  ++listener_->counters_.closed_idle;
+  Close();
 }
 
 void http_connection::Parse() {
@@ -245,7 +257,9 @@
   if (is_closed_) {
     return;
   }
-  phase_begun_at_ = listener_->clock_.Now();
+  if (listener_ != nullptr) {
+    BeginIdle();
+  }
   if (is_closing) {
     closes_when_sent_ = true;
     Flush();
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -44,7 +44,9 @@
   void Flush();
   void FinishExchange(bool is_closing);
   void OnDisconnected();
-  void CloseAsIdle();
+  void BeginIdle();
+  // Bytes wait in the socket.
+  bool HasUnreadInput() const;
   std::string FormatHead(int status, const header_list& headers) const;
 
   http_listener* listener_;
@@ -55,6 +57,9 @@
   bool has_started_request_ = false;
   // Time of the request's first byte, or since when the connection is idle.
   steady_time phase_begun_at_{};
+  // The limit in force when the connection became idle: the caller reuses it by
+  // that limit, even if a later configuration has a lower one.
+  duration idle_timeout_{};
 
   bool is_serving_ = false;
   bool is_reading_ = false;
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -21,8 +21,6 @@
 // Counters of callers' connections that this host closed, since its start.
 struct listener_counters {
   uint64_t closed_idle = 0;
-  // Idle for the parser, but bytes waited in the socket.
-  uint64_t closed_with_input = 0;
   // A request was read, and its connection was closed before any response.
   uint64_t unanswered = 0;
 };
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -195,6 +195,79 @@
   EXPECT_TRUE(RunUntil(loop_, [&] { return idle->is_ended; }));
 }
 
+using std::chrono::seconds;
+
+struct waiting_connection {
+  std::string name;
+  std::string sent_before;  // And read, before the connection is looked at.
+  std::string sent;         // Not read yet.
+  seconds former_idle_timeout;
+  seconds idle_for;
+  bool is_draining;
+  std::string response;  // Empty: closed without one.
+};
+
+class connections_kept_by_sweep
+    : public http_listener_test,
+      public testing::WithParamInterface<waiting_connection> {};
+
+// A request whose bytes waited in the socket lost its connection.
+TEST_P(connections_kept_by_sweep, RequestIsAnswered) {
+  const waiting_connection& param = GetParam();
+  listener_limits limits;
+  limits.idle_timeout = param.former_idle_timeout;
+  listener_.SetLimits(limits);
+  const auto caller = Connect();
+  caller->Write(param.sent_before);
+  ASSERT_TRUE(
+      RunUntil(loop_, [&] { return listener_.connection_count() == 1; }));
+  loop_.restart();
+  loop_.run_for(milliseconds(20));
+  limits.idle_timeout = seconds(2);
+  listener_.SetLimits(limits);
+  caller->Write(param.sent);
+  if (param.is_draining) {
+    listener_.StartDraining();
+    listener_.CloseIdle();
+  } else {
+    listener_.Sweep(clock_.Now() + param.idle_for);
+  }
+  // Its caller reuses an open connection; a closed one shows as ended.
+  RunUntil(
+      loop_, [&] { return caller->is_ended; }, milliseconds(20));
+  if (!caller->is_ended && param.sent.empty()) {
+    caller->Write("GET /next HTTP/1.1\r\n\r\n");
+  }
+  EXPECT_TRUE(RunUntil(
+      loop_, [&] { return caller->is_ended || !caller->received.empty(); }));
+  EXPECT_EQ(caller->received.substr(0, param.response.size()), param.response);
+  EXPECT_EQ(caller->received.empty(), param.response.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    connections_kept_by_sweep,
+    testing::Values(
+        waiting_connection{"unread_request", "", "GET /1 HTTP/1.1\r\n\r\n",
+                           seconds(2), seconds(3), false, "HTTP/1.1 200"},
+        waiting_connection{"unread_request_while_draining", "",
+                           "GET /1 HTTP/1.1\r\n\r\n", seconds(2), seconds(0),
+                           true, "HTTP/1.1 200"},
+        waiting_connection{"half_read_request_while_draining", "GET /1 HT",
+                           "TP/1.1\r\n\r\n", seconds(2), seconds(0), true,
+                           "HTTP/1.1 200"},
+        waiting_connection{"idle_since_before_a_lower_limit", "", "",
+                           seconds(15), seconds(12), false, "HTTP/1.1 200"},
+        waiting_connection{"idle_for_too_long", "", "", seconds(2), seconds(3),
+                           false, ""},
+        waiting_connection{"unread_rest_of_a_late_header", "GET /1 HT",
+                           "TP/1.1\r\n\r\n", seconds(15), seconds(4), false,
+                           "HTTP/1.1 200"},
+        waiting_connection{"late_body",
+                           "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nb", "",
+                           seconds(2), seconds(3), false, "HTTP/1.1 408"}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 
 }  // namespace shallotport
