fleet, entry: software version of endpoints, streams that callers take up

The lines of the entry hosts told neither which version an endpoint had reported nor which attempt a caller resumed, so its own resumptions, the callers' and a report of an earlier start could not be told apart.

--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -19,6 +19,7 @@
   uint64_t callers_disconnected = 0;
   uint64_t attempts = 0;
   uint64_t resumed = 0;
+  uint64_t taken_up = 0;  // Streams that callers resume with a new request.
   uint64_t first_events_in_time = 0;  // First event within the objective.
   uint64_t first_events_late = 0;
   uint64_t second_attempts = 0;  // Begun beside one that was silent.
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -47,6 +47,14 @@
 void entry_duty::Serve(const route& matched_route,
                        caller_request request,
                        std::shared_ptr<http_exchange> exchange) {
+  if (!request.resume_after.empty()) {
+    ++counters_.taken_up;
+    log_.LogRequest("stream_taken_up",
+                    {{"request", request.id.text()},
+                     {"resumed_request", request.resumed_request.text()},
+                     {"route", matched_route.name},
+                     {"last_event", request.resume_after}});
+  }
   auto routed = std::make_shared<routed_exchange>(
       *this, matched_route, std::move(request), std::move(exchange));
   active_.insert(routed);
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -34,6 +34,9 @@
   // 0: only the route's timeout applies.
   std::chrono::milliseconds time_limit{0};
   std::string resume_after;  // Id of the last event that the caller received.
+  // The caller's attempt that brought the first event of the stream that this
+  // one resumes; empty if the caller names none.
+  request_id resumed_request;
 };
 
 // Serves callers' online requests on one entry host: finds the route, selects
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -62,6 +62,7 @@
       log_.LogState(was_serving ? "endpoint_leaves" : "endpoint_ready",
                     {{"endpoint", entry.report.endpoint.text()},
                      {"service", entry.report.service.text()},
+                     {"software_version", entry.report.software_version},
                      {"sequence", static_cast<int64_t>(entry.report.sequence)},
                      {"age_ms", int64_t{entry.report.age_ms}}});
     }
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -28,11 +28,14 @@
   // Only of a leave that does not name the start that it ends: when it was
   // received, in Unix milliseconds. It ends every earlier start. Otherwise 0.
   uint64_t leave_time_ms = 0;
+  // Of the endpoint's software, without an order; not of a model's weights.
+  std::string software_version;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(endpoint, service, ip, port, domain, slots, stage,
-            cold_remaining_ms, start_time_ms, sequence, age_ms, leave_time_ms);
+            cold_remaining_ms, start_time_ms, sequence, age_ms, leave_time_ms,
+            software_version);
   }
 };
 
--- a/src/libshallotport/fleet/report_filter.cc
+++ b/src/libshallotport/fleet/report_filter.cc
@@ -13,7 +13,8 @@
 auto News(const endpoint_report& report) {
   return std::tie(report.service, report.ip, report.port, report.domain,
                   report.slots, report.stage, report.cold_remaining_ms,
-                  report.start_time_ms, report.leave_time_ms);
+                  report.start_time_ms, report.leave_time_ms,
+                  report.software_version);
 }
 
 }  // namespace
--- a/src/libshallotport/fleet/report_filter_test.cc
+++ b/src/libshallotport/fleet/report_filter_test.cc
@@ -69,6 +69,8 @@
         news_case{"domain",
                   [](endpoint_report& r) { r.domain = domain_id("b"); }},
         news_case{"slots", [](endpoint_report& r) { r.slots = 4; }},
+        news_case{"software_version",
+                  [](endpoint_report& r) { r.software_version = "v2"; }},
         news_case{"cold", [](endpoint_report& r) { r.cold_remaining_ms = 9; }}),
     [](const auto& info) { return std::string(info.param.name); });
 
