entry, slots: selections can be constrained to a software version

A stream may only be resumed at the software version that began it. The constraint is one field of selection_constraints and slot_request and is obeyed where an endpoint is chosen: Acquire, AcquireGranted, the allocator's Rank; the slots that a constrained request may use are counted alone. Nothing sets it yet.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -136,6 +136,13 @@
   return state.is_ready;
 }
 
+bool endpoint_selector::HasVersion(
+    const endpoint_state& state,
+    const std::optional<std::string>& software_version) {
+  return !software_version ||
+         *software_version == state.report.software_version;
+}
+
 std::variant<selected_endpoint, selection_failure> endpoint_selector::Acquire(
     steady_time now,
     const service_id& service,
@@ -155,7 +162,8 @@
   size_t usable_count = 0;
   for (const endpoint_id& id : found->second) {
     endpoint_state& state = endpoints_.at(id);
-    if (!IsUsable(state) || constraints.excluded.contains(id)) {
+    if (!IsUsable(state) || !HasVersion(state, constraints.software_version) ||
+        constraints.excluded.contains(id)) {
       continue;
     }
     ++usable_count;
@@ -224,7 +232,9 @@
   reachability_.RecordAttempt(now, state.report.domain);
   return selected_endpoint{state.report.endpoint,
                            {state.report.ip, state.report.port},
-                           state.report.domain};
+                           state.report.domain,
+                           state.report.software_version,
+                           state.report.start_time_ms};
 }
 
 std::optional<selected_endpoint> endpoint_selector::AcquireGranted(
@@ -238,6 +248,7 @@
   endpoint_state& state = found->second;
   const domain_id& domain = state.report.domain;
   const bool is_avoided = !IsUsable(state) || now < state.backoff_until ||
+                          !HasVersion(state, constraints.software_version) ||
                           constraints.excluded.contains(endpoint) ||
                           constraints.unreachable_domains.contains(domain) ||
                           reachability_.IsInBackoff(now, domain);
@@ -335,7 +346,8 @@
 
 endpoint_selector::slot_usage endpoint_selector::SlotUsage(
     steady_time now,
-    const service_id& service) const {
+    const service_id& service,
+    const std::optional<std::string>& software_version) const {
   slot_usage sum;
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) {
@@ -343,7 +355,8 @@
   }
   for (const endpoint_id& id : found->second) {
     const endpoint_state& state = endpoints_.at(id);
-    if (IsUsable(state) && now >= state.backoff_until) {
+    if (IsUsable(state) && HasVersion(state, software_version) &&
+        now >= state.backoff_until) {
       sum.slots += state.report.slots;
       sum.taken += std::min<uint32_t>(
           state.report.slots, static_cast<uint32_t>(EstimatedLoad(now, state)));
@@ -373,4 +386,23 @@
   return found != endpoints_.end() && found->second.is_ready;
 }
 
+bool endpoint_selector::IsVersionServing(
+    const service_id& service,
+    const std::string& software_version) const {
+  const auto found = by_service_.find(service);
+  return found != by_service_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const endpoint_id& id) {
+                       const endpoint_state& state = endpoints_.at(id);
+                       return IsUsable(state) &&
+                              HasVersion(state, software_version);
+                     });
+}
+
+bool endpoint_selector::IsSameStart(const selected_endpoint& selected) const {
+  const auto found = endpoints_.find(selected.endpoint);
+  return found == endpoints_.end() ||
+         found->second.report.start_time_ms == selected.start_time_ms;
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -21,6 +22,9 @@
   endpoint_id endpoint;
   endpoint_address address;
   domain_id domain;
+  // By the report that was known when it was selected.
+  std::string software_version;
+  uint64_t start_time_ms = 0;
 };
 
 // How a request at an endpoint ended, as far as later selections are concerned.
@@ -39,6 +43,8 @@
 struct selection_constraints {
   std::set<endpoint_id> excluded;           // Already attempted.
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
+  // Only endpoints of this version; of any if empty.
+  std::optional<std::string> software_version;
   // Batch requests take free slots only; others may also wait at an endpoint.
   bool is_batch = false;
   uint32_t reserved_slots =
@@ -119,11 +125,20 @@
     uint32_t slots = 0;
     uint32_t taken = 0;
   };
-  slot_usage SlotUsage(steady_time now, const service_id& service) const;
+  // Of endpoints of `software_version` only, if given.
+  slot_usage SlotUsage(
+      steady_time now,
+      const service_id& service,
+      const std::optional<std::string>& software_version = {}) const;
   // Own load of each endpoint that has any.
   std::vector<std::pair<endpoint_id, uint32_t>> OwnLoad() const;
   uint32_t OwnLoad(const endpoint_id& endpoint) const;
   bool IsServing(const endpoint_id& endpoint) const;
+  bool IsVersionServing(const service_id& service,
+                        const std::string& software_version) const;
+  // The endpoint has not started again since it was selected, as far as is
+  // known.
+  bool IsSameStart(const selected_endpoint& selected) const;
 
  private:
   struct endpoint_state {
@@ -139,6 +154,8 @@
   selected_endpoint Take(steady_time now, endpoint_state& state);
   double EstimatedLoad(steady_time now, const endpoint_state& state) const;
   bool IsUsable(const endpoint_state& state) const;
+  static bool HasVersion(const endpoint_state& state,
+                         const std::optional<std::string>& software_version);
 
   const endpoint_selector_options options_;
   random_source random_;
--- /dev/null
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random_source.h"
+#include "entry/endpoint_selector.h"
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kEndpoints = 6;
+constexpr uint32_t kSlots = 3;
+const service_id kService("llm");
+
+// Random operations beside the endpoints' reports: endpoints start again under
+// their id with another software version, drain, leave, fail and fill up.
+class random_versions : public testing::TestWithParam<uint64_t> {
+ protected:
+  random_versions()
+      : random_(GetParam()), selector_({domain_id("d0"), 2, GetParam()}) {
+    for (int e = 0; e < kEndpoints; ++e) {
+      endpoint_report& report = reports_[e];
+      report.endpoint = endpoint_id("e" + std::to_string(e));
+      report.service = kService;
+      report.domain = domain_id("d" + std::to_string(e % 2));
+      report.slots = kSlots;
+      Restart(e);
+    }
+  }
+
+  int Below(int bound) {
+    return static_cast<int>(
+        UniformBelow(random_, static_cast<uint64_t>(bound)));
+  }
+  std::string RandomVersion() { return "v" + std::to_string(Below(3)); }
+
+  void Restart(int e) {
+    ++reports_[e].start_time_ms;
+    reports_[e].software_version = RandomVersion();
+    reports_[e].stage = endpoint_stage::kReady;
+    selector_.Update(reports_[e]);
+  }
+  void ChangeEndpoint() {
+    const int e = Below(kEndpoints);
+    if (Below(2) == 0) {
+      Restart(e);
+      return;
+    }
+    reports_[e].stage =
+        Below(2) == 0 ? endpoint_stage::kDraining : endpoint_stage::kLeft;
+    selector_.Update(reports_[e]);
+  }
+
+  selection_constraints RandomConstraints() {
+    selection_constraints constraints;
+    constraints.is_batch = Below(5) == 0;
+    if (Below(3) > 0) {
+      constraints.software_version = RandomVersion();
+    }
+    if (Below(4) == 0) {
+      constraints.excluded.insert(reports_[Below(kEndpoints)].endpoint);
+    }
+    return constraints;
+  }
+  void Select() {
+    const selection_constraints constraints = RandomConstraints();
+    if (Below(2) == 0) {
+      const endpoint_id granted = reports_[Below(kEndpoints)].endpoint;
+      const auto selected =
+          selector_.AcquireGranted(now_, granted, constraints);
+      if (selected) {
+        Check(*selected, constraints);
+      }
+      return;
+    }
+    const auto selection = selector_.Acquire(now_, kService, constraints);
+    if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
+      Check(*selected, constraints);
+    } else if (std::get<selection_failure>(selection) ==
+               selection_failure::kNoEndpoint) {
+      EXPECT_FALSE(HasReadyEndpoint(constraints));
+    }
+  }
+  void Check(const selected_endpoint& selected,
+             const selection_constraints& constraints) {
+    const auto report =
+        std::find_if(reports_.begin(), reports_.end(), [&](const auto& each) {
+          return each.second.endpoint == selected.endpoint;
+        });
+    ASSERT_NE(report, reports_.end());
+    const std::string& version = report->second.software_version;
+    EXPECT_EQ(report->second.stage, endpoint_stage::kReady);
+    EXPECT_EQ(selected.software_version, version);
+    EXPECT_EQ(constraints.software_version.value_or(version), version);
+    EXPECT_TRUE(selector_.IsSameStart(selected));
+    EXPECT_TRUE(selector_.IsVersionServing(kService, version));
+    held_.push_back(selected.endpoint);
+  }
+  bool HasReadyEndpoint(const selection_constraints& constraints) const {
+    return std::any_of(reports_.begin(), reports_.end(), [&](const auto& each) {
+      const std::string& version = each.second.software_version;
+      return each.second.stage == endpoint_stage::kReady &&
+             constraints.software_version.value_or(version) == version &&
+             !constraints.excluded.contains(each.second.endpoint);
+    });
+  }
+  void Release() {
+    if (held_.empty()) {
+      return;
+    }
+    constexpr endpoint_outcome kOutcomes[] = {
+        endpoint_outcome::kServed, endpoint_outcome::kShed,
+        endpoint_outcome::kBroken, endpoint_outcome::kSilent};
+    selector_.Release(now_, held_.back(), kOutcomes[Below(4)]);
+    held_.pop_back();
+  }
+  void CheckUsage() {
+    uint32_t slots = 0;
+    uint32_t taken = 0;
+    for (int version = 0; version < 3; ++version) {
+      const auto usage =
+          selector_.SlotUsage(now_, kService, "v" + std::to_string(version));
+      slots += usage.slots;
+      taken += usage.taken;
+    }
+    const auto all = selector_.SlotUsage(now_, kService);
+    EXPECT_EQ(slots, all.slots);
+    EXPECT_EQ(taken, all.taken);
+  }
+
+  random_source random_;
+  steady_time now_{milliseconds(1'000'000)};
+  endpoint_selector selector_;
+  std::map<int, endpoint_report> reports_;
+  std::vector<endpoint_id> held_;
+};
+
+TEST_P(random_versions, AreNeverSelectedAgainstTheConstraint) {
+  for (int step = 0; step < 3'000; ++step) {
+    now_ += milliseconds(Below(100));
+    const int operation = Below(100);
+    if (operation < 55) {
+      Select();
+    } else if (operation < 90) {
+      Release();
+    } else if (operation < 95) {
+      ChangeEndpoint();
+    } else {
+      CheckUsage();
+    }
+    if (HasFailure()) {
+      FAIL() << "at step " << step;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds,
+                         random_versions,
+                         testing::Range<uint64_t>(1, 21));
+
+}  // namespace
+
+}  // namespace shallotport
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -128,6 +128,12 @@
          state.failed >= kFailingShare * state.ended;
 }
 
+bool slot_allocator::HasVersion(const slot_request& request,
+                                const endpoint_state& state) {
+  return !request.software_version ||
+         *request.software_version == state.report.software_version;
+}
+
 slot_allocator::candidate slot_allocator::Rank(
     steady_time now,
     const slot_request& request,
@@ -140,7 +146,7 @@
     return std::find(list.begin(), list.end(), value) != list.end();
   };
   const uint32_t slots = state.report.slots;
-  if (!state.is_ready || slots == 0 ||
+  if (!state.is_ready || slots == 0 || !HasVersion(request, state) ||
       contains(request.avoided_endpoints, key) ||
       contains(request.avoided_domains, state.report.domain) ||
       IsAvoidedByOthers(now, state)) {
@@ -266,8 +272,8 @@
                                      duration expected_wait) {
   uint32_t slots = 0;
   for (const auto& [key, state] : endpoints_) {
-    const bool is_usable =
-        state.is_ready && state.report.service == request.service;
+    const bool is_usable = state.is_ready && HasVersion(request, state) &&
+                           state.report.service == request.service;
     slots += is_usable ? state.report.slots : 0;
   }
   service_state& service = services_[request.service];
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -96,6 +96,8 @@
                  const slot_request& request,
                  uint32_t key,
                  const endpoint_state& state) const;
+  static bool HasVersion(const slot_request& request,
+                         const endpoint_state& state);
   // Ages the counts of ended requests.
   static void DecayCounts(steady_time now, endpoint_state& state);
   static bool IsFailing(const endpoint_state& state);
--- a/src/libshallotport/slots/slot_allocator_random_test.cc
+++ b/src/libshallotport/slots/slot_allocator_random_test.cc
@@ -41,6 +41,7 @@
       report.domain = DomainOf(e);
       report.slots = kSlots;
       report.start_time_ms = 1;
+      report.software_version = RandomVersion();
       Publish(e, endpoint_stage::kReady);
     }
   }
@@ -52,6 +53,7 @@
   static domain_id DomainOf(int number) {
     return domain_id("d" + std::to_string(number % 2));
   }
+  std::string RandomVersion() { return "v" + std::to_string(Below(2)); }
   static std::string HostName(int host) { return "h" + std::to_string(host); }
   uint32_t Key(int e) { return LoadKey(endpoints_[e].report.endpoint); }
 
@@ -72,6 +74,7 @@
         endpoint_stage::kDraining, endpoint_stage::kLeft};
     if (Below(4) == 0) {
       ++endpoints_[e].report.start_time_ms;
+      endpoints_[e].report.software_version = RandomVersion();
       for (auto& [host, load] : loads_) {
         load.erase(e);
       }
@@ -137,6 +140,9 @@
     if (Below(10) == 0) {
       request.avoided_domains.push_back(domain_id("d0"));
     }
+    if (Below(3) == 0) {
+      request.software_version = RandomVersion();
+    }
     if (Below(6) == 0) {
       request.failed_endpoints.push_back(Key(Below(kEndpoints)));
     }
@@ -160,7 +166,9 @@
     const endpoint_truth& endpoint = endpoints_[e];
     const auto& avoided = request.avoided_endpoints;
     const auto& domains = request.avoided_domains;
+    const std::string& version = endpoint.report.software_version;
     return endpoint.is_known &&
+           request.software_version.value_or(version) == version &&
            endpoint.report.stage == endpoint_stage::kReady &&
            std::count(avoided.begin(), avoided.end(), Key(e)) == 0 &&
            std::count(domains.begin(), domains.end(), endpoint.report.domain) ==
--- a/src/libshallotport/slots/slot_messages.h
+++ b/src/libshallotport/slots/slot_messages.h
@@ -2,6 +2,8 @@
 #define SHALLOTPORT_SLOTS_SLOT_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
@@ -22,11 +24,14 @@
   std::vector<uint32_t> failed_endpoints;
   uint32_t max_wait_ms = 0;         // Longest useful wait in an engine's queue.
   uint32_t max_retry_after_ms = 0;  // The caller waits no longer than this.
+  // Only endpoints of this version; of any if empty.
+  std::optional<std::string> software_version;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(service, domain, avoided_endpoints, avoided_domains,
-            failed_endpoints, max_wait_ms, max_retry_after_ms);
+            failed_endpoints, max_wait_ms, max_retry_after_ms,
+            software_version);
   }
 };
 
