streams: where a stream began, kept by its entry host and two job stores

Callers resume a stream at any entry host, most of all when the one that began it is lost. stream_origins keeps service and software version by a hash of the request's id; stream_origin_client sends new records to the leader of the job group and a store near the entry host, all of them to a store that takes over, and asks all stores for a stream of another host. software_version_history tells whether a service had only one version while a stream can have begun.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -40,7 +40,9 @@
   }
 }
 
-void entry_duty::UpdateEndpoint(const endpoint_report& report) {
+void entry_duty::UpdateEndpoint(const endpoint_directory::entry& entry) {
+  const endpoint_report& report = entry.report;
+  versions_.Record(entry.received_at, report.service, report.software_version);
   selector_.Update(report);
 }
 
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -22,6 +22,8 @@
 #include "eventio/http_listener.h"
 #include "fleet/endpoint_directory.h"
 #include "slots/slot_messages.h"
+#include "streams/software_version_history.h"
+#include "streams/stream_origin_client.h"
 
 namespace shallotport {
 
@@ -62,6 +64,18 @@
   using slot_reply_handler = std::function<void(slot_reply reply)>;
   std::function<bool(const slot_request& request, slot_reply_handler on_reply)>
       request_slot;
+  // Records where a stream that may be resumed began, by StreamKey(). Send at
+  // once what the caller is about to see. May be empty.
+  std::function<
+      void(uint64_t stream, const stream_origin& origin, bool at_once)>
+      record_stream;
+  // Finds where a stream began that a caller resumes; the handler is called
+  // once. May be empty.
+  std::function<void(uint64_t stream,
+                     stream_origin_client::find_handler on_found)>
+      find_stream;
+  // True while this host hears of all endpoints. May be empty: it does not.
+  std::function<bool()> has_complete_view;
   // Called when an attempt began or ended.
   std::function<void()> on_load_changed;
 
@@ -70,7 +84,7 @@
   void SetRoutes(route_configuration configuration);
   // Null until the first configuration is in force.
   const route_table* routes() const { return routes_ ? &*routes_ : nullptr; }
-  void UpdateEndpoint(const endpoint_report& report);
+  void UpdateEndpoint(const endpoint_directory::entry& entry);
 
   // Serves a request of a route that is not for batch jobs.
   void Serve(const route& matched_route,
@@ -97,6 +111,7 @@
   random_source random_;
   std::optional<route_table> routes_;
   endpoint_selector selector_;
+  software_version_history versions_;
   endpoint_connection_pool pool_;
   retry_budget slow_retry_budget_;  // For retries of slow requests.
   entry_counters counters_;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -19,6 +19,9 @@
 // of the job group may have changed.
 constexpr std::chrono::milliseconds kTotalsTimeout{700};
 constexpr std::chrono::milliseconds kSweepInterval{300};
+// The reports that a control host knows are received within this time after the
+// link to it is up.
+constexpr std::chrono::milliseconds kReportSettleTime{300};
 // The load balancer checks readiness every second and removes a host after two
 // failed checks.
 constexpr std::chrono::milliseconds kAcceptWhileDraining{2'600};
@@ -41,6 +44,7 @@
       duty_(loop, clock, options_.entry, log),
       jobs_(loop, clock, fleet_),
       slots_(clock, fleet_),
+      streams_(clock, fleet_),
       callers_(loop, clock, std::move(on_request)) {
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
@@ -57,7 +61,7 @@
   };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
     const bool was_serving = duty_.selector().IsServing(entry.report.endpoint);
-    duty_.UpdateEndpoint(entry.report);
+    duty_.UpdateEndpoint(entry);
     if (was_serving != duty_.selector().IsServing(entry.report.endpoint)) {
       log_.LogState(was_serving ? "endpoint_leaves" : "endpoint_ready",
                     {{"endpoint", entry.report.endpoint.text()},
@@ -71,6 +75,18 @@
                               entry_duty::slot_reply_handler on_reply) {
     return slots_.Request(request, std::move(on_reply));
   };
+  duty_.record_stream = [this](uint64_t stream, const stream_origin& origin,
+                               bool at_once) {
+    streams_.Record(stream, origin);
+    if (at_once) {
+      streams_.Flush();
+    }
+  };
+  duty_.find_stream = [this](uint64_t stream,
+                             stream_origin_client::find_handler on_found) {
+    streams_.Find(stream, std::move(on_found));
+  };
+  duty_.has_complete_view = [this] { return HasCompleteView(); };
   duty_.on_load_changed = [this] { ExchangeLoad(clock_.Now()); };
   fleet_.on_unhandled_frame = [this](host_link& link, uint8_t kind,
                                      std::string_view payload) {
@@ -100,6 +116,12 @@
   fleet_.Tick(now);
   duty_.Tick(now);
   ExchangeLoad(now);
+  streams_.Tick(now);
+  if (!fleet_.HasAllControlLinks()) {
+    all_linked_since_.reset();
+  } else if (!all_linked_since_) {
+    all_linked_since_ = now;
+  }
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     callers_.Sweep(now);
@@ -116,6 +138,11 @@
   }
 }
 
+bool entry_host::HasCompleteView() const {
+  return all_linked_since_ &&
+         clock_.Now() >= *all_linked_since_ + kReportSettleTime;
+}
+
 void entry_host::ExchangeLoad(steady_time now) {
   load_report report;
   for (const auto& [endpoint, running] : duty_.selector().OwnLoad()) {
@@ -156,6 +183,7 @@
   totals_sender_ip_ = link.ip();
   totals_received_at_ = now;
   slots_.SetLeader(now, link.ip());
+  streams_.SetLeader(now, link.ip());
   std::map<uint32_t, uint32_t> peer_loads;
   for (const load_entry& each : ValueOf(decoded).entries) {
     const auto own = sent_load_.find(each.endpoint);
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "entry/decision_log.h"
 #include "entry/entry_duty.h"
@@ -11,6 +12,7 @@
 #include "fleet/fleet_host.h"
 #include "jobstore/job_store_client.h"
 #include "slots/slot_client.h"
+#include "streams/stream_origin_client.h"
 
 namespace shallotport {
 
@@ -60,6 +62,7 @@
  private:
   void ExchangeLoad(steady_time now);
   void ApplyLoadTotals(host_link& link, std::string_view payload);
+  bool HasCompleteView() const;
   void Drain(steady_time now);
 
   const clock_source& clock_;
@@ -70,6 +73,7 @@
   entry_duty duty_;
   job_store_client jobs_;
   slot_client slots_;
+  stream_origin_client streams_;
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
@@ -81,6 +85,8 @@
   bool is_draining_ = false;
   bool is_idle_closed_ = false;
   bool had_control_link_ = false;
+  // Since when all control hosts are linked; nullopt: they are not.
+  std::optional<steady_time> all_linked_since_;
   steady_time drain_started_at_{};
   std::function<void()> on_drained_;
 };
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -193,6 +193,15 @@
   });
 }
 
+bool fleet_host::HasAllControlLinks() const {
+  const auto hosts =
+      hosts_.LiveHosts(clock_.Now(), host_role::kControl, kDialTimeout);
+  return !hosts.empty() && std::all_of(hosts.begin(), hosts.end(),
+                                       [this](const host_announcement& host) {
+                                         return hub_.IsUp(host.host.text());
+                                       });
+}
+
 void fleet_host::SendConsensus(const host_id& to,
                                uint32_t group,
                                std::string bytes) {
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -71,6 +71,8 @@
   std::vector<host_announcement> LiveHosts(host_role role) const;
   uint32_t entry_host_count() const { return entry_host_count_; }
   bool HasControlLink() const;
+  // To every control host that is known, and at least to one.
+  bool HasAllControlLinks() const;
 
   void SendConsensus(const host_id& to, uint32_t group, std::string bytes);
 
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -23,15 +23,18 @@
   kLoad = 21,          // load_report, from entry hosts to job stores.
   kLoadTotals = 22,  // load_report, from the job group's leader to entry hosts.
   kJobMembers = 23,  // job_group_members, from that leader to control hosts.
+  kStreams = 24,     // stream_report, from entry hosts to job stores.
 };
 
-// Calls from entry hosts to the leader of the job group.
+// Calls from entry hosts to the leader of the job group, or to any job store
+// where it says so.
 enum class fleet_call : uint8_t {
   kSubmitJob = 1,
   kReadJob = 2,
   kReadItem = 3,
   kEndJob = 4,
   kRequestSlot = 5,  // slot_request; the reply is a slot_reply.
+  kFindStream = 6,   // stream_query, to any store; the reply is a stream_reply.
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -112,6 +112,8 @@
                                      std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoad)) {
       RecordLoad(link, payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kStreams)) {
+      RecordStreams(payload);
     } else if (kind == static_cast<uint8_t>(fleet_frame::kAnnouncement)) {
       const auto host = Decode<host_announcement>(payload);
       if (IsOk(host)) {
@@ -209,6 +211,10 @@
     AllocateSlot(link, body, reply);
     return;
   }
+  if (static_cast<fleet_call>(method) == fleet_call::kFindStream) {
+    FindStream(body, reply);
+    return;
+  }
   if (!IsLeading()) {
     reply(NotLeaderReply());
     return;
@@ -227,6 +233,7 @@
       Cancel(body, reply);
       return;
     case fleet_call::kRequestSlot:
+    case fleet_call::kFindStream:
       return;  // Handled above.
   }
   reply(Encode(job_store_reply{}));
@@ -389,6 +396,35 @@
   }
 }
 
+void job_store_duty::RecordStreams(std::string_view payload) {
+  const auto decoded = Decode<stream_report>(payload);
+  if (!IsOk(decoded)) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  for (const stream_group& group : ValueOf(decoded).groups) {
+    for (const uint64_t stream : group.streams) {
+      streams_.Record(now, stream, group.origin);
+    }
+  }
+}
+
+// Whether this host leads does not matter: each store has a part of the
+// records.
+void job_store_duty::FindStream(
+    std::string_view body,
+    const std::function<void(std::string)>& reply) const {
+  const auto decoded = Decode<stream_query>(body);
+  stream_reply found;
+  if (IsOk(decoded)) {
+    const stream_origin* origin =
+        streams_.Find(clock_.Now(), ValueOf(decoded).stream);
+    found.is_known = origin != nullptr;
+    found.origin = found.is_known ? *origin : stream_origin();
+  }
+  reply(Encode(found));
+}
+
 void job_store_duty::UpdateBatchLoad() {
   for (const auto& [key, endpoint] : slots_.endpoint_ids()) {
     slots_.SetBatchLoad(key, endpoints_.OwnLoad(endpoint));
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -19,6 +19,7 @@
 #include "jobstore/item_dispatcher.h"
 #include "jobstore/job_table.h"
 #include "slots/slot_allocator.h"
+#include "streams/stream_origins.h"
 
 namespace shallotport {
 
@@ -96,6 +97,9 @@
   void AllocateSlot(const host_link& link,
                     std::string_view body,
                     const std::function<void(std::string)>& reply);
+  void RecordStreams(std::string_view payload);
+  void FindStream(std::string_view body,
+                  const std::function<void(std::string)>& reply) const;
   // Passes the batch requests at each endpoint to the allocator.
   void UpdateBatchLoad();
   void RecordLoad(host_link& link, std::string_view payload);
@@ -119,6 +123,7 @@
   std::map<std::string, entry_load> entry_loads_;
   slot_allocator slots_;
   slot_counters slot_counters_;
+  stream_origins streams_;
   steady_time next_load_totals_at_{};
   bool was_dispatching_ = false;
   steady_time next_heal_at_{};
