entry: streams are resumed at the software version that began them

No host knew an endpoint's version, so both our own resumptions and the callers' new requests went to any endpoint of the service.

The first event that goes out fixes the version for all later attempts of the response. Each stream's service and version are recorded when its request is sent; a request that resumes one goes to that version only, or is refused at once when that is gone or cannot be known. An endpoint that has started again since it was selected does not begin a stream.

--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -19,8 +19,9 @@
   steady_time last_received_at{};
   response_head head;
   bool is_stream = false;
-  event_splitter events;  // Of a stream.
-  std::string body;       // Of any other response.
+  bool has_output = false;  // Events of it were sent to the caller.
+  event_splitter events;    // Of a stream.
+  std::string body;         // Of any other response.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -20,6 +20,12 @@
   uint64_t attempts = 0;
   uint64_t resumed = 0;
   uint64_t taken_up = 0;  // Streams that callers resume with a new request.
+  // Of these, by where their origin was found, and those that were refused.
+  uint64_t taken_up_own = 0;
+  uint64_t taken_up_store = 0;
+  uint64_t taken_up_sole_version = 0;
+  uint64_t refused_origin_unknown = 0;
+  uint64_t refused_version_gone = 0;  // Or its service is not allowed now.
   uint64_t first_events_in_time = 0;  // First event within the objective.
   uint64_t first_events_late = 0;
   uint64_t second_attempts = 0;  // Begun beside one that was silent.
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -49,7 +49,8 @@
 void entry_duty::Serve(const route& matched_route,
                        caller_request request,
                        std::shared_ptr<http_exchange> exchange) {
-  if (!request.resume_after.empty()) {
+  if (!request.resume_after.empty() &&
+      matched_route.kind == request_kind::kStreaming) {
     ++counters_.taken_up;
     log_.LogRequest("stream_taken_up",
                     {{"request", request.id.text()},
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -82,6 +82,18 @@
   return std::pair(running, waiting);
 }
 
+uint64_t KeyOf(const caller_request& request) {
+  const bool is_resumed =
+      !request.resume_after.empty() && !request.resumed_request.IsEmpty();
+  return StreamKey(is_resumed ? request.resumed_request : request.id);
+}
+
+std::string_view LogName(resumption_result result) {
+  constexpr std::string_view kNames[] = {"resumed", "origin_unknown",
+                                         "service_not_allowed", "version_gone"};
+  return kNames[static_cast<size_t>(result)];
+}
+
 }  // namespace
 
 routed_exchange::routed_exchange(entry_duty& duty,
@@ -93,7 +105,8 @@
       version_(duty.routes_->configuration().version),
       request_(std::move(request)),
       caller_(std::move(caller)),
-      received_at_(duty.clock_.Now()) {
+      received_at_(duty.clock_.Now()),
+      stream_key_(KeyOf(request_)) {
   std::chrono::milliseconds limit = route_.timeout;
   if (request_.time_limit.count() > 0) {
     limit = std::min(limit, request_.time_limit);
@@ -106,22 +119,112 @@
 
 void routed_exchange::Begin() {
   ++duty_.counters_.requests;
-  service_ = DrawService(route_, duty_.random_);
   caller_->on_disconnected = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       ++self->duty_.counters_.callers_disconnected;
       self->Finish();
     }
   };
+  if (IsTakenUp()) {
+    FindOrigin();
+    return;
+  }
+  service_ = DrawService(route_, duty_.random_);
+  StartAttempt();
+}
+
+bool routed_exchange::IsTakenUp() const {
+  return route_.kind == request_kind::kStreaming &&
+         !request_.resume_after.empty();
+}
+
+void routed_exchange::FindOrigin() {
+  if (!duty_.find_stream) {
+    OnOriginFound({});
+    return;
+  }
+  duty_.find_stream(stream_key_,
+                    [weak = weak_from_this()](const found_origin& found) {
+                      if (const auto self = weak.lock()) {
+                        self->OnOriginFound(found);
+                      }
+                    });
+}
+
+void routed_exchange::OnOriginFound(const found_origin& found) {
+  if (is_finished_) {
+    return;
+  }
+  resumption_facts facts;
+  facts.services = route_.services;
+  facts.is_view_complete = duty_.has_complete_view && duty_.has_complete_view();
+  facts.is_serving = [this](const stream_origin& origin) {
+    return duty_.selector_.IsVersionServing(origin.service,
+                                            origin.software_version);
+  };
+  if (found.source != origin_source::kNone) {
+    facts.origin = found.origin;
+  } else if (const service_id* sole = SoleService(route_.services)) {
+    facts.sole_version = duty_.versions_.SoleVersion(duty_.clock_.Now(), *sole);
+  }
+  const resumption_decision decision = DecideResumption(facts);
+  if (decision.result != resumption_result::kResume) {
+    RejectResumption(decision, facts);
+    return;
+  }
+  switch (found.source) {
+    case origin_source::kOwn:
+      ++duty_.counters_.taken_up_own;
+      break;
+    case origin_source::kStore:
+      ++duty_.counters_.taken_up_store;
+      break;
+    case origin_source::kNone:
+      ++duty_.counters_.taken_up_sole_version;
+      break;
+  }
+  service_ = decision.origin.service;
+  constraints_.software_version = decision.origin.software_version;
   StartAttempt();
 }
 
+void routed_exchange::RejectResumption(const resumption_decision& decision,
+                                       const resumption_facts& facts) {
+  const bool is_unknown = decision.result == resumption_result::kOriginUnknown;
+  ++(is_unknown ? duty_.counters_.refused_origin_unknown
+                : duty_.counters_.refused_version_gone);
+  service_ = decision.origin.service;
+  duty_.log_.LogRequest(
+      "stream_not_resumed",
+      {{"request", request_.id.text()},
+       {"resumed_request", request_.resumed_request.text()},
+       {"route", route_.name},
+       {"reason", LogName(decision.result)},
+       {"origin_service", decision.origin.service.text()},
+       {"origin_version", decision.origin.software_version},
+       {"sole_version", facts.sole_version.value_or("")},
+       {"all_control_linked", int64_t{facts.is_view_complete ? 1 : 0}}});
+  Refuse(error_kind::kEndpointRefused);
+}
+
+void routed_exchange::RecordOrigin(const selected_endpoint& at, bool at_once) {
+  const bool may_be_taken_up =
+      route_.kind == request_kind::kStreaming && route_.is_resumable;
+  if (!may_be_taken_up || !duty_.record_stream ||
+      recorded_version_ == at.software_version) {
+    return;
+  }
+  recorded_version_ = at.software_version;
+  duty_.record_stream(stream_key_, {service_, at.software_version}, at_once);
+}
+
 void routed_exchange::StartAttempt() {
   if (is_awaiting_slot_) {
     return;  // For a second attempt, which now becomes the only one.
   }
   const steady_time now = duty_.clock_.Now();
-  const auto usage = duty_.selector_.SlotUsage(now, service_);
+  const auto usage =
+      duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
   const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
   if (is_scarce && duty_.request_slot) {
     is_awaiting_slot_ = true;
@@ -165,7 +268,7 @@
       std::max(duration_cast<milliseconds>(deadline_ - now), milliseconds(0));
   const bool may_refuse =
       current_ == nullptr && executions_ == 0 && !has_response_begun_;
-  const bool has_returned = elapsed_before_.count() > 0;
+  const bool has_returned = elapsed_before_.count() > 0 || IsTakenUp();
   const bool has_objective = route_.objective.count() > 0;
   const auto useful_wait =
       has_returned || !may_refuse || !has_objective
@@ -174,6 +277,7 @@
                 elapsed;
   request.max_wait_ms = static_cast<uint32_t>(
       std::clamp<int64_t>(useful_wait.count(), 0, remaining.count()));
+  request.software_version = constraints_.software_version;
   request.max_retry_after_ms =
       static_cast<uint32_t>(remaining.count() / kRetryAfterDivisor);
   return request;
@@ -244,10 +348,13 @@
   const auto attempt = std::make_shared<endpoint_attempt>();
   attempt->at = std::move(endpoint);
   attempt->last_received_at = now;
+  // Endpoints without recent reports are used as well.
+  duty_.versions_.Record(now, service_, attempt->at.software_version);
   ++attempts_;
   ++duty_.counters_.attempts;
   if (current_ == nullptr) {
     current_ = attempt;
+    RecordOrigin(attempt->at, false);
   } else {
     second_ = attempt;
     duty_.slow_retry_budget_.TryTake();
@@ -337,7 +444,15 @@
   if (complete_events.empty()) {
     return;
   }
+  if (!attempt->has_output && !duty_.selector_.IsSameStart(attempt->at)) {
+    // Its software version is not known.
+    OnAttemptFailed(attempt, attempt_result::kInDoubt,
+                    endpoint_outcome::kCancelled);
+    return;
+  }
+  attempt->has_output = true;
   KeepOnly(attempt);
+  FixVersion(*attempt);
   BeginResponse(*attempt);
   if (!attempt->events.last_id().empty()) {
     last_event_id_ = attempt->events.last_id();
@@ -345,6 +460,13 @@
   caller_->SendChunk(complete_events);
 }
 
+void routed_exchange::FixVersion(const endpoint_attempt& attempt) {
+  if (!has_response_begun_) {
+    constraints_.software_version = attempt.at.software_version;
+    RecordOrigin(attempt.at, true);
+  }
+}
+
 // The response's head is sent with its first event: until then another endpoint
 // can take over the request.
 void routed_exchange::BeginResponse(const endpoint_attempt& attempt) {
@@ -635,7 +757,8 @@
   const steady_time now = duty_.clock_.Now();
   const auto waited =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - received_at_);
-  const auto usage = duty_.selector_.SlotUsage(now, service_);
+  const auto usage =
+      duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
   duty_.log_.LogRequest(event,
                         {{"request", request_.id.text()},
                          {"route", route_.name},
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -10,6 +10,7 @@
 #include "entry/attempt_policy.h"
 #include "entry/endpoint_attempt.h"
 #include "entry/entry_duty.h"
+#include "entry/resumption_policy.h"
 
 namespace shallotport {
 
@@ -31,6 +32,14 @@
  private:
   using attempt_ptr = std::shared_ptr<endpoint_attempt>;
 
+  // Whether the caller resumes a stream of an earlier request of its own.
+  bool IsTakenUp() const;
+  void FindOrigin();
+  void OnOriginFound(const found_origin& found);
+  void RejectResumption(const resumption_decision& decision,
+                        const resumption_facts& facts);
+  // Records where the stream begins; before the caller sees its first event.
+  void RecordOrigin(const selected_endpoint& at, bool at_once);
   // Selects an endpoint, or requests a slot if slots of the service are scarce.
   // The attempt is a second one if another is under way.
   void StartAttempt();
@@ -57,6 +66,8 @@
   void BeginSecondIfSilent(steady_time now);
   void DeferSecondAttempt();
   void BeginResponse(const endpoint_attempt& attempt);
+  // Later attempts have to resume the stream that begins with this one.
+  void FixVersion(const endpoint_attempt& attempt);
 
   void Refuse(error_kind kind);
   void RefuseUntil(error_kind kind, int64_t retry_after_ms);
@@ -75,6 +86,8 @@
   const steady_time received_at_;
   steady_time deadline_{};  // By the route's timeout or the caller's limit.
   service_id service_;
+  const uint64_t stream_key_;
+  std::optional<std::string> recorded_version_;  // Of the stream's origin.
 
   // Its response goes to the caller. Null before the first attempt, and between
   // attempts.
