entry, platform: read the leave notice of endpoints' responses

Endpoints that will stop may say so in the head of any response, and some say it nowhere else. The profile of wire names has the field's name; a value other than 1, or a field that is repeated, has no meaning. Nothing acts on it yet.

--- a/src/libshallotport/entry/wire_profile.h
+++ b/src/libshallotport/entry/wire_profile.h
@@ -14,6 +14,7 @@
   std::string endpoint_proof;     // Present on every response of an endpoint.
   std::string not_executed;       // Present if the request was not executed.
   std::string load;               // RUNNING,WAITING,SLOTS of the endpoint.
+  std::string leaving;            // "1": the endpoint wants no new requests.
   std::string resume_after;       // Id of the last event received of a stream.
   std::string retry_after;        // Seconds, on refusals.
 };
