fleet, slots, entry, jobstore: no new requests to endpoints that leave

An endpoint that will stop may say so in its responses before it reports it, or instead of reporting it. From the head of such a response on, a host's selector uses that start of the endpoint for nothing new: online requests, grants, retries, batch items. A later start is used at once; a report of the same or an earlier one does not bring it back. It counts neither as failure nor against its failure domain. Hosts tell each other with the load reports and load totals (both frames have a list of starts now, bounded in number and time), and the allocator grants nothing there.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -44,7 +44,8 @@
     by_service_[state.report.service].erase(report.endpoint);
   }
   state.report = report;
-  state.is_ready = report.stage == endpoint_stage::kReady;
+  state.is_ready = report.stage == endpoint_stage::kReady &&
+                   !leaving_.IsLeaving(report.endpoint, report.start_time_ms);
   if (is_new_start) {
     state.peer_load = 0;
     state.failures = 0;
@@ -68,6 +69,20 @@
   }
 }
 
+bool endpoint_selector::RecordLeaving(steady_time now,
+                                      const endpoint_start& start,
+                                      leaving_endpoints::origin from) {
+  if (!leaving_.Add(now, start, from)) {
+    return false;
+  }
+  const auto found = endpoints_.find(start.endpoint);
+  if (found != endpoints_.end() &&
+      found->second.report.start_time_ms <= start.start_time_ms) {
+    found->second.is_ready = false;
+  }
+  return true;
+}
+
 void endpoint_selector::SetPeerLoad(steady_time now,
                                     const endpoint_id& endpoint,
                                     uint32_t peer_load) {
@@ -308,6 +323,12 @@
   if (has_responded) {
     reachability_.RecordResponse(state.report.domain);
   }
+  // An endpoint that leaves stops at some time: no fault.
+  const bool is_leaving =
+      leaving_.IsLeaving(endpoint, state.report.start_time_ms);
+  if (is_leaving && outcome != endpoint_outcome::kOtherEndpoint) {
+    outcome = endpoint_outcome::kCancelled;
+  }
   switch (outcome) {
     case endpoint_outcome::kFailed:
       if (failures_.size() < kMaxFailures) {
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -14,6 +14,7 @@
 #include "entry/domain_reachability.h"
 #include "eventio/endpoint_connection_pool.h"
 #include "fleet/endpoint_report.h"
+#include "fleet/leaving_endpoints.h"
 
 namespace shallotport {
 
@@ -84,6 +85,14 @@
                   uint32_t running,
                   uint32_t waiting);
 
+  // An endpoint said in a response that it leaves. It is not selected any more,
+  // and how its requests end tells nothing about its failure domain. False if
+  // that was known.
+  bool RecordLeaving(steady_time now,
+                     const endpoint_start& start,
+                     leaving_endpoints::origin from);
+  const leaving_endpoints& leaving() const { return leaving_; }
+
   // Selects one of the service's endpoints; the request counts as own load of
   // the endpoint until Release().
   std::variant<selected_endpoint, selection_failure> Acquire(
@@ -143,7 +152,8 @@
  private:
   struct endpoint_state {
     endpoint_report report;
-    bool is_ready = false;  // By its last report.
+    // By its last report, unless it said that it leaves.
+    bool is_ready = false;
     uint32_t own_load = 0;
     uint32_t peer_load = 0;
     steady_time peer_load_at{};
@@ -163,6 +173,7 @@
   std::map<endpoint_id, endpoint_state> endpoints_;
   std::map<service_id, std::set<endpoint_id>> by_service_;
   std::vector<endpoint_id> failures_;
+  leaving_endpoints leaving_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -168,6 +169,110 @@
   EXPECT_EQ(selector.FreeSlots(now, endpoint_id("e0")), 8);
 }
 
+TEST(endpoint_selector_test, LoadOfLeavingEndpointsMovesToAllOthers) {
+  constexpr int kEndpoints = 6;
+  constexpr int kRequests = 600;
+  endpoint_selector selector = MakeSelector(kEndpoints);
+  for (int i = 0; i < 2; ++i) {
+    selector.RecordLeaving({}, {MakeReport(i).endpoint, 1},
+                           leaving_endpoints::origin::kOwnResponse);
+  }
+  std::map<endpoint_id, int> selected;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto selection = selector.Acquire({}, kService, {});
+    const endpoint_id& endpoint = Selected(selection)->endpoint;
+    ++selected[endpoint];
+    selector.Release({}, endpoint, endpoint_outcome::kServed);
+  }
+  EXPECT_EQ(selected.size(), 4u);
+  for (const auto& [endpoint, count] : selected) {
+    EXPECT_LT(count, kRequests / 3) << endpoint.text();
+  }
+}
+
+TEST(endpoint_selector_test, EndOfLeavingEndpointsIsNoFaultOfTheirDomain) {
+  endpoint_selector selector({domain_id("a"), 2, 1});
+  for (int i = 0; i < 4; ++i) {
+    selector.Update(MakeReport(i, "b"));
+  }
+  for (int i = 0; i < 3; ++i) {
+    const endpoint_id endpoint = MakeReport(i).endpoint;
+    selector.RecordLeaving({}, {endpoint, 1},
+                           leaving_endpoints::origin::kOtherHost);
+    selector.Release({}, endpoint, endpoint_outcome::kSilent);
+    selector.Release({}, endpoint, endpoint_outcome::kFailed);
+  }
+  EXPECT_TRUE(selector.DomainsInBackoff({}, kService).empty());
+  EXPECT_TRUE(selector.EndpointsInBackoff({}, kService).empty());
+  EXPECT_TRUE(selector.TakeFailures().empty());
+  EXPECT_EQ(Selected(selector.Acquire({}, kService, {}))->endpoint,
+            endpoint_id("e3"));
+}
+
+// Random reports, notices and requests, beside a plain record of the starts
+// that leave. Reports and notices may be of earlier starts.
+class random_leaving : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(random_leaving, StartThatLeavesIsNeverSelectedAgain) {
+  constexpr int kEndpoints = 5;
+  random_source random(GetParam());
+  const auto below = [&random](int bound) {
+    return static_cast<int>(UniformBelow(random, static_cast<uint64_t>(bound)));
+  };
+  endpoint_selector selector = MakeSelector(kEndpoints, GetParam());
+  std::map<endpoint_id, uint64_t> latest_start;
+  std::map<endpoint_id, uint64_t> leaving_start;
+  steady_time now{};
+  int selections = 0;
+  for (int step = 0; step < 5'000; ++step) {
+    now += milliseconds(below(50));
+    endpoint_report report = MakeReport(below(kEndpoints));
+    uint64_t& latest =
+        latest_start.try_emplace(report.endpoint, 2).first->second;
+    uint64_t& leaving = leaving_start[report.endpoint];
+    report.start_time_ms = latest - static_cast<uint64_t>(below(2));
+    const int operation = below(100);
+    if (operation < 5) {
+      report.start_time_ms = ++latest;
+    }
+    if (operation < 20) {
+      selector.Update(report);
+      continue;
+    }
+    if (operation < 25) {
+      const auto from = below(2) == 0 ? leaving_endpoints::origin::kOwnResponse
+                                      : leaving_endpoints::origin::kOtherHost;
+      EXPECT_EQ(selector.RecordLeaving(
+                    now, {report.endpoint, report.start_time_ms}, from),
+                report.start_time_ms > leaving);
+      leaving = std::max(leaving, report.start_time_ms);
+      continue;
+    }
+    std::optional<selected_endpoint> selected;
+    if (operation < 60) {
+      selected = selector.AcquireGranted(now, report.endpoint, {});
+    } else {
+      const auto selection = selector.Acquire(now, kService, {});
+      if (Selected(selection) != nullptr) {
+        selected = *Selected(selection);
+      }
+    }
+    if (selected) {
+      ++selections;
+      EXPECT_GT(selected->start_time_ms, leaving_start[selected->endpoint]);
+      constexpr endpoint_outcome kOutcomes[] = {endpoint_outcome::kServed,
+                                                endpoint_outcome::kShed,
+                                                endpoint_outcome::kBroken};
+      selector.Release(now, selected->endpoint, kOutcomes[below(3)]);
+    }
+  }
+  EXPECT_GT(selections, 100);
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds,
+                         random_leaving,
+                         testing::Range<uint64_t>(1, 21));
+
 struct simulated_load {
   double in_time = 0;     // Share of requests that start within the objective.
   double own_domain = 0;  // Share of requests that stay in their own domain.
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry/leave_notice.h"
 #include "entry/routed_exchange.h"
 
 namespace shallotport {
@@ -70,6 +71,27 @@
   }
 }
 
+void entry_duty::ReadLeaving(const selected_endpoint& from,
+                             const response_head& head) {
+  switch (ReadLeaveNotice(head.headers, options_.wire)) {
+    case leave_notice::kAbsent:
+      return;
+    case leave_notice::kMalformed:
+      ++counters_.malformed_leave_notices;
+      return;
+    case leave_notice::kLeaving:
+      break;
+  }
+  const endpoint_start start{from.endpoint, from.start_time_ms};
+  if (selector_.RecordLeaving(clock_.Now(), start,
+                              leaving_endpoints::origin::kOwnResponse)) {
+    ++counters_.endpoints_leaving;
+    log_.LogState("endpoint_says_leaving", {{"endpoint", from.endpoint.text()},
+                                            {"domain", from.domain.text()}});
+    NotifyLoadChanged();
+  }
+}
+
 void entry_duty::Tick(steady_time now) {
   const std::vector<std::shared_ptr<routed_exchange>> all(active_.begin(),
                                                           active_.end());
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -103,6 +103,9 @@
   friend class routed_exchange;
 
   void NotifyLoadChanged() const;
+  // To be called with the head of every response, before anything else is
+  // decided.
+  void ReadLeaving(const selected_endpoint& from, const response_head& head);
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -149,6 +149,7 @@
     report.entries.push_back(
         {LoadKey(endpoint), static_cast<uint16_t>(running)});
   }
+  report.leaving = duty_.selector().leaving().OwnRecent(now);
   std::string encoded = Encode(report);
   const bool has_leader = now < totals_received_at_ + kTotalsTimeout;
   const duration interval = encoded == last_sent_report_
@@ -184,6 +185,10 @@
   totals_received_at_ = now;
   slots_.SetLeader(now, link.ip());
   streams_.SetLeader(now, link.ip());
+  for (const endpoint_start& each : ValueOf(decoded).leaving) {
+    duty_.selector().RecordLeaving(now, each,
+                                   leaving_endpoints::origin::kOtherHost);
+  }
   std::map<uint32_t, uint32_t> peer_loads;
   for (const load_entry& each : ValueOf(decoded).entries) {
     const auto own = sent_load_.find(each.endpoint);
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -9,6 +9,7 @@
 
 #include "base/ids.h"
 #include "fleet/endpoint_report.h"
+#include "fleet/endpoint_start.h"
 
 namespace shallotport {
 
@@ -150,10 +151,12 @@
 // that a lost report does no harm.
 struct load_report {
   std::vector<load_entry> entries;
+  // Endpoints that lately said in a response that they leave.
+  std::vector<endpoint_start> leaving;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(entries);
+    archive(entries, leaving);
   }
 };
 
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -7,6 +7,8 @@
 #include <variant>
 #include <vector>
 
+#include "entry/leave_notice.h"
+
 namespace shallotport {
 
 namespace {
@@ -36,6 +38,7 @@
 struct item_dispatcher::item_attempt {
   std::unique_ptr<endpoint_call> call;
   endpoint_id endpoint;
+  uint64_t start_time_ms = 0;  // Of the endpoint.
   response_head head;
   event_splitter events;
   steady_time begun_at{};
@@ -294,6 +297,7 @@
   }
   auto attempt = std::make_shared<item_attempt>();
   attempt->endpoint = selected.endpoint;
+  attempt->start_time_ms = selected.start_time_ms;
   attempt->begun_at = now;
   attempt->last_received_at = now;
   attempt->deadline = job->accepted_at + job->submission.objective_ms;
@@ -304,9 +308,9 @@
   request.echo_value = item.id;
   const std::weak_ptr<item_attempt> weak = attempt;
   call_events events;
-  events.on_head = [weak](response_head head) {
+  events.on_head = [this, weak](response_head head) {
     if (const auto self = weak.lock()) {
-      self->head = std::move(head);
+      OnHead(*self, std::move(head));
     }
   };
   events.on_body = [this, key, weak](std::string_view bytes) {
@@ -402,6 +406,25 @@
   return true;
 }
 
+void item_dispatcher::OnHead(item_attempt& attempt, response_head head) {
+  const leave_notice notice = ReadLeaveNotice(head.headers, options_.wire);
+  attempt.head = std::move(head);
+  counters_.malformed_leave_notices +=
+      notice == leave_notice::kMalformed ? 1 : 0;
+  const endpoint_start start{attempt.endpoint, attempt.start_time_ms};
+  if (notice != leave_notice::kLeaving ||
+      !endpoints_.RecordLeaving(clock_.Now(), start,
+                                leaving_endpoints::origin::kOwnResponse)) {
+    return;
+  }
+  ++counters_.endpoints_leaving;
+  log_.LogState("endpoint_says_leaving",
+                {{"endpoint", attempt.endpoint.text()}});
+  if (on_endpoint_leaving) {
+    on_endpoint_leaving(start);
+  }
+}
+
 void item_dispatcher::OnAttemptEnd(const item_key& key, call_end end) {
   const auto found = attempts_.find(key);
   if (found == attempts_.end()) {
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -50,7 +50,9 @@
     uint64_t yielded = 0;  // Aborted to free slots for online requests.
     uint64_t silent = 0;
     uint64_t broken = 0;
-    uint64_t refused = 0;  // By endpoints without a free slot.
+    uint64_t refused = 0;            // By endpoints without a free slot.
+    uint64_t endpoints_leaving = 0;  // Said so in a response to an item.
+    uint64_t malformed_leave_notices = 0;
   };
 
   struct options {
@@ -75,6 +77,10 @@
                   proposer propose);
   ~item_dispatcher();
 
+  // Called after an endpoint said in a response for the first time that it
+  // leaves, and `endpoints` was told. May be empty.
+  std::function<void(const endpoint_start& start)> on_endpoint_leaving;
+
   // Items are sent only while this host leads. Losing leadership aborts all
   // attempts and discards uncommitted progress.
   void SetLeading(bool is_leading);
@@ -100,6 +106,7 @@
   bool BeginAttempt(steady_time now,
                     const route_table& routes,
                     const item_key& key);
+  void OnHead(item_attempt& attempt, response_head head);
   void OnAttemptEnd(const item_key& key, call_end end);
   void OnResponse(const item_key& key, item_attempt& attempt);
   void AbortAttempt(const item_key& key,
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -99,6 +99,9 @@
       log_.LogState("config_unreadable", {{"reason", ErrorOf(read).detail}});
     }
   };
+  dispatcher_.on_endpoint_leaving = [this](const endpoint_start& start) {
+    slots_.RecordLeaving(clock_.Now(), start);
+  };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
     endpoints_.Update(entry.report);
     slots_.Update(entry.report);
@@ -387,6 +390,9 @@
   entry.received_at = now;
   entry.link = link.weak_from_this();
   slots_.RecordLoad(now, link.peer_name, ValueOf(decoded));
+  for (const endpoint_start& each : ValueOf(decoded).leaving) {
+    endpoints_.RecordLeaving(now, each, leaving_endpoints::origin::kOtherHost);
+  }
   for (const load_entry& each : ValueOf(decoded).entries) {
     const auto endpoint = slots_.endpoint_ids().find(each.endpoint);
     if (endpoint != slots_.endpoint_ids().end()) {
@@ -473,6 +479,7 @@
     at = entry_loads_.erase(at);
   }
   load_report totals;
+  totals.leaving = endpoints_.leaving().Recent(now);
   for (const auto& [key, endpoint] : slots_.endpoint_ids()) {
     const uint32_t online = slots_.OnlineLoad(key);
     endpoints_.SetPeerLoad(now, endpoint, online);
--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -154,7 +154,7 @@
   }
 
   std::shared_ptr<raw_connection> Call() {
-    const auto caller = ConnectRaw(loop_, "127.0.0.1", port_);
+    auto caller = ConnectRaw(loop_, "127.0.0.1", port_);
     caller->Write("GET / HTTP/1.1\r\nHost: h\r\nX-Id: q" +
                   std::to_string(++calls_) + "\r\n\r\n");
     return caller;
@@ -179,6 +179,13 @@
       return is_done();
     });
   }
+  void AwaitEndOfBackoff() {
+    EXPECT_TRUE(Until([&] {
+      return duty_.selector()
+          .EndpointsInBackoff(clock_.Now(), service_id("svc"))
+          .empty();
+    }));
+  }
   bool Receives(const std::shared_ptr<raw_connection>& caller,
                 const char* text) {
     return Until(
@@ -314,6 +321,7 @@
     way.proceed(*this);
     EXPECT_TRUE(IsServed(way.is_batch));
     EXPECT_EQ(leaving_.server.requests.size(), 1u);
+    AwaitEndOfBackoff();
     way.begin(*this);
   }
   Prefer(leaving_, kMostSlots);
@@ -380,10 +388,7 @@
     caller->Close();
     EXPECT_TRUE(Until([&] { return duty_.active_count() == 0; }));
   }
-  const service_id& service = leaving_.report.service;
-  EXPECT_TRUE(Until([&] {
-    return duty_.selector().EndpointsInBackoff(clock_.Now(), service).empty();
-  }));
+  AwaitEndOfBackoff();
   Prefer(leaving_, kMostSlots);
   EXPECT_TRUE(Receives(Call(), kLastEvent));
   EXPECT_EQ(leaving_.server.requests.size(), 1u);
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -72,10 +72,23 @@
     state.failed = 0;
   }
   state.report = report;
-  state.is_ready = report.stage == endpoint_stage::kReady;
+  state.is_ready = report.stage == endpoint_stage::kReady &&
+                   !leaving_.IsLeaving(report.endpoint, report.start_time_ms);
   endpoint_ids_[key] = report.endpoint;
 }
 
+void slot_allocator::RecordLeaving(steady_time now,
+                                   const endpoint_start& start) {
+  leaving_.Add(now, start, leaving_endpoints::origin::kOtherHost);
+  const auto found = endpoints_.find(LoadKey(start.endpoint));
+  if (found != endpoints_.end()) {
+    endpoint_state& state = found->second;
+    const bool is_leaving =
+        leaving_.IsLeaving(state.report.endpoint, state.report.start_time_ms);
+    state.is_ready = state.is_ready && !is_leaving;
+  }
+}
+
 void slot_allocator::SetBatchLoad(uint32_t endpoint, uint32_t running) {
   const auto found = endpoints_.find(endpoint);
   if (found != endpoints_.end()) {
@@ -302,6 +315,9 @@
 void slot_allocator::RecordLoad(steady_time now,
                                 const std::string& host,
                                 const load_report& report) {
+  for (const endpoint_start& each : report.leaving) {
+    RecordLeaving(now, each);
+  }
   std::set<uint32_t>& known = host_endpoints_[host];
   std::map<uint32_t, uint32_t> reported;
   for (const load_entry& each : report.entries) {
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "fleet/endpoint_report.h"
 #include "fleet/fleet_messages.h"
+#include "fleet/leaving_endpoints.h"
 #include "slots/slot_messages.h"
 
 namespace shallotport {
@@ -44,6 +45,9 @@
 class slot_allocator {
  public:
   void Update(const endpoint_report& report);
+  // An endpoint said in a response that it leaves: no slot of it is granted any
+  // more.
+  void RecordLeaving(steady_time now, const endpoint_start& start);
   // Requests that the job group has at an endpoint.
   void SetBatchLoad(uint32_t endpoint, uint32_t running);
 
@@ -51,7 +55,8 @@
   slot_decision Allocate(steady_time now,
                          const std::string& host,
                          const slot_request& request);
-  // Replaces what is known of a host's load by its report.
+  // Replaces what is known of a host's load by its report, and records the
+  // leaving endpoints that it names.
   void RecordLoad(steady_time now,
                   const std::string& host,
                   const load_report& report);
@@ -118,6 +123,7 @@
   std::map<service_id, service_state> services_;
   // Endpoints, by LoadKey(), with requests of a host.
   std::map<std::string, std::set<uint32_t>> host_endpoints_;
+  leaving_endpoints leaving_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/slots/slot_allocator_random_test.cc
+++ b/src/libshallotport/slots/slot_allocator_random_test.cc
@@ -30,6 +30,7 @@
     bool is_known = false;
     uint32_t batch = 0;
     steady_time avoided_at{};
+    uint64_t leaving_start_ms = 0;  // The latest that said that it leaves.
   };
   using host_load = std::map<int, int>;  // Requests by endpoint.
 
@@ -82,6 +83,20 @@
     Publish(e, kStages[Below(4)]);
   }
 
+  // In the load report of a host that may know an earlier start only.
+  void SayLeaving() {
+    endpoint_truth& endpoint = endpoints_[Below(kEndpoints)];
+    endpoint_start start{endpoint.report.endpoint,
+                         endpoint.report.start_time_ms};
+    start.start_time_ms -= Below(2) == 0 ? 1 : 0;
+    endpoint.leaving_start_ms =
+        std::max(endpoint.leaving_start_ms, start.start_time_ms);
+    const int host = Below(kHosts);
+    load_report report = ReportOf(loads_[host], endpoints_);
+    report.leaving.push_back(start);
+    allocator_.RecordLoad(now_, HostName(host), report);
+  }
+
   void ChangeBatch() {
     const int e = Below(kEndpoints);
     if (endpoints_[e].is_known) {
@@ -170,6 +185,7 @@
     return endpoint.is_known &&
            request.software_version.value_or(version) == version &&
            endpoint.report.stage == endpoint_stage::kReady &&
+           endpoint.report.start_time_ms > endpoint.leaving_start_ms &&
            std::count(avoided.begin(), avoided.end(), Key(e)) == 0 &&
            std::count(domains.begin(), domains.end(), endpoint.report.domain) ==
                0;
@@ -254,6 +270,8 @@
       ChangeEndpoint();
     } else if (operation < 98) {
       allocator_.RemoveHost(HostName(Below(kHosts)));
+    } else if (operation < 99) {
+      SayLeaving();
     } else {
       CheckLoadAfterReports();
     }
--- a/src/libshallotport/slots/slot_allocator_test.cc
+++ b/src/libshallotport/slots/slot_allocator_test.cc
@@ -291,6 +291,14 @@
                                     allocator.Update(MakeReport(
                                         "e", "a", endpoint_stage::kLeft));
                                   }},
+                    unusable_case{
+                        "says_leaving",
+                        [](slot_allocator& allocator, slot_request&) {
+                          load_report report;
+                          report.leaving.push_back({endpoint_id("e"), 1});
+                          allocator.RecordLoad(kStart, "other", report);
+                          allocator.Update(MakeReport("e"));
+                        }},
                     unusable_case{"domain_avoided",
                                   [](slot_allocator&, slot_request& request) {
                                     request.avoided_domains = {domain_id("a")};
