entry: online responses are read for the leave notice

The head of every response to an online request is read for the notice before anything else is decided, refusals and errors included. A service whose endpoints all leave refuses at once with 503.

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -425,6 +425,7 @@
     duty_.selector_.RecordLoad(now, attempt.at.endpoint, load->first,
                                load->second);
   }
+  duty_.ReadLeaving(attempt.at, head);
   attempt.head = std::move(head);
   const bool is_event_stream = attempt.head.headers.Value("Content-Type")
                                    .starts_with("text/event-stream");
--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -83,6 +83,7 @@
     streams.is_resumable = true;
     streams.max_executions = 3;
     streams.timeout = std::chrono::seconds(20);
+    streams.objective = std::chrono::seconds(1);
     streams.services = {{service_id("svc"), 1}};
     routes_ = route_table(configuration);
     duty_.SetRoutes(configuration);
@@ -266,6 +267,10 @@
         *test.first_.last, test.first_.server.requests.back());
   }
 
+  static void ProceedWithSecondAttempt(request_ways& test) {
+    test.duty_.Tick(test.clock_.Now() + std::chrono::seconds(1));
+  }
+
   static void BeginStreamElsewhere(request_ways& test) {
     test.Prefer(test.first_);
     test.first_.respond = Answer("200 OK", "", kFirstEvent, false);
@@ -343,6 +348,8 @@
      request_ways::ProceedWithGrant},
     {"retry", false, request_ways::BeginElsewhere,
      request_ways::ProceedAfterRefusal},
+    {"second_attempt", false, request_ways::BeginElsewhere,
+     request_ways::ProceedWithSecondAttempt},
     {"resume", false, request_ways::BeginStreamElsewhere,
      request_ways::ProceedAfterBreak},
     {"batch_item", true, request_ways::BeginNothing,
@@ -406,6 +413,38 @@
                     true, false}),
     [](const auto& info) { return std::string(info.param.name); });
 
+TEST_F(leaving_endpoint_test, MalformedNoticeIsCountedAndIgnored) {
+  leaving_.respond = Answer("200 OK", "X-Leaving: 0\r\n", kLastEvent);
+  for (size_t calls = 1; calls <= 2; ++calls) {
+    Prefer(leaving_);
+    const auto caller = Call();
+    EXPECT_TRUE(Receives(caller, kLastEvent));
+    EXPECT_TRUE(Receives(caller, "200 OK"));
+    Prefer(leaving_);
+    EXPECT_TRUE(IsFinished(Submit()));
+    EXPECT_EQ(leaving_.server.requests.size(), 2 * calls);
+    EXPECT_EQ(duty_.counters().malformed_leave_notices, calls);
+    EXPECT_EQ(dispatcher_.totals().malformed_leave_notices, calls);
+  }
+  EXPECT_EQ(duty_.counters().endpoints_leaving, 0u);
+}
+
+TEST_F(leaving_endpoint_test, OnlyOnesLeftAreNoLastResort) {
+  for (stand_in* each : {&leaving_, &other_, &first_}) {
+    each->respond = Answer("200 OK", kLeaving, kLastEvent);
+    Prefer(*each);
+    EXPECT_TRUE(Receives(Call(), kLastEvent));
+  }
+  EXPECT_EQ(duty_.counters().endpoints_leaving, 3u);
+  EXPECT_TRUE(Receives(Call(), "HTTP/1.1 503"));
+  EXPECT_EQ(duty_.counters().refused_no_endpoint, 1u);
+  // A later start at the same address.
+  ++leaving_.report.start_time_ms;
+  duty_.UpdateEndpoint(leaving_.report);
+  EXPECT_TRUE(Receives(Call(), kLastEvent));
+  EXPECT_EQ(leaving_.server.requests.size(), 2u);
+}
+
 }  // namespace
 
 }  // namespace shallotport
