--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -94,7 +94,7 @@
       return holds_slot_;
     };
     for (const stand_in* each : {&leaving_, &other_, &first_}) {
-      duty_.UpdateEndpoint(each->report);
+      duty_.UpdateEndpoint({each->report, clock_.Now()});
     }
     boost::asio::ip::tcp::acceptor probe(
         loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
@@ -440,7 +440,7 @@
   EXPECT_EQ(duty_.counters().refused_no_endpoint, 1u);
   // A later start at the same address.
   ++leaving_.report.start_time_ms;
-  duty_.UpdateEndpoint(leaving_.report);
+  duty_.UpdateEndpoint({leaving_.report, clock_.Now()});
   EXPECT_TRUE(Receives(Call(), kLastEvent));
   EXPECT_EQ(leaving_.server.requests.size(), 2u);
 }
