eventio: an expired connection to an endpoint is taken from the pool safely

In a release build it mostly went unnoticed; a crash would have ended all requests of the host without an answer. Not shown to be the cause of the users' report.

The search looks the entry up anew for each connection.

--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -46,18 +46,7 @@
     const endpoint_address& to,
     outbound_request request,
     call_events events) {
-  std::shared_ptr<endpoint_connection> connection;
-  const auto found = idle_.find(to);
-  const steady_time now = clock_.Now();
-  while (found != idle_.end() && !found->second.empty() &&
-         connection == nullptr) {
-    connection = std::move(found->second.back());
-    found->second.pop_back();
-    if (!connection->IsReusable(now)) {
-      connection->Close();
-      connection = nullptr;
-    }
-  }
+  std::shared_ptr<endpoint_connection> connection = TakeReusable(to);
   if (connection == nullptr) {
     ++counters_.opened;
     connection = std::make_shared<endpoint_connection>(*this, to);
@@ -76,6 +65,23 @@
   return call;
 }
 
+std::shared_ptr<endpoint_connection> endpoint_connection_pool::TakeReusable(
+    const endpoint_address& to) {
+  const steady_time now = clock_.Now();
+  // Looked up anew for each connection: closing one changes the map.
+  for (auto found = idle_.find(to); found != idle_.end();
+       found = idle_.find(to)) {
+    const std::shared_ptr<endpoint_connection> connection =
+        found->second.back();
+    RemoveIdle(connection.get());
+    if (connection->IsReusable(now)) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
 void endpoint_connection_pool::AddIdle(
     std::shared_ptr<endpoint_connection> connection) {
   auto& idle = idle_[connection->address()];
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -93,6 +93,8 @@
  private:
   friend class endpoint_connection;
 
+  // Removes an idle connection to `to` from the pool; null if there is none.
+  std::shared_ptr<endpoint_connection> TakeReusable(const endpoint_address& to);
   void AddIdle(std::shared_ptr<endpoint_connection> connection);
   void RemoveIdle(const endpoint_connection* connection);
 
--- a/src/libshallotport/eventio/endpoint_connection_pool_test.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool_test.cc
@@ -179,6 +179,24 @@
   EXPECT_EQ(Await(Call(endpoint.port(), "two")), call_end::kComplete);
 }
 
+// Read freed memory when the only idle connection had expired.
+TEST_F(endpoint_connection_pool_test, ExpiredConnectionIsReplaced) {
+  scripted_endpoint endpoint(
+      loop_, [](raw_connection& connection, const std::string& request) {
+        const size_t at = request.find("X-Id: ") + 6;
+        connection.Write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nX-Id: " +
+                         request.substr(at, request.find('\r', at) - at) +
+                         "\r\nContent-Length: 0\r\n\r\n");
+      });
+  EXPECT_EQ(Await(Call(endpoint.port(), "one")), call_end::kComplete);
+  EXPECT_EQ(pool_.idle_count(), 1u);
+  loop_.restart();
+  loop_.run_for(std::chrono::milliseconds(600));
+  EXPECT_EQ(Await(Call(endpoint.port(), "two")), call_end::kComplete);
+  EXPECT_EQ(endpoint.connections, 2);
+  EXPECT_EQ(pool_.idle_count(), 1u);
+}
+
 }  // namespace
 
 }  // namespace shallotport
