entryhost, eventio: a planned stop leaves no caller without an answer

What callers saw: a request on an open connection of a host that was being stopped was sent on to an endpoint and ended with the connection, without any answer.

Cause: idle connections were closed once, 2.6 s after the stop had begun. A connection whose response had begun before the stop and ended after those 2.6 s stayed open without `Connection: close`; its caller's next request could still be at work when the grace period ended, and at that moment every exchange was ended by closing its connection, also those that waited for a slot or a job store.

Change: from 2.6 s on connections are closed as soon as they are idle; at the end of the grace period an exchange without a response gets 502, which promises nothing, as its request may have been executed.

--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -213,14 +213,17 @@
 }
 
 void entry_host::Drain(steady_time now) {
-  if (!is_idle_closed_ && now >= drain_started_at_ + kAcceptWhileDraining) {
-    is_idle_closed_ = true;
+  // Connections also become idle later, without having been told that they will
+  // be closed: the response in progress may have begun before the stop.
+  const bool is_closing = now >= drain_started_at_ + kAcceptWhileDraining;
+  if (is_closing) {
     callers_.CloseIdle();
   }
-  const bool is_empty = is_idle_closed_ && callers_.connection_count() == 0;
+  const bool is_empty = is_closing && callers_.connection_count() == 0;
   const bool is_grace_over =
       now >= drain_started_at_ + options_.stop_grace - kExitMargin;
   if ((is_empty || is_grace_over) && on_drained_) {
+    callers_.EndAll();
     std::exchange(on_drained_, nullptr)();
   }
 }
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -83,7 +83,6 @@
   steady_time totals_received_at_{};
   steady_time next_sweep_{};
   bool is_draining_ = false;
-  bool is_idle_closed_ = false;
   bool had_control_link_ = false;
   // Since when all control hosts are linked; nullopt: they are not.
   std::optional<steady_time> all_linked_since_;
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -106,6 +106,20 @@
   }
 }
 
+void http_connection::EndExchange() {
+  const auto exchange = exchange_.lock();
+  if (exchange == nullptr || exchange->is_ended()) {
+    return;
+  }
+  exchange->on_disconnected = nullptr;
+  if (exchange->has_begun()) {
+    exchange->Abort();
+  } else {
+    closes_after_response_ = true;
+    exchange->Respond(502, {}, {});
+  }
+}
+
 bool http_connection::HasUnreadInput() const {
   error_code failure;
   return socket_.available(failure) > 0;
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -28,6 +28,8 @@
   void Detach();
   void Sweep(steady_time now);
   void CloseIfIdle();
+  // Ends the exchange in progress, if any, as http_listener::EndAll() says.
+  void EndExchange();
 
   bool is_busy() const { return is_serving_; }
 
--- a/src/libshallotport/eventio/http_listener.cc
+++ b/src/libshallotport/eventio/http_listener.cc
@@ -81,6 +81,14 @@
   }
 }
 
+void http_listener::EndAll() {
+  const std::vector<std::shared_ptr<http_connection>> all(connections_.begin(),
+                                                          connections_.end());
+  for (const auto& each : all) {
+    each->EndExchange();
+  }
+}
+
 void http_listener::Sweep(steady_time now) {
   const std::vector<std::shared_ptr<http_connection>> all(connections_.begin(),
                                                           connections_.end());
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -91,6 +91,9 @@
   void StartDraining();
   // Stops accepting connections and closes the idle ones.
   void CloseIdle();
+  // Ends all exchanges: with 502 where no response has begun, because the
+  // request may have been executed, otherwise with the connection.
+  void EndAll();
   // Closes connections that exceeded a time limit; to be called a few times a
   // second.
   void Sweep(steady_time now);
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -180,6 +180,22 @@
       RunUntil(loop_, [&] { return listener_.connection_count() == 0; }));
 }
 
+// At the end of a stop, requests got the end of their connection for an answer.
+TEST_F(http_listener_test, RequestsInProgressGetAnAnswerAtTheEnd) {
+  const auto held = Connect();
+  held->Write("GET /hold HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop_, [&] { return held_exchanges_.size() == 1; }));
+  const auto stream = Connect();
+  stream->Write("GET /hold HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop_, [&] { return held_exchanges_.size() == 2; }));
+  held_exchanges_[1]->BeginStream(200, {});
+  ASSERT_TRUE(Receives(stream, "HTTP/1.1 200"));
+  listener_.EndAll();
+  EXPECT_TRUE(Receives(held, "HTTP/1.1 502"));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return stream->is_ended; }));
+  EXPECT_FALSE(stream->received.ends_with("0\r\n\r\n"));
+}
+
 TEST_F(http_listener_test, IdleAndSlowConnectionsAreClosed) {
   const auto idle = Connect();
   const auto slow = Connect();
