entry: two attempts of a request overlap for a bounded time

Change: after 340 ms without output only one of the two goes on: the first one, unless it has been silent for longer than sound endpoints pause (1.5 s). Within a stream the second one begins after 1.2 s instead of 0.8 s, so that a pause of a second does not use up an execution. An endpoint that refuses a second attempt, or whose second attempt is ended, can still be used when the first one fails. The budget is charged before a slot is requested, and credited if nothing was sent. Silence is measured from the end of the host's last stall. Bytes of any response end a silence.

The stall and the budget have no test of their own.

--- a/src/libshallotport/base/retry_budget.h
+++ b/src/libshallotport/base/retry_budget.h
@@ -28,6 +28,9 @@
     return true;
   }
 
+  // Gives back a token that was taken for a retry that was not made.
+  void Return() { tokens_ = std::min(reserve_, tokens_ + 1.0); }
+
   double tokens() const { return tokens_; }
 
  private:
--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -16,6 +16,7 @@
 struct endpoint_attempt {
   selected_endpoint at;
   std::unique_ptr<endpoint_call> call;
+  steady_time begun_at{};
   steady_time last_received_at{};
   response_head head;
   bool is_stream = false;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -288,7 +288,9 @@
     return;
   }
   if (current_ != nullptr && !NeedsSecond(duty_.clock_.Now())) {
-    return;  // The endpoint has gone on meanwhile.
+    // The endpoint has gone on meanwhile.
+    duty_.slow_retry_budget_.Return();
+    return;
   }
   if (reply.kind == slot_reply_kind::kRefused) {
     if (current_ != nullptr) {
@@ -316,6 +318,8 @@
   selection_constraints constraints = constraints_;
   if (current_ != nullptr) {
     constraints.excluded.insert(current_->at.endpoint);
+    constraints.excluded.insert(full_for_second_.begin(),
+                                full_for_second_.end());
   }
   return constraints;
 }
@@ -347,6 +351,7 @@
   const steady_time now = duty_.clock_.Now();
   const auto attempt = std::make_shared<endpoint_attempt>();
   attempt->at = std::move(endpoint);
+  attempt->begun_at = now;
   attempt->last_received_at = now;
   // Endpoints without recent reports are used as well.
   duty_.versions_.Record(now, service_, attempt->at.software_version);
@@ -357,7 +362,6 @@
     RecordOrigin(attempt->at, false);
   } else {
     second_ = attempt;
-    duty_.slow_retry_budget_.TryTake();
     ++duty_.counters_.second_attempts;
   }
   duty_.NotifyLoadChanged();
@@ -434,13 +438,13 @@
 
 void routed_exchange::OnBody(const attempt_ptr& attempt,
                              std::string_view bytes) {
+  attempt->last_received_at = duty_.clock_.Now();
   if (!attempt->is_stream) {
     if (attempt->body.size() + bytes.size() <= kMaxResponseBytes) {
       attempt->body.append(bytes);
     }
     return;
   }
-  attempt->last_received_at = duty_.clock_.Now();
   const std::string complete_events = attempt->events.Feed(bytes);
   if (complete_events.empty()) {
     return;
@@ -576,11 +580,12 @@
   EndAttempt(*attempt, end);
   if (was_second) {
     second_.reset();
-    DeferSecondAttempt();
+    next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
   } else {
     current_ = std::exchange(second_, nullptr);
   }
-  constraints_.excluded.insert(endpoint);
+  const bool may_be_needed = was_second && end == endpoint_outcome::kShed;
+  (may_be_needed ? full_for_second_ : constraints_.excluded).insert(endpoint);
   last_endpoint_ = endpoint;
   if (end == endpoint_outcome::kSilent) {
     constraints_.unreachable_domains.insert(domain);
@@ -650,7 +655,7 @@
   duty_.NotifyLoadChanged();
 }
 
-void routed_exchange::KeepOnly(const attempt_ptr& attempt) {
+void routed_exchange::KeepOnly(attempt_ptr attempt) {
   if (second_ == nullptr) {
     return;
   }
@@ -659,7 +664,10 @@
   current_ = attempt;
   second_.reset();
   ++executions_;  // The other one may have been executed.
-  constraints_.excluded.insert(other->at.endpoint);
+  next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
+  if (is_takeover) {
+    constraints_.excluded.insert(other->at.endpoint);
+  }
   duty_.counters_.takeovers += is_takeover ? 1 : 0;
   const auto silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(
       duty_.clock_.Now() - other->last_received_at);
@@ -673,6 +681,11 @@
   EndAttempt(*other, endpoint_outcome::kCancelled);
 }
 
+duration routed_exchange::SilenceOf(const endpoint_attempt& attempt,
+                                    steady_time now) const {
+  return now - std::max(attempt.last_received_at, duty_.resumed_at_);
+}
+
 bool routed_exchange::NeedsSecond(steady_time now) const {
   attempt_silence state;
   state.is_repeatable = route_.IsRepeatable();
@@ -680,22 +693,38 @@
   state.has_second_attempt = second_ != nullptr;
   state.executions = executions_;
   state.max_executions = route_.max_executions;
-  state.silent_for = now - current_->last_received_at;
+  state.silent_for = SilenceOf(*current_, now);
   state.objective = route_.objective;
   return NeedsSecondAttempt(state);
 }
 
 void routed_exchange::BeginSecondIfSilent(steady_time now) {
-  const bool may_begin = current_ != nullptr && !is_awaiting_slot_ &&
-                         now >= next_second_at_ &&
-                         duty_.slow_retry_budget_.HasToken();
-  if (may_begin && NeedsSecond(now)) {
+  const bool may_begin =
+      current_ != nullptr && !is_awaiting_slot_ && now >= next_second_at_;
+  if (may_begin && NeedsSecond(now) && duty_.slow_retry_budget_.TryTake()) {
     StartAttempt();
   }
 }
 
+void routed_exchange::EndLongOverlap(steady_time now) {
+  if (second_ == nullptr) {
+    return;
+  }
+  switch (DecideOverlap(now - second_->begun_at, SilenceOf(*current_, now))) {
+    case overlap_decision::kKeepBoth:
+      return;
+    case overlap_decision::kEndFirst:
+      KeepOnly(second_);
+      return;
+    case overlap_decision::kEndSecond:
+      KeepOnly(current_);
+      return;
+  }
+}
+
 void routed_exchange::DeferSecondAttempt() {
   next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
+  duty_.slow_retry_budget_.Return();
 }
 
 void routed_exchange::Tick(steady_time now) {
@@ -704,6 +733,7 @@
   }
   const auto self = shared_from_this();
   if (now < deadline_) {
+    EndLongOverlap(now);
     BeginSecondIfSilent(now);
     return;
   }
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -57,14 +57,17 @@
   void OnAttemptFailed(const attempt_ptr& attempt,
                        attempt_result outcome,
                        endpoint_outcome end);
-  // `attempt` has output for the caller: ends the other one, if any.
-  void KeepOnly(const attempt_ptr& attempt);
+  // Ends the other attempt, if any.
+  void KeepOnly(attempt_ptr attempt);
   // Cancels the attempt's call if it has not ended.
   void EndAttempt(endpoint_attempt& attempt, endpoint_outcome end);
+  duration SilenceOf(const endpoint_attempt& attempt, steady_time now) const;
   // Whether `current_` is silent and may be executed once more beside it.
   bool NeedsSecond(steady_time now) const;
   void BeginSecondIfSilent(steady_time now);
+  // No endpoint took it.
   void DeferSecondAttempt();
+  void EndLongOverlap(steady_time now);
   void BeginResponse(const endpoint_attempt& attempt);
   // Later attempts have to resume the stream that begins with this one.
   void FixVersion(const endpoint_attempt& attempt);
@@ -94,6 +97,8 @@
   attempt_ptr current_;
   attempt_ptr second_;  // Begun while `current_` is silent.
   steady_time next_second_at_{};
+  // Refused a second attempt; may be free when the first one has failed.
+  std::set<endpoint_id> full_for_second_;
   selection_constraints constraints_;
   endpoint_id last_endpoint_;
   uint32_t executions_ = 0;  // Of ended attempts.
--- a/src/libshallotport/entry/takeover_policy.cc
+++ b/src/libshallotport/entry/takeover_policy.cc
@@ -6,8 +6,14 @@
 
 // Of the objective; a second attempt may still meet it.
 constexpr double kFirstByteShare = 0.6;
-// Within a stream, events arrive every few tens of milliseconds.
-constexpr std::chrono::milliseconds kStreamGap{800};
+// Within a stream, events arrive every few tens of milliseconds. A shorter gap
+// is mostly a pause of a sound endpoint, and an early second attempt would use
+// up an execution for it.
+constexpr std::chrono::milliseconds kStreamGap{1'200};
+// Longer than a sound endpoint pauses.
+constexpr std::chrono::milliseconds kLongestPause{1'500};
+// Less than the 400 ms for which two engines may work on one request.
+constexpr std::chrono::milliseconds kMaxOverlap{340};
 
 }  // namespace
 
@@ -24,4 +30,12 @@
          (state.has_response_begun ? duration(kStreamGap) : first_byte_limit);
 }
 
+overlap_decision DecideOverlap(duration overlap, duration first_silent_for) {
+  if (overlap < kMaxOverlap) {
+    return overlap_decision::kKeepBoth;
+  }
+  return first_silent_for >= kLongestPause ? overlap_decision::kEndFirst
+                                           : overlap_decision::kEndSecond;
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/entry/takeover_policy.h
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -24,6 +24,13 @@
 // so first serves the caller. Pure.
 bool NeedsSecondAttempt(const attempt_silence& state);
 
+enum class overlap_decision : uint8_t { kKeepBoth, kEndFirst, kEndSecond };
+
+// Decides which of two attempts without output goes on alone once both have
+// been under way for too long: an engine must not work on a request for long
+// beside another one. Pure.
+overlap_decision DecideOverlap(duration overlap, duration first_silent_for);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_ENTRY_TAKEOVER_POLICY_H_
