jobstore: tests of item texts beside several software versions

The origin (service and software version) of an item's text gets a field in item_progress, job_command and job_table::item_state, and item_progress and job_command a mark that the text begins anew. Nothing sets or obeys them yet.

--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -185,9 +185,12 @@
     if (command.progress.empty() || command.progress.back().job != key.first) {
       command.progress.push_back({key.first, {}});
     }
-    command.progress.back().items.push_back({key.second, item_state.base_event,
+    command.progress.back().items.push_back({key.second,
+                                             item_state.base_event,
                                              item_state.text,
-                                             item_state.last_event});
+                                             item_state.last_event,
+                                             {},
+                                             false});
     item_state.committing_bytes = item_state.text.size();
     item_state.committing_event = item_state.last_event;
     committing.push_back(key);
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -4,7 +4,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <ostream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -287,6 +290,211 @@
                                       "late-0", "late-1", "late-2"}));
 }
 
+// An item whose text begins at endpoint "e" of version v1, which then leaves.
+// Endpoint "f" runs v2, and "g" v1. Each event names its version.
+class item_versions_test : public item_dispatcher_test {
+ protected:
+  static constexpr uint32_t kSlots = 3;
+  static constexpr const char* kOldVersion = "v1";
+  static constexpr const char* kNewVersion = "v2";
+
+  item_versions_test() {
+    respond_ = [this](raw_connection& connection, const std::string& id,
+                      const std::string& request) {
+      const std::string endpoint = EndpointOf(request);
+      const std::string& version = versions_.at(endpoint);
+      ++attempts_at_[endpoint];
+      if (endpoint == "e") {
+        connection.Write(IsResumed(request)
+                             ? kNotRun
+                             : PartialResponse(id, Event(1, version)));
+      } else {
+        connection.Write(CompleteResponse(
+            id, IsResumed(request) ? Event(2, version)
+                                   : Event(1, version) + Event(2, version)));
+      }
+    };
+    AddEndpoint("e", kOldVersion);
+  }
+
+  static constexpr const char* kNotRun =
+      "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+  static std::string Event(int number, const std::string& version) {
+    return "id: " + std::to_string(number) + "\ndata: " + version + "." +
+           std::to_string(number) + "\n\n";
+  }
+  static std::string EndpointOf(const std::string& request) {
+    const size_t at = request.find("X-Expected: ") + 12;
+    return request.substr(at, request.find('\r', at) - at);
+  }
+  static bool IsResumed(const std::string& request) {
+    return request.find("X-After: 1\r\n") != std::string::npos;
+  }
+
+  void AddEndpoint(const std::string& id,
+                   const std::string& version,
+                   uint32_t load = 0) {
+    versions_[id] = version;
+    endpoint_report report;
+    report.endpoint = endpoint_id(id);
+    report.service = service_id("svc");
+    report.ip = "127.0.0.1";
+    report.port = endpoint_.port();
+    report.slots = kSlots;
+    report.start_time_ms = 1;
+    report.software_version = version;
+    selector_.Update(report);
+    selector_.SetPeerLoad(clock_.Now(), report.endpoint, load);
+  }
+
+  // The first event of job "j" is known to this leader only.
+  void BeginText() {
+    ASSERT_TRUE(RunUntilDone([&] { return attempted_items_.size() == 1; }));
+    RunUntil(
+        loop_, [] { return false; }, milliseconds(30));
+  }
+  // It was committed by an earlier leader.
+  void CommitText(const stream_origin& origin) {
+    job_command command;
+    command.kind = job_command_kind::kProgress;
+    command.progress = {{job_id("j"), {{0, "", "v1.1\n", "1", origin}}}};
+    Commit(command, [](commit_outcome) {});
+  }
+  void RemoveFirstEndpoint() { selector_.Remove(endpoint_id("e")); }
+
+  std::string Text(const std::string& id) {
+    return table_.Read(job_id(id), 0).results.at(0).text.text();
+  }
+  const job_table::item_state& Item() {
+    return table_.Find(job_id("j"))->items[0];
+  }
+
+  std::map<std::string, std::string> versions_;
+  std::map<std::string, int> attempts_at_;
+};
+
+struct version_case {
+  std::string name;
+  bool is_committed;
+  std::string service;  // Where the committed text began.
+  std::optional<uint32_t> load_of_same_version;  // None: no such endpoint.
+  uint32_t objective_ms;
+  std::string text;
+};
+
+void PrintTo(const version_case& each, std::ostream* out) {
+  *out << each.name;
+}
+
+class item_texts : public item_versions_test,
+                   public testing::WithParamInterface<version_case> {};
+
+TEST_P(item_texts, AreOfOneSoftwareVersion) {
+  const version_case& each = GetParam();
+  Submit("j", 1, each.objective_ms);
+  if (each.is_committed) {
+    CommitText({service_id(each.service), kOldVersion});
+  } else {
+    BeginText();
+  }
+  RemoveFirstEndpoint();
+  AddEndpoint("f", kNewVersion);
+  if (each.load_of_same_version) {
+    AddEndpoint("g", kOldVersion, *each.load_of_same_version);
+  }
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), each.text);
+}
+
+constexpr uint32_t kInTime = 10'000;
+constexpr uint32_t kLate = 1;
+constexpr const char* kResumedText = "v1.1\nv1.2";
+constexpr const char* kNewText = "v2.1\nv2.2";
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    item_texts,
+    testing::Values(
+        version_case{"same_version", false, "", 2, kInTime, kResumedText},
+        version_case{"version_gone", false, "", {}, kInTime, kNewText},
+        version_case{"same_version_late", false, "", 2, kLate, kResumedText},
+        version_case{"version_busy_late", false, "", 3, kLate, kNewText},
+        version_case{"committed_same_version", true, "svc", 2, kInTime,
+                     kResumedText},
+        version_case{"committed_version_gone",
+                     true,
+                     "svc",
+                     {},
+                     kInTime,
+                     kNewText},
+        version_case{"committed_version_busy_late", true, "svc", 3, kLate,
+                     kNewText},
+        version_case{"committed_service_not_allowed",
+                     true,
+                     "other",
+                     {},
+                     kInTime,
+                     kNewText}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(item_versions_test, ItemWaitsForItsVersionWithoutHoldingUpOthers) {
+  Submit("j", 1, kInTime);
+  CommitText({service_id("svc"), kOldVersion});
+  RemoveFirstEndpoint();
+  AddEndpoint("f", kNewVersion);
+  AddEndpoint("g", kOldVersion, kSlots);
+  Submit("k", 5, 2 * kInTime);
+  EXPECT_TRUE(RunUntilDone([&] { return ResultCount("k") == 5; }));
+  EXPECT_EQ(ResultCount("j"), 0u);
+  selector_.SetPeerLoad(clock_.Now(), endpoint_id("g"), 0);
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), kResumedText);
+}
+
+TEST_F(item_versions_test, TextThatBeganAnewIsResumedByTheNextLeader) {
+  bool is_led_anew = false;
+  respond_ = [&](raw_connection& connection, const std::string& id,
+                 const std::string& request) {
+    connection.Write(!IsResumed(request) ? PartialResponse(id, Event(1, "v2"))
+                     : is_led_anew       ? CompleteResponse(id, Event(2, "v2"))
+                                         : kNotRun);
+  };
+  Submit("j", 1, kInTime);
+  CommitText({service_id("svc"), kOldVersion});
+  RemoveFirstEndpoint();
+  AddEndpoint("f", kNewVersion);
+  EXPECT_TRUE(RunUntilDone([&] {
+    return Item().origin == stream_origin{service_id("svc"), kNewVersion};
+  }));
+  dispatcher_.SetLeading(false);
+  dispatcher_.SetLeading(true);
+  is_led_anew = true;
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), kNewText);
+}
+
+TEST_F(item_versions_test, TextDoesNotBeginAnewWhileItsProgressIsCommitted) {
+  Submit("j", 1, kInTime);
+  BeginText();
+  holds_commands_ = true;
+  ASSERT_TRUE(RunUntilDone([&] { return held_commands_.size() == 1; }));
+  RemoveFirstEndpoint();
+  AddEndpoint("f", kNewVersion);
+  RunUntil(
+      loop_,
+      [&] {
+        dispatcher_.Tick(clock_.Now(), &routes_);
+        return false;
+      },
+      milliseconds(300));
+  EXPECT_EQ(attempts_at_["f"], 0);
+  holds_commands_ = false;
+  Commit(held_commands_[0].first, held_commands_[0].second);
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), kNewText);
+}
+
 }  // namespace
 
 }  // namespace shallotport
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "jobstore/shared_text.h"
+#include "streams/stream_messages.h"
 
 namespace shallotport {
 
@@ -64,10 +65,13 @@
   std::string base_event;   // The text continues after this event.
   std::string text;         // Received since then.
   std::string last_event;   // Last event of the text.
+  stream_origin origin;     // Of the text.
+  // The text begins anew and replaces what was committed up to base_event.
+  bool is_restart = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(item_index, base_event, text, last_event);
+    archive(item_index, base_event, text, last_event, origin, is_restart);
   }
 };
 
--- a/src/libshallotport/jobstore/job_table.h
+++ b/src/libshallotport/jobstore/job_table.h
@@ -40,11 +40,15 @@
   uint32_t item_index = 0;  // In the submission.
   item_result result;       // Its text is appended to the item's progress.
   std::string base_event;   // The result's text continues after this event.
+  stream_origin origin;     // Of the result's text.
+  // The result's text begins anew and replaces the item's progress.
+  bool is_restart = false;
   std::vector<job_progress> progress;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(kind, job, submission, item_index, result, base_event, progress);
+    archive(kind, job, submission, item_index, result, base_event, origin,
+            is_restart, progress);
   }
 };
 
@@ -61,10 +65,12 @@
     uint32_t failures = 0;
     std::string text;  // Of the events so far, while there is no result.
     std::string last_event;
+    // Of the text; none before its first event.
+    std::optional<stream_origin> origin;
 
     template <typename Archive>
     void serialize(Archive& archive) {
-      archive(has_result, failures, text, last_event);
+      archive(has_result, failures, text, last_event, origin);
     }
   };
 
--- a/src/libshallotport/jobstore/job_table_test.cc
+++ b/src/libshallotport/jobstore/job_table_test.cc
@@ -13,6 +13,9 @@
 namespace {
 
 const job_id kJob("job-1");
+const stream_origin kOld{service_id("svc"), "v2"};
+const stream_origin kNew{service_id("svc"), "v1"};
+const stream_origin kOtherService{service_id("other"), "v2"};
 
 job_submission MakeJob(const std::string& id, int items, uint64_t limit = 0) {
   job_submission job;
@@ -51,15 +54,19 @@
   job_store_reply_kind Progress(uint32_t item,
                                 const std::string& base,
                                 const std::string& text,
-                                const std::string& last) {
+                                const std::string& last,
+                                const stream_origin& origin = kOld,
+                                bool is_restart = false) {
     job_command command;
     command.kind = job_command_kind::kProgress;
-    command.progress = {{kJob, {{item, base, text, last}}}};
+    command.progress = {{kJob, {{item, base, text, last, origin, is_restart}}}};
     return Apply(command);
   }
   job_store_reply_kind Record(uint32_t item,
                               const std::string& base,
-                              const std::string& text) {
+                              const std::string& text,
+                              const stream_origin& origin = kOld,
+                              bool is_restart = false) {
     job_command command;
     command.kind = job_command_kind::kRecord;
     command.job = kJob;
@@ -67,6 +74,8 @@
     command.result.is_completed = true;
     command.result.text = shared_text(text);
     command.base_event = base;
+    command.origin = origin;
+    command.is_restart = is_restart;
     return Apply(command);
   }
   job_store_reply_kind Cancel() {
@@ -89,6 +98,8 @@
   std::string base;
   std::string text;
   std::string last;
+  stream_origin origin = kOld;
+  bool is_restart = false;
 };
 
 struct attempt_case {
@@ -104,9 +115,10 @@
   ASSERT_EQ(driver.Submit(MakeJob("job-1", 1)), job_store_reply_kind::kDone);
   for (const attempt_step& step : GetParam().steps) {
     if (step.is_end) {
-      driver.Record(0, step.base, step.text);
+      driver.Record(0, step.base, step.text, step.origin, step.is_restart);
     } else {
-      driver.Progress(0, step.base, step.text, step.last);
+      driver.Progress(0, step.base, step.text, step.last, step.origin,
+                      step.is_restart);
     }
   }
   const job_store_reply read = driver.table.Read(kJob, 0);
@@ -140,6 +152,52 @@
                      "a"}),
     [](const auto& info) { return info.param.name; });
 
+INSTANTIATE_TEST_SUITE_P(
+    versions,
+    item_text_test,
+    testing::Values(
+        attempt_case{"progress_of_another_version_is_ignored",
+                     {{false, "", "a\n", "1"},
+                      {false, "1", "z\n", "2", kNew},
+                      {true, "1", "b\n", ""}},
+                     "a\nb"},
+        attempt_case{"progress_of_another_service_is_ignored",
+                     {{false, "", "a\n", "1"},
+                      {false, "1", "z\n", "2", kOtherService},
+                      {true, "1", "b\n", ""}},
+                     "a\nb"},
+        attempt_case{"result_of_another_version_is_refused",
+                     {{false, "", "a\n", "1"}, {true, "1", "z\n", "", kNew}},
+                     ""},
+        attempt_case{"progress_begins_anew",
+                     {{false, "", "a\nb\n", "2"},
+                      {false, "2", "x\n", "1", kNew, true},
+                      {true, "1", "y\n", "", kNew}},
+                     "x\ny"},
+        attempt_case{
+            "result_begins_anew",
+            {{false, "", "a\n", "1"}, {true, "1", "x\ny\n", "", kNew, true}},
+            "x\ny"},
+        // Leaders whose leases lapsed: one went on with the text that was
+        // discarded, one discarded a text that has grown since.
+        attempt_case{"late_result_of_the_discarded_text_is_refused",
+                     {{false, "", "a\n", "1"},
+                      {false, "1", "x\n", "1", kNew, true},
+                      {true, "1", "b\n", ""}},
+                     ""},
+        attempt_case{"late_restart_is_ignored",
+                     {{false, "", "a\n", "1"},
+                      {false, "1", "b\n", "2"},
+                      {false, "1", "x\n", "1", kNew, true},
+                      {true, "2", "c\n", ""}},
+                     "a\nb\nc"},
+        attempt_case{"late_restart_with_result_is_refused",
+                     {{false, "", "a\n", "1"},
+                      {false, "1", "b\n", "2"},
+                      {true, "1", "x\n", "", kNew, true}},
+                     ""}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(job_table_test, RepeatedSubmissionIsAcknowledgedAndAcceptedOnce) {
   table_driver driver;
   EXPECT_EQ(driver.Submit(MakeJob("job-1", 3)), job_store_reply_kind::kDone);
@@ -207,6 +265,7 @@
   ASSERT_TRUE(IsOk(copy.LoadSnapshot(in)));
   EXPECT_EQ(copy.Read(kJob, 0).results[0].text.text(), "a");
   EXPECT_EQ(copy.Find(kJob)->items[1].last_event, "7");
+  EXPECT_EQ(copy.Find(kJob)->items[1].origin, kOld);
   EXPECT_EQ(copy.WaitingTokens("route"), 100u);
 }
 
