jobstore: item texts are resumed at the software version that began them

Callers of batch jobs could get texts of which one software version wrote the beginning and another the rest: item_dispatcher resumed an item after its last event at any endpoint, of any service that the route's weights drew.

An item's progress now names the service and version of its text, from the first event on. job_table takes a text only if its base event and its origin are the committed ones, or if it replaces the committed text as a whole, so that a late proposal of a lapsed leader joins nothing. item_dispatcher sends an item whose text has begun to its version only; it waits while that is ready without a free slot and the item can still be in time, and begins anew when the version is gone. An item without a slot no longer ends the search for the others. An endpoint that has started again since it was selected begins no text.

The case of an endpoint that started again, added here, fails without its check.

--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "entry/leave_notice.h"
+#include "jobstore/item_version_policy.h"
 
 namespace shallotport {
 
@@ -33,6 +34,13 @@
   return status >= 200 && status < 300;
 }
 
+bool AllowsService(const route& item_route, const service_id& service) {
+  return std::any_of(item_route.services.begin(), item_route.services.end(),
+                     [&](const weighted_service& each) {
+                       return each.weight > 0 && each.service == service;
+                     });
+}
+
 }  // namespace
 
 struct item_dispatcher::item_attempt {
@@ -44,13 +52,18 @@
   steady_time begun_at{};
   steady_time last_received_at{};
   wall_milliseconds deadline = 0;  // Of its job, in wall time.
+  item_selection selection;
 };
 
 struct item_dispatcher::pending_item {
   std::string base_event;  // The last committed event.
   std::string text;        // Of the events after base_event.
   std::string last_event;
-  duration time_spent{};  // Executing, over all attempts.
+  // Of the text, committed and uncommitted; none before its first event.
+  std::optional<stream_origin> origin;
+  // The text replaces the committed text instead of continuing it.
+  bool is_restart = false;
+  duration time_spent{};  // Executing the text, over all attempts.
   steady_time first_attempt_at{};
   steady_time retry_at{};
   bool is_committing_result = false;
@@ -60,6 +73,13 @@
   std::string committing_event;
 };
 
+// What one search for items to send has found out.
+struct item_dispatcher::dispatch_round {
+  // Without a free slot: services, or single versions of them.
+  std::set<std::pair<service_id, std::optional<std::string>>> exhausted;
+  bool is_over = false;  // No endpoint has a free slot.
+};
+
 item_dispatcher::item_dispatcher(boost::asio::io_context& loop,
                                  const clock_source& clock,
                                  options options,
@@ -122,10 +142,12 @@
     return;
   }
   next_dispatch_at_ = now + kDispatchInterval;
+  dispatch_round round;
   for (const item_key& key : Candidates(now)) {
-    if (!BeginAttempt(now, *routes, key)) {
-      return;  // No free slot, so none for the remaining items either.
+    if (round.is_over) {
+      return;
     }
+    BeginAttempt(now, *routes, key, round);
   }
 }
 
@@ -185,12 +207,10 @@
     if (command.progress.empty() || command.progress.back().job != key.first) {
       command.progress.push_back({key.first, {}});
     }
-    command.progress.back().items.push_back({key.second,
-                                             item_state.base_event,
-                                             item_state.text,
-                                             item_state.last_event,
-                                             {},
-                                             false});
+    command.progress.back().items.push_back(
+        {key.second, item_state.base_event, item_state.text,
+         item_state.last_event, item_state.origin.value_or(stream_origin{}),
+         item_state.is_restart});
     item_state.committing_bytes = item_state.text.size();
     item_state.committing_event = item_state.last_event;
     committing.push_back(key);
@@ -221,13 +241,15 @@
     const bool is_current =
         job != nullptr &&
         (job->items[key.second].has_result ||
-         job->items[key.second].last_event == item_state.committing_event);
+         (job->items[key.second].last_event == item_state.committing_event &&
+          job->items[key.second].origin == item_state.origin));
     if (!is_current) {
       DiscardUncommitted(key);
       return;
     }
     item_state.text.erase(0, item_state.committing_bytes);
     item_state.base_event = item_state.committing_event;
+    item_state.is_restart = false;
   }
   item_state.committing_bytes = 0;
 }
@@ -253,38 +275,131 @@
   return usage.taken + 1 + reserve <= usage.slots;
 }
 
-// False when no endpoint has a free slot.
-bool item_dispatcher::BeginAttempt(steady_time now,
+std::optional<item_dispatcher::item_selection> item_dispatcher::AcquireSlot(
+    steady_time now,
+    const service_id& service,
+    const std::optional<std::string>& software_version,
+    dispatch_round& round) {
+  if (round.exhausted.contains({service, std::nullopt}) ||
+      round.exhausted.contains({service, software_version})) {
+    return std::nullopt;
+  }
+  const bool has_slots = HasSlotsAboveReserve(now, service);
+  selection_constraints constraints;
+  constraints.is_batch = true;
+  constraints.software_version = software_version;
+  const auto selection =
+      has_slots ? endpoints_.Acquire(now, service, constraints)
+                : std::variant<selected_endpoint, selection_failure>(
+                      selection_failure::kAllBusy);
+  if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
+    return item_selection{*selected, {service, selected->software_version}};
+  }
+  round.exhausted.emplace(service, has_slots ? software_version : std::nullopt);
+  round.is_over = !endpoints_.HasFreeSlots(now, 0);
+  return std::nullopt;
+}
+
+std::optional<item_dispatcher::item_selection> item_dispatcher::SelectForItem(
+    steady_time now,
+    const route& item_route,
+    const item_key& key,
+    dispatch_round& round) {
+  const auto* job = table_.Find(key.first);
+  const auto found = pending_items_.find(key);
+  const pending_item* pending =
+      found == pending_items_.end() ? nullptr : &found->second;
+  const bool is_pending =
+      pending != nullptr && (pending->origin || pending->is_restart);
+  const std::optional<stream_origin>& origin =
+      is_pending ? pending->origin : job->items[key.second].origin;
+  item_text_facts facts;
+  facts.has_begun = origin.has_value();
+  if (origin) {
+    const wall_milliseconds deadline =
+        job->accepted_at + job->submission.objective_ms;
+    const duration time_spent =
+        pending == nullptr ? duration(0) : pending->time_spent;
+    facts.is_origin_ready =
+        AllowsService(item_route, origin->service) &&
+        endpoints_.IsVersionServing(origin->service, origin->software_version);
+    facts.can_be_in_time =
+        !schedule_.Rank(clock_.WallNow(), {deadline, time_spent}).is_late;
+    facts.is_committing = pending != nullptr && pending->committing_bytes > 0;
+  }
+  const version_choice choice = ChooseVersion(facts);
+  if (choice == version_choice::kOwnVersion ||
+      choice == version_choice::kOwnVersionFirst) {
+    auto selection =
+        AcquireSlot(now, origin->service, origin->software_version, round);
+    if (selection) {
+      return selection;
+    }
+  }
+  if (choice == version_choice::kOwnVersion ||
+      choice == version_choice::kNone) {
+    return std::nullopt;
+  }
+  return AcquireSlot(now, DrawService(item_route, random_), std::nullopt,
+                     round);
+}
+
+item_dispatcher::pending_item& item_dispatcher::PendingItem(
+    const item_key& key) {
+  pending_item& item_state = pending_items_[key];
+  if (!item_state.origin && !item_state.is_restart) {
+    // A new leader resumes after the committed progress.
+    const auto& committed = table_.Find(key.first)->items[key.second];
+    item_state.base_event = committed.last_event;
+    item_state.last_event = committed.last_event;
+    item_state.origin = committed.origin;
+  }
+  return item_state;
+}
+
+void item_dispatcher::DiscardText(const item_key& key,
+                                  pending_item& item_state,
+                                  const stream_origin& next_origin) {
+  ++counters_.restarted;
+  log_.LogRequest("item_begins_anew",
+                  {{"job", key.first.text()},
+                   {"item_place", int64_t{key.second}},
+                   {"last_event", item_state.last_event},
+                   {"origin_service", item_state.origin->service.text()},
+                   {"origin_version", item_state.origin->software_version},
+                   {"service", next_origin.service.text()},
+                   {"software_version", next_origin.software_version}});
+  item_state.text.clear();
+  item_state.last_event.clear();
+  item_state.origin.reset();
+  item_state.is_restart = true;
+  item_state.time_spent = {};
+}
+
+void item_dispatcher::BeginAttempt(steady_time now,
                                    const route_table& routes,
-                                   const item_key& key) {
+                                   const item_key& key,
+                                   dispatch_round& round) {
   const auto* job = table_.Find(key.first);
   const job_item& item = job->submission.items[key.second];
   const route* matched_route = routes.Match(job->submission.host, item.path);
   if (matched_route == nullptr) {
     ScheduleRetry(key, kRetryDelayAfterFailure);
-    return true;
-  }
-  const service_id service = DrawService(*matched_route, random_);
-  if (!HasSlotsAboveReserve(now, service)) {
-    return false;
+    return;
   }
-  selection_constraints constraints;
-  constraints.is_batch = true;
-  const auto selection = endpoints_.Acquire(now, service, constraints);
-  if (std::holds_alternative<selection_failure>(selection)) {
-    return false;
+  const auto selection = SelectForItem(now, *matched_route, key, round);
+  if (!selection) {
+    return;
   }
-  const auto& selected = std::get<selected_endpoint>(selection);
-  // A new leader resumes after the committed progress.
-  const auto [item_state, is_new] = pending_items_.try_emplace(key);
-  if (is_new || item_state->second.last_event.empty()) {
-    item_state->second.base_event = job->items[key.second].last_event;
-    item_state->second.last_event = item_state->second.base_event;
+  const selected_endpoint& selected = selection->endpoint;
+  pending_item& item_state = PendingItem(key);
+  if (item_state.origin && *item_state.origin != selection->origin) {
+    DiscardText(key, item_state, selection->origin);
   }
-  if (item_state->second.first_attempt_at == steady_time{}) {
-    item_state->second.first_attempt_at = now;
+  if (item_state.first_attempt_at == steady_time{}) {
+    item_state.first_attempt_at = now;
   }
-  const std::string& resume_after = item_state->second.last_event;
+  const std::string& resume_after = item_state.last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
   headers.Add(options_.wire.request_id, item.id);
@@ -304,6 +419,7 @@
   attempt->begun_at = now;
   attempt->last_received_at = now;
   attempt->deadline = job->accepted_at + job->submission.objective_ms;
+  attempt->selection = *selection;
   outbound_request request;
   request.method = "POST";
   request.bytes = FormatRequest("POST", item.path, headers, item.body.text());
@@ -322,9 +438,16 @@
       return;
     }
     self->last_received_at = clock_.Now();
+    const bool has_events = !self->events.last_id().empty();
     self->events.Feed(bytes);
+    if (!has_events && !endpoints_.IsSameStart(self->selection.endpoint)) {
+      // Its software version is not known.
+      AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterBreak);
+      return;
+    }
     if (!self->events.data().empty()) {
       pending_item& item_state = pending_items_.at(key);
+      item_state.origin = self->selection.origin;
       item_state.text += self->events.data();
       item_state.last_event = self->events.last_id();
     }
@@ -337,7 +460,6 @@
   attempts_[key] = attempt;
   attempt->call =
       pool_.Start(selected.address, std::move(request), std::move(events));
-  return true;
 }
 
 void item_dispatcher::AbortAttempt(const item_key& key,
@@ -478,12 +600,16 @@
     ++counters_.finished;
     schedule_.RecordFinished(item_state.time_spent,
                              now - item_state.first_attempt_at);
-    item_result result;
-    result.is_completed = true;
-    result.text = item_state.text.substr(item_state.committing_bytes);
-    CommitResult(key, std::move(result),
-                 item_state.committing_bytes > 0 ? item_state.committing_event
-                                                 : item_state.base_event);
+    const bool is_committing = item_state.committing_bytes > 0;
+    job_command command;
+    command.result.is_completed = true;
+    command.result.text = item_state.text.substr(item_state.committing_bytes);
+    command.base_event =
+        is_committing ? item_state.committing_event : item_state.base_event;
+    command.origin = attempt.selection.origin;
+    // Progress that is being committed has the mark already.
+    command.is_restart = item_state.is_restart && !is_committing;
+    CommitResult(key, std::move(command));
     return;
   }
   const auto* job = table_.Find(key.first);
@@ -502,7 +628,7 @@
                    {"failures", int64_t{failures}},
                    {"dead", int64_t{is_permanent_failure ? 1 : 0}}});
   if (is_permanent_failure) {
-    CommitResult(key, {}, {});
+    CommitResult(key, {});
     return;
   }
   if (has_failed) {
@@ -519,16 +645,11 @@
   pending_items_[key].retry_at = clock_.Now() + delay;
 }
 
-void item_dispatcher::CommitResult(const item_key& key,
-                                   item_result result,
-                                   const std::string& base_event) {
+void item_dispatcher::CommitResult(const item_key& key, job_command command) {
   pending_items_[key].is_committing_result = true;
-  job_command command;
   command.kind = job_command_kind::kRecord;
   command.job = key.first;
   command.item_index = key.second;
-  command.result = std::move(result);
-  command.base_event = base_event;
   propose_(command, [this, key](commit_outcome outcome) {
     if (outcome == commit_outcome::kUnknown) {
       DiscardAllUncommitted();
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -19,6 +19,7 @@
 #include "eventio/endpoint_connection_pool.h"
 #include "jobstore/item_schedule.h"
 #include "jobstore/job_table.h"
+#include "streams/stream_messages.h"
 
 namespace shallotport {
 
@@ -26,9 +27,10 @@
 // group. Owned by job_store_duty; runs on its event loop. An item_schedule says
 // which items are sent first. Items only take free slots: engines admit in
 // order of arrival, so an item that waits in an engine would delay the online
-// requests behind it. A broken attempt is resumed after its last event.
-// Progress is committed every second, so that the next leader resumes there as
-// well.
+// requests behind it. A broken attempt is resumed after its last event, at
+// endpoints of the same service and software version; if none of them is ready
+// any more, the item begins anew. Progress is committed every second, so that
+// the next leader resumes there as well.
 class item_dispatcher {
  public:
   // Result of proposing a command. kRefused: committed, but in conflict with
@@ -47,7 +49,8 @@
 
   struct counters {
     uint64_t finished = 0;
-    uint64_t yielded = 0;  // Aborted to free slots for online requests.
+    uint64_t restarted = 0;  // Begun anew at another service or version.
+    uint64_t yielded = 0;    // Aborted to free slots for online requests.
     uint64_t silent = 0;
     uint64_t broken = 0;
     uint64_t refused = 0;            // By endpoints without a free slot.
@@ -102,10 +105,33 @@
   using item_key = std::pair<job_id, uint32_t>;
   struct item_attempt;
   struct pending_item;
+  struct dispatch_round;
+  // An endpoint, and what runs there.
+  struct item_selection {
+    selected_endpoint endpoint;
+    stream_origin origin;
+  };
 
-  bool BeginAttempt(steady_time now,
+  void BeginAttempt(steady_time now,
                     const route_table& routes,
-                    const item_key& key);
+                    const item_key& key,
+                    dispatch_round& round);
+  // Selects an endpoint at which an item can begin, be resumed or begin anew.
+  std::optional<item_selection> SelectForItem(steady_time now,
+                                              const route& item_route,
+                                              const item_key& key,
+                                              dispatch_round& round);
+  std::optional<item_selection> AcquireSlot(
+      steady_time now,
+      const service_id& service,
+      const std::optional<std::string>& software_version,
+      dispatch_round& round);
+  // The item's uncommitted state, which continues its committed progress.
+  pending_item& PendingItem(const item_key& key);
+  // Discards an item's text, committed and uncommitted.
+  void DiscardText(const item_key& key,
+                   pending_item& item_state,
+                   const stream_origin& next_origin);
   void OnHead(item_attempt& attempt, response_head head);
   void OnAttemptEnd(const item_key& key, call_end end);
   void OnResponse(const item_key& key, item_attempt& attempt);
@@ -125,10 +151,8 @@
   bool HasSlotsAboveReserve(steady_time now, const service_id& service) const;
   std::vector<item_key> Candidates(steady_time now) const;
   void ScheduleRetry(const item_key& key, duration delay);
-  // Commits an item's result, whose text continues after `base_event`.
-  void CommitResult(const item_key& key,
-                    item_result result,
-                    const std::string& base_event);
+  // Commits an item's result; `command` has its text and what it continues.
+  void CommitResult(const item_key& key, job_command command);
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -334,7 +334,8 @@
 
   void AddEndpoint(const std::string& id,
                    const std::string& version,
-                   uint32_t load = 0) {
+                   uint32_t load = 0,
+                   uint64_t start_time_ms = 1) {
     versions_[id] = version;
     endpoint_report report;
     report.endpoint = endpoint_id(id);
@@ -342,7 +343,7 @@
     report.ip = "127.0.0.1";
     report.port = endpoint_.port();
     report.slots = kSlots;
-    report.start_time_ms = 1;
+    report.start_time_ms = start_time_ms;
     report.software_version = version;
     selector_.Update(report);
     selector_.SetPeerLoad(clock_.Now(), report.endpoint, load);
@@ -374,6 +375,11 @@
   std::map<std::string, int> attempts_at_;
 };
 
+constexpr uint32_t kInTime = 10'000;
+constexpr uint32_t kLate = 1;
+constexpr const char* kResumedText = "v1.1\nv1.2";
+constexpr const char* kNewText = "v2.1\nv2.2";
+
 struct version_case {
   std::string name;
   bool is_committed;
@@ -405,13 +411,9 @@
   }
   ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
   EXPECT_EQ(Text("j"), each.text);
+  EXPECT_EQ(dispatcher_.totals().restarted, each.text == kNewText ? 1u : 0u);
 }
 
-constexpr uint32_t kInTime = 10'000;
-constexpr uint32_t kLate = 1;
-constexpr const char* kResumedText = "v1.1\nv1.2";
-constexpr const char* kNewText = "v2.1\nv2.2";
-
 INSTANTIATE_TEST_SUITE_P(
     table,
     item_texts,
@@ -452,6 +454,28 @@
   EXPECT_EQ(Text("j"), kResumedText);
 }
 
+// The first answer comes from a later start of the endpoint, which runs another
+// version than the one that was selected.
+TEST_F(item_versions_test, EndpointThatStartedAgainDoesNotBeginText) {
+  respond_ = [this](raw_connection& connection, const std::string& id,
+                    const std::string& request) {
+    if (attempted_items_.size() == 1) {
+      AddEndpoint("e", kNewVersion, 0, 2);
+      connection.Write(PartialResponse(id, Event(1, kNewVersion)));
+      return;
+    }
+    const std::string& version = versions_.at(EndpointOf(request));
+    connection.Write(CompleteResponse(
+        id, IsResumed(request) ? Event(2, version)
+                               : Event(1, version) + Event(2, version)));
+  };
+  Submit("j", 1, kInTime);
+  BeginText();
+  AddEndpoint("g", kOldVersion);
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_TRUE(Text("j") == kNewText || Text("j") == kResumedText) << Text("j");
+}
+
 TEST_F(item_versions_test, TextThatBeganAnewIsResumedByTheNextLeader) {
   bool is_led_anew = false;
   respond_ = [&](raw_connection& connection, const std::string& id,
--- a/src/libshallotport/jobstore/job_table.cc
+++ b/src/libshallotport/jobstore/job_table.cc
@@ -62,6 +62,17 @@
   out.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
 }
 
+// True if a text fits the item's committed progress. After its lease lapsed, a
+// leader may have resumed an item from older progress than is committed by now,
+// or have let it begin anew.
+bool FitsProgress(const job_table::item_state& item,
+                  const std::string& base_event,
+                  const stream_origin& origin,
+                  bool is_restart) {
+  return base_event == item.last_event &&
+         (is_restart || !item.origin || *item.origin == origin);
+}
+
 }  // namespace
 
 std::string EncodeJobCommand(const job_command& command) {
@@ -136,10 +147,9 @@
   if (item.has_result) {
     return job_store_reply_kind::kDone;  // The first result stands.
   }
-  // After its lease lapsed, a leader may have resumed an item from older
-  // progress than is committed by now.
-  const bool is_continuation = command.base_event == item.last_event;
-  if (command.result.is_completed && !is_continuation) {
+  if (command.result.is_completed &&
+      !FitsProgress(item, command.base_event, command.origin,
+                    command.is_restart)) {
     return job_store_reply_kind::kConflict;
   }
   item.has_result = true;
@@ -149,7 +159,8 @@
   item_result result = command.result;
   result.item_id = job.submission.items[command.item_index].id;
   if (result.is_completed) {
-    std::string text = item.text + result.text.text();
+    std::string text = command.is_restart ? "" : item.text;
+    text += result.text.text();
     if (!text.empty()) {
       text.pop_back();  // Line feeds separate events.
     }
@@ -185,10 +196,16 @@
         continue;
       }
       item_state& item = found->second.items[progress.item_index];
-      if (item.last_event == progress.base_event) {
-        item.text += progress.text;
-        item.last_event = progress.last_event;
+      if (!FitsProgress(item, progress.base_event, progress.origin,
+                        progress.is_restart)) {
+        continue;
+      }
+      if (progress.is_restart) {
+        item.text.clear();
       }
+      item.text += progress.text;
+      item.last_event = progress.last_event;
+      item.origin = progress.origin;
     }
   }
   return job_store_reply_kind::kDone;
--- a/src/libshallotport/jobstore/job_table.h
+++ b/src/libshallotport/jobstore/job_table.h
@@ -56,7 +56,8 @@
 
 // Replicated state machine of the job group: the batch jobs of a fleet.
 // Submitting a job is idempotent, the first result of an item stands, and
-// results keep their positions. Cancelled and finished jobs stay readable for
+// results keep their positions. An item's text is of one service and software
+// version. Cancelled and finished jobs stay readable for
 // kJobRetentionMs after their submission.
 class job_table final : public replicated_state {
  public:
