jobstore: load of the other version in item tests does not fade

On a slow machine the peer load of the busy endpoint could fade before the other items were done, and the waiting item would have been resumed. The load is now dated five seconds ahead, as in the test of the items' order.

With a search that ends at the first item without a slot, ItemWaitsForItsVersionWithoutHoldingUpOthers fails.

--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -346,7 +346,9 @@
     report.start_time_ms = start_time_ms;
     report.software_version = version;
     selector_.Update(report);
-    selector_.SetPeerLoad(clock_.Now(), report.endpoint, load);
+    // Does not fade during the test.
+    selector_.SetPeerLoad(clock_.Now() + std::chrono::seconds(5),
+                          report.endpoint, load);
   }
 
   // The first event of job "j" is known to this leader only.
