entry: an unknown stream is not resumed at a service its route moved to

A stream whose origin no host knows goes on at the route's only service, if that had one software version while streams live. If the route pointed to another service then, the stream may have begun there. route_history keeps when routes changed services.

stream_taken_up is written when the origin is known, with it, instead of at the request's arrival.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -40,6 +40,7 @@
   const bool is_newer =
       !routes_ || configuration.version > routes_->configuration().version;
   if (is_newer) {
+    route_history_.Update(clock_.Now(), configuration);
     routes_.emplace(std::move(configuration));
   }
 }
@@ -53,15 +54,6 @@
 void entry_duty::Serve(const route& matched_route,
                        caller_request request,
                        std::shared_ptr<http_exchange> exchange) {
-  if (!request.resume_after.empty() &&
-      matched_route.kind == request_kind::kStreaming) {
-    ++counters_.taken_up;
-    log_.LogRequest("stream_taken_up",
-                    {{"request", request.id.text()},
-                     {"resumed_request", request.resumed_request.text()},
-                     {"route", matched_route.name},
-                     {"last_event", request.resume_after}});
-  }
   auto routed = std::make_shared<routed_exchange>(
       *this, matched_route, std::move(request), std::move(exchange));
   active_.insert(routed);
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -15,6 +15,7 @@
 #include "entry/endpoint_selector.h"
 #include "entry/entry_counters.h"
 #include "entry/entry_metrics.h"
+#include "entry/route_history.h"
 #include "entry/route_table.h"
 #include "entry/usual_time_limit.h"
 #include "entry/wire_profile.h"
@@ -113,6 +114,7 @@
   decision_log& log_;
   random_source random_;
   std::optional<route_table> routes_;
+  route_history route_history_;
   endpoint_selector selector_;
   software_version_history versions_;
   endpoint_connection_pool pool_;
--- a/src/libshallotport/entry/resumption_policy.h
+++ b/src/libshallotport/entry/resumption_policy.h
@@ -17,8 +17,8 @@
   // Services that the route allows now.
   std::span<const weighted_service> services;
   std::optional<stream_origin> origin;
-  // Of the route's sole service, if it had only one while any stream that can
-  // be resumed may have begun.
+  // Of the route's sole service, if the route had no other service, and that
+  // no other version, while any stream that can be resumed may have begun.
   std::optional<std::string> sole_version;
   // This host hears of all endpoints: it is linked to every control host.
   bool is_view_complete = false;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -88,6 +88,11 @@
   return StreamKey(is_resumed ? request.resumed_request : request.id);
 }
 
+std::string_view LogName(origin_source source) {
+  constexpr std::string_view kNames[] = {"sole_version", "own", "store"};
+  return kNames[static_cast<size_t>(source)];
+}
+
 std::string_view LogName(resumption_result result) {
   constexpr std::string_view kNames[] = {"resumed", "origin_unknown",
                                          "service_not_allowed", "version_gone"};
@@ -126,6 +131,7 @@
     }
   };
   if (IsTakenUp()) {
+    ++duty_.counters_.taken_up;
     FindOrigin();
     return;
   }
@@ -162,10 +168,12 @@
     return duty_.selector_.IsVersionServing(origin.service,
                                             origin.software_version);
   };
+  const steady_time now = duty_.clock_.Now();
+  const service_id* sole = SoleService(route_.services);
   if (found.source != origin_source::kNone) {
     facts.origin = found.origin;
-  } else if (const service_id* sole = SoleService(route_.services)) {
-    facts.sole_version = duty_.versions_.SoleVersion(duty_.clock_.Now(), *sole);
+  } else if (sole != nullptr && !duty_.route_history_.HasMoved(now, route_)) {
+    facts.sole_version = duty_.versions_.SoleVersion(now, *sole);
   }
   const resumption_decision decision = DecideResumption(facts);
   if (decision.result != resumption_result::kResume) {
@@ -183,6 +191,13 @@
       ++duty_.counters_.taken_up_sole_version;
       break;
   }
+  duty_.log_.LogRequest("stream_taken_up",
+                        {{"request", request_.id.text()},
+                         {"resumed_request", request_.resumed_request.text()},
+                         {"route", route_.name},
+                         {"last_event", request_.resume_after},
+                         {"origin_version", decision.origin.software_version},
+                         {"origin_from", LogName(found.source)}});
   service_ = decision.origin.service;
   constraints_.software_version = decision.origin.software_version;
   StartAttempt();
