entry: both attempts of a stream are at one software version

The record of a stream changed after it had been sent to two job stores, and a store that had ceased to be one of the two kept the former one.

Change: a second attempt of a stream goes to the version of the first one only; when a retry changes a recorded origin, all linked stores are told at once.

Evidence: stream_other_has_another_version fails without the change; the tests of silent endpoints and streams pass (debug).

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -268,7 +268,8 @@
        duty_.selector_.EndpointsInBackoff(now, service_)) {
     request.avoided_endpoints.push_back(LoadKey(each));
   }
-  for (const endpoint_id& each : CurrentConstraints().excluded) {
+  const selection_constraints constraints = CurrentConstraints();
+  for (const endpoint_id& each : constraints.excluded) {
     request.avoided_endpoints.push_back(LoadKey(each));
   }
   for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
@@ -292,7 +293,7 @@
                 elapsed;
   request.max_wait_ms = static_cast<uint32_t>(
       std::clamp<int64_t>(useful_wait.count(), 0, remaining.count()));
-  request.software_version = constraints_.software_version;
+  request.software_version = constraints.software_version;
   request.max_retry_after_ms =
       static_cast<uint32_t>(remaining.count() / kRetryAfterDivisor);
   return request;
@@ -335,6 +336,10 @@
     constraints.excluded.insert(current_->at.endpoint);
     constraints.excluded.insert(full_for_second_.begin(),
                                 full_for_second_.end());
+    if (route_.kind == request_kind::kStreaming) {
+      // Whichever of the two begins the stream, its recorded origin holds.
+      constraints.software_version = current_->at.software_version;
+    }
   }
   return constraints;
 }
@@ -670,14 +675,15 @@
   duty_.NotifyLoadChanged();
 }
 
-void routed_exchange::KeepOnly(attempt_ptr attempt) {
+void routed_exchange::KeepOnly(const attempt_ptr& attempt) {
   if (second_ == nullptr) {
     return;
   }
   const bool is_takeover = attempt == second_;
-  const attempt_ptr other = is_takeover ? current_ : second_;
-  current_ = attempt;
-  second_.reset();
+  if (is_takeover) {
+    std::swap(current_, second_);
+  }
+  const attempt_ptr other = std::exchange(second_, nullptr);
   ++executions_;  // The other one may have been executed.
   next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
   if (is_takeover) {
@@ -690,7 +696,7 @@
       is_takeover ? "second_try_took_over" : "second_try_ended",
       {{"request", request_.id.text()},
        {"route", route_.name},
-       {"endpoint", attempt->at.endpoint.text()},
+       {"endpoint", current_->at.endpoint.text()},
        {"ended_endpoint", other->at.endpoint.text()},
        {"silent_ms", silent_for.count()}});
   EndAttempt(*other, endpoint_outcome::kCancelled);
@@ -725,8 +731,9 @@
   }
 }
 
+// Only engines must not work on one request side by side.
 void routed_exchange::EndLongOverlap(steady_time now) {
-  if (second_ == nullptr) {
+  if (second_ == nullptr || route_.kind != request_kind::kStreaming) {
     return;
   }
   switch (DecideOverlap(now - second_->begun_at,
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -60,7 +60,7 @@
                        attempt_result outcome,
                        endpoint_outcome end);
   // Ends the other attempt, if any.
-  void KeepOnly(attempt_ptr attempt);
+  void KeepOnly(const attempt_ptr& attempt);
   // Cancels the attempt's call if it has not ended.
   void EndAttempt(endpoint_attempt& attempt, endpoint_outcome end);
   // Whether `current_` is silent and may be executed once more beside it.
--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -71,8 +71,7 @@
   // Looked up anew for each connection: closing one changes the map.
   for (auto found = idle_.find(to); found != idle_.end();
        found = idle_.find(to)) {
-    const std::shared_ptr<endpoint_connection> connection =
-        found->second.back();
+    std::shared_ptr<endpoint_connection> connection = found->second.back();
     RemoveIdle(connection.get());
     if (connection->IsReusable(now)) {
       return connection;
--- a/src/libshallotport/streams/stream_origin_client.cc
+++ b/src/libshallotport/streams/stream_origin_client.cc
@@ -35,7 +35,19 @@
 void stream_origin_client::Record(uint64_t stream,
                                   const stream_origin& origin) {
   const steady_time now = clock_.Now();
+  const stream_origin* known = own_.Find(now, stream);
+  const bool is_replaced = known != nullptr && *known != origin;
   own_.Record(now, stream, origin);
+  if (is_replaced) {
+    // A store that has the former record must not be asked for it.
+    Flush();
+    stream_report report;
+    report.groups.push_back({origin, {stream}});
+    for (const host_announcement& store : LinkedStores()) {
+      Send(store.host.text(), report);
+    }
+    return;
+  }
   unsent_[origin].push_back(stream);
   if (now >= flushed_at_ + kFlushInterval) {
     Flush();
