util: a soak that ends with an error but names no promise is red

With an exit code of 1 and no broken promise in its log, or with no list of known red ones, a run would have counted as known red. Tried with five logs: no list, listed, listed and another, no promise named, killed by a signal; only the second one is passed over.

--- a/util/soak.sh
+++ b/util/soak.sh
@@ -49,8 +49,10 @@
     return 0
   fi
   grep BROKEN "$log" || tail -n 5 "$log"
-  # Exit code 1: promises were broken.
-  if [ "$code" = 1 ] && ! broken "$log" | grep -qvxF "$known_red"; then
+  # Exit code 1: promises were broken. Without a list, or a promise in the log,
+  # the run counts as red.
+  if [ "$code" = 1 ] && [ -n "$known_red" ] && broken "$log" | grep -q . &&
+    ! broken "$log" | grep -qvxF "$known_red"; then
     echo "seed $number: KNOWN RED, see KNOWN-RED.txt and $log"
     return 0
   fi
