entry: a request returns to an endpoint whose attempt was ended for another one's

Seen by callers: a stream ended after its first event. Its endpoint had paused, a second attempt had sent the first event and then broke off, and the request was not resumed although the first endpoint was sound.

Cause: a takeover excluded the endpoint that it replaced for the rest of the request, as if it had failed, and a return there would have counted against the route's budget of endpoints although the endpoint was in it already.

Change: such endpoints are avoided (selection_constraints::avoided), taken when no other endpoint of the version takes the request; executions are counted by endpoint; with the budget used up, only a return is allowed. attempt_history has refusals in place of the sum of attempts. Counter `returns`.

--- a/src/libshallotport/entry/attempt_policy.cc
+++ b/src/libshallotport/entry/attempt_policy.cc
@@ -12,10 +12,10 @@
 
 retry_decision DecideRetry(const attempt_history& history,
                            attempt_result outcome) {
-  const uint32_t unexecuted = history.attempts - history.executions;
-  const bool may_retry = history.has_time_left &&
-                         history.executions < history.max_executions &&
-                         unexecuted <= kMaxUnexecutedAttempts;
+  const bool is_within_budget =
+      history.executions < history.max_executions || history.may_return;
+  const bool may_retry = history.has_time_left && is_within_budget &&
+                         history.refusals <= kMaxUnexecutedAttempts;
   if (history.has_response_begun) {
     return history.is_resumable && may_retry ? retry_decision::kResume
                                              : retry_decision::kAbort;
--- a/src/libshallotport/entry/attempt_policy.h
+++ b/src/libshallotport/entry/attempt_policy.h
@@ -30,8 +30,11 @@
   bool is_repeatable = false;  // Idempotent, or a stream that can be resumed.
   bool is_resumable = false;
   uint32_t max_executions = 1;
-  uint32_t executions = 0;          // Executed or in doubt, this one included.
-  uint32_t attempts = 0;            // All attempts, this one included.
+  // Endpoints that executed it or may have, this attempt's included.
+  uint32_t executions = 0;
+  // To an endpoint that is among these and has not failed.
+  bool may_return = false;
+  uint32_t refusals = 0;            // Attempts that were not executed.
   bool has_response_begun = false;  // The caller received part of the response.
   bool has_time_left = true;
 };
--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -158,6 +158,16 @@
          *software_version == state.report.software_version;
 }
 
+bool endpoint_selector::IsAllowed(
+    const endpoint_state& state,
+    const selection_constraints& constraints) const {
+  const endpoint_id& id = state.report.endpoint;
+  const bool is_within_limit =
+      !constraints.is_limited_to_avoided || constraints.avoided.contains(id);
+  return IsUsable(state) && HasVersion(state, constraints.software_version) &&
+         !constraints.excluded.contains(id) && is_within_limit;
+}
+
 std::variant<selected_endpoint, selection_failure> endpoint_selector::Acquire(
     steady_time now,
     const service_id& service,
@@ -173,12 +183,13 @@
   };
   std::vector<candidate> candidates;
   double total_weight = 0;
+  endpoint_state* least_loaded_avoided = nullptr;
+  double least_avoided_load = 0;
   endpoint_state* first_out_of_backoff = nullptr;
   size_t usable_count = 0;
   for (const endpoint_id& id : found->second) {
     endpoint_state& state = endpoints_.at(id);
-    if (!IsUsable(state) || !HasVersion(state, constraints.software_version) ||
-        constraints.excluded.contains(id)) {
+    if (!IsAllowed(state, constraints)) {
       continue;
     }
     ++usable_count;
@@ -201,6 +212,13 @@
       first_out_of_backoff = is_sooner ? &state : first_out_of_backoff;
       continue;
     }
+    if (constraints.avoided.contains(id)) {
+      if (least_loaded_avoided == nullptr || load < least_avoided_load) {
+        least_loaded_avoided = &state;
+        least_avoided_load = load;
+      }
+      continue;
+    }
     const double free_share = std::max(slots - load, 0.0) / slots;
     const bool is_own_domain = state.report.domain == options_.domain;
     // If one domain is unreachable, this host may be partitioned from the
@@ -230,6 +248,8 @@
                                   return a.load < b.load;
                                 })
                    ->state;
+  } else if (least_loaded_avoided != nullptr) {
+    selected = least_loaded_avoided;
   } else if (!constraints.is_batch) {
     // Online requests prefer an endpoint in backoff to being refused.
     selected = first_out_of_backoff;
@@ -262,12 +282,10 @@
   }
   endpoint_state& state = found->second;
   const domain_id& domain = state.report.domain;
-  const bool is_avoided = !IsUsable(state) || now < state.backoff_until ||
-                          !HasVersion(state, constraints.software_version) ||
-                          constraints.excluded.contains(endpoint) ||
-                          constraints.unreachable_domains.contains(domain) ||
-                          reachability_.IsInBackoff(now, domain);
-  if (is_avoided) {
+  const bool is_in_doubt = now < state.backoff_until ||
+                           constraints.unreachable_domains.contains(domain) ||
+                           reachability_.IsInBackoff(now, domain);
+  if (is_in_doubt || !IsAllowed(state, constraints)) {
     return std::nullopt;
   }
   return Take(now, state);
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -42,7 +42,10 @@
 
 // Restrictions on the selection for one request.
 struct selection_constraints {
-  std::set<endpoint_id> excluded;           // Already attempted.
+  std::set<endpoint_id> excluded;  // Already attempted.
+  // Selected only if no other endpoint takes the request.
+  std::set<endpoint_id> avoided;
+  bool is_limited_to_avoided = false;       // No other endpoint may take it.
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
   // Only endpoints of this version; of any if empty.
   std::optional<std::string> software_version;
@@ -164,6 +167,9 @@
   selected_endpoint Take(steady_time now, endpoint_state& state);
   double EstimatedLoad(steady_time now, const endpoint_state& state) const;
   bool IsUsable(const endpoint_state& state) const;
+  // Whether the request may go to this endpoint at all.
+  bool IsAllowed(const endpoint_state& state,
+                 const selection_constraints& constraints) const;
   static bool HasVersion(const endpoint_state& state,
                          const std::optional<std::string>& software_version);
 
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -102,6 +102,24 @@
             endpoint_id("e0"));
 }
 
+TEST(endpoint_selector_test, AvoidedEndpointIsSelectedOnlyWhenOthersAreFull) {
+  endpoint_selector selector = MakeSelector(3);
+  const steady_time now{};
+  selector.Release(now, endpoint_id("e2"), endpoint_outcome::kBroken);
+  selection_constraints constraints;
+  constraints.avoided.insert(endpoint_id("e0"));
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(Selected(selector.Acquire(now, kService, constraints))->endpoint,
+              endpoint_id("e1"));
+  }
+  EXPECT_EQ(Selected(selector.Acquire(now, kService, constraints))->endpoint,
+            endpoint_id("e0"));
+  selector.Release(now, endpoint_id("e1"), endpoint_outcome::kServed);
+  constraints.is_limited_to_avoided = true;
+  EXPECT_EQ(Selected(selector.Acquire(now, kService, constraints))->endpoint,
+            endpoint_id("e0"));
+}
+
 TEST(endpoint_selector_test, TwoSilentEndpointsPutTheirDomainInBackoff) {
   endpoint_selector selector({domain_id("a"), 2, 1});
   for (int i = 0; i < 4; ++i) {
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -28,8 +28,10 @@
   uint64_t refused_version_gone = 0;  // Or its service is not allowed now.
   uint64_t first_events_in_time = 0;  // First event within the objective.
   uint64_t first_events_late = 0;
-  uint64_t second_attempts = 0;    // Begun beside one that was silent.
-  uint64_t takeovers = 0;          // Second attempts that served the caller.
+  uint64_t second_attempts = 0;  // Begun beside one that was silent.
+  uint64_t takeovers = 0;        // Second attempts that served the caller.
+  // Attempts at an endpoint whose earlier one had been ended for another's.
+  uint64_t returns = 0;
   uint64_t endpoints_leaving = 0;  // Said so in a response to this host.
   uint64_t malformed_leave_notices = 0;
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -241,7 +241,8 @@
   const auto usage =
       duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
   const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
-  if (is_scarce && duty_.request_slot) {
+  const bool may_be_granted = !CurrentConstraints().is_limited_to_avoided;
+  if (is_scarce && may_be_granted && duty_.request_slot) {
     is_awaiting_slot_ = true;
     const bool is_requested =
         duty_.request_slot(MakeSlotRequest(now),
@@ -269,8 +270,10 @@
     request.avoided_endpoints.push_back(LoadKey(each));
   }
   const selection_constraints constraints = CurrentConstraints();
-  for (const endpoint_id& each : constraints.excluded) {
-    request.avoided_endpoints.push_back(LoadKey(each));
+  for (const auto& endpoints : {constraints.excluded, constraints.avoided}) {
+    for (const endpoint_id& each : endpoints) {
+      request.avoided_endpoints.push_back(LoadKey(each));
+    }
   }
   for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
     request.failed_endpoints.push_back(LoadKey(each));
@@ -283,7 +286,7 @@
   const auto remaining =
       std::max(duration_cast<milliseconds>(deadline_ - now), milliseconds(0));
   const bool may_refuse =
-      current_ == nullptr && executions_ == 0 && !has_response_begun_;
+      current_ == nullptr && executed_at_.empty() && !has_response_begun_;
   const bool has_returned = elapsed_before_.count() > 0 || IsTakenUp();
   const bool has_objective = route_.objective.count() > 0;
   const auto useful_wait =
@@ -313,7 +316,7 @@
       DeferSecondAttempt();
       return;
     }
-    if (executions_ == 0 && !has_response_begun_) {
+    if (executed_at_.empty() && !has_response_begun_) {
       ++duty_.counters_.refused_busy;
       RefuseUntil(error_kind::kNoCapacity, reply.retry_after_ms);
       return;
@@ -332,6 +335,8 @@
 
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
+  constraints.avoided = displaced_;
+  constraints.is_limited_to_avoided = Executions() >= route_.max_executions;
   if (current_ != nullptr) {
     constraints.excluded.insert(current_->at.endpoint);
     constraints.excluded.insert(full_for_second_.begin(),
@@ -355,7 +360,7 @@
     DeferSecondAttempt();
   } else if (has_response_begun_) {
     AbortStream("no endpoint available to resume the stream");
-  } else if (executions_ > 0) {
+  } else if (!executed_at_.empty()) {
     Fail(502, "no other endpoint available for a retry");
   } else if (std::get<selection_failure>(selection) ==
              selection_failure::kAllBusy) {
@@ -377,6 +382,7 @@
   duty_.versions_.Record(now, service_, attempt->at.software_version);
   ++attempts_;
   ++duty_.counters_.attempts;
+  duty_.counters_.returns += displaced_.contains(attempt->at.endpoint) ? 1 : 0;
   if (current_ == nullptr) {
     current_ = attempt;
     RecordOrigin(attempt->at, false);
@@ -606,12 +612,15 @@
   }
   const bool may_be_needed = was_second && end == endpoint_outcome::kShed;
   (may_be_needed ? full_for_second_ : constraints_.excluded).insert(endpoint);
+  if (!may_be_needed) {
+    displaced_.erase(endpoint);
+  }
   last_endpoint_ = endpoint;
   if (end == endpoint_outcome::kSilent) {
     constraints_.unreachable_domains.insert(domain);
   }
   if (outcome != attempt_result::kNotExecuted) {
-    ++executions_;
+    executed_at_.insert(endpoint);
   } else if (!was_second) {
     ++refusals_;
   }
@@ -620,8 +629,9 @@
   history.is_repeatable = route_.IsRepeatable();
   history.is_resumable = route_.is_resumable;
   history.max_executions = route_.max_executions;
-  history.executions = executions_;
-  history.attempts = executions_ + refusals_;
+  history.executions = Executions();
+  history.may_return = !displaced_.empty();
+  history.refusals = refusals_;
   history.has_response_begun = has_response_begun_;
   history.has_time_left = now + kMinAttemptTime < deadline_;
   const bool is_other_under_way = current_ != nullptr;
@@ -638,7 +648,7 @@
        {"outcome", LogName(outcome)},
        {"status", int64_t{attempt->head.status}},
        {"next", is_other_under_way ? "other_attempt" : LogName(next)},
-       {"runs", int64_t{executions_}},
+       {"runs", int64_t{Executions()}},
        {"max_runs", int64_t{route_.max_executions}},
        {"load_age_ms", load_age.count()}});
   if (is_other_under_way) {
@@ -684,11 +694,9 @@
     std::swap(current_, second_);
   }
   const attempt_ptr other = std::exchange(second_, nullptr);
-  ++executions_;  // The other one may have been executed.
+  executed_at_.insert(other->at.endpoint);  // Or it may have been.
+  displaced_.insert(other->at.endpoint);
   next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
-  if (is_takeover) {
-    constraints_.excluded.insert(other->at.endpoint);
-  }
   duty_.counters_.takeovers += is_takeover ? 1 : 0;
   const auto silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(
       duty_.clock_.Now() - other->last_received_at);
@@ -716,7 +724,7 @@
   state.is_repeatable = route_.IsRepeatable();
   state.has_response_begun = has_response_begun_;
   state.has_second_attempt = second_ != nullptr;
-  state.executions = executions_;
+  state.executions = Executions();
   state.max_executions = route_.max_executions;
   state.silent_for = now - current_->last_received_at;
   state.objective = route_.objective;
@@ -826,7 +834,7 @@
                          {"reason", reason},
                          {"last_endpoint", last_endpoint_.text()},
                          {"tries", int64_t{attempts_}},
-                         {"runs", int64_t{executions_}},
+                         {"runs", int64_t{Executions()}},
                          {"waited_ms", waited.count()},
                          {"places", int64_t{usage.slots}},
                          {"taken", int64_t{usage.taken}}});
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -48,7 +48,10 @@
   slot_request MakeSlotRequest(steady_time now) const;
   void OnSlotReply(const slot_reply& reply);
   void StartAttemptAtOwnSelection();
-  // The constraints of the request, and those by its attempts under way.
+  uint32_t Executions() const {
+    return static_cast<uint32_t>(executed_at_.size());
+  }
+  // The constraints of the request, and those by its attempts so far.
   selection_constraints CurrentConstraints() const;
   void SendTo(selected_endpoint endpoint);
   std::string FormatAttempt(const selected_endpoint& at, steady_time now) const;
@@ -102,9 +105,13 @@
   std::set<endpoint_id> full_for_second_;
   selection_constraints constraints_;
   endpoint_id last_endpoint_;
-  uint32_t executions_ = 0;  // Of ended attempts.
-  uint32_t refusals_ = 0;    // Ended attempts that were not executed.
-  uint32_t attempts_ = 0;    // Of any kind.
+  // Endpoints of ended attempts that were executed, or may have been.
+  std::set<endpoint_id> executed_at_;
+  // Of these, the ones whose attempt was ended in favor of another one: they
+  // have not failed, and the request may return to them.
+  std::set<endpoint_id> displaced_;
+  uint32_t refusals_ = 0;  // Ended attempts that were not executed.
+  uint32_t attempts_ = 0;  // Of any kind.
   bool is_awaiting_slot_ = false;
   // Since the caller's first attempt, as far as is known.
   std::chrono::milliseconds elapsed_before_{0};
