entry: a return to an endpoint is tried again instead of given up

Change: an endpoint that sheds a return, or cannot be connected to, keeps its place; it is asked every 100 ms for 1.5 s, also beyond the bound on refusals and whatever the state of its domain (not while it is in backoff itself). Executions include the attempt under way, so that a second attempt may return as well. IsLimitedToReturn is the one place that says when only a return is left.

--- a/src/libshallotport/entry/attempt_policy.cc
+++ b/src/libshallotport/entry/attempt_policy.cc
@@ -10,12 +10,15 @@
 
 }  // namespace
 
+bool IsLimitedToReturn(const attempt_history& history) {
+  return history.executions >= history.max_executions ||
+         history.refusals > kMaxUnexecutedAttempts;
+}
+
 retry_decision DecideRetry(const attempt_history& history,
                            attempt_result outcome) {
-  const bool is_within_budget =
-      history.executions < history.max_executions || history.may_return;
-  const bool may_retry = history.has_time_left && is_within_budget &&
-                         history.refusals <= kMaxUnexecutedAttempts;
+  const bool may_retry = history.has_time_left &&
+                         (!IsLimitedToReturn(history) || history.may_return);
   if (history.has_response_begun) {
     return history.is_resumable && may_retry ? retry_decision::kResume
                                              : retry_decision::kAbort;
--- a/src/libshallotport/entry/attempt_policy.h
+++ b/src/libshallotport/entry/attempt_policy.h
@@ -30,15 +30,18 @@
   bool is_repeatable = false;  // Idempotent, or a stream that can be resumed.
   bool is_resumable = false;
   uint32_t max_executions = 1;
-  // Endpoints that executed it or may have, this attempt's included.
+  // Endpoints that executed it or may have, those at work included.
   uint32_t executions = 0;
-  // To an endpoint that is among these and has not failed.
+  // To an endpoint that is among these and has neither failed nor is at work.
   bool may_return = false;
   uint32_t refusals = 0;            // Attempts that were not executed.
   bool has_response_begun = false;  // The caller received part of the response.
   bool has_time_left = true;
 };
 
+// True if the request may at most return to an endpoint. Pure.
+bool IsLimitedToReturn(const attempt_history& history);
+
 // Decides what follows an attempt. A request that is not idempotent is sent
 // again only after proof that it was not executed; once an attempt may have
 // executed, the request is never refused as not executed. Pure.
--- a/src/libshallotport/entry/attempt_policy_test.cc
+++ b/src/libshallotport/entry/attempt_policy_test.cc
@@ -42,6 +42,11 @@
   return history;
 }
 
+attempt_history WithRefusals(attempt_history history, uint32_t refusals) {
+  history.refusals = refusals;
+  return history;
+}
+
 attempt_history WithoutTimeLeft(attempt_history history) {
   history.has_time_left = false;
   return history;
@@ -97,6 +102,12 @@
         policy_case{"begun_resumable_at_last_execution_returns",
                     WithReturn(WithResponseBegun(true, 2, 2)),
                     attempt_result::kInDoubt, retry_decision::kResume},
+        policy_case{"begun_refused_too_often_returns",
+                    WithReturn(WithRefusals(WithResponseBegun(true, 3, 1), 4)),
+                    attempt_result::kNotExecuted, retry_decision::kResume},
+        policy_case{"begun_refused_too_often",
+                    WithRefusals(WithResponseBegun(true, 3, 1), 4),
+                    attempt_result::kNotExecuted, retry_decision::kAbort},
         policy_case{"safe_at_last_execution_returns",
                     WithReturn(MakeHistory(true, 2, 2, 0)),
                     attempt_result::kInDoubt, retry_decision::kRetry},
--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -193,10 +193,6 @@
       continue;
     }
     ++usable_count;
-    if (reachability_.IsInBackoff(now, state.report.domain) ||
-        constraints.unreachable_domains.contains(state.report.domain)) {
-      continue;
-    }
     const double slots = state.report.slots;
     const double load = EstimatedLoad(now, state);
     const double capacity = constraints.is_batch
@@ -205,6 +201,19 @@
     if (load + 1 > capacity) {
       continue;
     }
+    if (constraints.avoided.contains(id)) {
+      const bool is_less_loaded =
+          least_loaded_avoided == nullptr || load < least_avoided_load;
+      if (now >= state.backoff_until && is_less_loaded) {
+        least_loaded_avoided = &state;
+        least_avoided_load = load;
+      }
+      continue;
+    }
+    if (reachability_.IsInBackoff(now, state.report.domain) ||
+        constraints.unreachable_domains.contains(state.report.domain)) {
+      continue;
+    }
     if (now < state.backoff_until) {
       const bool is_sooner =
           first_out_of_backoff == nullptr ||
@@ -212,13 +221,6 @@
       first_out_of_backoff = is_sooner ? &state : first_out_of_backoff;
       continue;
     }
-    if (constraints.avoided.contains(id)) {
-      if (least_loaded_avoided == nullptr || load < least_avoided_load) {
-        least_loaded_avoided = &state;
-        least_avoided_load = load;
-      }
-      continue;
-    }
     const double free_share = std::max(slots - load, 0.0) / slots;
     const bool is_own_domain = state.report.domain == options_.domain;
     // If one domain is unreachable, this host may be partitioned from the
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -116,8 +116,11 @@
             endpoint_id("e0"));
   selector.Release(now, endpoint_id("e1"), endpoint_outcome::kServed);
   constraints.is_limited_to_avoided = true;
+  constraints.unreachable_domains.insert(domain_id("a"));
   EXPECT_EQ(Selected(selector.Acquire(now, kService, constraints))->endpoint,
             endpoint_id("e0"));
+  selector.Release(now, endpoint_id("e0"), endpoint_outcome::kShed);
+  EXPECT_EQ(Selected(selector.Acquire(now, kService, constraints)), nullptr);
 }
 
 TEST(endpoint_selector_test, TwoSilentEndpointsPutTheirDomainInBackoff) {
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -23,6 +23,10 @@
 constexpr int64_t kMinRetryAfterMs = 100;
 // After no endpoint took a second attempt.
 constexpr std::chrono::milliseconds kSecondAttemptDelay{150};
+// Between requests to return to an endpoint without a slot.
+constexpr std::chrono::milliseconds kReturnDelay{100};
+// Longer than a sound endpoint pauses.
+constexpr std::chrono::milliseconds kReturnWindow{1'500};
 // While fewer than this share of a service's slots are taken, a free one is
 // found without a request for it.
 constexpr double kScarceShare = 0.5;
@@ -336,7 +340,7 @@
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
   constraints.avoided = displaced_;
-  constraints.is_limited_to_avoided = Executions() >= route_.max_executions;
+  constraints.is_limited_to_avoided = IsLimitedToReturn(History());
   if (current_ != nullptr) {
     constraints.excluded.insert(current_->at.endpoint);
     constraints.excluded.insert(full_for_second_.begin(),
@@ -349,6 +353,45 @@
   return constraints;
 }
 
+uint32_t routed_exchange::Executions() const {
+  const bool is_at_new_endpoint =
+      current_ != nullptr && !executed_at_.contains(current_->at.endpoint);
+  return static_cast<uint32_t>(executed_at_.size()) +
+         (is_at_new_endpoint ? 1 : 0);
+}
+
+bool routed_exchange::MayReturn() const {
+  return std::any_of(
+      displaced_.begin(), displaced_.end(), [this](const endpoint_id& each) {
+        return current_ == nullptr || each != current_->at.endpoint;
+      });
+}
+
+attempt_history routed_exchange::History() const {
+  attempt_history history;
+  history.is_repeatable = route_.IsRepeatable();
+  history.is_resumable = route_.is_resumable;
+  history.max_executions = route_.max_executions;
+  history.executions = Executions();
+  history.may_return = MayReturn();
+  history.refusals = refusals_;
+  history.has_response_begun = has_response_begun_;
+  history.has_time_left = duty_.clock_.Now() + kMinAttemptTime < deadline_;
+  return history;
+}
+
+bool routed_exchange::DeferReturn() {
+  const steady_time now = duty_.clock_.Now();
+  if (!last_return_at_) {
+    last_return_at_ = std::min(now + kReturnWindow, deadline_);
+  }
+  if (!MayReturn() || now + kReturnDelay > *last_return_at_) {
+    return false;
+  }
+  next_return_at_ = now + kReturnDelay;
+  return true;
+}
+
 void routed_exchange::StartAttemptAtOwnSelection() {
   const steady_time now = duty_.clock_.Now();
   auto selection = duty_.selector_.Acquire(now, service_, CurrentConstraints());
@@ -358,6 +401,8 @@
   }
   if (current_ != nullptr) {
     DeferSecondAttempt();
+  } else if (DeferReturn()) {
+    return;
   } else if (has_response_begun_) {
     AbortStream("no endpoint available to resume the stream");
   } else if (!executed_at_.empty()) {
@@ -611,8 +656,13 @@
     current_ = std::exchange(second_, nullptr);
   }
   const bool may_be_needed = was_second && end == endpoint_outcome::kShed;
-  (may_be_needed ? full_for_second_ : constraints_.excluded).insert(endpoint);
-  if (!may_be_needed) {
+  const bool may_return =
+      displaced_.contains(endpoint) &&
+      (end == endpoint_outcome::kShed || end == endpoint_outcome::kSilent);
+  if (may_be_needed) {
+    full_for_second_.insert(endpoint);
+  } else if (!may_return) {
+    constraints_.excluded.insert(endpoint);
     displaced_.erase(endpoint);
   }
   last_endpoint_ = endpoint;
@@ -625,17 +675,8 @@
     ++refusals_;
   }
   const steady_time now = duty_.clock_.Now();
-  attempt_history history;
-  history.is_repeatable = route_.IsRepeatable();
-  history.is_resumable = route_.is_resumable;
-  history.max_executions = route_.max_executions;
-  history.executions = Executions();
-  history.may_return = !displaced_.empty();
-  history.refusals = refusals_;
-  history.has_response_begun = has_response_begun_;
-  history.has_time_left = now + kMinAttemptTime < deadline_;
   const bool is_other_under_way = current_ != nullptr;
-  const retry_decision next = DecideRetry(history, outcome);
+  const retry_decision next = DecideRetry(History(), outcome);
   const auto load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
       duty_.selector_.PeerLoadAge(now, endpoint));
   duty_.log_.LogRequest(
@@ -726,6 +767,7 @@
   state.has_second_attempt = second_ != nullptr;
   state.executions = Executions();
   state.max_executions = route_.max_executions;
+  state.may_return = MayReturn();
   state.silent_for = now - current_->last_received_at;
   state.objective = route_.objective;
   return NeedsSecondAttempt(state);
@@ -770,6 +812,10 @@
   if (now < deadline_) {
     EndLongOverlap(now);
     BeginSecondIfSilent(now);
+    if (next_return_at_ && now >= *next_return_at_) {
+      next_return_at_.reset();
+      StartAttempt();
+    }
     return;
   }
   ++duty_.counters_.timed_out;
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -48,9 +48,14 @@
   slot_request MakeSlotRequest(steady_time now) const;
   void OnSlotReply(const slot_reply& reply);
   void StartAttemptAtOwnSelection();
-  uint32_t Executions() const {
-    return static_cast<uint32_t>(executed_at_.size());
-  }
+  // Endpoints that the request may return to have no slot: they are asked again
+  // a little later. False if there are none, or after too long a time.
+  bool DeferReturn();
+  // Endpoints that executed the request or may have, those at work included.
+  uint32_t Executions() const;
+  // Whether an endpoint is left that the request may return to.
+  bool MayReturn() const;
+  attempt_history History() const;
   // The constraints of the request, and those by its attempts so far.
   selection_constraints CurrentConstraints() const;
   void SendTo(selected_endpoint endpoint);
@@ -110,6 +115,8 @@
   // Of these, the ones whose attempt was ended in favor of another one: they
   // have not failed, and the request may return to them.
   std::set<endpoint_id> displaced_;
+  std::optional<steady_time> next_return_at_;
+  std::optional<steady_time> last_return_at_;  // No later one is tried.
   uint32_t refusals_ = 0;  // Ended attempts that were not executed.
   uint32_t attempts_ = 0;  // Of any kind.
   bool is_awaiting_slot_ = false;
--- a/src/libshallotport/entry/takeover_policy.cc
+++ b/src/libshallotport/entry/takeover_policy.cc
@@ -19,7 +19,8 @@
 
 bool NeedsSecondAttempt(const attempt_silence& state) {
   const bool may_execute_twice =
-      state.is_repeatable && state.executions + 2 <= state.max_executions;
+      state.is_repeatable &&
+      (state.executions < state.max_executions || state.may_return);
   if (!may_execute_twice || state.has_second_attempt ||
       state.objective.count() == 0) {
     return false;
--- a/src/libshallotport/entry/takeover_policy.h
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -12,8 +12,9 @@
   bool is_repeatable = false;
   bool has_response_begun = false;
   bool has_second_attempt = false;
-  uint32_t executions = 0;  // That have ended.
+  uint32_t executions = 1;  // By endpoint, the attempt's included.
   uint32_t max_executions = 1;
+  bool may_return = false;  // To an endpoint among these, other than its own.
   duration silent_for{};
   duration objective{};  // 0: none.
 };
