entry: a stall of the host does not prolong the overlap of two attempts

Two engines may work on a stream for 340 ms at the most. A stall of the host was taken off the overlap as well as off the endpoints' silence, so that after one of 400 ms both went on for another 340 ms. Found by a review of the attempts' code; not seen in a run of the fleet.

Change: a stall is taken off the silence only. The attempt that is ended loses nothing: the request may return to its endpoint.

--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -95,6 +95,7 @@
   void Tick(steady_time now);
 
   endpoint_selector& selector() { return selector_; }
+  const endpoint_selector& selector() const { return selector_; }
   size_t active_count() const { return active_.size(); }
   const entry_counters& counters() const { return counters_; }
   const entry_metrics& metrics() const { return metrics_; }
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -754,7 +754,6 @@
 void routed_exchange::ExcuseStall(duration gap, steady_time now) {
   for (const attempt_ptr& each : {current_, second_}) {
     if (each != nullptr) {
-      each->begun_at = std::min(now, each->begun_at + gap);
       each->last_received_at = std::min(now, each->last_received_at + gap);
     }
   }
