entry, entryhost: a host that stops begins nothing that it may not finish

Seen by callers: none yet; found by a review. A connection whose response began before a planned stop is kept until it is idle, and its caller may send another request up to the end. One that was still at work 0.6 s before the end of the grace period was cut off, although it had been read whole.

Cause: the stop closed idle connections but never looked at what they brought.

Change: from 2.6 s after the stop's begin on, when the load balancer sends nothing new, a request whose time limit lies beyond the host's end is refused as not executed (503, shutting_down, with a retry delay); shorter ones are served. Counter refused_stopping.

--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -91,6 +91,9 @@
   void Serve(const route& matched_route,
              caller_request request,
              std::shared_ptr<http_exchange> exchange);
+  // From now on, requests that may still be under way at `end` are refused: the
+  // host ends then.
+  void RefuseBeyond(steady_time end) { last_deadline_ = end; }
   // Ends requests whose deadline has passed; call every few milliseconds.
   void Tick(steady_time now);
 
@@ -124,6 +127,7 @@
   entry_metrics metrics_;
   usual_time_limit usual_time_limit_;
   std::set<std::shared_ptr<routed_exchange>> active_;
+  std::optional<steady_time> last_deadline_;  // Of a request that is begun.
   steady_time last_tick_at_{};
   steady_time next_sweep_{};
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -134,6 +134,11 @@
       self->Finish();
     }
   };
+  if (duty_.last_deadline_ && deadline_ > *duty_.last_deadline_) {
+    ++duty_.counters_.refused_stopping;
+    Refuse(error_kind::kShuttingDown);
+    return;
+  }
   if (IsTakenUp()) {
     ++duty_.counters_.taken_up;
     FindOrigin();
