entry, entryhost: a host that stops looks at its end from the stop's begin on

Change: the host's end holds from the stop's begin on. Callers that are refused have not been executed and go to another host.

--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -210,19 +210,19 @@
   drain_started_at_ = clock_.Now();
   on_drained_ = std::move(done);
   callers_.StartDraining();
+  end_ = drain_started_at_ + options_.stop_grace - kExitMargin;
+  duty_.RefuseBeyond(end_);
 }
 
 void entry_host::Drain(steady_time now) {
   // Connections also become idle later, without having been told that they will
   // be closed: the response in progress may have begun before the stop.
   const bool is_closing = now >= drain_started_at_ + kAcceptWhileDraining;
-  const steady_time end = drain_started_at_ + options_.stop_grace - kExitMargin;
   if (is_closing) {
     callers_.CloseIdle();
-    duty_.RefuseBeyond(end);
   }
   const bool is_empty = is_closing && callers_.connection_count() == 0;
-  if ((is_empty || now >= end) && on_drained_) {
+  if ((is_empty || now >= end_) && on_drained_) {
     callers_.EndAll();
     std::exchange(on_drained_, nullptr)();
   }
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -87,6 +87,7 @@
   // Since when all control hosts are linked; nullopt: they are not.
   std::optional<steady_time> all_linked_since_;
   steady_time drain_started_at_{};
+  steady_time end_{};  // Of the stop; nothing is under way by then.
   std::function<void()> on_drained_;
 };
 
