routing: an overdue attempt is kept until another one has output

Seen by callers: a request to a service that may be executed twice ends as endpoint_failed, or its stream is broken off, after its endpoint was silent for first_byte_timeout or token_gap_timeout, though the endpoint goes on.

Cause: OnOverdue cancelled the attempt, and only then asked for a route. With no route, a second attempt that failed, or max_attempts used up, nothing was left under way.

Change: the attempt stays, and one other begins beside it if max_attempts allows it and a route is had. The first with output that the caller does not have yet ends the other one. If the second fails, or differs from what was delivered, the first is still there and another route is asked for; a refused route is asked for again after its retry_after, 0.5 s at least. A second one that is overdue too gives way to a third once that has a route; the first stays. Nothing changes for requests that may be executed once.

Why it works: an attempt is ended only when another one has served the caller, by its own failure, beside one that stays, or at the deadline. Whoever delivers ends the other, so that no attempt is past what was delivered, and what is behind it skips or is ended. An overdue attempt that is cancelled still counts as timed out, so that breakers learn of silent endpoints as before, if later.

--- a/src/libshallotport/routing/online_request.cc
+++ b/src/libshallotport/routing/online_request.cc
@@ -12,6 +12,9 @@
 // How long an attempt under a claim may continue after the deadline, so that
 // its response is recorded for the caller's resend.
 constexpr duration kRecordingGrace{10'000'000};
+// Shortest time from a refused route to the next request for one, beside an
+// overdue attempt.
+constexpr duration kMinReplacementDelay{500'000};
 constexpr steady_time kNever = steady_time::max();
 // HTTP status codes from this one on mean that the endpoint failed.
 constexpr int kFirstServerErrorStatus = 500;
@@ -52,6 +55,9 @@
   if (IsHedgePossible()) {
     next = std::min(next, attempts_.front().started_at + options_.hedge_after);
   }
+  if (IsReplacementPossible()) {
+    next = std::min(next, next_replacement_at_);
+  }
   if (phase_ == phase::kQuerying && !is_outcome_query_pending_) {
     next = std::min(next, next_outcome_query_at_);
   }
@@ -77,8 +83,8 @@
     Finish();
     return;
   }
-  const bool is_hedge_late = !attempts_.empty() && attempts_.front().has_byte;
-  if (is_hedge_late) {
+  const bool is_hedge = attempts_.size() == 1 && !attempts_.front().has_byte;
+  if (!AreAllOverdue() && !is_hedge) {  // An attempt went on meanwhile.
     ReportUnused(route);
     return;
   }
@@ -93,12 +99,21 @@
 void online_request::UseRoute(const route_choice& route) {
   if (!CanContinueOn(route)) {
     ReportUnused(route);
+    if (!attempts_.empty()) {
+      // Each further route would cost a retry for a similar endpoint.
+      next_replacement_at_ = options_.deadline;
+      return;
+    }
     Fail(MakeError(error_kind::kEndpointFailed,
                    "the stream broke and is too long to restart"));
     return;
   }
   last_route_ = route;
   if (!UsesClaim()) {
+    if (attempts_.size() > 1) {
+      // Both are overdue. The first one has run for longer.
+      EndAttempt(attempts_.back().number, attempt_outcome::kTimedOut, true);
+    }
     StartAttempt(route);
     return;
   }
@@ -109,7 +124,9 @@
 
 void online_request::OnRouteRefused(const error& reason) {
   if (!attempts_.empty()) {
-    return;  // The route was requested for a hedge.
+    next_replacement_at_ =
+        now_ + std::max<duration>(kMinReplacementDelay, reason.retry_after);
+    return;
   }
   retry_after_ = std::max(retry_after_, reason.retry_after);
   Fail(possibly_executed_attempts_ > 0 ? MakeFailure() : reason);
@@ -176,15 +193,17 @@
   if (!attempt->has_byte) {
     attempt->has_byte = true;
     actions_.push_back(report_first_byte{attempt->route.ticket});
-    CancelAttempts(attempt_outcome::kCancelled, event.attempt);
-    attempt = FindAttempt(event.attempt);
   }
   attempt->last_byte_at = now_;
+  if (options_.is_idempotent) {
+    attempt->is_overdue = false;
+  }
   if (IsStreaming(*attempt)) {
     DeliverChunk(*attempt, event.bytes);
-  } else {
-    attempt->body += event.bytes;
+    return;
   }
+  attempt->body += event.bytes;
+  CancelAttempts(attempt_outcome::kCancelled, event.attempt);
 }
 
 void online_request::On(const attempt_ended& event) {
@@ -287,6 +306,7 @@
     was_hedged_ = true;
     RequestRoute(false, true);
   }
+  RequestReplacement();
   const bool is_query_due = phase_ == phase::kQuerying &&
                             !is_outcome_query_pending_ &&
                             now_ >= next_outcome_query_at_;
--- a/src/libshallotport/routing/online_request.h
+++ b/src/libshallotport/routing/online_request.h
@@ -23,6 +23,8 @@
 // - A non-idempotent request is sent only under a granted claim, or once if it
 //   has no key. It is sent again only with proof that it was not executed.
 // - A request that has failed is responded to at once, not at its deadline.
+// - An idempotent request's attempt that is silent is kept until another one
+//   has output for the caller, or until the deadline.
 class online_request {
  public:
   explicit online_request(online_request_options options);
@@ -59,7 +61,7 @@
     steady_time last_byte_at;
     bool has_head = false;
     bool has_byte = false;
-    bool is_overdue = false;  // Timed out; kept, as it can't be repeated.
+    bool is_overdue = false;  // Timed out; kept, as it may still respond.
     attempt_head head;
     std::string body;             // Content of a response that is not streamed.
     uint64_t next_position = 0;   // Token index; skipped ones count.
@@ -78,6 +80,8 @@
   bool UsesClaim() const { return !options_.is_idempotent && options_.has_key; }
   bool IsStreaming(const live_attempt& attempt) const;
   bool IsHedgePossible() const;
+  bool AreAllOverdue() const;
+  bool IsReplacementPossible() const;
   bool IsTimedOut(const live_attempt& attempt) const;
   steady_time TimeoutOf(const live_attempt& attempt) const;
   live_attempt* FindAttempt(attempt_number number);
@@ -85,6 +89,7 @@
   bool CanContinueOn(const route_choice& route) const;
 
   void RequestRoute(bool is_retry, bool is_hedge);
+  void RequestReplacement();
   void OnRouteRefused(const error& reason);
   void UseRoute(const route_choice& route);
   void ReportUnused(const route_choice& route);
@@ -102,6 +107,7 @@
   void QueryOutcome();
   bool AcceptPosition(live_attempt& attempt, const attempt_chunk& chunk);
   void DeliverChunk(live_attempt& attempt, std::string_view bytes);
+  void OnStreamDiffers(attempt_number number, std::string_view reason);
   void Deliver(std::string_view bytes);
   void CompleteStream(live_attempt& attempt);
   void CompleteResponse(endpoint_response response);
@@ -122,8 +128,9 @@
   uint32_t possibly_executed_attempts_ = 0;  // Sent, no proof of not_run.
   bool was_hedged_ = false;
   std::vector<endpoint_id> attempted_endpoints_;
-  bool is_route_pending_ = false;  // request_route has no reply yet.
-  bool is_claim_pending_ = false;  // begin_claim has no reply yet.
+  bool is_route_pending_ = false;    // request_route has no reply yet.
+  steady_time next_replacement_at_;  // After a refused route.
+  bool is_claim_pending_ = false;    // begin_claim has no reply yet.
   bool holds_claim_ = false;
   route_choice last_route_;
   std::chrono::milliseconds retry_after_{0};  // Longest one received.
--- a/src/libshallotport/routing/online_request_attempts.cc
+++ b/src/libshallotport/routing/online_request_attempts.cc
@@ -43,7 +43,20 @@
   return options_.hedge_after.count() > 0 && options_.is_idempotent &&
          !was_hedged_ && !is_route_pending_ && phase_ == phase::kAttempting &&
          attempts_.size() == 1 && !attempts_.front().has_byte &&
-         !is_head_sent_ && attempts_started_ < options_.max_attempts;
+         !attempts_.front().is_overdue && !is_head_sent_ &&
+         attempts_started_ < options_.max_attempts;
+}
+
+bool online_request::AreAllOverdue() const {
+  return std::all_of(
+      attempts_.begin(), attempts_.end(),
+      [](const live_attempt& attempt) { return attempt.is_overdue; });
+}
+
+bool online_request::IsReplacementPossible() const {
+  return phase_ == phase::kAttempting && !attempts_.empty() &&
+         options_.is_idempotent && AreAllOverdue() && !is_route_pending_ &&
+         MayRetry(false);
 }
 
 steady_time online_request::TimeoutOf(const live_attempt& attempt) const {
@@ -89,12 +102,18 @@
 
 void online_request::RequestRoute(bool is_retry, bool is_hedge) {
   is_route_pending_ = true;
-  if (!is_hedge) {
+  if (attempts_.empty()) {
     phase_ = phase::kRouting;
   }
   actions_.push_back(request_route{attempted_endpoints_, is_retry, is_hedge});
 }
 
+void online_request::RequestReplacement() {
+  if (IsReplacementPossible() && now_ >= next_replacement_at_) {
+    RequestRoute(true, false);
+  }
+}
+
 void online_request::ReportUnused(const route_choice& route) {
   actions_.push_back(
       report_finished{route.ticket, attempt_outcome::kUnused, duration{0}});
@@ -145,7 +164,9 @@
     }
   }
   for (const attempt_number number : others) {
-    EndAttempt(number, outcome, true);
+    const bool is_silent =
+        options_.is_idempotent && FindAttempt(number)->is_overdue;
+    EndAttempt(number, is_silent ? attempt_outcome::kTimedOut : outcome, true);
   }
 }
 
@@ -163,7 +184,8 @@
     --possibly_executed_attempts_;
   }
   if (!attempts_.empty() || is_route_pending_) {
-    return;  // A hedged attempt is in flight or its route is pending.
+    RequestReplacement();
+    return;  // Another attempt is in flight or its route is pending.
   }
   if (!options_.is_idempotent && !is_proven_not_executed) {
     OnResponseLost(route);
@@ -198,6 +220,11 @@
 }
 
 void online_request::OnOverdue(live_attempt& attempt) {
+  if (options_.is_idempotent) {
+    attempt.is_overdue = true;
+    RequestReplacement();
+    return;
+  }
   const bool keeps_connection = UsesClaim() && attempt.route.remembers_outcomes;
   if (!keeps_connection) {
     OnAttemptFailed(attempt.number, attempt_outcome::kTimedOut, false);
@@ -253,7 +280,8 @@
 
 void online_request::DeliverChunk(live_attempt& attempt,
                                   std::string_view bytes) {
-  if (!is_head_sent_) {
+  const bool is_first_output = !is_head_sent_;
+  if (is_first_output) {
     is_head_sent_ = true;
     SendToCaller(
         send_head{attempt.head.http_status, attempt.head.content_type});
@@ -265,13 +293,27 @@
       std::string_view(delivered_).substr(attempt.content_offset, skipped) ==
           bytes.substr(0, skipped);
   if (!matches_delivered) {
-    Fail(MakeError(error_kind::kEndpointFailed,
-                   "the restarted stream differs from the delivered part"));
+    OnStreamDiffers(attempt.number,
+                    "the restarted stream differs from the delivered part");
     return;
   }
   attempt.content_offset += bytes.size();
   delivered_tokens_ = std::max(delivered_tokens_, attempt.next_position);
   Deliver(bytes.substr(skipped));
+  // While an attempt only repeats, the other one may be the first to go on.
+  if (is_first_output || skipped < bytes.size()) {
+    CancelAttempts(attempt_outcome::kCancelled, attempt.number);
+  }
+}
+
+void online_request::OnStreamDiffers(attempt_number number,
+                                     std::string_view reason) {
+  if (attempts_.size() > 1) {
+    // No evidence against the endpoint: sampling may choose other tokens.
+    OnAttemptFailed(number, attempt_outcome::kCancelled, false);
+    return;
+  }
+  Fail(MakeError(error_kind::kEndpointFailed, std::string(reason)));
 }
 
 void online_request::Deliver(std::string_view bytes) {
@@ -290,8 +332,8 @@
 
 void online_request::CompleteStream(live_attempt& attempt) {
   if (attempt.content_offset < delivered_bytes_) {
-    Fail(MakeError(error_kind::kEndpointFailed,
-                   "the restarted stream ended before the delivered part"));
+    OnStreamDiffers(attempt.number,
+                    "the restarted stream ended before the delivered part");
     return;
   }
   if (!is_head_sent_) {
--- a/src/libshallotport/routing/request_router_attempts.cc
+++ b/src/libshallotport/routing/request_router_attempts.cc
@@ -17,7 +17,7 @@
   const auto first_byte_timeout_us = static_cast<double>(first_byte.count());
   const double low_service_time = service.LowServiceTimeAt(now);
   // Time in microseconds by which the endpoint would miss the deadline, or the
-  // first byte timeout, at which the attempt would be cancelled in the queue.
+  // first byte timeout, at which the attempt would be overdue in the queue.
   const auto excess = [&](const choice_candidate& candidate) {
     if (low_service_time == 0) {
       return 0.0;
--- a/src/libshallotport/routing/testing/online_request_simulation.h
+++ b/src/libshallotport/routing/testing/online_request_simulation.h
@@ -19,11 +19,11 @@
 };
 
 // One online_request with simulated endpoints, claim and router, in virtual
-// time. The endpoints respond, refuse, break the connection, become silent,
-// repeat or skip events, or send the response to another request; events of
-// cancelled attempts still arrive. An execution counts from the start of its
-// attempt, even if the attempt is cancelled. CheckFinalState() compares the
-// response with what was executed.
+// time. The endpoints respond, refuse, break the connection, become silent for
+// a time or for good, repeat or skip events, or send the response to another
+// request; events of cancelled attempts still arrive. An execution counts from
+// the start of its attempt, even if the attempt is cancelled. CheckFinalState()
+// compares the response with what was executed.
 class online_request_simulation {
  public:
   online_request_simulation(uint64_t seed, simulation_counts& counts)
@@ -87,7 +87,9 @@
     }
     if (!is_event_next) {
       now_ = std::max(now_, timer);
+      is_timer_ = true;
       Perform(request_.Handle(now_, timer_expired{}));
+      is_timer_ = false;
     } else {
       now_ = std::max(now_, events_.begin()->first);
       const online_event event = std::move(events_.begin()->second);
@@ -119,7 +121,11 @@
         open_tickets_.insert(ValueOf(route->choice).ticket);
       }
     }
-    if (std::holds_alternative<attempt_chunk>(event)) {
+    if (const auto* chunk = std::get_if<attempt_chunk>(&event)) {
+      const bool is_kept = options_.hedge_after.count() == 0 &&
+                           chunk->attempt < last_attempt_ &&
+                           live_attempts_.contains(chunk->attempt);
+      counts_["kept_attempt_went_on"] += is_kept ? 1 : 0;
       last_progress_at_ = now_;
       current_timeout_ = options_.token_gap_timeout;
     }
@@ -188,6 +194,9 @@
 
   void Do(const cancel_attempt& action) {
     live_attempts_.erase(action.attempt);
+    if (is_timer_ && options_.is_idempotent && now_ < options_.deadline) {
+      EXPECT_FALSE(live_attempts_.empty()) << "cancelled the only attempt";
+    }
   }
   void Do(const query_outcome& action) {
     ++pending_replies_;
@@ -238,6 +247,10 @@
                   now_ >= last_progress_at_ + current_timeout_)
           << "failed while an attempt was within its timeout";
     }
+    if (options_.is_idempotent) {
+      EXPECT_TRUE(live_attempts_.empty() || now_ >= options_.deadline)
+          << "failed while an attempt was in flight";
+    }
     const error_answer& response = Answer(action.failure.kind);
     is_not_executed_promised_ = response.run == run_outcome::kNotRun;
     if (response.retry != retry_advice::kNever) {
@@ -288,6 +301,7 @@
   attempt_ticket last_ticket_ = 0;
   int pending_replies_ = 0;
   int attempts_started_ = 0;
+  attempt_number last_attempt_ = 0;
   steady_time last_progress_at_;  // Of the last attempt.
   duration current_timeout_{0};
   int executions_ = 0;
@@ -297,6 +311,7 @@
   bool is_caller_disconnected_ = false;
   bool has_final_response_ = false;
   bool is_head_sent_ = false;
+  bool is_timer_ = false;  // The timer is handled, not an event.
   bool is_not_executed_promised_ = false;
   std::string received_;
 };
@@ -305,6 +320,8 @@
   EXPECT_TRUE(options_.is_idempotent || !options_.has_key || is_claim_held_);
   EXPECT_LT(now_, options_.deadline);
   live_attempts_.insert(start.attempt);
+  EXPECT_LE(live_attempts_.size(), 2u);
+  last_attempt_ = start.attempt;
   ++attempts_started_;
   last_progress_at_ = now_;
   current_timeout_ = options_.first_byte_timeout;
@@ -312,7 +329,7 @@
   if (start.resume_after == 0 && is_head_sent_) {
     ++counts_["restarted"];
   }
-  const uint64_t fault = OneIn(fault_rate_) ? UniformBelow(random_, 11) : 99;
+  const uint64_t fault = OneIn(fault_rate_) ? UniformBelow(random_, 12) : 99;
   uint64_t at_ms = 1 + UniformBelow(random_, 20);
   if (fault == 0 || fault == 1) {
     const auto end = fault == 0 ? attempt_end_kind::kNotSent
@@ -353,6 +370,9 @@
       chunk.bytes += tokens_[++i];
     }
     const bool is_faulty_event = i == faulty_index;
+    if (fault == 11 && is_faulty_event) {  // Silent for a time.
+      at_ms += 200 + UniformBelow(random_, 1'000);
+    }
     if (fault == 7 && is_faulty_event) {  // Silent in mid-stream.
       return;
     }
