consensus: the choice of a member for a call is a pure class

forwarding_log chose the member that an attempt goes to with its own clock and under its own lock, so that no test could play the choice. member_selector holds leader, members and backoffs, and takes the time. Nothing else changes.

--- a/src/libshallotport/consensus/forwarding_log.cc
+++ b/src/libshallotport/consensus/forwarding_log.cc
@@ -14,9 +14,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMaxBackoff{200};
-// How long a host that did not reply is bypassed, its calls going through other
-// members.
-constexpr std::chrono::seconds kUnresponsiveBackoff{5};
 
 // Errors after which a retry at another member, or later at the same one, may
 // succeed.
@@ -116,7 +113,7 @@
   {
     const std::lock_guard lock(mutex_);
     request.call_id = next_call_id_++;
-    request.may_relay = progress.target != leader_;
+    request.may_relay = progress.target != selector_.leader();
     waiting_calls_[request.call_id] = waiting;
     ++attempts_;
   }
@@ -136,7 +133,7 @@
                                     progress.target.text() + " did not answer");
     const host_id unresponsive = std::exchange(progress.target, host_id());
     const std::lock_guard lock(mutex_);
-    backoff_until_[unresponsive] = clock_.Now() + kUnresponsiveBackoff;
+    selector_.OnUnanswered(clock_.Now(), unresponsive);
     return std::nullopt;
   }
   if (IsOk(*reply)) {
@@ -171,29 +168,14 @@
   changed_.wait_until(lock, until, [this] { return is_stopped_; });
 }
 
-// Prefers the known leader. Otherwise goes through the members round-robin and
-// skips those in backoff, unless all of them are.
 void forwarding_log::implementation::ChooseTarget(call_progress& progress) {
   if (!progress.target.IsEmpty()) {
     return;
   }
-  const host_id local_view =
+  const host_id own_view =
       options_.local == nullptr ? host_id() : options_.local->leader();
   const std::lock_guard lock(mutex_);
-  if (!local_view.IsEmpty()) {
-    leader_ = local_view;
-  }
-  if (!leader_.IsEmpty() && !IsInBackoffLocked(leader_)) {
-    progress.target = leader_;
-    return;
-  }
-  progress.target = options_.host;
-  for (size_t attempts = 0; attempts < contacts_.size(); ++attempts) {
-    progress.target = contacts_[next_contact_++ % contacts_.size()];
-    if (!IsInBackoffLocked(progress.target)) {
-      return;
-    }
-  }
+  progress.target = selector_.Choose(clock_.Now(), own_view);
 }
 
 void forwarding_log::implementation::SendAttempt(
@@ -231,15 +213,9 @@
   reply(MakeError(error_kind::kInvalidRequest, "unknown kind of call"));
 }
 
-bool forwarding_log::implementation::IsInBackoffLocked(
-    const host_id& host) const {
-  const auto found = backoff_until_.find(host);
-  return found != backoff_until_.end() && clock_.Now() < found->second;
-}
-
 bool forwarding_log::implementation::IsInBackoff(const host_id& host) const {
   const std::lock_guard lock(mutex_);
-  return IsInBackoffLocked(host);
+  return selector_.IsInBackoff(clock_.Now(), host);
 }
 
 host_id forwarding_log::implementation::leader() const {
@@ -250,7 +226,7 @@
     }
   }
   const std::lock_guard lock(mutex_);
-  return leader_;
+  return selector_.leader();
 }
 
 std::vector<host_id> forwarding_log::implementation::members() const {
@@ -258,7 +234,7 @@
     return options_.local->members();
   }
   const std::lock_guard lock(mutex_);
-  return reported_members_;
+  return selector_.members();
 }
 
 void forwarding_log::implementation::Stop() {
--- a/src/libshallotport/consensus/forwarding_log_internal.h
+++ b/src/libshallotport/consensus/forwarding_log_internal.h
@@ -16,6 +16,7 @@
 #include "consensus/blocking_reply.h"
 #include "consensus/forwarding_log.h"
 #include "consensus/forwarding_message.h"
+#include "consensus/member_selector.h"
 #include "consensus/replica.h"
 
 namespace shallotport {
@@ -40,13 +41,12 @@
       : options_(std::move(options)),
         clock_(clock),
         send_(std::move(send)),
-        random_(options_.seed) {
+        random_(options_.seed),
+        selector_(options_.host, options_.members) {
     for (uint32_t lane = options_.lanes; lane > 0; --lane) {
       free_lanes_.push_back(lane - 1);
     }
     sequences_.resize(options_.lanes);
-    reported_members_ = options_.members;
-    contacts_ = options_.members;
   }
 
   void OnPeerMessage(const host_id& from, std::string_view bytes);
@@ -83,7 +83,6 @@
   bool Relay(const host_id& from, const forwarding_request& request);
   bool RelayReply(forwarding_reply& reply);
   bool IsInBackoff(const host_id& host) const;
-  bool IsInBackoffLocked(const host_id& host) const;
   void OnReply(forwarding_reply reply);
   bool IsStopped() const;
   uint64_t Count(uint64_t& counter, uint64_t by = 1);
@@ -96,16 +95,11 @@
   std::condition_variable changed_;
   bool is_stopped_ = false;
   random_source random_;
-  host_id leader_;
-  std::vector<host_id> reported_members_;
-  // reported_members_ and the members of the options.
-  std::vector<host_id> contacts_;
-  size_t next_contact_ = 0;
+  member_selector selector_;
   uint64_t next_call_id_ = 1;
   std::vector<uint32_t> free_lanes_;
   std::vector<uint64_t> sequences_;
   std::map<uint64_t, std::shared_ptr<blocking_reply>> waiting_calls_;
-  std::map<host_id, steady_time> backoff_until_;
   std::map<uint64_t, relayed_call> relayed_calls_;  // By this host's call id.
 
   uint64_t calls_ = 0;
--- a/src/libshallotport/consensus/forwarding_service.cc
+++ b/src/libshallotport/consensus/forwarding_service.cc
@@ -118,15 +118,7 @@
       return;
     }
     waiting = found->second;
-    leader_ = reply.leader;
-    if (!reply.members.empty()) {
-      // The configured members stay as contacts, because the reply may come
-      // from a member with a stale list.
-      reported_members_ = std::move(reply.members);
-      contacts_ = reported_members_;
-      contacts_.insert(contacts_.end(), options_.members.begin(),
-                       options_.members.end());
-    }
+    selector_.OnReply(reply.leader, std::move(reply.members));
   }
   const bool is_known_kind = static_cast<size_t>(reply.kind) < kErrorKindCount;
   const error_kind kind = is_known_kind ? reply.kind : error_kind::kInternal;
--- /dev/null
+++ b/src/libshallotport/consensus/member_selector.cc
@@ -0,0 +1,62 @@
+#include "consensus/member_selector.h"
+
+#include <utility>
+
+namespace shallotport {
+
+namespace {
+
+// How long a host that did not reply is bypassed, its calls going through other
+// members.
+constexpr std::chrono::seconds kUnresponsiveBackoff{5};
+
+}  // namespace
+
+member_selector::member_selector(host_id self, std::vector<host_id> members)
+    : self_(std::move(self)),
+      configured_members_(std::move(members)),
+      reported_members_(configured_members_),
+      contacts_(configured_members_) {}
+
+host_id member_selector::Choose(steady_time now, const host_id& own_view) {
+  if (!own_view.IsEmpty()) {
+    leader_ = own_view;
+  }
+  if (!leader_.IsEmpty() && !IsInBackoff(now, leader_)) {
+    return leader_;
+  }
+  host_id chosen = self_;
+  for (size_t tries = 0; tries < contacts_.size(); ++tries) {
+    chosen = contacts_[next_contact_++ % contacts_.size()];
+    if (!IsInBackoff(now, chosen)) {
+      break;
+    }
+  }
+  return chosen;
+}
+
+void member_selector::OnUnanswered(steady_time now, const host_id& member) {
+  backoff_until_[member] = now + kUnresponsiveBackoff;
+}
+
+void member_selector::OnReply(const host_id& leader,
+                              std::vector<host_id> members) {
+  leader_ = leader;
+  if (members.empty()) {
+    return;
+  }
+  // The configured members stay as contacts, because the reply may come from a
+  // member with a stale list.
+  reported_members_ = std::move(members);
+  contacts_ = reported_members_;
+  contacts_.insert(contacts_.end(), configured_members_.begin(),
+                   configured_members_.end());
+}
+
+bool member_selector::IsInBackoff(steady_time now,
+                                  const host_id& member) const {
+  const auto found = backoff_until_.find(member);
+  return found != backoff_until_.end() && now < found->second;
+}
+
+}  // namespace shallotport
