consensus: calls return to a sound leader that was late once

The refusal was truthful and may be retried, but its host refused the retries too.

Change, in member_selector: - a reply by which another member follows the one on this host ends the latter's backoff; if another leads (a disk that hangs), it stays bypassed; - a member that follows another one is not chosen on its own host; - a member that the own member comes to follow has its backoff ended; - with all members in backoff, the one whose backoff ends first is chosen; - a lost lead is forgotten.

A commit that takes longer than the call's own limit is still `no_quorum`.

--- a/src/libshallotport/consensus/member_selector.h
+++ b/src/libshallotport/consensus/member_selector.h
@@ -20,15 +20,18 @@
   member_selector(host_id self, std::vector<host_id> members);
 
   // Prefers the known leader. Otherwise goes through the members round-robin
-  // and skips those in backoff, unless all of them are. `own_view` is the
-  // leader by the member on this host; empty if there is none.
+  // and skips those in backoff; if all are, takes the one whose backoff ends
+  // first. `own_view` is the leader by the member on this host; empty if it
+  // knows none or there is no such member. A member on this host that follows
+  // another one is not chosen: it can only refuse.
   host_id Choose(steady_time now, const host_id& own_view);
 
   // An attempt at `member` got no reply in time; `now` is its end.
   void OnUnanswered(steady_time now, const host_id& member);
 
   // What a reply says of the leader (empty: unknown) and of the members (empty:
-  // the sender has no member).
+  // the sender has no member). Another member that follows the one on this host
+  // ends the latter's backoff: it was late, and no other can serve the call.
   void OnReply(const host_id& leader, std::vector<host_id> members);
 
   bool IsInBackoff(steady_time now, const host_id& member) const;
@@ -39,9 +42,12 @@
   const std::vector<host_id>& members() const { return reported_members_; }
 
  private:
+  void TakeOwnView(const host_id& own_view);
+
   const host_id self_;
   const std::vector<host_id> configured_members_;
   host_id leader_;
+  host_id own_view_;  // The last one that was not empty.
   std::vector<host_id> reported_members_;
   // reported_members_ and the configured members.
   std::vector<host_id> contacts_;
