--- a/src/libshallotport/entry/attempt_policy.h
+++ b/src/libshallotport/entry/attempt_policy.h
@@ -32,7 +32,7 @@
   uint32_t max_executions = 1;
   // Endpoints that executed it or may have, those at work included.
   uint32_t executions = 0;
-  // To an endpoint that is among these and has neither failed nor is at work.
+  // One of these endpoints has neither failed nor works on it now.
   bool may_return = false;
   uint32_t refusals = 0;            // Attempts that were not executed.
   bool has_response_begun = false;  // The caller received part of the response.
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -43,8 +43,8 @@
 // Restrictions on the selection for one request.
 struct selection_constraints {
   std::set<endpoint_id> excluded;  // Already attempted.
-  // Selected only if no other endpoint takes the request, and then whether or
-  // not their failure domain is in doubt.
+  // Endpoints that the request may return to. Selected only if no other one
+  // takes it, and then whether or not their failure domain is in doubt.
   std::set<endpoint_id> avoided;
   bool is_limited_to_avoided = false;       // No other endpoint may take it.
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
--- a/src/libshallotport/entry/takeover_policy.h
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -14,7 +14,8 @@
   bool has_second_attempt = false;
   uint32_t executions = 1;  // By endpoint, the attempt's included.
   uint32_t max_executions = 1;
-  bool may_return = false;  // To an endpoint among these, other than its own.
+  // Another one of these endpoints has not failed.
+  bool may_return = false;
   duration silent_for{};
   duration objective{};  // 0: none.
 };
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -87,7 +87,8 @@
   // Since when all control hosts are linked; nullopt: they are not.
   std::optional<steady_time> all_linked_since_;
   steady_time drain_started_at_{};
-  steady_time end_{};  // Of the stop; nothing is under way by then.
+  // Of the planned stop: what is still under way is ended.
+  steady_time end_{};
   std::function<void()> on_drained_;
 };
 
