streams: a store that is busy for a moment still tells where a stream began

Seen by callers: a stream that was taken up while one version had long been joined by another was refused (origin_unknown), although two stores knew its origin.

Cause: stores got 40 ms to reply.

Change: 200 ms. Only a linked store that does not reply makes anybody wait.

--- a/src/libshallotport/streams/stream_origin_client.cc
+++ b/src/libshallotport/streams/stream_origin_client.cc
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds kTargetUpdateInterval{100};
 // Without load totals for this long, the leader is assumed to be lost.
 constexpr std::chrono::milliseconds kLeaderTimeout{800};
-// Several round trips between failure domains.
-constexpr std::chrono::milliseconds kQueryTimeout{40};
+// A store may be in a sync of its disk for tens of milliseconds. Well below the
+// time after which a caller gives a stream up.
+constexpr std::chrono::milliseconds kQueryTimeout{200};
 
 }  // namespace
 
