entry: a second attempt that is refused its return is tried there again

Seen by callers: a stream whose second endpoint fell silent ended at its deadline, although its first endpoint, to which the second attempt would have returned, was sound and had refused that once (503, not executed).

Cause: the refusal put the endpoint among those that are not asked for a second attempt again; returns refused while nothing else was under way were exempt.

Change: such an endpoint keeps its place, as for any refused return.

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -664,7 +664,7 @@
   const bool may_return =
       displaced_.contains(endpoint) &&
       (end == endpoint_outcome::kShed || end == endpoint_outcome::kSilent);
-  if (may_be_needed) {
+  if (may_be_needed && !may_return) {
     full_for_second_.insert(endpoint);
   } else if (!may_return) {
     constraints_.excluded.insert(endpoint);
