--- a/util/data_path.sh
+++ b/util/data_path.sh
@@ -62,7 +62,7 @@
 report "threads (shallotportd)" "$before" "$(cost "${daemons[@]}")" $((rate * seconds))
 stop_cluster
 
-"$build/platform/soak/fleet_soak" --program "$build/shallotport-fleet" --folder "$work/fleet" --calm --kind stream \
+"$build/platform/tests/soak/fleet_soak" --program "$build/shallotport-fleet" --folder "$work/fleet" --calm --kind stream \
   --control 3 --stores 3 --entries 3 --endpoints 4 --rate "$rate" --seconds $((seconds + 10)) >"$work/soak.log" &
 soak_id=$!
 sleep 5
--- a/util/soak.sh
+++ b/util/soak.sh
@@ -7,7 +7,7 @@
 #   --runs K     seeds N to N + K - 1, one after the other
 #   --jobs J     so many of them at a time (default 1)
 #   --large      as many processes as the limits allow
-#   --kept       the seeds of platform/soak/kept_seeds.txt
+#   --kept       the seeds of platform/tests/soak/kept_seeds.txt
 #   --program F  another build of shallotport-fleet, for comparisons
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -41,7 +41,7 @@
 run_one() {
   local number=$1 log=build/soak/$1.log code=0
   shift
-  build/release/platform/soak/fleet_soak --program "$program" --folder "build/soak/$number" --seed "$number" \
+  build/release/platform/tests/soak/fleet_soak --program "$program" --folder "build/soak/$number" --seed "$number" \
     --seconds "$seconds" --port $((21000 + number % 1000 * 10)) "$@" >"$log" 2>&1 || code=$?
   if [ "$code" = 0 ]; then
     tail -n 1 "$log"
@@ -62,7 +62,7 @@
 export -f run_one broken
 
 if [ "$kept" = 1 ]; then
-  mapfile -t seeds < <(awk '!/^#/ && NF { print $1 }' platform/soak/kept_seeds.txt)
+  mapfile -t seeds < <(awk '!/^#/ && NF { print $1 }' platform/tests/soak/kept_seeds.txt)
 else
   mapfile -t seeds < <(seq "$seed" $((seed + runs - 1)))
 fi
