--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -19,6 +19,7 @@
   uint64_t streams_aborted = 0;  // Responses that had begun.
   uint64_t callers_disconnected = 0;
   uint64_t attempts = 0;
+  uint64_t broken_attempts = 0;  // Their connection or response broke.
   uint64_t resumed = 0;
   uint64_t taken_up = 0;  // Streams that callers resume with a new request.
   // Of these, by where their origin was found, and those that were refused.
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -115,7 +115,9 @@
       request_(std::move(request)),
       caller_(std::move(caller)),
       received_at_(duty.clock_.Now()),
-      stream_key_(KeyOf(request_)) {
+      stream_key_(KeyOf(request_)),
+      prompt_parts_(SharedPromptParts(request_.wire.headers,
+                                      duty.options_.wire.prompt_parts)) {
   std::chrono::milliseconds limit = route_.timeout;
   if (request_.time_limit.count() > 0) {
     limit = std::min(limit, request_.time_limit);
@@ -653,6 +655,7 @@
   const endpoint_id endpoint = attempt->at.endpoint;
   const domain_id domain = attempt->at.domain;
   const bool was_second = attempt == second_;
+  duty_.counters_.broken_attempts += end == endpoint_outcome::kBroken ? 1 : 0;
   EndAttempt(*attempt, end);
   if (was_second) {
     second_.reset();
@@ -696,7 +699,8 @@
        {"next", is_other_under_way ? "other_attempt" : LogName(next)},
        {"runs", int64_t{Executions()}},
        {"max_runs", int64_t{route_.max_executions}},
-       {"load_age_ms", load_age.count()}});
+       {"load_age_ms", load_age.count()},
+       {"prompt_parts", FormatPromptParts(prompt_parts_)}});
   if (is_other_under_way) {
     return;
   }
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -6,11 +6,13 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "entry/attempt_policy.h"
 #include "entry/endpoint_attempt.h"
 #include "entry/entry_duty.h"
 #include "entry/resumption_policy.h"
+#include "poison/prompt_parts.h"
 
 namespace shallotport {
 
@@ -99,6 +101,7 @@
   steady_time deadline_{};  // By the route's timeout or the caller's limit.
   service_id service_;
   const uint64_t stream_key_;
+  const std::vector<prompt_part> prompt_parts_;  // Those that are shared.
   std::optional<std::string> recorded_version_;  // Of the stream's origin.
 
   // Its response goes to the caller. Null before the first attempt, and between
