fleet, entry, slots: an endpoint whose address a later one has is not selected

What callers saw: after several endpoints had crashed and come back, some sound requests got 503 although most endpoints were free.

Cause: an endpoint that crashes says nothing, comes back under another id, and its old id stays selectable for 60 s on every host until an attempt there fails. Class: a fact that a report implies (an address belongs to one endpoint at a time) was not drawn.

Change: the first report of a start takes its address from endpoints that started earlier there; selectors and the slot allocator drop these until they report again, so a wrong clock costs at most a report's interval.

--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -71,6 +71,12 @@
                      {"age_ms", int64_t{entry.report.age_ms}}});
     }
   };
+  fleet_.on_endpoint_replaced = [this](const endpoint_id& endpoint) {
+    if (duty_.selector().IsServing(endpoint)) {
+      log_.LogState("endpoint_replaced", {{"endpoint", endpoint.text()}});
+    }
+    duty_.selector().Remove(endpoint);
+  };
   duty_.request_slot = [this](const slot_request& request,
                               entry_duty::slot_reply_handler on_reply) {
     return slots_.Request(request, std::move(on_reply));
--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -72,6 +72,21 @@
   return true;
 }
 
+std::vector<endpoint_id> endpoint_directory::EarlierAtAddress(
+    const endpoint_report& report) const {
+  std::vector<endpoint_id> earlier;
+  for (const auto& [id, each] : entries_) {
+    const endpoint_report& other = each.report;
+    const bool is_at_address = id != report.endpoint && other.ip == report.ip &&
+                               other.port == report.port;
+    if (is_at_address && other.stage != endpoint_stage::kLeft &&
+        other.start_time_ms < report.start_time_ms) {
+      earlier.push_back(id);
+    }
+  }
+  return earlier;
+}
+
 void endpoint_directory::Expire(steady_time now) {
   std::erase_if(entries_, [now](const auto& each) {
     const auto retention = each.second.report.stage == endpoint_stage::kReady
--- a/src/libshallotport/fleet/endpoint_directory.h
+++ b/src/libshallotport/fleet/endpoint_directory.h
@@ -21,6 +21,10 @@
 
   // Applies a report; false if it is stale or already known.
   bool Apply(steady_time now, const endpoint_report& report);
+  // Other endpoints that started earlier at the report's address. They have
+  // ended without a word, unless clocks are wrong: then they report again.
+  std::vector<endpoint_id> EarlierAtAddress(
+      const endpoint_report& report) const;
   // Removes endpoints that left or sent no report for a long time.
   void Expire(steady_time now);
 
--- a/src/libshallotport/fleet/endpoint_directory_test.cc
+++ b/src/libshallotport/fleet/endpoint_directory_test.cc
@@ -140,6 +140,42 @@
                                kReady}),
     [](const auto& info) { return info.param.name; });
 
+struct address_case {
+  std::string name;
+  std::string other_ip;  // Of an endpoint that is known already.
+  uint64_t other_start;
+  endpoint_stage other_stage;
+  bool is_earlier;
+};
+
+class same_address : public testing::TestWithParam<address_case> {};
+
+TEST_P(same_address, EndpointThatStartedEarlierHasEnded) {
+  endpoint_directory directory;
+  endpoint_report other =
+      Report(GetParam().other_start, 1, GetParam().other_stage);
+  other.endpoint = endpoint_id("other");
+  other.ip = GetParam().other_ip;
+  directory.Apply({}, other);
+  endpoint_report report = Report(5, 1, kReady);
+  report.ip = "10.0.0.1";
+  directory.Apply({}, report);
+  EXPECT_EQ(!directory.EarlierAtAddress(report).empty(), GetParam().is_earlier);
+  EXPECT_TRUE(directory.EarlierAtAddress(other).empty() ||
+              GetParam().other_start > 5);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    same_address,
+    testing::Values(address_case{"earlier", "10.0.0.1", 4, kReady, true},
+                    address_case{"draining", "10.0.0.1", 4, kDraining, true},
+                    address_case{"left", "10.0.0.1", 4, kLeft, false},
+                    address_case{"same_time", "10.0.0.1", 5, kReady, false},
+                    address_case{"later", "10.0.0.1", 6, kReady, false},
+                    address_case{"elsewhere", "10.0.0.2", 4, kReady, false}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(endpoint_directory_test, LeaveIsKeptLongerThanSilentEndpoint) {
   endpoint_directory directory;
   directory.Apply({}, Report(1, 5, kLeft));
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -155,13 +155,28 @@
   }
 }
 
+void fleet_host::OnEndpointStarted(const endpoint_report& report) {
+  if (!on_endpoint_replaced || report.stage == endpoint_stage::kLeft) {
+    return;
+  }
+  for (const endpoint_id& each : endpoints_.EarlierAtAddress(report)) {
+    on_endpoint_replaced(each);
+  }
+}
+
 bool fleet_host::RecordEndpoint(const endpoint_report& report) {
+  const auto* known = endpoints_.Find(report.endpoint);
+  const bool is_start =
+      known == nullptr || known->report.start_time_ms < report.start_time_ms;
   if (!endpoints_.Apply(clock_.Now(), report)) {
     return false;
   }
   if (on_endpoint) {
     on_endpoint(*endpoints_.Find(report.endpoint));
   }
+  if (is_start) {
+    OnEndpointStarted(report);
+  }
   return true;
 }
 
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -46,6 +46,9 @@
   // Called after the change was applied.
   std::function<void(const configuration_document&)> on_document;
   std::function<void(const endpoint_directory::entry&)> on_endpoint;
+  // A later endpoint reported from this one's address; it counts again when it
+  // reports again.
+  std::function<void(const endpoint_id&)> on_endpoint_replaced;
   std::function<void()> on_directory;
   std::function<void(const host_id& from, const group_envelope&)> on_consensus;
   // Called for each frame that fleet_host does not handle itself.
@@ -79,6 +82,8 @@
  private:
   void OnFrame(host_link& link, uint8_t kind, std::string_view payload);
   void OnDirectory(std::string_view payload);
+  // Applied the first report of an endpoint's start.
+  void OnEndpointStarted(const endpoint_report& report);
   void UpdateTargets(steady_time now);
   void Announce();
 
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -106,6 +106,10 @@
     endpoints_.Update(entry.report);
     slots_.Update(entry.report);
   };
+  fleet_.on_endpoint_replaced = [this](const endpoint_id& endpoint) {
+    endpoints_.Remove(endpoint);
+    slots_.Remove(endpoint);
+  };
   fleet_.on_consensus = [this](const host_id&, const group_envelope& envelope) {
     if (envelope.group == kJobGroup && group_ != nullptr) {
       group_->OnMessage(envelope.bytes);
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -59,8 +59,7 @@
 void slot_allocator::Update(const endpoint_report& report) {
   const uint32_t key = LoadKey(report.endpoint);
   if (report.stage == endpoint_stage::kLeft) {
-    endpoints_.erase(key);
-    endpoint_ids_.erase(key);
+    Remove(report.endpoint);
     return;
   }
   endpoint_state& state = endpoints_[key];
@@ -77,6 +76,12 @@
   endpoint_ids_[key] = report.endpoint;
 }
 
+void slot_allocator::Remove(const endpoint_id& endpoint) {
+  const uint32_t key = LoadKey(endpoint);
+  endpoints_.erase(key);
+  endpoint_ids_.erase(key);
+}
+
 void slot_allocator::RecordLeaving(steady_time now,
                                    const endpoint_start& start) {
   leaving_.Add(now, start, leaving_endpoints::origin::kOtherHost);
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -45,6 +45,8 @@
 class slot_allocator {
  public:
   void Update(const endpoint_report& report);
+  // The endpoint has ended without a report; a later report adds it again.
+  void Remove(const endpoint_id& endpoint);
   // An endpoint said in a response that it leaves: no slot of it is granted any
   // more.
   void RecordLeaving(steady_time now, const endpoint_start& start);
