--- a/src/libshallotport/base/codec.h
+++ b/src/libshallotport/base/codec.h
@@ -49,6 +49,20 @@
   }
 }
 
+// As Decode(), but passes over bytes after the known fields: later builds may
+// add fields at the end of such a message.
+template <typename T>
+result<T> DecodeGrowing(std::string_view bytes) {
+  try {
+    checked_input_archive archive(bytes);
+    T message{};
+    archive(message);
+    return message;
+  } catch (const std::exception& failure) {
+    return MakeError(error_kind::kCorrupt, failure.what());
+  }
+}
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_BASE_CODEC_H_
--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -35,7 +35,9 @@
 }  // namespace
 
 endpoint_selector::endpoint_selector(endpoint_selector_options options)
-    : options_(std::move(options)), random_(options_.seed) {}
+    : options_(std::move(options)),
+      random_(options_.seed),
+      crashes_(options_.crash_role) {}
 
 void endpoint_selector::Update(const endpoint_report& report) {
   endpoint_state& state = endpoints_[report.endpoint];
@@ -168,10 +170,22 @@
          !constraints.excluded.contains(id) && is_within_limit;
 }
 
+bool endpoint_selector::MayBegin(
+    steady_time now,
+    const selection_constraints& constraints) const {
+  const bool is_repeat_blocked =
+      constraints.is_repeat &&
+      crashes_.IsRepeatBlocked(now, constraints.prompt_parts);
+  return !is_repeat_blocked && !crashes_.IsBlocked(constraints.prompt_parts);
+}
+
 std::variant<selected_endpoint, selection_failure> endpoint_selector::Acquire(
     steady_time now,
     const service_id& service,
     const selection_constraints& constraints) {
+  if (!MayBegin(now, constraints)) {
+    return selection_failure::kPoisonPart;
+  }
   const auto found = by_service_.find(service);
   if (found == by_service_.end() || found->second.empty()) {
     return selection_failure::kNoEndpoint;
@@ -279,7 +293,7 @@
     const endpoint_id& endpoint,
     const selection_constraints& constraints) {
   const auto found = endpoints_.find(endpoint);
-  if (found == endpoints_.end()) {
+  if (found == endpoints_.end() || !MayBegin(now, constraints)) {
     return std::nullopt;
   }
   endpoint_state& state = found->second;
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "eventio/endpoint_connection_pool.h"
 #include "fleet/endpoint_report.h"
 #include "fleet/leaving_endpoints.h"
+#include "poison/crash_attribution.h"
 
 namespace shallotport {
 
@@ -50,6 +52,9 @@
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
   // Only endpoints of this version; of any if empty.
   std::optional<std::string> software_version;
+  // Of the request's prompt; they outlive the constraints.
+  std::span<const prompt_part> prompt_parts;
+  bool is_repeat = false;  // It may have been executed already.
   // Batch requests take free slots only; others may also wait at an endpoint.
   bool is_batch = false;
   uint32_t reserved_slots =
@@ -57,7 +62,11 @@
 };
 
 // Why no endpoint was selected.
-enum class selection_failure : uint8_t { kNoEndpoint, kAllBusy };
+enum class selection_failure : uint8_t {
+  kNoEndpoint,
+  kAllBusy,
+  kPoisonPart,  // Endpoints crash under a part of the request's prompt.
+};
 
 struct endpoint_selector_options {
   domain_id domain;  // Of this host.
@@ -65,6 +74,7 @@
   // every service time / slots, which is well within the objective.
   uint32_t max_waiting = 2;
   uint64_t seed = 1;
+  crash_attribution::role crash_role = crash_attribution::role::kObserver;
 };
 
 // Selects endpoints for requests when several of our hosts send to the same
@@ -97,6 +107,12 @@
                      leaving_endpoints::origin from);
   const leaving_endpoints& leaving() const { return leaving_; }
 
+  crash_attribution& crashes() { return crashes_; }
+  const crash_attribution& crashes() const { return crashes_; }
+
+  // False if no endpoint may get the request, whatever becomes free.
+  bool MayBegin(steady_time now,
+                const selection_constraints& constraints) const;
   // Selects one of the service's endpoints; the request counts as own load of
   // the endpoint until Release().
   std::variant<selected_endpoint, selection_failure> Acquire(
@@ -181,6 +197,7 @@
   std::map<service_id, std::set<endpoint_id>> by_service_;
   std::vector<endpoint_id> failures_;
   leaving_endpoints leaving_;
+  crash_attribution crashes_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -444,6 +444,60 @@
         domain_case{"many_hosts", 48, 90, 650, milliseconds(70), 0.6}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct poison_selection {
+  std::string name;
+  size_t crashes;
+  bool is_repeat;
+  bool is_allowed;
+};
+
+class poison_parts : public testing::TestWithParam<poison_selection> {};
+
+TEST_P(poison_parts, GetNoEndpointByChoiceOrGrant) {
+  endpoint_selector selector = MakeSelector(2);
+  steady_time now{std::chrono::seconds(100)};
+  const std::vector<prompt_part> deadly = {7, 8};
+  const std::vector<prompt_part> sound = {7};
+  for (uint64_t i = 0; i < GetParam().crashes; ++i) {
+    now += milliseconds(200);
+    selector.crashes().RecordCrash(now, {i, i, kService, 0, 10, deadly});
+    selector.crashes().Update(now);
+  }
+  for (int i = 0; i < 100; ++i) {
+    selector.crashes().RecordWholeAnswer(now, kService, {});
+  }
+  now += milliseconds(500);
+  selector.crashes().Update(now);
+  for (const bool is_batch : {false, true}) {
+    selection_constraints constraints;
+    constraints.is_batch = is_batch;
+    constraints.is_repeat = GetParam().is_repeat;
+    constraints.prompt_parts = deadly;
+    const auto selection = selector.Acquire(now, kService, constraints);
+    EXPECT_EQ(Selected(selection) != nullptr, GetParam().is_allowed);
+    if (!GetParam().is_allowed) {
+      EXPECT_EQ(std::get<selection_failure>(selection),
+                selection_failure::kPoisonPart);
+    }
+    EXPECT_EQ(selector.AcquireGranted(now, endpoint_id("e1"), constraints)
+                  .has_value(),
+              GetParam().is_allowed);
+    constraints.prompt_parts = sound;
+    constraints.is_repeat = false;
+    EXPECT_NE(Selected(selector.Acquire(now, kService, constraints)), nullptr);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    poison_parts,
+    testing::Values(poison_selection{"none", 0, true, true},
+                    poison_selection{"one_crash", 1, true, true},
+                    poison_selection{"two_crashes", 2, false, true},
+                    poison_selection{"repeat_after_two", 2, true, false},
+                    poison_selection{"three_crashes", 3, false, false}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -13,6 +13,7 @@
   uint64_t refused_busy = 0;        // No endpoint had a free slot.
   uint64_t refused_no_endpoint = 0;
   uint64_t refused_not_executed = 0;  // No attempt was executed.
+  uint64_t refused_poison = 0;        // Endpoints crash under its prompt.
   uint64_t refused_stopping = 0;      // Its deadline is after the host's end.
   uint64_t failed_in_doubt = 0;
   uint64_t timed_out = 0;
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -32,6 +32,7 @@
       random_(options_.seed),
       selector_(options_.selector),
       pool_(loop, clock),
+      crash_observer_(clock, pool_, selector_.crashes()),
       slow_retry_budget_(kSlowRetryRatio, kMaxSavedSlowRetries) {}
 
 entry_duty::~entry_duty() = default;
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -22,6 +22,7 @@
 #include "eventio/endpoint_connection_pool.h"
 #include "eventio/http_listener.h"
 #include "fleet/endpoint_directory.h"
+#include "poison/crash_observer.h"
 #include "slots/slot_messages.h"
 #include "streams/software_version_history.h"
 #include "streams/stream_origin_client.h"
@@ -103,6 +104,7 @@
   const entry_counters& counters() const { return counters_; }
   const entry_metrics& metrics() const { return metrics_; }
   const endpoint_connection_pool& connections() const { return pool_; }
+  const crash_observer& crash_watch() const { return crash_observer_; }
 
  private:
   friend class routed_exchange;
@@ -122,6 +124,7 @@
   endpoint_selector selector_;
   software_version_history versions_;
   endpoint_connection_pool pool_;
+  crash_observer crash_observer_;
   retry_budget slow_retry_budget_;  // For retries of slow requests.
   entry_counters counters_;
   entry_metrics metrics_;
--- /dev/null
+++ b/src/libshallotport/entry/poison_log.cc
@@ -0,0 +1,37 @@
+#include "entry/poison_log.h"
+
+#include <cstdio>
+#include <string>
+
+#include "entry/decision_log.h"
+#include "poison/crash_attribution.h"
+
+namespace shallotport {
+
+namespace {
+
+std::string_view LogName(block_change::reason why) {
+  constexpr std::string_view kNames[] = {"crashes", "whole_answer",
+                                         "other_part", "expired"};
+  return kNames[static_cast<size_t>(why)];
+}
+
+}  // namespace
+
+void LogBlockChange(decision_log& log, const block_change& change) {
+  const std::string part = FormatPromptParts({change.part});
+  if (change.why != block_change::reason::kCrashes) {
+    log.LogState("prompt_part_released",
+                 {{"part", part}, {"reason", LogName(change.why)}});
+    return;
+  }
+  char chance[32];
+  std::snprintf(chance, sizeof(chance), "%.1e", change.chance);
+  log.LogState("prompt_part_blocked",
+               {{"part", part},
+                {"service", change.service.text()},
+                {"crashes", static_cast<int64_t>(change.crashes)},
+                {"chance", std::string_view(chance)}});
+}
+
+}  // namespace shallotport
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/digest.h"
 #include "entry/takeover_policy.h"
 #include "fleet/fleet_messages.h"
 
@@ -252,7 +253,9 @@
   const auto usage =
       duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
   const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
-  const bool may_be_granted = !CurrentConstraints().is_limited_to_avoided;
+  const selection_constraints constraints = CurrentConstraints();
+  const bool may_be_granted = !constraints.is_limited_to_avoided &&
+                              duty_.selector_.MayBegin(now, constraints);
   if (is_scarce && may_be_granted && duty_.request_slot) {
     is_awaiting_slot_ = true;
     const bool is_requested =
@@ -346,6 +349,8 @@
 
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
+  constraints.prompt_parts = prompt_parts_;
+  constraints.is_repeat = current_ != nullptr || !executed_at_.empty();
   constraints.avoided = displaced_;
   constraints.is_limited_to_avoided = IsLimitedToReturn(History());
   if (current_ != nullptr) {
@@ -387,6 +392,13 @@
   return history;
 }
 
+observed_attempt routed_exchange::Observed(
+    const endpoint_attempt& attempt) const {
+  const selected_endpoint& at = attempt.at;
+  return {{at.endpoint, at.start_time_ms}, at.address,       service_,
+          HashOf(request_.id.text()),      attempt.begun_at, prompt_parts_};
+}
+
 bool routed_exchange::DeferReturn() {
   const steady_time now = duty_.clock_.Now();
   if (!last_return_at_) {
@@ -406,16 +418,19 @@
     SendTo(std::get<selected_endpoint>(std::move(selection)));
     return;
   }
+  const auto failure = std::get<selection_failure>(selection);
   if (current_ != nullptr) {
     DeferSecondAttempt();
-  } else if (DeferReturn()) {
+  } else if (failure != selection_failure::kPoisonPart && DeferReturn()) {
     return;
   } else if (has_response_begun_) {
     AbortStream("no endpoint available to resume the stream");
   } else if (!executed_at_.empty()) {
     Fail(502, "no other endpoint available for a retry");
-  } else if (std::get<selection_failure>(selection) ==
-             selection_failure::kAllBusy) {
+  } else if (failure == selection_failure::kPoisonPart) {
+    ++duty_.counters_.refused_poison;
+    RefusePoison();
+  } else if (failure == selection_failure::kAllBusy) {
     ++duty_.counters_.refused_busy;
     Refuse(error_kind::kNoCapacity);
   } else {
@@ -636,6 +651,7 @@
     return;
   }
   KeepOnly(attempt);
+  duty_.crash_observer_.OnWholeAnswer(Observed(*attempt));
   EndAttempt(*attempt, endpoint_outcome::kServed);
   current_.reset();
   ++duty_.counters_.served;
@@ -655,7 +671,13 @@
   const endpoint_id endpoint = attempt->at.endpoint;
   const domain_id domain = attempt->at.domain;
   const bool was_second = attempt == second_;
-  duty_.counters_.broken_attempts += end == endpoint_outcome::kBroken ? 1 : 0;
+  if (end == endpoint_outcome::kBroken) {
+    ++duty_.counters_.broken_attempts;
+    // An endpoint that announced its end has not crashed.
+    if (duty_.selector_.IsServing(endpoint)) {
+      duty_.crash_observer_.OnBroken(Observed(*attempt));
+    }
+  }
   EndAttempt(*attempt, end);
   if (was_second) {
     second_.reset();
@@ -841,10 +863,23 @@
 }
 
 void routed_exchange::RefuseUntil(error_kind kind, int64_t retry_after_ms) {
+  SendRefusal(Answer(kind).code, retry_after_ms);
+}
+
+void routed_exchange::RefusePoison() {
+  const duration blocked_for =
+      duty_.selector_.crashes().BlockedFor(duty_.clock_.Now(), prompt_parts_);
+  SendRefusal(
+      "poison_part",
+      std::chrono::ceil<std::chrono::milliseconds>(blocked_for).count());
+}
+
+void routed_exchange::SendRefusal(std::string_view reason,
+                                  int64_t retry_after_ms) {
   header_list headers;
   headers.Add(duty_.options_.wire.retry_after, FormatSeconds(retry_after_ms));
   const int status = 503;
-  Log("request_refused", Answer(kind).code, status);
+  Log("request_refused", reason, status);
   caller_->Respond(status, headers, {});
   Finish();
 }
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -58,6 +58,7 @@
   // Whether an endpoint is left that the request may return to.
   bool MayReturn() const;
   attempt_history History() const;
+  observed_attempt Observed(const endpoint_attempt& attempt) const;
   // The constraints of the request, and those by its attempts so far.
   selection_constraints CurrentConstraints() const;
   void SendTo(selected_endpoint endpoint);
@@ -85,6 +86,9 @@
 
   void Refuse(error_kind kind);
   void RefuseUntil(error_kind kind, int64_t retry_after_ms);
+  // Endpoints crash under a part of its prompt.
+  void RefusePoison();
+  void SendRefusal(std::string_view reason, int64_t retry_after_ms);
   void Fail(int status, std::string_view reason);
   void ForwardFailure(const endpoint_attempt& attempt);
   void AbortStream(std::string_view reason);
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/codec.h"
+#include "entry/poison_log.h"
 #include "eventio/host_link.h"
 
 namespace shallotport {
@@ -45,6 +46,7 @@
       jobs_(loop, clock, fleet_),
       slots_(clock, fleet_),
       streams_(clock, fleet_),
+      crashes_(fleet_, duty_.selector().crashes()),
       callers_(loop, clock, std::move(on_request)) {
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
@@ -98,8 +100,13 @@
                                      std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
       ApplyLoadTotals(link, payload);
+    } else {
+      crashes_.OnFrame(clock_.Now(), kind, payload);
     }
   };
+  crashes_.on_change = [this](const block_change& change) {
+    LogBlockChange(log_, change);
+  };
 }
 
 // Open callers' connections end requests when the listener is destroyed.
@@ -123,6 +130,7 @@
   duty_.Tick(now);
   ExchangeLoad(now);
   streams_.Tick(now);
+  crashes_.Tick(now);
   if (!fleet_.HasAllControlLinks()) {
     all_linked_since_.reset();
   } else if (!all_linked_since_) {
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -11,6 +11,7 @@
 #include "eventio/http_listener.h"
 #include "fleet/fleet_host.h"
 #include "jobstore/job_store_client.h"
+#include "poison/crash_exchange.h"
 #include "slots/slot_client.h"
 #include "streams/stream_origin_client.h"
 
@@ -74,6 +75,7 @@
   job_store_client jobs_;
   slot_client slots_;
   stream_origin_client streams_;
+  crash_exchange crashes_;
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -1,6 +1,9 @@
 #include "eventio/endpoint_connection_pool.h"
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
 #include "eventio/endpoint_connection.h"
@@ -9,6 +12,28 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kProbeTimeout{100};
+
+// One connection that finds out whether anything listens at an address. Owned
+// by its pending operations.
+struct connection_probe {
+  explicit connection_probe(boost::asio::io_context& loop)
+      : socket(loop), timer(loop) {}
+
+  void Finish(probe_result result) {
+    boost::system::error_code ignored;
+    socket.close(ignored);
+    timer.cancel();
+    if (on_result) {
+      std::exchange(on_result, nullptr)(result);
+    }
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::function<void(probe_result result)> on_result;
+};
+
 // Handle of a call; cancels it when destroyed.
 class pooled_call final : public endpoint_call {
  public:
@@ -101,6 +126,36 @@
   }
 }
 
+void endpoint_connection_pool::Probe(
+    const endpoint_address& to,
+    std::function<void(probe_result result)> on_result) {
+  namespace ip = boost::asio::ip;
+  using error_code = boost::system::error_code;
+  ++counters_.probes;
+  const auto probe = std::make_shared<connection_probe>(loop_);
+  probe->on_result = std::move(on_result);
+  error_code failure;
+  const ip::address address = ip::make_address(to.ip, failure);
+  if (failure) {
+    boost::asio::post(loop_,
+                      [probe] { probe->Finish(probe_result::kUnknown); });
+    return;
+  }
+  probe->timer.expires_after(kProbeTimeout);
+  probe->timer.async_wait([probe](error_code cancelled) {
+    if (!cancelled) {
+      probe->Finish(probe_result::kUnknown);
+    }
+  });
+  probe->socket.async_connect(
+      ip::tcp::endpoint(address, to.port), [probe](error_code failure) {
+        probe->Finish(!failure ? probe_result::kAccepted
+                      : failure == boost::asio::error::connection_refused
+                          ? probe_result::kRefused
+                          : probe_result::kUnknown);
+      });
+}
+
 void endpoint_connection_pool::Sweep(steady_time now) {
   std::vector<std::shared_ptr<endpoint_connection>> expired;
   for (const auto& [address, connections] : idle_) {
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -61,6 +61,13 @@
   std::string echo_value;
 };
 
+// What listens at an endpoint's address.
+enum class probe_result : uint8_t {
+  kAccepted,  // A connection was accepted, and closed without a request.
+  kRefused,   // Nothing: the process has ended.
+  kUnknown,   // No answer in time, or another error.
+};
+
 // Keeps connections to endpoints open between calls. An idle connection is
 // reused only within the endpoint's stated keep-alive time, and is closed as
 // soon as unexpected bytes or the end of the stream arrive on it. Not
@@ -72,6 +79,7 @@
     uint64_t reused = 0;
     uint64_t connect_failures = 0;
     uint64_t skipped_responses = 0;
+    uint64_t probes = 0;
   };
 
   endpoint_connection_pool(boost::asio::io_context& loop,
@@ -82,6 +90,10 @@
   std::unique_ptr<endpoint_call> Start(const endpoint_address& to,
                                        outbound_request request,
                                        call_events events);
+  // Finds out whether anything listens at an address, by a connection. The
+  // handler is called later, from the event loop.
+  void Probe(const endpoint_address& to,
+             std::function<void(probe_result result)> on_result);
   // Closes idle connections whose keep-alive time has expired.
   void Sweep(steady_time now);
   // Closes the idle connections to one address.
--- a/src/libshallotport/eventio/loopback_test_util.h
+++ b/src/libshallotport/eventio/loopback_test_util.h
@@ -88,8 +88,11 @@
   using script = std::function<void(raw_connection& connection,
                                     const std::string& request)>;
 
-  scripted_endpoint(boost::asio::io_context& loop, script on_request)
-      : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+  // Port 0: the system chooses one.
+  scripted_endpoint(boost::asio::io_context& loop,
+                    script on_request,
+                    uint16_t port = 0)
+      : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), port}),
         on_request_(std::move(on_request)) {
     Accept();
   }
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -25,6 +25,8 @@
   kLoadTotals = 22,  // load_report, from the job group's leader to entry hosts.
   kJobMembers = 23,  // job_group_members, from that leader to control hosts.
   kStreams = 24,     // stream_report, from entry hosts to job stores.
+  // crash_evidence, from entry hosts to job stores and from these to all.
+  kCrashEvidence = 25,
 };
 
 // Calls from entry hosts to the leader of the job group, or to any job store
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/digest.h"
 #include "entry/leave_notice.h"
 #include "jobstore/item_version_policy.h"
 
@@ -23,6 +24,8 @@
 constexpr std::chrono::milliseconds kProgressCommitInterval{1'000};
 // Long enough for the peak of a burst of online requests to pass.
 constexpr std::chrono::milliseconds kRetryDelayAfterYield{150};
+// No longer than a blocked part may take to be released.
+constexpr std::chrono::milliseconds kRetryDelayWhileBlocked{500};
 constexpr std::chrono::milliseconds kSweepInterval{500};
 // The search for items to send visits every waiting item.
 constexpr std::chrono::milliseconds kDispatchInterval{40};
@@ -45,6 +48,8 @@
 
 struct item_dispatcher::item_attempt {
   std::unique_ptr<endpoint_call> call;
+  std::string item_id;
+  std::vector<prompt_part> prompt_parts;
   endpoint_id endpoint;
   uint64_t start_time_ms = 0;  // Of the endpoint.
   response_head head;
@@ -67,6 +72,7 @@
   steady_time first_attempt_at{};
   steady_time retry_at{};
   bool is_committing_result = false;
+  bool has_broken = false;  // Its last attempt.
   // The prefix of the text that is being committed as progress, and its last
   // event.
   size_t committing_bytes = 0;
@@ -78,6 +84,9 @@
   // Without a free slot: services, or single versions of them.
   std::set<std::pair<service_id, std::optional<std::string>>> exhausted;
   bool is_over = false;  // No endpoint has a free slot.
+  // Of the item that is looked at.
+  bool is_repeat = false;
+  bool is_item_blocked = false;  // Endpoints crash under its prompt.
 };
 
 item_dispatcher::item_dispatcher(boost::asio::io_context& loop,
@@ -95,7 +104,8 @@
       log_(log),
       propose_(std::move(propose)),
       random_(options_.seed),
-      pool_(loop, clock) {}
+      pool_(loop, clock),
+      crash_observer_(clock, pool_, endpoints.crashes()) {}
 
 item_dispatcher::~item_dispatcher() = default;
 
@@ -279,6 +289,7 @@
     steady_time now,
     const service_id& service,
     const std::optional<std::string>& software_version,
+    const job_item& item,
     dispatch_round& round) {
   if (round.exhausted.contains({service, std::nullopt}) ||
       round.exhausted.contains({service, software_version})) {
@@ -286,8 +297,11 @@
   }
   const bool has_slots = HasSlotsAboveReserve(now, service);
   selection_constraints constraints;
+  const std::vector<prompt_part> parts = PromptParts(item);
   constraints.is_batch = true;
   constraints.software_version = software_version;
+  constraints.prompt_parts = parts;
+  constraints.is_repeat = round.is_repeat;
   const auto selection =
       has_slots ? endpoints_.Acquire(now, service, constraints)
                 : std::variant<selected_endpoint, selection_failure>(
@@ -295,6 +309,11 @@
   if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
     return item_selection{*selected, {service, selected->software_version}};
   }
+  if (std::get<selection_failure>(selection) ==
+      selection_failure::kPoisonPart) {
+    round.is_item_blocked = true;
+    return std::nullopt;
+  }
   round.exhausted.emplace(service, has_slots ? software_version : std::nullopt);
   round.is_over = !endpoints_.HasFreeSlots(now, 0);
   return std::nullopt;
@@ -311,6 +330,7 @@
       found == pending_items_.end() ? nullptr : &found->second;
   const bool is_pending =
       pending != nullptr && (pending->origin || pending->is_restart);
+  const job_item& item = job->submission.items[key.second];
   const std::optional<stream_origin>& origin =
       is_pending ? pending->origin : job->items[key.second].origin;
   item_text_facts facts;
@@ -330,8 +350,8 @@
   const version_choice choice = ChooseVersion(facts);
   if (choice == version_choice::kOwnVersion ||
       choice == version_choice::kOwnVersionFirst) {
-    auto selection =
-        AcquireSlot(now, origin->service, origin->software_version, round);
+    auto selection = AcquireSlot(now, origin->service, origin->software_version,
+                                 item, round);
     if (selection) {
       return selection;
     }
@@ -340,10 +360,29 @@
       choice == version_choice::kNone) {
     return std::nullopt;
   }
-  return AcquireSlot(now, DrawService(item_route, random_), std::nullopt,
+  return AcquireSlot(now, DrawService(item_route, random_), std::nullopt, item,
                      round);
 }
 
+std::vector<prompt_part> item_dispatcher::PromptParts(
+    const job_item& item) const {
+  header_list headers;
+  for (const auto& [name, value] : item.headers) {
+    headers.Add(name, value);
+  }
+  return SharedPromptParts(headers, options_.wire.prompt_parts);
+}
+
+observed_attempt item_dispatcher::Observed(const item_attempt& attempt) const {
+  const selected_endpoint& at = attempt.selection.endpoint;
+  return {{at.endpoint, at.start_time_ms},
+          at.address,
+          attempt.selection.origin.service,
+          HashOf(attempt.item_id),
+          attempt.begun_at,
+          attempt.prompt_parts};
+}
+
 item_dispatcher::pending_item& item_dispatcher::PendingItem(
     const item_key& key) {
   pending_item& item_state = pending_items_[key];
@@ -387,8 +426,16 @@
     ScheduleRetry(key, kRetryDelayAfterFailure);
     return;
   }
+  const auto pending = pending_items_.find(key);
+  round.is_repeat =
+      pending != pending_items_.end() && pending->second.has_broken;
+  round.is_item_blocked = false;
   const auto selection = SelectForItem(now, *matched_route, key, round);
   if (!selection) {
+    if (round.is_item_blocked) {
+      ++counters_.poison;
+      ScheduleRetry(key, kRetryDelayWhileBlocked);
+    }
     return;
   }
   const selected_endpoint& selected = selection->endpoint;
@@ -399,6 +446,7 @@
   if (item_state.first_attempt_at == steady_time{}) {
     item_state.first_attempt_at = now;
   }
+  item_state.has_broken = false;
   const std::string& resume_after = item_state.last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
@@ -414,6 +462,8 @@
     headers.Add(options_.wire.resume_after, resume_after);
   }
   auto attempt = std::make_shared<item_attempt>();
+  attempt->item_id = item.id;
+  attempt->prompt_parts = PromptParts(item);
   attempt->endpoint = selected.endpoint;
   attempt->start_time_ms = selected.start_time_ms;
   attempt->begun_at = now;
@@ -573,6 +623,11 @@
     case call_end::kBroken:
     case call_end::kInvalidResponse:
       ++counters_.broken;
+      pending_items_[key].has_broken = true;
+      // An endpoint that announced its end has not crashed.
+      if (endpoints_.IsServing(attempt->endpoint)) {
+        crash_observer_.OnBroken(Observed(*attempt));
+      }
       endpoints_.Release(now, attempt->endpoint, endpoint_outcome::kBroken);
       break;
   }
@@ -596,6 +651,7 @@
   const bool is_proven =
       attempt.head.headers.Find(wire.endpoint_proof) != nullptr;
   if (IsSuccess(status) && is_proven && !attempt.events.has_partial()) {
+    crash_observer_.OnWholeAnswer(Observed(attempt));
     const pending_item& item_state = pending_items_[key];
     ++counters_.finished;
     schedule_.RecordFinished(item_state.time_spent,
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -19,6 +19,7 @@
 #include "eventio/endpoint_connection_pool.h"
 #include "jobstore/item_schedule.h"
 #include "jobstore/job_table.h"
+#include "poison/crash_observer.h"
 #include "streams/stream_messages.h"
 
 namespace shallotport {
@@ -53,7 +54,8 @@
     uint64_t yielded = 0;    // Aborted to free slots for online requests.
     uint64_t silent = 0;
     uint64_t broken = 0;
-    uint64_t refused = 0;            // By endpoints without a free slot.
+    uint64_t refused = 0;  // By endpoints without a free slot.
+    uint64_t poison = 0;   // Not sent: endpoints crash under their prompts.
     uint64_t endpoints_leaving = 0;  // Said so in a response to an item.
     uint64_t malformed_leave_notices = 0;
   };
@@ -99,6 +101,7 @@
   bool YieldSlot(steady_time now, const endpoint_id& endpoint);
 
   const counters& totals() const { return counters_; }
+  const crash_observer& crash_watch() const { return crash_observer_; }
   size_t running_count() const { return attempts_.size(); }
 
  private:
@@ -125,7 +128,10 @@
       steady_time now,
       const service_id& service,
       const std::optional<std::string>& software_version,
+      const job_item& item,
       dispatch_round& round);
+  std::vector<prompt_part> PromptParts(const job_item& item) const;
+  observed_attempt Observed(const item_attempt& attempt) const;
   // The item's uncommitted state, which continues its committed progress.
   pending_item& PendingItem(const item_key& key);
   // Discards an item's text, committed and uncommitted.
@@ -163,6 +169,7 @@
   const proposer propose_;
   random_source random_;
   endpoint_connection_pool pool_;
+  crash_observer crash_observer_;
   counters counters_;
   bool is_leading_ = false;
   std::map<item_key, std::shared_ptr<item_attempt>> attempts_;
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/codec.h"
+#include "entry/poison_log.h"
 #include "eventio/host_link.h"
 
 namespace shallotport {
@@ -41,6 +42,13 @@
   return group;
 }
 
+// Job stores pass on what entry hosts saw of endpoints that crash.
+endpoint_selector_options StoreSelectorOptions(
+    endpoint_selector_options options) {
+  options.crash_role = crash_attribution::role::kRelay;
+  return options;
+}
+
 // All errors but kNoQuorum guarantee that the command was not proposed.
 item_dispatcher::commit_outcome CommitOutcomeOf(
     const result<std::string>& reply) {
@@ -70,7 +78,7 @@
       read_document_(std::move(read_document)),
       log_(log),
       fleet_(loop, clock, options_.fleet, true),
-      endpoints_(options_.selector),
+      endpoints_(StoreSelectorOptions(options_.selector)),
       dispatcher_(
           loop,
           clock,
@@ -86,6 +94,7 @@
                   done(CommitOutcomeOf(outcome));
                 });
           }),
+      crashes_(fleet_, endpoints_.crashes()),
       healer_({options_.voters}) {
   table_.on_changed = [this](const job_id& job) {
     dispatcher_.OnJobChanged(job);
@@ -124,11 +133,19 @@
     } else if (kind == static_cast<uint8_t>(fleet_frame::kAnnouncement)) {
       const auto host = Decode<host_announcement>(payload);
       if (IsOk(host)) {
+        if (link.peer_name.empty()) {
+          crashes_.OnHostLinked(clock_.Now(), link);
+        }
         link.peer_name = ValueOf(host).host.text();
         fleet_.RecordHost(ValueOf(host));
       }
+    } else {
+      crashes_.OnFrame(clock_.Now(), kind, payload);
     }
   };
+  crashes_.on_change = [this](const block_change& change) {
+    LogBlockChange(log_, change);
+  };
   fleet_.hub().on_call = [this](host_link& link, uint8_t method,
                                 std::string_view body,
                                 const std::function<void(std::string)>& reply) {
@@ -167,6 +184,7 @@
 
 void job_store_duty::Tick(steady_time now) {
   fleet_.Tick(now);
+  crashes_.Tick(now);
   if (group_ == nullptr) {
     const status opened = OpenGroupIfReady();
     if (!IsOk(opened)) {
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -18,6 +18,7 @@
 #include "fleet/group_replica.h"
 #include "jobstore/item_dispatcher.h"
 #include "jobstore/job_table.h"
+#include "poison/crash_exchange.h"
 #include "slots/slot_allocator.h"
 #include "streams/stream_origins.h"
 
@@ -63,6 +64,7 @@
   fleet_host& fleet() { return fleet_; }
   const job_table& table() const { return table_; }
   const item_dispatcher& dispatcher() const { return dispatcher_; }
+  const endpoint_selector& endpoints() const { return endpoints_; }
   const slot_counters& slot_totals() const { return slot_counters_; }
 
  private:
@@ -116,6 +118,7 @@
   job_table table_;
   endpoint_selector endpoints_;
   item_dispatcher dispatcher_;
+  crash_exchange crashes_;
   group_healer healer_;
   std::unique_ptr<group_replica> group_;
   std::optional<route_table> routes_;
--- /dev/null
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -0,0 +1,393 @@
+#include "poison/crash_attribution.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "base/random_source.h"
+
+namespace shallotport {
+
+namespace {
+
+using std::chrono::milliseconds;
+using reason = block_change::reason;
+
+const service_id kService("llm");
+constexpr prompt_part kPopular = 1;
+constexpr prompt_part kRare = 2;
+constexpr prompt_part kDeadly = 3;
+constexpr prompt_part kOther = 4;
+
+// A host's view of its fleet, with a clock of its own.
+struct test_host {
+  explicit test_host(
+      crash_attribution::role role = crash_attribution::role::kObserver)
+      : attribution(role) {}
+
+  void Pass(int ms) { now += milliseconds(ms); }
+  void Answer(const std::vector<prompt_part>& parts, int count = 1) {
+    for (int i = 0; i < count; ++i) {
+      attribution.RecordWholeAnswer(now, kService, parts);
+    }
+  }
+  // An endpoint ends under one request with each of these prompts.
+  void Crash(const std::vector<std::vector<prompt_part>>& prompts,
+             uint32_t ran_ms = 50) {
+    ++endpoint;
+    for (const auto& parts : prompts) {
+      attribution.RecordBreak(now, kService);
+      attribution.RecordCrash(
+          now, {endpoint, ++request, kService, 0, ran_ms, parts});
+    }
+  }
+  bool IsBlocked(prompt_part part) {
+    attribution.Update(now);
+    return attribution.IsBlocked(std::vector<prompt_part>{part});
+  }
+
+  crash_attribution attribution;
+  steady_time now{std::chrono::seconds(100)};
+  uint64_t endpoint = 0;
+  uint64_t request = 0;
+};
+
+// One thing that happens, `after_ms` after the one before.
+struct step {
+  enum class kind : uint8_t { kCrash, kAnswer, kBreak };
+
+  int after_ms = 0;
+  kind what = kind::kCrash;
+  std::vector<std::vector<prompt_part>> prompts;
+  int count = 1;  // Of answers or breaks.
+  uint32_t ran_ms = 50;
+};
+
+step Crash(int after_ms,
+           std::vector<std::vector<prompt_part>> prompts,
+           uint32_t ran_ms = 50) {
+  return {after_ms, step::kind::kCrash, std::move(prompts), 1, ran_ms};
+}
+step Answers(int after_ms, std::vector<prompt_part> prompt, int count = 1) {
+  return {after_ms, step::kind::kAnswer, {std::move(prompt)}, count};
+}
+step Breaks(int after_ms, int count) {
+  return {after_ms, step::kind::kBreak, {}, count};
+}
+
+struct verdict_case {
+  std::string name;
+  std::vector<step> steps;
+  int wait_ms = 0;  // After the last step.
+  std::vector<prompt_part> blocked;
+};
+
+class verdict : public testing::TestWithParam<verdict_case> {};
+
+TEST_P(verdict, BlocksOnlyWhatCrashesEndpoints) {
+  test_host host;
+  host.Answer({kOther}, 100);
+  for (const step& each : GetParam().steps) {
+    host.Pass(each.after_ms);
+    for (int i = 0; i < each.count; ++i) {
+      switch (each.what) {
+        case step::kind::kCrash:
+          host.Crash(each.prompts, each.ran_ms);
+          break;
+        case step::kind::kAnswer:
+          host.Answer(each.prompts[0]);
+          break;
+        case step::kind::kBreak:
+          host.attribution.RecordBreak(host.now, kService);
+          break;
+      }
+    }
+    host.attribution.Update(host.now);
+  }
+  host.Pass(GetParam().wait_ms);
+  for (const prompt_part part : {kPopular, kRare, kDeadly, kOther}) {
+    const auto& blocked = GetParam().blocked;
+    const bool expected =
+        std::find(blocked.begin(), blocked.end(), part) != blocked.end();
+    EXPECT_EQ(host.IsBlocked(part), expected) << part;
+  }
+}
+
+const std::vector<prompt_part> kDeadlyPrompt = {kPopular, kRare, kDeadly};
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    verdict,
+    testing::Values(
+        verdict_case{
+            "three_crashes_in_a_row",
+            {Crash(0, {kDeadlyPrompt, {kPopular}}), Crash(200, {kDeadlyPrompt}),
+             Crash(200, {kDeadlyPrompt}), Answers(50, {kPopular}, 3)},
+            100,
+            {kDeadly}},
+        verdict_case{"two_crashes",
+                     {Crash(0, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt}),
+                      Answers(50, {kPopular}, 3)},
+                     2'000,
+                     {}},
+        // Whole answers to popular parts need time to arrive.
+        verdict_case{"not_settled",
+                     {Crash(0, {kDeadlyPrompt}), Crash(100, {kDeadlyPrompt}),
+                      Crash(100, {kDeadlyPrompt}), Answers(0, {kOther}, 3)},
+                     200,
+                     {}},
+        // Endpoints of one failure domain, say.
+        verdict_case{
+            "endpoints_that_end_together",
+            {Crash(0, {kDeadlyPrompt}, 300), Crash(20, {kDeadlyPrompt}, 300),
+             Crash(20, {kDeadlyPrompt}, 300), Crash(20, {kDeadlyPrompt}, 300),
+             Answers(50, {kOther}, 3)},
+            2'000,
+            {}},
+        verdict_case{"whole_answer_between",
+                     {Crash(0, {{kRare}}), Crash(200, {{kRare}}),
+                      Answers(50, {kRare}), Crash(200, {{kRare}}),
+                      Crash(200, {{kRare}}), Answers(50, {kOther}, 3)},
+                     2'000,
+                     {}},
+        verdict_case{"nothing_is_answered",
+                     {Crash(0, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt}),
+                      Crash(200, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt})},
+                     2'000,
+                     {}},
+        // Where much breaks, a part is in three crashes by chance.
+        verdict_case{"much_breaks",
+                     {Breaks(0, 25), Crash(0, {{kRare}}), Crash(200, {{kRare}}),
+                      Crash(200, {{kRare}}), Answers(50, {kOther}, 3)},
+                     2'000,
+                     {}},
+        verdict_case{"much_breaks_and_many_crashes",
+                     {Breaks(0, 25), Crash(0, {kDeadlyPrompt}),
+                      Crash(200, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt}),
+                      Crash(200, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt}),
+                      Crash(200, {kDeadlyPrompt}), Crash(200, {kDeadlyPrompt}),
+                      Answers(50, {kOther}, 3)},
+                     2'000,
+                     {kDeadly}},
+        verdict_case{
+            "popular_part_in_all_crashes",
+            {Answers(0, {kPopular}, 20), Crash(0, {kDeadlyPrompt, {kPopular}}),
+             Crash(200, {kDeadlyPrompt, {kPopular}}),
+             Crash(200, {kDeadlyPrompt, {kPopular}}),
+             Crash(200, {kDeadlyPrompt, {kPopular}}), Crash(200, {{kPopular}}),
+             Answers(0, {kOther}, 3)},
+            200,
+            {kDeadly}},
+        // Endpoints of a new software version crash under what others answer.
+        verdict_case{"popular_part_turns_deadly",
+                     {Answers(0, {kPopular}, 20), Crash(0, {{kPopular}}),
+                      Crash(300, {{kPopular}}), Crash(300, {{kPopular}}),
+                      Crash(300, {{kPopular}}), Crash(300, {{kPopular}}),
+                      Crash(300, {{kPopular}}), Crash(300, {{kPopular}}),
+                      Answers(0, {kOther}, 3)},
+                     100,
+                     {kPopular}},
+        verdict_case{"two_deadly_parts",
+                     {Crash(0, {{kDeadly}}), Crash(200, {{kRare}}),
+                      Crash(200, {{kDeadly}}), Crash(200, {{kRare}}),
+                      Crash(200, {{kDeadly}}), Crash(200, {{kRare}}),
+                      Crash(200, {{kDeadly}}), Crash(200, {{kRare}}),
+                      Answers(50, {kOther}, 3)},
+                     600,
+                     {kDeadly, kRare}},
+        verdict_case{
+            "answered_after_the_verdict",
+            {Crash(0, {{kRare}}), Crash(200, {{kRare}}), Crash(200, {{kRare}}),
+             Answers(300, {kOther}, 3), Answers(100, {kRare})},
+            100,
+            {}}),
+    [](const auto& info) { return info.param.name; });
+
+void CrashThreeTimes(test_host& host,
+                     const std::vector<prompt_part>& parts,
+                     int gap_ms = 200) {
+  for (int i = 0; i < 3; ++i) {
+    host.Pass(gap_ms);
+    host.Crash({parts});
+    host.attribution.Update(host.now);
+  }
+  host.Pass(200);
+  host.Answer({kOther}, 3);
+  host.attribution.Update(host.now);
+}
+
+TEST(crash_attribution_test, BlockEndsTenMinutesAfterTheLastCrash) {
+  test_host host;
+  host.Answer({kOther}, 100);
+  CrashThreeTimes(host, {kDeadly});
+  ASSERT_TRUE(host.IsBlocked(kDeadly));
+  EXPECT_EQ(host.attribution.BlockedFor(
+                host.now, std::vector<prompt_part>{kOther, kDeadly}),
+            std::chrono::minutes(10) - milliseconds(200));
+  host.now += std::chrono::minutes(10) - milliseconds(250);
+  EXPECT_TRUE(host.IsBlocked(kDeadly));
+  host.Pass(100);
+  const auto changes = host.attribution.Update(host.now);
+  ASSERT_EQ(changes.size(), 1u);
+  EXPECT_EQ(changes[0].why, reason::kExpired);
+  EXPECT_EQ(host.attribution.record_count(), 0u);
+}
+
+TEST(crash_attribution_test, RepeatsAreHeldBackForLongerAfterEachCrash) {
+  test_host host;
+  const std::vector<prompt_part> parts = {kDeadly};
+  const auto may_repeat_after = [&](int ms) {
+    return !host.attribution.IsRepeatBlocked(host.now + milliseconds(ms),
+                                             parts);
+  };
+  for (const int delay_ms : {0, 1'000, 2'000, 4'000}) {
+    host.Pass(20'000);
+    host.Crash({parts});
+    host.attribution.Update(host.now);
+    EXPECT_TRUE(may_repeat_after(delay_ms)) << delay_ms;
+    EXPECT_EQ(may_repeat_after(delay_ms - 1), delay_ms == 0) << delay_ms;
+  }
+}
+
+struct sharing_case {
+  std::string name;
+  bool is_restarted = false;  // The host that learns knows nothing.
+  bool has_own_answers = true;
+};
+
+class shared_evidence : public testing::TestWithParam<sharing_case> {};
+
+// No host saw more than one crash.
+TEST_P(shared_evidence, BlocksAtEveryHost) {
+  std::vector<test_host> hosts(5);
+  test_host relay(crash_attribution::role::kRelay);
+  const auto exchange = [&](size_t receivers) {
+    for (test_host& each : hosts) {
+      relay.attribution.Merge(relay.now, each.attribution.TakeNews(each.now));
+    }
+    const crash_evidence news = relay.attribution.TakeNews(relay.now);
+    for (size_t i = 0; i < receivers; ++i) {
+      hosts[i].attribution.Merge(hosts[i].now, news);
+    }
+  };
+  const auto pass = [&](int ms) {
+    relay.Pass(ms);
+    for (test_host& each : hosts) {
+      each.Pass(ms);
+    }
+  };
+  const size_t receivers = GetParam().is_restarted ? 4 : 5;
+  for (size_t i = 0; i < 4; ++i) {
+    pass(200);
+    hosts[i].endpoint = 10 * i;  // Each crash is of another endpoint.
+    hosts[i].request = 10 * i;
+    hosts[i].Crash({kDeadlyPrompt});
+    exchange(receivers);
+    for (test_host& each : hosts) {
+      each.attribution.Update(each.now);
+    }
+  }
+  pass(200);
+  for (size_t i = 0; i < (GetParam().has_own_answers ? 5 : 1); ++i) {
+    hosts[i].Answer({kPopular}, 3);
+    hosts[i].attribution.Update(hosts[i].now);
+  }
+  exchange(receivers);
+  if (GetParam().is_restarted) {
+    hosts[4].attribution.Merge(hosts[4].now,
+                               relay.attribution.Snapshot(relay.now));
+  }
+  pass(50);
+  for (test_host& each : hosts) {
+    EXPECT_TRUE(each.IsBlocked(kDeadly));
+    EXPECT_FALSE(each.IsBlocked(kPopular));
+    EXPECT_FALSE(each.IsBlocked(kRare));
+  }
+  // A whole answer at one host releases the part at all of them.
+  pass(100);
+  hosts[1].Answer({kDeadly});
+  exchange(5);
+  pass(50);
+  for (test_host& each : hosts) {
+    EXPECT_FALSE(each.IsBlocked(kDeadly));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    shared_evidence,
+    testing::Values(sharing_case{"all_hosts"},
+                    sharing_case{"restarted_host", true},
+                    sharing_case{"hosts_without_answers", false, false},
+                    sharing_case{"restarted_without_answers", true, false}),
+    [](const auto& info) { return info.param.name; });
+
+// Crashes of a popular part were attributed to it, although it had been whole.
+TEST(crash_attribution_test, OthersLearnThatAPartWasSoundBefore) {
+  test_host knows;
+  test_host learns;
+  knows.Answer({kRare});
+  learns.Pass(1'000);
+  knows.Pass(1'000);
+  learns.Crash({{kRare}});
+  knows.attribution.Merge(knows.now, learns.attribution.TakeNews(learns.now));
+  const crash_evidence news = knows.attribution.TakeNews(knows.now);
+  ASSERT_EQ(news.whole_answers.size(), 1u);
+  EXPECT_EQ(news.whole_answers[0], (whole_answer_record{kRare, 1'000}));
+  EXPECT_TRUE(news.crashes.empty());
+}
+
+TEST(crash_attribution_test, IsBoundedAndSameEvidenceIsNoNews) {
+  test_host host(crash_attribution::role::kRelay);
+  for (int i = 0; i < 5'000; ++i) {
+    host.Answer({static_cast<prompt_part>(1'000'000 + i)});
+    host.Crash({{static_cast<prompt_part>(100 + i)}});
+  }
+  EXPECT_EQ(host.attribution.record_count(), 1'024u);
+  const crash_evidence snapshot = host.attribution.Snapshot(host.now);
+  EXPECT_EQ(snapshot.crashes.size(), 256u);
+  host.attribution.TakeNews(host.now);
+  host.attribution.Merge(host.now, snapshot);
+  EXPECT_FALSE(host.attribution.HasNews());
+  crash_evidence too_many;
+  too_many.crashes.push_back(
+      {1, 1, kService, 0, 0, std::vector<prompt_part>(kMaxSharedParts + 1)});
+  host.attribution.Merge(host.now, too_many);
+  EXPECT_FALSE(host.attribution.HasNews());
+}
+
+// Endpoints of a fleet crash for reasons of their own; no part is to blame.
+TEST(crash_attribution_test, RandomCrashesBlockNothing) {
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    random_source random(seed);
+    test_host host;
+    std::vector<std::vector<std::vector<prompt_part>>> running(18);
+    for (int ms = 0; ms < 60'000; ms += 20) {
+      host.Pass(20);
+      for (auto& each : running) {
+        if (each.size() < 6 && UniformBelow(random, 4) == 0) {
+          each.push_back({100 + UniformBelow(random, 20),
+                          1'000 + UniformBelow(random, 500)});
+        } else if (!each.empty()) {
+          host.Answer(each.front());
+          each.erase(each.begin());
+        }
+      }
+      if (UniformBelow(random, 25) == 0) {
+        auto& ended = running[UniformBelow(random, running.size())];
+        host.Crash(ended, 120);
+        ended.clear();
+      }
+      for (const block_change& change : host.attribution.Update(host.now)) {
+        ADD_FAILURE() << "seed " << seed << ": part " << change.part << ", "
+                      << change.crashes << " crashes";
+      }
+    }
+  }
+}
+
+}  // namespace
+
+}  // namespace shallotport
--- /dev/null
+++ b/src/libshallotport/poison/crash_exchange.cc
@@ -0,0 +1,87 @@
+#include "poison/crash_exchange.h"
+
+namespace shallotport {
+
+namespace {
+
+// A crash breaks requests within milliseconds; they are sent together.
+constexpr std::chrono::milliseconds kSendInterval{20};
+// Job stores that an entry host sends its records to.
+constexpr size_t kMaxRelays = 3;
+constexpr auto kFrame = static_cast<uint8_t>(fleet_frame::kCrashEvidence);
+
+}  // namespace
+
+crash_exchange::crash_exchange(fleet_host& fleet,
+                               crash_attribution& attribution)
+    : fleet_(fleet), attribution_(attribution) {}
+
+void crash_exchange::Tick(steady_time now) {
+  for (const block_change& change : attribution_.Update(now)) {
+    if (on_change) {
+      on_change(change);
+    }
+  }
+  if (now >= next_send_) {
+    next_send_ = now + kSendInterval;
+    SendNews(now);
+  }
+}
+
+// News stay with an entry host while it has no link to a store.
+void crash_exchange::SendNews(steady_time now) {
+  if (!attribution_.HasNews()) {
+    return;
+  }
+  if (fleet_.self().role == host_role::kStore) {
+    const std::string encoded = EncodeEvidence(attribution_.TakeNews(now));
+    for (const auto& link : fleet_.hub().accepted()) {
+      if (!link->peer_name.empty()) {
+        link->Send(kFrame, encoded);
+      }
+    }
+    return;
+  }
+  const std::vector<std::string> relays = Relays();
+  if (relays.empty()) {
+    return;
+  }
+  const std::string encoded = EncodeEvidence(attribution_.TakeNews(now));
+  for (const std::string& ip : relays) {
+    fleet_.hub().Send(ip, kFrame, encoded);
+  }
+}
+
+std::vector<std::string> crash_exchange::Relays() const {
+  std::vector<std::string> relays;
+  for (const host_announcement& store : fleet_.LiveHosts(host_role::kStore)) {
+    if (relays.size() < kMaxRelays && fleet_.hub().IsUp(store.host.text())) {
+      relays.push_back(store.host.text());
+    }
+  }
+  return relays;
+}
+
+bool crash_exchange::OnFrame(steady_time now,
+                             uint8_t kind,
+                             std::string_view payload) {
+  if (kind != kFrame) {
+    return false;
+  }
+  const auto evidence = DecodeEvidence(payload);
+  if (IsOk(evidence)) {
+    attribution_.Merge(now, ValueOf(evidence));
+  } else {
+    ++malformed_frames_;
+  }
+  return true;
+}
+
+void crash_exchange::OnHostLinked(steady_time now, host_link& link) {
+  const crash_evidence known = attribution_.Snapshot(now);
+  if (!known.IsEmpty()) {
+    link.Send(kFrame, EncodeEvidence(known));
+  }
+}
+
+}  // namespace shallotport
--- a/src/libshallotport/poison/prompt_parts.cc
+++ b/src/libshallotport/poison/prompt_parts.cc
@@ -8,13 +8,6 @@
 
 namespace shallotport {
 
-namespace {
-
-// Of one request, so that a caller cannot make a host keep many.
-constexpr size_t kMaxParts = 32;
-
-}  // namespace
-
 std::vector<prompt_part> SharedPromptParts(const header_list& headers,
                                            std::string_view name) {
   std::vector<prompt_part> parts;
@@ -26,7 +19,7 @@
     const prompt_part part = HashOf(last_id);
     const bool is_known =
         std::find(parts.begin(), parts.end(), part) != parts.end();
-    if (!last_id.empty() && !is_known && parts.size() < kMaxParts) {
+    if (!last_id.empty() && !is_known && parts.size() < kMaxSharedParts) {
       parts.push_back(part);
     }
   };
--- a/src/libshallotport/poison/prompt_parts.h
+++ b/src/libshallotport/poison/prompt_parts.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_POISON_PROMPT_PARTS_H_
 #define SHALLOTPORT_POISON_PROMPT_PARTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 // Key of a part of a prompt: a hash of the id that the caller gave it.
 using prompt_part = uint64_t;
 
+// Of one request, so that a caller cannot make a host keep many.
+inline constexpr size_t kMaxSharedParts = 32;
+
 // The parts of a prompt that other requests may share, in the prompt's order
 // and without repetitions. The header field `name` lists all parts as
 // comma-separated ID:TOKENS entries; the last one belongs to the request or its
