entry, jobstore: limits that endpoints name are read, logged and counted

No line or counter told that an endpoint had named a limit. Change: the field is read from every head (limit_notice, a table of malformed values), kept for the endpoint's start (endpoint_limits), logged when it changes, and attempts at limited endpoints are counted by kind.

--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -17,6 +17,7 @@
 #include "fleet/endpoint_report.h"
 #include "fleet/leaving_endpoints.h"
 #include "poison/crash_attribution.h"
+#include "ratelimits/endpoint_limits.h"
 
 namespace shallotport {
 
@@ -107,6 +108,9 @@
                      leaving_endpoints::origin from);
   const leaving_endpoints& leaving() const { return leaving_; }
 
+  endpoint_limits& limits() { return limits_; }
+  const endpoint_limits& limits() const { return limits_; }
+
   crash_attribution& crashes() { return crashes_; }
   const crash_attribution& crashes() const { return crashes_; }
 
@@ -198,6 +202,7 @@
   std::vector<endpoint_id> failures_;
   leaving_endpoints leaving_;
   crash_attribution crashes_;
+  endpoint_limits limits_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -37,6 +37,12 @@
   uint64_t returns = 0;
   uint64_t endpoints_leaving = 0;  // Said so in a response to this host.
   uint64_t malformed_leave_notices = 0;
+  // Attempts at endpoints that had named a limit; of these, second ones, ones
+  // at another endpoint after a failure, and ones that the endpoint refused.
+  uint64_t attempts_at_limited = 0;
+  uint64_t repeats_at_limited = 0;
+  uint64_t refused_by_limited = 0;
+  uint64_t malformed_limits = 0;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "entry/leave_notice.h"
+#include "entry/limit_log.h"
 #include "entry/routed_exchange.h"
 
 namespace shallotport {
@@ -88,6 +89,18 @@
   }
 }
 
+void entry_duty::ReadLimit(const selected_endpoint& from,
+                           const response_head& head) {
+  const endpoint_start start{from.endpoint, from.start_time_ms};
+  const limit_read read = RecordLimit(clock_.Now(), start, head.headers,
+                                      options_.wire.limit, selector_.limits());
+  counters_.malformed_limits += read == limit_read::kMalformed ? 1 : 0;
+  if (read == limit_read::kChanged) {
+    LogLimit(log_, start, selector_.limits());
+    NotifyLoadChanged();
+  }
+}
+
 void entry_duty::Tick(steady_time now) {
   const duration gap = now - last_tick_at_;
   const std::vector<std::shared_ptr<routed_exchange>> all(active_.begin(),
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -113,6 +113,7 @@
   // To be called with the head of every response, before anything else is
   // decided.
   void ReadLeaving(const selected_endpoint& from, const response_head& head);
+  void ReadLimit(const selected_endpoint& from, const response_head& head);
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -449,6 +449,11 @@
   duty_.versions_.Record(now, service_, attempt->at.software_version);
   ++attempts_;
   ++duty_.counters_.attempts;
+  if (duty_.selector_.limits().IsLimited(
+          {attempt->at.endpoint, attempt->at.start_time_ms})) {
+    ++duty_.counters_.attempts_at_limited;
+    duty_.counters_.repeats_at_limited += attempts_ > 1 ? 1 : 0;
+  }
   duty_.counters_.returns += displaced_.contains(attempt->at.endpoint) ? 1 : 0;
   if (current_ == nullptr) {
     current_ = attempt;
@@ -523,6 +528,7 @@
                                load->second);
   }
   duty_.ReadLeaving(attempt.at, head);
+  duty_.ReadLimit(attempt.at, head);
   attempt.head = std::move(head);
   const bool is_event_stream = attempt.head.headers.Value("Content-Type")
                                    .starts_with("text/event-stream");
@@ -671,6 +677,11 @@
   const endpoint_id endpoint = attempt->at.endpoint;
   const domain_id domain = attempt->at.domain;
   const bool was_second = attempt == second_;
+  if (end == endpoint_outcome::kShed &&
+      duty_.selector_.limits().IsLimited(
+          {endpoint, attempt->at.start_time_ms})) {
+    ++duty_.counters_.refused_by_limited;
+  }
   if (end == endpoint_outcome::kBroken) {
     ++duty_.counters_.broken_attempts;
     // An endpoint that announced its end has not crashed.
--- a/src/libshallotport/entry/wire_profile.h
+++ b/src/libshallotport/entry/wire_profile.h
@@ -17,7 +17,8 @@
   std::string leaving;            // "1": the endpoint wants no new requests.
   std::string resume_after;       // Id of the last event received of a stream.
   std::string retry_after;        // Seconds, on refusals.
-  std::string prompt_parts;       // ID:TOKENS entries of the prompt.
+  std::string limit;  // Requests a second that the endpoint takes in all.
+  std::string prompt_parts;  // ID:TOKENS entries of the prompt.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -9,6 +9,7 @@
 
 #include "base/digest.h"
 #include "entry/leave_notice.h"
+#include "entry/limit_log.h"
 #include "jobstore/item_version_policy.h"
 
 namespace shallotport {
@@ -462,6 +463,10 @@
     headers.Add(options_.wire.resume_after, resume_after);
   }
   auto attempt = std::make_shared<item_attempt>();
+  counters_.attempts_at_limited +=
+      endpoints_.limits().IsLimited({selected.endpoint, selected.start_time_ms})
+          ? 1
+          : 0;
   attempt->item_id = item.id;
   attempt->prompt_parts = PromptParts(item);
   attempt->endpoint = selected.endpoint;
@@ -582,6 +587,14 @@
 }
 
 void item_dispatcher::OnHead(item_attempt& attempt, response_head head) {
+  const endpoint_start limited{attempt.endpoint, attempt.start_time_ms};
+  const limit_read limit =
+      RecordLimit(clock_.Now(), limited, head.headers, options_.wire.limit,
+                  endpoints_.limits());
+  counters_.malformed_limits += limit == limit_read::kMalformed ? 1 : 0;
+  if (limit == limit_read::kChanged) {
+    LogLimit(log_, limited, endpoints_.limits());
+  }
   const leave_notice notice = ReadLeaveNotice(head.headers, options_.wire);
   attempt.head = std::move(head);
   counters_.malformed_leave_notices +=
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -58,6 +58,8 @@
     uint64_t poison = 0;   // Not sent: endpoints crash under their prompts.
     uint64_t endpoints_leaving = 0;  // Said so in a response to an item.
     uint64_t malformed_leave_notices = 0;
+    uint64_t attempts_at_limited = 0;  // At endpoints that had named a limit.
+    uint64_t malformed_limits = 0;
   };
 
   struct options {
