entry, slots, jobstore: endpoints get no more requests than the limit that they name

Cause: no code read the field. Class of fault: a bound that holds for all hosts together; hosts that each keep to it, or that count first attempts only, break it too.

Change (slice ratelimits): endpoint_limits, pure, is a budget of each limited start, asked by endpoint_selector and slot_allocator for every attempt: first and second ones, returns, resumptions, batch items. The leader of the job group uses limits whole and grants from them; while it is heard, other hosts send to a limited endpoint by its grants only, without it by an equal share. At most 2 s of requests accumulate. Hosts learn limits from the leader (limit_exchange; a frame that older builds pass over, and whose records may grow). Limited endpoints are used when no other slot is free, and batch items, which run for long, prefer them. When nothing is free, callers are refused at once with the time until the next request is taken.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -29,6 +29,9 @@
 // others are used.
 constexpr double kOwnDomainFactor = 8;
 constexpr double kIsolatedOwnDomainFactor = 1'000;
+// Where the number of requests is limited, those that run for long make the
+// most of it.
+constexpr double kBatchAtLimitedFactor = 8;
 // Bounds the memory while nobody asks for the failures.
 constexpr size_t kMaxFailures = 20;
 
@@ -144,7 +147,7 @@
   return std::any_of(
       endpoints_.begin(), endpoints_.end(), [&](const auto& each) {
         const endpoint_state& state = each.second;
-        return IsUsable(state) &&
+        return IsUsable(state) && limits_.MaySend(now, StartOf(state), true) &&
                EstimatedLoad(now, state) + 1 + reserve <= state.report.slots;
       });
 }
@@ -153,6 +156,10 @@
   return state.is_ready;
 }
 
+endpoint_start endpoint_selector::StartOf(const endpoint_state& state) {
+  return {state.report.endpoint, state.report.start_time_ms};
+}
+
 bool endpoint_selector::HasVersion(
     const endpoint_state& state,
     const std::optional<std::string>& software_version) {
@@ -207,6 +214,11 @@
       continue;
     }
     ++usable_count;
+    const bool is_rate_limited = limits_.IsLimited(StartOf(state));
+    if ((constraints.is_limited_rate_only && !is_rate_limited) ||
+        !limits_.MaySend(now, StartOf(state), constraints.is_batch)) {
+      continue;
+    }
     const double slots = state.report.slots;
     const double load = EstimatedLoad(now, state);
     const double capacity = constraints.is_batch
@@ -243,8 +255,10 @@
                                      : constraints.unreachable_domains.empty()
                                          ? kOwnDomainFactor
                                          : kIsolatedOwnDomainFactor;
-    const double weight =
-        free_share * free_share * free_share * own_domain_factor;
+    const double limited_factor =
+        constraints.is_batch && is_rate_limited ? kBatchAtLimitedFactor : 1;
+    const double weight = free_share * free_share * free_share *
+                          own_domain_factor * limited_factor;
     total_weight += weight;
     candidates.push_back({&state, load, weight});
   }
@@ -274,6 +288,7 @@
     return usable_count == 0 ? selection_failure::kNoEndpoint
                              : selection_failure::kAllBusy;
   }
+  limits_.RecordSent(now, StartOf(*selected));
   return Take(now, *selected);
 }
 
@@ -411,7 +426,7 @@
   for (const endpoint_id& id : found->second) {
     const endpoint_state& state = endpoints_.at(id);
     if (IsUsable(state) && HasVersion(state, software_version) &&
-        now >= state.backoff_until) {
+        now >= state.backoff_until && !limits_.IsLimited(StartOf(state))) {
       sum.slots += state.report.slots;
       sum.taken += std::min<uint32_t>(
           state.report.slots, static_cast<uint32_t>(EstimatedLoad(now, state)));
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -55,7 +55,8 @@
   std::optional<std::string> software_version;
   // Of the request's prompt; they outlive the constraints.
   std::span<const prompt_part> prompt_parts;
-  bool is_repeat = false;  // It may have been executed already.
+  bool is_repeat = false;             // It may have been executed already.
+  bool is_limited_rate_only = false;  // Only endpoints that name a limit.
   // Batch requests take free slots only; others may also wait at an endpoint.
   bool is_batch = false;
   uint32_t reserved_slots =
@@ -153,7 +154,8 @@
   // True when some endpoint has more than `reserve` free slots.
   bool HasFreeSlots(steady_time now, uint32_t reserve) const;
 
-  // Slots of a service: all, and those taken by the known load.
+  // Slots of a service: all, and those taken by the known load. Endpoints with
+  // a limit are left out: their slots are not free to use.
   struct slot_usage {
     uint32_t slots = 0;
     uint32_t taken = 0;
@@ -188,6 +190,7 @@
   selected_endpoint Take(steady_time now, endpoint_state& state);
   double EstimatedLoad(steady_time now, const endpoint_state& state) const;
   bool IsUsable(const endpoint_state& state) const;
+  static endpoint_start StartOf(const endpoint_state& state);
   // Whether the request may go to this endpoint at all.
   bool IsAllowed(const endpoint_state& state,
                  const selection_constraints& constraints) const;
--- a/src/libshallotport/entry/slot_burst_test.cc
+++ b/src/libshallotport/entry/slot_burst_test.cc
@@ -146,7 +146,7 @@
   }
 
   void StartAllocator() {
-    allocator_ = {};
+    allocator_ = slot_allocator(limits_);
     for (const endpoint_report& report : reports_) {
       allocator_.Update(report);
     }
@@ -318,7 +318,8 @@
   std::vector<endpoint_report> reports_;
   std::map<endpoint_id, int> by_id_;
   std::vector<std::unique_ptr<endpoint_selector>> selectors_;
-  slot_allocator allocator_;
+  endpoint_limits limits_;
+  slot_allocator allocator_{limits_};
   std::vector<engine> engines_;
   std::vector<std::map<int, int>> host_loads_;
   std::map<int, int> known_totals_;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -47,6 +47,7 @@
       slots_(clock, fleet_),
       streams_(clock, fleet_),
       crashes_(fleet_, duty_.selector().crashes()),
+      limits_(fleet_, duty_.selector().limits()),
       callers_(loop, clock, std::move(on_request)) {
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
@@ -100,7 +101,7 @@
                                      std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
       ApplyLoadTotals(link, payload);
-    } else {
+    } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
       crashes_.OnFrame(clock_.Now(), kind, payload);
     }
   };
@@ -131,6 +132,7 @@
   ExchangeLoad(now);
   streams_.Tick(now);
   crashes_.Tick(now);
+  limits_.Tick(now);
   if (!fleet_.HasAllControlLinks()) {
     all_linked_since_.reset();
   } else if (!all_linked_since_) {
@@ -199,6 +201,7 @@
   totals_received_at_ = now;
   slots_.SetLeader(now, link.ip());
   streams_.SetLeader(now, link.ip());
+  limits_.SetLeader(now, link.ip());
   for (const endpoint_start& each : ValueOf(decoded).leaving) {
     duty_.selector().RecordLeaving(now, each,
                                    leaving_endpoints::origin::kOtherHost);
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -12,6 +12,7 @@
 #include "fleet/fleet_host.h"
 #include "jobstore/job_store_client.h"
 #include "poison/crash_exchange.h"
+#include "ratelimits/limit_exchange.h"
 #include "slots/slot_client.h"
 #include "streams/stream_origin_client.h"
 
@@ -76,6 +77,7 @@
   slot_client slots_;
   stream_origin_client streams_;
   crash_exchange crashes_;
+  limit_exchange limits_;
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -27,6 +27,8 @@
   kStreams = 24,     // stream_report, from entry hosts to job stores.
   // crash_evidence, from entry hosts to job stores and from these to all.
   kCrashEvidence = 25,
+  // Limits of endpoints, from the job group's leader to all hosts and back.
+  kEndpointLimits = 26,
 };
 
 // Calls from entry hosts to the leader of the job group, or to any job store
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -300,13 +300,11 @@
   selection_constraints constraints;
   const std::vector<prompt_part> parts = PromptParts(item);
   constraints.is_batch = true;
+  constraints.is_limited_rate_only = !has_slots;
   constraints.software_version = software_version;
   constraints.prompt_parts = parts;
   constraints.is_repeat = round.is_repeat;
-  const auto selection =
-      has_slots ? endpoints_.Acquire(now, service, constraints)
-                : std::variant<selected_endpoint, selection_failure>(
-                      selection_failure::kAllBusy);
+  const auto selection = endpoints_.Acquire(now, service, constraints);
   if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
     return item_selection{*selected, {service, selected->software_version}};
   }
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -95,7 +95,9 @@
                 });
           }),
       crashes_(fleet_, endpoints_.crashes()),
-      healer_({options_.voters}) {
+      limits_(fleet_, endpoints_.limits()),
+      healer_({options_.voters}),
+      slots_(endpoints_.limits()) {
   table_.on_changed = [this](const job_id& job) {
     dispatcher_.OnJobChanged(job);
     ReplyToWaitingReads(job);
@@ -139,7 +141,7 @@
         link.peer_name = ValueOf(host).host.text();
         fleet_.RecordHost(ValueOf(host));
       }
-    } else {
+    } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
       crashes_.OnFrame(clock_.Now(), kind, payload);
     }
   };
@@ -204,6 +206,11 @@
   dispatcher_.SetLeading(group_->IsTermLeader() &&
                          (is_leading || was_dispatching_));
   was_dispatching_ = group_->IsTermLeader() && (is_leading || was_dispatching_);
+  if (is_leading) {
+    limits_.TickLeading(now);
+  } else {
+    endpoints_.limits().SetShare(now, 0);
+  }
   if (is_leading && now >= next_load_totals_at_ &&
       now >= leading_since_ + kLoadSettleTime) {
     next_load_totals_at_ = now + LoadTotalsInterval(entry_loads_.size());
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -19,6 +19,7 @@
 #include "jobstore/item_dispatcher.h"
 #include "jobstore/job_table.h"
 #include "poison/crash_exchange.h"
+#include "ratelimits/limit_exchange.h"
 #include "slots/slot_allocator.h"
 #include "streams/stream_origins.h"
 
@@ -119,6 +120,7 @@
   endpoint_selector endpoints_;
   item_dispatcher dispatcher_;
   crash_exchange crashes_;
+  limit_exchange limits_;
   group_healer healer_;
   std::unique_ptr<group_replica> group_;
   std::optional<route_table> routes_;
--- a/src/libshallotport/ratelimits/endpoint_limits.cc
+++ b/src/libshallotport/ratelimits/endpoint_limits.cc
@@ -14,10 +14,14 @@
 // Above any engine's rate.
 constexpr double kMaxPerSecond = 1e6;
 // What accumulates while nothing is sent, as requests of this time.
-constexpr double kMaxAccumulatedSeconds = 0.5;
+constexpr double kMaxAccumulatedSeconds = 2;
 constexpr double kMinCapacity = 1;
 // Of the capacity, kept for online requests.
 constexpr double kOnlineShare = 0.5;
+// Hosts have heard of an ended limit within this time.
+constexpr std::chrono::seconds kEndedLifetime{30};
+// An endpoint that nobody had an answer of for so long has ended.
+constexpr std::chrono::minutes kLimitLifetime{10};
 // Two records of the same limit.
 constexpr double kTolerance = 0.01;
 
@@ -72,6 +76,7 @@
     state.available = 0;
     state.filled_at = heard_at;
   }
+  change_count_ += is_changed ? 1 : 0;
   return is_changed;
 }
 
@@ -166,6 +171,11 @@
 std::vector<limit_record> endpoint_limits::Records(steady_time now) const {
   std::vector<limit_record> records;
   for (const auto& [id, state] : limits_) {
+    const duration lifetime =
+        state.is_limited ? duration(kLimitLifetime) : duration(kEndedLifetime);
+    if (now > state.heard_at + lifetime) {
+      continue;
+    }
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - state.heard_at);
     records.push_back(
--- a/src/libshallotport/ratelimits/endpoint_limits.h
+++ b/src/libshallotport/ratelimits/endpoint_limits.h
@@ -48,7 +48,9 @@
   // Of the whole limit; 0 if there is none.
   double PerSecond(const endpoint_start& start) const;
 
-  // All that is known, for other hosts.
+  // Rises with each change of a limit.
+  uint64_t change_count() const { return change_count_; }
+  // What is known and not out of date, for other hosts.
   std::vector<limit_record> Records(steady_time now) const;
   // Of that, what a host with these records does not know.
   std::vector<limit_record> NewerThan(
@@ -77,6 +79,7 @@
   void RemoveOldest();
 
   double share_ = 0;
+  uint64_t change_count_ = 0;
   std::map<endpoint_id, limit_state> limits_;
 };
 
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -30,6 +30,10 @@
 // callers who return after a refusal; the others go to new requests.
 constexpr double kReturnShare = 0.25;
 
+endpoint_start StartOf(const endpoint_report& report) {
+  return {report.endpoint, report.start_time_ms};
+}
+
 duration Average(duration mean, duration sample) {
   return mean.count() == 0 ? sample : mean + (sample - mean) / kDurationSamples;
 }
@@ -167,7 +171,8 @@
   if (!state.is_ready || slots == 0 || !HasVersion(request, state) ||
       contains(request.avoided_endpoints, key) ||
       contains(request.avoided_domains, state.report.domain) ||
-      IsAvoidedByOthers(now, state)) {
+      IsAvoidedByOthers(now, state) ||
+      !limits_->MaySend(now, StartOf(state.report), false)) {
     return ranked;
   }
   const auto online = static_cast<uint32_t>(state.uses.size());
@@ -178,6 +183,12 @@
     ranked.rank = preference::kFailing;
     return ranked;
   }
+  if (limits_->IsLimited(StartOf(state.report))) {
+    // What it takes is kept for times when no other slot is free.
+    ranked.rank = total < slots ? preference::kFree : preference::kUnusable;
+    ranked.load += 1;
+    return ranked;
+  }
   if (total < slots) {
     ranked.rank =
         is_own_domain ? preference::kFreeInOwnDomain : preference::kFree;
@@ -266,6 +277,9 @@
   }
   slot_decision decision;
   if (best.rank == candidate::preference::kUnusable) {
+    if (const auto limited = LimitedService(now, request)) {
+      return Refuse(now, request, limited->wait);
+    }
     decision.reply.kind = slot_reply_kind::kNoEndpoint;
     return decision;
   }
@@ -273,6 +287,7 @@
     return Refuse(now, request, best.wait);
   }
   endpoint_state& state = endpoints_.at(best.key);
+  limits_->RecordSent(now, StartOf(state.report));
   state.uses.push_back({host, now});
   StartWaiting(now, state);
   host_endpoints_[host].insert(best.key);
@@ -285,21 +300,46 @@
   return decision;
 }
 
+std::optional<slot_allocator::limited_service> slot_allocator::LimitedService(
+    steady_time now,
+    const slot_request& request) const {
+  std::optional<limited_service> sum;
+  for (const auto& [key, state] : endpoints_) {
+    const endpoint_start start = StartOf(state.report);
+    if (!state.is_ready || !HasVersion(request, state) ||
+        state.report.service != request.service || !limits_->IsLimited(start)) {
+      continue;
+    }
+    const duration wait = limits_->WaitFor(now, start).value_or(duration(0));
+    sum = limited_service{
+        sum ? std::min(sum->wait, wait) : wait,
+        (sum ? sum->per_second : 0) + limits_->PerSecond(start)};
+  }
+  return sum;
+}
+
 slot_decision slot_allocator::Refuse(steady_time now,
                                      const slot_request& request,
                                      duration expected_wait) {
   uint32_t slots = 0;
   for (const auto& [key, state] : endpoints_) {
     const bool is_usable = state.is_ready && HasVersion(request, state) &&
-                           state.report.service == request.service;
+                           state.report.service == request.service &&
+                           !limits_->IsLimited(StartOf(state.report));
     slots += is_usable ? state.report.slots : 0;
   }
+  const auto limited = LimitedService(now, request);
   service_state& service = services_[request.service];
   const duration mean = service.mean_duration.count() > 0
                             ? service.mean_duration
                             : duration(kInitialDuration);
-  const auto interval = std::chrono::duration_cast<duration>(
-      mean / (kReturnShare * std::max<uint32_t>(slots, 1)));
+  const std::chrono::duration<double> mean_seconds = mean;
+  const double freed_per_second =
+      slots / mean_seconds.count() + (limited ? limited->per_second : 0);
+  const auto interval =
+      std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+          1 / (kReturnShare *
+               std::max(freed_per_second, 1 / mean_seconds.count()))));
   const steady_time earliest =
       now + std::max<duration>(expected_wait, kMinRetryAfter);
   const steady_time latest =
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "fleet/endpoint_report.h"
 #include "fleet/fleet_messages.h"
 #include "fleet/leaving_endpoints.h"
+#include "ratelimits/endpoint_limits.h"
 #include "slots/slot_messages.h"
 
 namespace shallotport {
@@ -44,6 +46,9 @@
 // queues them. Two hosts that both believe to be the leader do no harm.
 class slot_allocator {
  public:
+  // `limits` outlives the allocator; batch requests draw on them as well.
+  explicit slot_allocator(endpoint_limits& limits) : limits_(&limits) {}
+
   void Update(const endpoint_report& report);
   // The endpoint has ended without a report; a later report adds it again.
   void Remove(const endpoint_id& endpoint);
@@ -115,11 +120,21 @@
   static void StartWaiting(steady_time now, endpoint_state& state);
   duration MeanDuration(const endpoint_state& state) const;
   void RecordDuration(endpoint_state& state, duration elapsed);
+  // Until an endpoint with a limit takes one more request of the service, and
+  // how many a second they take; nullopt: none has a limit.
+  struct limited_service {
+    duration wait{};
+    double per_second = 0;
+  };
+  std::optional<limited_service> LimitedService(
+      steady_time now,
+      const slot_request& request) const;
   // Tells the caller to return when its turn among the refused ones comes.
   slot_decision Refuse(steady_time now,
                        const slot_request& request,
                        duration expected_wait);
 
+  endpoint_limits* limits_;
   std::map<uint32_t, endpoint_state> endpoints_;  // By LoadKey().
   std::map<uint32_t, endpoint_id> endpoint_ids_;
   std::map<service_id, service_state> services_;
--- a/src/libshallotport/slots/slot_allocator_random_test.cc
+++ b/src/libshallotport/slots/slot_allocator_random_test.cc
@@ -247,7 +247,8 @@
 
   random_source random_;
   steady_time now_{milliseconds(1'000'000)};
-  slot_allocator allocator_;
+  endpoint_limits limits_;
+  slot_allocator allocator_{limits_};
   std::map<int, endpoint_truth> endpoints_;
   std::map<int, host_load> loads_;
   std::map<int, load_report> late_reports_;
--- a/src/libshallotport/slots/slot_allocator_test.cc
+++ b/src/libshallotport/slots/slot_allocator_test.cc
@@ -69,7 +69,8 @@
 
 TEST_P(preference, SelectsTheEndpointThatStartsTheRequestFirst) {
   const preference_case& each = GetParam();
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("near"));
   allocator.Update(MakeReport("near_too"));
   allocator.Update(MakeReport("far", "b"));
@@ -124,7 +125,8 @@
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(slot_allocator_test, FullEndpointsQueueUpToTheUsefulWaitThenRefuse) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   for (uint32_t i = 0; i < kSlots; ++i) {
     EXPECT_EQ(allocator.Allocate(kStart, "host", MakeRequest(0)).reply.kind,
@@ -148,7 +150,8 @@
 }
 
 TEST(slot_allocator_test, ExpectedWaitFollowsMeasuredDurations) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   steady_time now = kStart;
   for (int i = 0; i < 40; ++i) {
@@ -167,7 +170,8 @@
 }
 
 TEST(slot_allocator_test, RefusedCallersReturnAtABoundedRate) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   for (uint32_t i = 0; i < kSlots; ++i) {
     allocator.Allocate(kStart, "host", MakeRequest(0));
@@ -188,7 +192,8 @@
 }
 
 TEST(slot_allocator_test, LoadReportSentBeforeAGrantDoesNotEraseIt) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   allocator.Allocate(kStart, "host", MakeRequest());
   allocator.RecordLoad(kStart + milliseconds(3), "host", MakeLoad("e", 0));
@@ -199,7 +204,8 @@
 }
 
 TEST(slot_allocator_test, ReportedLoadOfOwnSelectionsIsCounted) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   allocator.RecordLoad(kStart, "host", MakeLoad("e", 3));
   allocator.RecordLoad(kStart, "other", MakeLoad("e", 2));
@@ -211,7 +217,8 @@
 }
 
 TEST(slot_allocator_test, EndpointThatTwoHostsAvoidIsAvoidedForAll) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("broken"));
   allocator.Update(MakeReport("sound", "b"));
   slot_request avoiding = MakeRequest();
@@ -232,7 +239,8 @@
 
 // It ends its requests at once, so that its slots always seem to be free.
 TEST(slot_allocator_test, EndpointThatFailsManyRequestsIsUsedAfterOthers) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("failing"));
   allocator.Update(MakeReport("sound"));
   steady_time now = kStart;
@@ -268,7 +276,8 @@
 class unusable_endpoint : public testing::TestWithParam<unusable_case> {};
 
 TEST_P(unusable_endpoint, IsNotGranted) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   slot_request request = MakeRequest();
   EXPECT_EQ(allocator.Allocate(kStart, "host", request).reply.kind,
@@ -314,7 +323,8 @@
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(slot_allocator_test, NewStartOfAnEndpointHasNoLoad) {
-  slot_allocator allocator;
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
   allocator.Update(MakeReport("e"));
   allocator.RecordLoad(kStart, "host", MakeLoad("e", 4));
   endpoint_report restarted = MakeReport("e");
