eventio, entry, jobstore: bytes without end from an endpoint are bounded

A Content-Length of 100 GB made the host reserve that much and end: Beast's parser, if eager, goes on after it has refused the length.

Cause: only the head had a bound. Class of fault: a bound that is checked where bytes are used, after they were kept. Change: 64 KiB of framing or unparsed input, 1 MiB before the response's head, 16 MiB of body; an event of more than 1 MiB ends its attempt. The call ends as an invalid response, the connection is closed, the endpoint counts as failed; callers get 502, another attempt where that is allowed.

Callers' requests had the bounds; a row with such a length is new there (green before).

--- a/src/libshallotport/entry/event_splitter.cc
+++ b/src/libshallotport/entry/event_splitter.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr size_t kMaxEventBytes = 1u << 20;
+
 // Offset just past the empty line that ends the first complete event; npos if
 // there is none.
 size_t EndOfEvent(std::string_view bytes, size_t from) {
@@ -49,6 +51,10 @@
   return complete_events;
 }
 
+bool event_splitter::is_overlong() const {
+  return partial_.size() > kMaxEventBytes;
+}
+
 void event_splitter::ParseEvent(std::string_view event) {
   while (!event.empty()) {
     const size_t newline = std::min(event.find('\n'), event.size() - 1);
--- a/src/libshallotport/entry/event_splitter.h
+++ b/src/libshallotport/entry/event_splitter.h
@@ -17,6 +17,8 @@
   void Reset() { partial_.clear(); }
 
   bool has_partial() const { return !partial_.empty(); }
+  // The event that is being received is longer than any event.
+  bool is_overlong() const;
   // The id of the last complete event; empty if none had one.
   const std::string& last_id() const { return last_id_; }
   // The data of the events that the last Feed() returned, each followed by a
--- a/src/libshallotport/entry/event_splitter_test.cc
+++ b/src/libshallotport/entry/event_splitter_test.cc
@@ -37,6 +37,17 @@
   EXPECT_EQ(splitter.last_id(), "2");
 }
 
+TEST(event_splitter_test, EventWithoutEndIsNoticed) {
+  event_splitter splitter;
+  splitter.Feed("id: 1\ndata: a\n\ndata: ");
+  const std::string bytes(64u << 10, 'x');
+  for (int i = 0; i < 16; ++i) {
+    EXPECT_FALSE(splitter.is_overlong());
+    splitter.Feed(bytes);
+  }
+  EXPECT_TRUE(splitter.is_overlong());
+}
+
 }  // namespace
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -545,6 +545,11 @@
     return;
   }
   const std::string complete_events = attempt->events.Feed(bytes);
+  if (attempt->events.is_overlong()) {
+    OnAttemptFailed(attempt, attempt_result::kInDoubt,
+                    endpoint_outcome::kBroken);
+    return;
+  }
   if (complete_events.empty()) {
     return;
   }
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -27,6 +27,12 @@
 // close a connection while a request is on its way.
 constexpr std::chrono::milliseconds kKeepAliveMargin{500};
 constexpr size_t kMaxHeaderBytes = 64u << 10;
+// Of a chunk's size line, of all trailers, and of other input without a whole
+// element.
+constexpr size_t kMaxFramingBytes = 64u << 10;
+// Interim responses and late responses to earlier requests.
+constexpr size_t kMaxPreambleBytes = 1u << 20;
+constexpr size_t kMaxBodyBytes = 16u << 20;
 
 // "timeout=5, max=100" -> 5 s.
 duration KeepAliveTime(std::string_view header) {
@@ -63,6 +69,8 @@
   has_head_ = false;
   is_skipping_response_ = false;
   may_keep_alive_ = false;
+  preamble_bytes_ = 0;
+  framing_bytes_ = 0;
   parser_.reset();
   if (is_connected_) {
     Send();
@@ -158,16 +166,18 @@
 bool endpoint_connection::ParseInput() {
   if (!parser_) {
     parser_.emplace();
-    parser_->eager(true);
+    // An eager parser reserves memory for a body whose length it has refused.
+    parser_->eager(false);
     parser_->header_limit(kMaxHeaderBytes);
-    parser_->body_limit(boost::none);
+    parser_->body_limit(kMaxBodyBytes);
     parser_->skip(request_.method == "HEAD");
     has_head_ = false;
   }
   error_code failure;
   const size_t used = parser_->put(boost::asio::buffer(input_), failure);
   input_.erase(0, used);
-  if (failure && failure != http::error::need_more) {
+  CountParsed(used);
+  if ((failure && failure != http::error::need_more) || IsTooLong()) {
     Finish(call_end::kInvalidResponse);
     return false;
   }
@@ -185,9 +195,24 @@
   return !failure && used > 0;
 }
 
+void endpoint_connection::CountParsed(size_t parsed_bytes) {
+  if (!has_head_ || is_skipping_response_) {
+    preamble_bytes_ += parsed_bytes;
+    return;
+  }
+  const bool has_body_bytes = !parser_->get().body().empty();
+  framing_bytes_ = has_body_bytes ? 0 : framing_bytes_ + parsed_bytes;
+}
+
+bool endpoint_connection::IsTooLong() const {
+  return preamble_bytes_ > kMaxPreambleBytes ||
+         framing_bytes_ > kMaxFramingBytes || input_.size() > kMaxFramingBytes;
+}
+
 // False for an interim response.
 bool endpoint_connection::ProcessHead() {
   has_head_ = true;
+  parser_->eager(true);
   const auto& message = parser_->get();
   if (message.result_int() < 200) {
     parser_.reset();  // An interim response; the final one follows.
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -47,6 +47,9 @@
   void ProcessBody();
   void FinishResponse();
   void Finish(call_end end);
+  void CountParsed(size_t parsed_bytes);
+  // An endpoint in trouble may write without end.
+  bool IsTooLong() const;
 
   endpoint_connection_pool* pool_;
   const endpoint_address address_;
@@ -66,6 +69,11 @@
   bool is_skipping_response_ = false;
   bool may_keep_alive_ = false;
   bool is_closed_ = false;
+  // Of the current call: before its response's head (interim responses, answers
+  // to other requests), and of what frames its body since the last byte of
+  // that.
+  size_t preamble_bytes_ = 0;
+  size_t framing_bytes_ = 0;
   duration keep_alive_{};
   steady_time idle_until_{};
 };
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -138,6 +138,10 @@
         malformed_request{"large_body",
                           "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" +
                               std::string(65, 'x'),
+                          "413"},
+        malformed_request{"body_beyond_all_memory",
+                          "POST / HTTP/1.1\r\n"
+                          "Content-Length: 99999999999999\r\n\r\nx",
                           "413"}),
     [](const auto& info) { return info.param.name; });
 
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -493,6 +493,11 @@
     self->last_received_at = clock_.Now();
     const bool has_events = !self->events.last_id().empty();
     self->events.Feed(bytes);
+    if (self->events.is_overlong()) {
+      ++counters_.broken;
+      AbortAttempt(key, endpoint_outcome::kBroken, kRetryDelayAfterBreak);
+      return;
+    }
     if (!has_events && !endpoints_.IsSameStart(self->selection.endpoint)) {
       // Its software version is not known.
       AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterBreak);
--- a/src/libshallotport/poison/prompt_parts_test.cc
+++ b/src/libshallotport/poison/prompt_parts_test.cc
@@ -24,6 +24,7 @@
     headers.Add("x-parts", value);
   }
   std::vector<prompt_part> expected;
+  expected.reserve(GetParam().expected.size());
   for (const std::string& id : GetParam().expected) {
     expected.push_back(HashOf(id));
   }
