--- a/src/libshallotport/poison/prompt_parts_test.cc
+++ b/src/libshallotport/poison/prompt_parts_test.cc
@@ -41,6 +41,7 @@
 
 std::vector<std::string> ManyIds(int count) {
   std::vector<std::string> ids;
+  ids.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     ids.push_back("p" + std::to_string(i));
   }
