--- a/util/setup.sh
+++ b/util/setup.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build, the tests and the demo need. Safe to run again.
 set -euo pipefail
-packages=(g++ cmake ninja-build pkg-config ccache curl git
+packages=(g++ cmake make ninja-build pkg-config ccache strace curl git
   libulfius-dev libcereal-dev libboost-dev libboost-log-dev libboost-thread-dev
   libyaml-cpp-dev nlohmann-json3-dev libxxhash-dev libssl-dev
   libgtest-dev librapidcheck-dev libbenchmark-dev
