--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -6,7 +6,6 @@
 # fixed ports and run one at a time. *_fuzz.cc files are
 # libFuzzer targets and *_benchmark.cc files Google Benchmark programs.
 find_package(Threads REQUIRED)
-find_package(PkgConfig REQUIRED)
 if(BUILD_TESTING)
   find_package(GTest REQUIRED)
   include(GoogleTest)
