jobstore: items that wait past their retention are given up

Seen: an item that nothing may run (its prompt has a blocked part, or no route matches any more) was never listed, so that its job stayed open for ever and its tokens stayed counted against the route's limit. Cause: the margin for it was declared, and docs/design/platform-questions.md said that items end with their retention, but nothing looked.

The dispatcher records such items as dead letters 15 s after their retention, if no attempt of theirs runs. Red before: expired_item_test/past_its_retention (no result); its three other rows hold that nothing is given up too early.

--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -33,6 +33,8 @@
 // Added to a job's retention before its items are given up, because clocks may
 // jump.
 constexpr wall_milliseconds kRetentionMarginMs = 15'000;
+constexpr std::chrono::milliseconds kExpiryCheckInterval{1'000};
+constexpr size_t kMaxExpiredPerCheck = 50;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -149,6 +151,10 @@
   }
   YieldToOnline(now);
   CommitProgress(now);
+  if (now >= next_expiry_check_at_) {
+    next_expiry_check_at_ = now + kExpiryCheckInterval;
+    GiveUpExpired();
+  }
   if (now < next_dispatch_at_ || !endpoints_.HasFreeSlots(now, 0)) {
     return;
   }
@@ -200,6 +206,35 @@
   return keys;
 }
 
+void item_dispatcher::GiveUpExpired() {
+  const wall_milliseconds wall = clock_.WallNow();
+  std::vector<item_key> expired;
+  for (const auto& [id, job] : table_.jobs()) {
+    const wall_milliseconds retention = job.submission.retention_ms;
+    if (!job.IsOpen() || retention == 0 ||
+        wall <= job.accepted_at + retention + kRetentionMarginMs) {
+      continue;
+    }
+    for (uint32_t i = 0; i < job.items.size(); ++i) {
+      const item_key key(id, i);
+      const auto pending = pending_items_.find(key);
+      const bool is_committing = pending != pending_items_.end() &&
+                                 pending->second.is_committing_result;
+      if (!job.items[i].has_result && !attempts_.contains(key) &&
+          !is_committing) {
+        expired.push_back(key);
+      }
+    }
+  }
+  expired.resize(std::min(expired.size(), kMaxExpiredPerCheck));
+  for (const item_key& key : expired) {
+    ++counters_.expired;
+    log_.LogRequest("item_expired", {{"job", key.first.text()},
+                                     {"item_place", int64_t{key.second}}});
+    CommitResult(key, {});
+  }
+}
+
 // Commits the output received since the last commit, of all items in one
 // command.
 void item_dispatcher::CommitProgress(steady_time now) {
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -56,6 +56,7 @@
     uint64_t broken = 0;
     uint64_t refused = 0;  // By endpoints without a free slot.
     uint64_t poison = 0;   // Not sent: endpoints crash under their prompts.
+    uint64_t expired = 0;  // Given up after their retention.
     uint64_t endpoints_leaving = 0;  // Said so in a response to an item.
     uint64_t malformed_leave_notices = 0;
     uint64_t attempts_at_limited = 0;  // At endpoints that had named a limit.
@@ -150,6 +151,8 @@
   // later, after their last event.
   void YieldToOnline(steady_time now);
   void AbortSilent(steady_time now);
+  // Records items that wait past their retention as dead letters.
+  void GiveUpExpired();
   void CommitProgress(steady_time now);
   void OnProgressCommitted(const item_key& key, commit_outcome outcome);
   // Aborts the attempt and discards uncommitted progress, of one item or of
@@ -179,6 +182,7 @@
   // when leadership is lost.
   std::map<item_key, pending_item> pending_items_;
   steady_time next_sweep_at_{};
+  steady_time next_expiry_check_at_{};
   steady_time next_progress_commit_at_{};
   steady_time next_dispatch_at_{};
   item_schedule schedule_;
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -23,6 +23,20 @@
 using std::chrono::milliseconds;
 using commit_outcome = item_dispatcher::commit_outcome;
 
+// A clock whose time of day a test sets forward.
+class shifted_clock_source final : public clock_source {
+ public:
+  steady_time Now() const override { return clock_.Now(); }
+  wall_milliseconds WallNow() const override {
+    return clock_.WallNow() + wall_offset.count();
+  }
+
+  milliseconds wall_offset{};
+
+ private:
+  boot_clock_source clock_;
+};
+
 // A dispatcher with one scripted endpoint. Commands are applied at once, or
 // held until the test commits or loses them.
 class item_dispatcher_test : public testing::Test {
@@ -102,13 +116,17 @@
              : commit_outcome::kCommitted);
   }
 
-  void Submit(const std::string& id, int items, uint32_t objective_ms) {
+  void Submit(const std::string& id,
+              int items,
+              uint32_t objective_ms,
+              uint32_t retention_ms = 0) {
     job_command command;
     command.kind = job_command_kind::kSubmit;
     command.submission.job = job_id(id);
     command.job = command.submission.job;
     command.submission.host = "h";
     command.submission.objective_ms = objective_ms;
+    command.submission.retention_ms = retention_ms;
     command.submission.max_failures = 2;
     for (int i = 0; i < items; ++i) {
       job_item item;
@@ -142,7 +160,7 @@
   }
 
   boost::asio::io_context loop_;
-  boot_clock_source clock_;
+  shifted_clock_source clock_;
   script respond_;
   std::vector<std::string> attempted_items_;
   scripted_endpoint endpoint_;
@@ -272,6 +290,60 @@
                                  0}),
     [](const auto& info) { return info.param.name; });
 
+struct expiry_case {
+  std::string name;
+  uint32_t retention_ms;
+  milliseconds age;  // Of the job.
+  bool is_running;
+  bool is_given_up;
+};
+
+class expired_item_test : public item_dispatcher_test,
+                          public testing::WithParamInterface<expiry_case> {};
+
+TEST_P(expired_item_test, IsDeadLetterIfItWaitsPastItsRetention) {
+  std::shared_ptr<raw_connection> running;
+  respond_ = [&running](raw_connection& connection, const std::string& id,
+                        const std::string&) {
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: " + id +
+                     "\r\nX-Proof: p\r\nContent-Length: 99999\r\n\r\n");
+    running = connection.shared_from_this();
+  };
+  // Nothing is sent while all slots are occupied.
+  selector_.SetPeerLoad(clock_.Now() + std::chrono::seconds(5),
+                        endpoint_id("e"), GetParam().is_running ? 0 : 3);
+  Submit("j", 1, 10'000, GetParam().retention_ms);
+  RunUntilDone([&] { return !GetParam().is_running || running != nullptr; });
+  clock_.wall_offset = GetParam().age;
+  const steady_time end = clock_.Now() + milliseconds(1'200);
+  steady_time next_event_at{};
+  RunUntilDone([&] {
+    if (GetParam().is_running && clock_.Now() >= next_event_at) {
+      next_event_at = clock_.Now() + milliseconds(20);
+      running->Write(kSecondEvent);
+    }
+    return ResultCount("j") == 1 || clock_.Now() >= end;
+  });
+  EXPECT_EQ(dispatcher_.totals().expired, GetParam().is_given_up ? 1u : 0u);
+  ASSERT_EQ(ResultCount("j"), GetParam().is_given_up ? 1u : 0u);
+  if (GetParam().is_given_up) {
+    EXPECT_FALSE(table_.Read(job_id("j"), 0).results[0].is_completed);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    expired_item_test,
+    testing::Values(expiry_case{"past_its_retention", 60'000,
+                                milliseconds(76'000), false, true},
+                    expiry_case{"within_the_margin_for_clocks", 60'000,
+                                milliseconds(70'000), false, false},
+                    expiry_case{"without_a_retention", 0, milliseconds(900'000),
+                                false, false},
+                    expiry_case{"running", 60'000, milliseconds(76'000), true,
+                                false}),
+    [](const auto& info) { return info.param.name; });
+
 // After an outage, jobs that can no longer meet their deadline wait together
 // with jobs that can. One slot at a time is free for batch items.
 TEST_F(item_dispatcher_test, ItemsThatCanMeetTheirDeadlineAreSentFirst) {
--- a/src/libshallotport/jobstore/item_schedule.h
+++ b/src/libshallotport/jobstore/item_schedule.h
@@ -40,7 +40,6 @@
   // after its first attempt began.
   void RecordFinished(duration executing, duration elapsed);
 
-  // Of an item's executions in all.
   // Of an item's executions in all.
   duration expected_duration() const { return expected_duration_; }
   // From the first attempt until the result, which most items keep to.
