consensus: slow syncs are counted and logged, and a test of a disk that stalls

Members time each sync of their log. Those that outlast a leader's lease are counted (shallotport_slow_syncs, _longest_sync_ms on control hosts and stores) and logged, one line in 10 s.

stalled_sync_test runs the group in virtual time while one member's sync takes 8 s: the others have a leader within 2.4 s and commit, the stalled leader steps down afterwards, no read is stale, and all members hold the same entries.

--- a/src/libshallotport/consensus/replica_driver.cc
+++ b/src/libshallotport/consensus/replica_driver.cc
@@ -351,6 +351,8 @@
   counters["snapshots_failed"] = snapshots_failed_;
   counters["snapshot_bytes"] = last_snapshot_bytes_;
   counters["consensus_sent_bytes"] = sent_bytes_;
+  counters["slow_syncs"] = syncs_.slow;
+  counters["longest_sync_ms"] = syncs_.longest / std::chrono::milliseconds(1);
   counters["ring_refused"] = duty_.ring().refused();
   counters["is_leader"] = core_->role() == member_role::kLeader ? 1 : 0;
   counters["is_failed"] = is_failed() ? 1 : 0;
--- a/src/libshallotport/consensus/replica_driver.h
+++ b/src/libshallotport/consensus/replica_driver.h
@@ -24,6 +24,7 @@
 #include "consensus/replica.h"
 #include "consensus/replica_storage.h"
 #include "consensus/state_machine_set.h"
+#include "consensus/sync_totals.h"
 #include "storage/incoming_snapshot.h"
 
 namespace shallotport {
@@ -99,6 +100,7 @@
   const consensus_core* core() const { return core_.get(); }
   log_index applied_index() const { return applied_index_; }
   bool is_failed() const { return !failure_.empty(); }
+  const sync_totals& syncs() const { return syncs_; }
   // For tests: called with each applied entry.
   std::function<void(const log_entry& entry)> on_applied;
 
@@ -131,6 +133,8 @@
   // replica_execution.cc
   bool RunActions(steady_time now);
   bool Store(steady_time now, const consensus_actions& actions);
+  // Syncs the log, and counts syncs that are slow.
+  status SyncLog();
   bool RetryStore(steady_time now);
   void SendAll(const std::vector<consensus_message>& messages);
   void SendChunks(const std::vector<chunk_request>& requests);
@@ -156,6 +160,8 @@
   log_index applied_index_ = 0;
   bool was_leader_ = false;
   std::string failure_;
+  sync_totals syncs_;
+  steady_time next_slow_sync_line_at_{};
   bool is_disk_full_ = false;
   steady_time next_disk_retry_at_{};
   bool is_nearly_full_ = false;
--- a/src/libshallotport/consensus/replica_execution.cc
+++ b/src/libshallotport/consensus/replica_execution.cc
@@ -14,6 +14,7 @@
 constexpr log_index kMaxApplyBatch = 512;
 constexpr std::chrono::milliseconds kDiskRetryInterval{500};
 constexpr std::chrono::seconds kSnapshotRetryInterval{10};
+constexpr std::chrono::seconds kSlowSyncLineInterval{10};
 
 }  // namespace
 
@@ -51,7 +52,7 @@
     storage_->PutEntry(*entry);
     bytes_since_snapshot_ += entry->content.command.size();
   }
-  const status synced = storage_->Sync();
+  const status synced = SyncLog();
   if (IsOk(synced)) {
     core_->Persisted(core_->log().last_index());
     return true;
@@ -72,12 +73,33 @@
   return false;
 }
 
+status replica_driver::SyncLog() {
+  const steady_time begun_at = clock_.Now();
+  const status synced = storage_->Sync();
+  const steady_time now = clock_.Now();
+  const duration taken = now - begun_at;
+  syncs_.longest = std::max(syncs_.longest, taken);
+  if (taken < options_.lease_duration) {
+    return synced;
+  }
+  ++syncs_.slow;
+  if (now >= next_slow_sync_line_at_) {
+    next_slow_sync_line_at_ = now + kSlowSyncLineInterval;
+    LogWarning(kDuty,
+               "sync of the log of group " + std::to_string(options_.group) +
+                   " took " +
+                   std::to_string(taken / std::chrono::milliseconds(1)) +
+                   " ms; slow syncs so far: " + std::to_string(syncs_.slow));
+  }
+  return synced;
+}
+
 bool replica_driver::RetryStore(steady_time now) {
   if (now < next_disk_retry_at_) {
     return false;
   }
   next_disk_retry_at_ = now + kDiskRetryInterval;
-  const status synced = storage_->Sync();
+  const status synced = SyncLog();
   if (IsOk(synced)) {
     LogStateChange(kDuty, "disk has space again; consensus member resumes");
     is_disk_full_ = false;
--- a/src/libshallotport/consensus/replica_group_simulation_test_util.h
+++ b/src/libshallotport/consensus/replica_group_simulation_test_util.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -158,13 +159,25 @@
   }
   void Heal() { blocked_links.clear(); }
 
+  // The member's next sync takes as long as `meanwhile` runs the group. Until
+  // then the member does nothing, and what is sent to it waits.
+  void StallNextSync(const host_id& host, std::function<void()> meanwhile) {
+    members.at(host).files.OnNextSync(
+        [this, host, meanwhile = std::move(meanwhile)] {
+          stalled.insert(host);
+          meanwhile();
+          stalled.erase(host);
+        });
+  }
+
   // Advances the time by one step: delivers packets, restarts members, flushes
   // those that need it and checks the leases.
   void Step() {
     elapsed += kStep;
     std::vector<packet> deliverable;
     std::erase_if(packets, [&](packet& each) {
-      const bool is_due = each.deliver_at <= elapsed;
+      const bool is_due =
+          each.deliver_at <= elapsed && !stalled.contains(each.to);
       if (is_due) {
         deliverable.push_back(std::move(each));
       }
@@ -183,7 +196,8 @@
       if (each.driver == nullptr && elapsed >= each.restart_at) {
         Start(host);
       }
-      if (each.driver != nullptr && each.clock->Now() >= each.next_flush_at) {
+      if (each.driver != nullptr && !stalled.contains(host) &&
+          each.clock->Now() >= each.next_flush_at) {
         each.next_flush_at = each.driver->Flush(each.clock->Now());
         each.driver->WaitForSnapshot();
       }
@@ -405,6 +419,7 @@
   std::map<host_id, member> members;
   std::vector<packet> packets;
   std::set<std::pair<host_id, host_id>> blocked_links;
+  std::set<host_id> stalled;  // Their disks are syncing.
   double drop_probability = 0;
   double duplicate_probability = 0;
   duration max_delay = std::chrono::milliseconds(4);
--- a/src/libshallotport/consensus/replica_group_test.cc
+++ b/src/libshallotport/consensus/replica_group_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <string>
 
 #include "consensus/replica_group_simulation_test_util.h"
 
@@ -190,6 +192,57 @@
   EXPECT_NE(group_.Leader(), leader);
 }
 
+struct stalled_sync_case {
+  std::string name;
+  bool is_leader = false;  // The member whose disk stalls.
+  milliseconds stall;
+  uint64_t slow_syncs = 0;
+};
+
+class stalled_sync_test : public testing::TestWithParam<stalled_sync_case> {
+ protected:
+  replica_group_simulation group_{7, Hosts(3)};
+};
+
+TEST_P(stalled_sync_test, OthersGoOnAndNothingIsLost) {
+  ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
+  ASSERT_TRUE(group_.Commit("a", seconds(1)));
+  const host_id leader = group_.Leader();
+  const auto stalled = std::find_if(
+      group_.members.begin(), group_.members.end(), [&](const auto& each) {
+        return (each.first == leader) == GetParam().is_leader;
+      });
+  group_.StallNextSync(stalled->first, [&] {
+    const duration until = group_.elapsed + GetParam().stall;
+    if (GetParam().stall >= seconds(3)) {
+      // A leader is replaced within two election timeouts.
+      group_.Run(milliseconds(2'400));
+      EXPECT_NE(group_.Leader(), host_id());
+      EXPECT_NE(group_.Leader(), stalled->first);
+      EXPECT_TRUE(group_.Commit("b", milliseconds(500)));
+    }
+    group_.Run(until - group_.elapsed);
+  });
+  group_.Read(leader);
+  EXPECT_TRUE(group_.Commit("c", seconds(10)));
+  group_.Run(seconds(5));
+  const sync_totals& syncs = stalled->second.driver->syncs();
+  EXPECT_EQ(syncs.slow, GetParam().slow_syncs);
+  EXPECT_GE(syncs.longest, 0.9 * GetParam().stall);
+  EXPECT_FALSE(stalled->second.driver->is_failed());
+  EXPECT_FALSE(group_.Leader().IsEmpty());
+  group_.CheckConverged();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    stalled_sync_test,
+    testing::Values(stalled_sync_case{"leader", true, seconds(8), 1},
+                    stalled_sync_case{"follower", false, seconds(8), 1},
+                    stalled_sync_case{"leader_for_a_moment", true,
+                                      milliseconds(150), 0}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(replica_group_test, FullDiskPausesTheLeaderAndLosesNothing) {
   ASSERT_TRUE(group_.RunUntilLeader(seconds(5)));
   ASSERT_TRUE(group_.Commit("a", seconds(1)));
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -67,6 +67,7 @@
   std::string LeaderAddress() const;
   bool IsLeading() const { return group_->IsLeading(); }
   bool is_failed() const { return group_->is_failed(); }
+  sync_totals syncs() const { return group_->syncs(); }
   fleet_host& fleet() { return *fleet_; }
   const fleet_host& fleet() const { return *fleet_; }
   const control_state& state() const { return state_; }
--- a/src/libshallotport/fleet/group_replica.cc
+++ b/src/libshallotport/fleet/group_replica.cc
@@ -183,4 +183,8 @@
   return driver_->is_failed();
 }
 
+sync_totals group_replica::syncs() const {
+  return driver_->syncs();
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/fleet/group_replica.h
+++ b/src/libshallotport/fleet/group_replica.h
@@ -13,6 +13,7 @@
 #include "consensus/consensus_core.h"
 #include "consensus/replica.h"
 #include "consensus/replicated_state.h"
+#include "consensus/sync_totals.h"
 #include "fleet/fleet_messages.h"
 
 namespace shallotport {
@@ -69,6 +70,7 @@
   bool IsMembershipCommitted() const;
   // True when this member stopped permanently; the process must restart.
   bool is_failed() const;
+  sync_totals syncs() const;
 
  private:
   group_replica(boost::asio::io_context& loop,
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -62,6 +62,9 @@
 
   bool IsLeading() const { return group_ != nullptr && group_->IsLeading(); }
   bool is_failed() const { return group_ != nullptr && group_->is_failed(); }
+  sync_totals syncs() const {
+    return group_ == nullptr ? sync_totals() : group_->syncs();
+  }
   fleet_host& fleet() { return fleet_; }
   const job_table& table() const { return table_; }
   const item_dispatcher& dispatcher() const { return dispatcher_; }
--- a/src/libshallotport/storage/fake_file_system_test_util.h
+++ b/src/libshallotport/storage/fake_file_system_test_util.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -56,6 +57,10 @@
 
   // The next `count` syncs fail; what they covered stays unsynced.
   void FailSyncs(int count) { failing_syncs_ = count; }
+  // Called once, by the next sync, before its bytes are durable.
+  void OnNextSync(std::function<void()> on_sync) {
+    on_next_sync_ = std::move(on_sync);
+  }
   // Total bytes that the disk holds.
   void SetCapacity(uint64_t bytes) { capacity_ = bytes; }
   uint64_t used_bytes() const {
@@ -165,6 +170,9 @@
     }
 
     status Sync() override {
+      if (const auto on_sync = std::exchange(files_.on_next_sync_, nullptr)) {
+        on_sync();
+      }
       const std::lock_guard lock(files_.mutex_);
       ++files_.sync_count_;
       if (files_.failing_syncs_ > 0) {
@@ -191,6 +199,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, std::shared_ptr<inode>> live_;
   std::map<std::string, std::shared_ptr<inode>> durable_;
+  std::function<void()> on_next_sync_;
   int failing_syncs_ = 0;
   int sync_count_ = 0;
   uint64_t capacity_ = UINT64_MAX;
