--- a/.ci/build_packages.sh
+++ b/.ci/build_packages.sh
@@ -79,6 +79,10 @@
   sed -n 's/^Inst \([^ ]*\) .*/\1/p' "$work/apt" | sort -u
 }
 
+if ! apt-cache -o Dir::State::status=/dev/null show g++ >/dev/null 2>&1; then
+  [ "$(id -u)" = 0 ] || { report "no package lists: run apt-get update"; exit 1; }
+  apt-get update -q >/dev/null
+fi
 git clone -q --no-hardlinks . "$clone"
 git -C "$clone" rm -rq -- 'tests/*' '*/tests/*' '*_test.cc' '*_test_util.h'
 mapfile -t listed < <(sed -n 's/^packages = \[\(.*\)\]$/\1/p' "$settings" | tr -d '" ' | tr ',' '\n')
