poison: job stores pass on only what entry hosts sent

Cause: any store passed on to all hosts what was new to it, also what another store had just sent to all hosts. With 30 stores and some 190 hosts each record of a crash went out 30 times to every host, and so did whole answers of its parts: a store took each answer of a suspected part for news, though it excused no crash that the one before had not excused.

Stores pass on what entry hosts sent, not what stores sent; all hosts are linked to all stores. Since nobody passes it on a second time, entry hosts choose their three stores from different failure domains. A whole answer is news if it is the part's first one or excuses a crash.

--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -102,7 +102,7 @@
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
       ApplyLoadTotals(link, payload);
     } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
-      crashes_.OnFrame(clock_.Now(), kind, payload);
+      crashes_.OnFrame(clock_.Now(), link, kind, payload);
     }
   };
   crashes_.on_change = [this](const block_change& change) {
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -142,7 +142,7 @@
         fleet_.RecordHost(ValueOf(host));
       }
     } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
-      crashes_.OnFrame(clock_.Now(), kind, payload);
+      crashes_.OnFrame(clock_.Now(), link, kind, payload);
     }
   };
   crashes_.on_change = [this](const block_change& change) {
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -112,31 +112,38 @@
   counts.ended += 1;
   counts.whole_answers += 1;
   for (const prompt_part part : parts) {
-    AddAnswer(part, now, true);
+    if (!parts_.contains(part)) {
+      RememberAnswer(part, now);
+    } else if (AddAnswer(part, now)) {
+      answer_news_.insert(part);
+    }
   }
 }
 
-void crash_attribution::AddAnswer(prompt_part part,
-                                  steady_time answered_at,
-                                  bool is_own) {
+bool crash_attribution::AddAnswer(prompt_part part, steady_time answered_at) {
   const auto found = parts_.find(part);
   if (found == parts_.end()) {
-    if (is_own) {
-      RememberAnswer(part, answered_at);
-    }
-    return;
+    return false;
   }
   part_state& state = found->second;
   if (state.was_answered && answered_at <= state.answered_at) {
-    return;
+    return false;
   }
-  const bool is_news = state.is_suspected || !state.was_answered;
+  const bool is_news = !state.was_answered || ExcusesCrash(part, answered_at);
   state.was_answered = true;
   state.answered_at = answered_at;
   has_changed_ = has_changed_ || state.is_suspected;
-  if (is_news && (is_own || role_ == role::kRelay)) {
-    answer_news_.insert(part);
-  }
+  return is_news;
+}
+
+bool crash_attribution::ExcusesCrash(prompt_part part,
+                                     steady_time answered_at) const {
+  return std::any_of(
+      records_.begin(), records_.end(), [&](const known_record& each) {
+        const auto& parts = each.record.parts;
+        return each.broken_at < answered_at && Counts(each, part) &&
+               std::find(parts.begin(), parts.end(), part) != parts.end();
+      });
 }
 
 void crash_attribution::RememberAnswer(prompt_part part,
@@ -157,20 +164,26 @@
   }
 }
 
-void crash_attribution::Merge(steady_time now, const crash_evidence& evidence) {
+void crash_attribution::Merge(steady_time now,
+                              const crash_evidence& evidence,
+                              role sender) {
+  const bool is_passed_on = role_ == role::kRelay && sender == role::kObserver;
   for (const crash_record& each : evidence.crashes) {
     const bool is_new = Add(each, now - milliseconds(each.age_ms), false);
-    if (is_new && role_ == role::kRelay) {
+    if (is_new && is_passed_on) {
       crash_news_.insert({each.endpoint, each.request});
     }
   }
   for (const whole_answer_record& each : evidence.whole_answers) {
-    AddAnswer(each.part, now - milliseconds(each.age_ms), false);
+    const bool is_news = AddAnswer(each.part, now - milliseconds(each.age_ms));
+    if (is_news && is_passed_on) {
+      answer_news_.insert(each.part);
+    }
   }
   for (const service_answer_record& each : evidence.service_answers) {
     steady_time& answering_at = services_[each.service].answering_at;
     const steady_time at = now - milliseconds(each.age_ms);
-    if (role_ == role::kRelay && at >= answering_at + kAnsweringInterval) {
+    if (is_passed_on && at >= answering_at + kAnsweringInterval) {
       service_news_.insert(each.service);
     }
     answering_at = std::max(answering_at, at);
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -51,7 +51,7 @@
  public:
   enum class role : uint8_t {
     kObserver,  // Passes on what this host saw.
-    kRelay,     // Passes on what other hosts saw, too.
+    kRelay,     // Passes on what observers saw, too.
   };
 
   explicit crash_attribution(role own_role) : role_(own_role) {}
@@ -65,8 +65,10 @@
                          std::span<const prompt_part> parts);
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
-  // Adds the records of other hosts.
-  void Merge(steady_time now, const crash_evidence& evidence);
+  // Adds the records of another host. What a relay sent is not passed on.
+  void Merge(steady_time now,
+             const crash_evidence& evidence,
+             role sender = role::kObserver);
 
   // Decides anew where there is something new; to be called several times a
   // second.
@@ -138,10 +140,14 @@
   using suspicions = std::map<prompt_part, suspicion>;
 
   bool Add(const crash_record& record, steady_time broken_at, bool is_own);
-  void AddAnswer(prompt_part part, steady_time answered_at, bool is_own);
+  // Records a whole answer; true if other hosts may not know what it tells.
+  bool AddAnswer(prompt_part part, steady_time answered_at);
   void RememberAnswer(prompt_part part, steady_time answered_at);
   void Expire(steady_time now);
   void ForgetUnusedParts();
+  // Whether there is a crash of the part that an answer at `answered_at`
+  // excuses and the known one does not.
+  bool ExcusesCrash(prompt_part part, steady_time answered_at) const;
   // Whether the part is suspected for this record's crash.
   bool Counts(const known_record& known, prompt_part part) const;
   suspicions SuspicionsBeside(const std::set<prompt_part>& blocked) const;
--- a/src/libshallotport/poison/crash_attribution_test.cc
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -339,6 +339,53 @@
   EXPECT_TRUE(news.crashes.empty());
 }
 
+// Each of thirty stores passed on to all hosts what another one had sent them.
+TEST(crash_attribution_test, RelaysDoNotPassOnWhatRelaysSent) {
+  using role = crash_attribution::role;
+  test_host host;
+  std::vector<test_host> relays(3, test_host(role::kRelay));
+  size_t messages = 0;
+  const auto pass = [&](int ms) {
+    host.Pass(ms);
+    for (test_host& each : relays) {
+      each.Pass(ms);
+      each.attribution.Update(each.now);
+    }
+  };
+  const auto exchange = [&] {
+    std::vector<crash_evidence> sent;
+    for (test_host& each : relays) {
+      sent.push_back(each.attribution.TakeNews(each.now));
+    }
+    pass(2);
+    for (size_t from = 0; from < relays.size(); ++from) {
+      messages += sent[from].IsEmpty() ? 0 : 1;
+      for (size_t to = 0; to < relays.size(); ++to) {
+        if (from != to) {
+          relays[to].attribution.Merge(relays[to].now, sent[from],
+                                       role::kRelay);
+        }
+      }
+    }
+  };
+  for (int round = 0; round < 100; ++round) {
+    if (round % 20 == 0) {
+      host.Crash({{kPopular}});
+    } else if (round % 20 == 10) {
+      host.Answer({kPopular}, 5);
+    }
+    relays[0].attribution.Merge(relays[0].now,
+                                host.attribution.TakeNews(host.now));
+    exchange();
+    pass(20);
+  }
+  // One for each crash and the answer after it.
+  EXPECT_LE(messages, 10u);
+  for (test_host& each : relays) {
+    EXPECT_EQ(each.attribution.record_count(), 5u);
+  }
+}
+
 TEST(crash_attribution_test, IsBoundedAndSameEvidenceIsNoNews) {
   test_host host(crash_attribution::role::kRelay);
   for (int i = 0; i < 5'000; ++i) {
--- a/src/libshallotport/poison/crash_exchange.cc
+++ b/src/libshallotport/poison/crash_exchange.cc
@@ -1,12 +1,16 @@
 #include "poison/crash_exchange.h"
 
+#include <algorithm>
+#include <set>
+
 namespace shallotport {
 
 namespace {
 
 // A crash breaks requests within milliseconds; they are sent together.
 constexpr std::chrono::milliseconds kSendInterval{20};
-// Job stores that an entry host sends its records to.
+// Job stores that an entry host sends its records to, of different failure
+// domains where there are so many.
 constexpr size_t kMaxRelays = 3;
 constexpr auto kFrame = static_cast<uint8_t>(fleet_frame::kCrashEvidence);
 
@@ -54,15 +58,21 @@
 
 std::vector<std::string> crash_exchange::Relays() const {
   std::vector<std::string> relays;
+  std::set<domain_id> domains;
+  std::vector<std::string> others;
   for (const host_announcement& store : fleet_.LiveHosts(host_role::kStore)) {
-    if (relays.size() < kMaxRelays && fleet_.hub().IsUp(store.host.text())) {
-      relays.push_back(store.host.text());
+    if (fleet_.hub().IsUp(store.host.text())) {
+      const bool is_new_domain = domains.insert(store.domain).second;
+      (is_new_domain ? relays : others).push_back(store.host.text());
     }
   }
+  relays.insert(relays.end(), others.begin(), others.end());
+  relays.resize(std::min(relays.size(), kMaxRelays));
   return relays;
 }
 
 bool crash_exchange::OnFrame(steady_time now,
+                             const host_link& link,
                              uint8_t kind,
                              std::string_view payload) {
   if (kind != kFrame) {
@@ -70,7 +80,10 @@
   }
   const auto evidence = DecodeEvidence(payload);
   if (IsOk(evidence)) {
-    attribution_.Merge(now, ValueOf(evidence));
+    // All hosts dial the stores, and stores send on accepted links.
+    attribution_.Merge(now, ValueOf(evidence),
+                       link.is_dialed() ? crash_attribution::role::kRelay
+                                        : crash_attribution::role::kObserver);
   } else {
     ++malformed_frames_;
   }
--- a/src/libshallotport/poison/crash_exchange.h
+++ b/src/libshallotport/poison/crash_exchange.h
@@ -16,7 +16,8 @@
 
 // Exchanges the records of crash_attribution with other hosts. Entry hosts send
 // what they saw to a few job stores; a job store, whether or not it leads,
-// sends what is new to it to all hosts that are linked to it. Control hosts
+// sends what it saw, and what is new to it of what entry hosts sent, to all
+// hosts that are linked to it, other stores included. Control hosts
 // take no part. A host without a link to a store decides by what it saw itself.
 // Owned by the duty of a host; runs on the event loop of `fleet`.
 class crash_exchange {
@@ -28,7 +29,10 @@
 
   void Tick(steady_time now);
   // False if the frame is of another kind.
-  bool OnFrame(steady_time now, uint8_t kind, std::string_view payload);
+  bool OnFrame(steady_time now,
+               const host_link& link,
+               uint8_t kind,
+               std::string_view payload);
   // A host has announced itself on a link to this job store.
   void OnHostLinked(steady_time now, host_link& link);
 
