--- a/src/libshallotport/consensus/replica_execution.cc
+++ b/src/libshallotport/consensus/replica_execution.cc
@@ -75,7 +75,7 @@
 
 status replica_driver::SyncLog() {
   const steady_time begun_at = clock_.Now();
-  const status synced = storage_->Sync();
+  status synced = storage_->Sync();
   const steady_time now = clock_.Now();
   const duration taken = now - begun_at;
   syncs_.longest = std::max(syncs_.longest, taken);
