--- a/src/libshallotport/poison/crash_attribution_test.cc
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -354,6 +354,7 @@
   };
   const auto exchange = [&] {
     std::vector<crash_evidence> sent;
+    sent.reserve(relays.size());
     for (test_host& each : relays) {
       sent.push_back(each.attribution.TakeNews(each.now));
     }
