--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -40,7 +40,7 @@
 endpoint_selector::endpoint_selector(endpoint_selector_options options)
     : options_(std::move(options)),
       random_(options_.seed),
-      crashes_(options_.crash_role) {}
+      crashes_(options_.crash_role, options_.seed) {}
 
 void endpoint_selector::Update(const endpoint_report& report) {
   endpoint_state& state = endpoints_[report.endpoint];
@@ -180,10 +180,10 @@
 bool endpoint_selector::MayBegin(
     steady_time now,
     const selection_constraints& constraints) const {
-  const bool is_repeat_blocked =
-      constraints.is_repeat &&
-      crashes_.IsRepeatBlocked(now, constraints.prompt_parts);
-  return !is_repeat_blocked && !crashes_.IsBlocked(constraints.prompt_parts);
+  return constraints.traits == nullptr ||
+         (!crashes_.IsBlocked(now, *constraints.traits) &&
+          !crashes_.IsHeldBack(now, *constraints.traits,
+                               constraints.is_repeat));
 }
 
 std::variant<selected_endpoint, selection_failure> endpoint_selector::Acquire(
@@ -191,7 +191,7 @@
     const service_id& service,
     const selection_constraints& constraints) {
   if (!MayBegin(now, constraints)) {
-    return selection_failure::kPoisonPart;
+    return selection_failure::kPoison;
   }
   const auto found = by_service_.find(service);
   if (found == by_service_.end() || found->second.empty()) {
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -53,8 +52,8 @@
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
   // Only endpoints of this version; of any if empty.
   std::optional<std::string> software_version;
-  // Of the request's prompt; they outlive the constraints.
-  std::span<const prompt_part> prompt_parts;
+  // Of the request; they outlive the constraints. Null: none.
+  const request_traits* traits = nullptr;
   bool is_repeat = false;             // It may have been executed already.
   bool is_limited_rate_only = false;  // Only endpoints that name a limit.
   // Batch requests take free slots only; others may also wait at an endpoint.
@@ -67,7 +66,7 @@
 enum class selection_failure : uint8_t {
   kNoEndpoint,
   kAllBusy,
-  kPoisonPart,  // Endpoints crash under a part of the request's prompt.
+  kPoison,  // Endpoints crash under the request or a part of its prompt.
 };
 
 struct endpoint_selector_options {
--- a/src/libshallotport/entry/endpoint_selector_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_test.cc
@@ -456,11 +456,11 @@
 TEST_P(poison_parts, GetNoEndpointByChoiceOrGrant) {
   endpoint_selector selector = MakeSelector(2);
   steady_time now{std::chrono::seconds(100)};
-  const std::vector<prompt_part> deadly = {7, 8};
-  const std::vector<prompt_part> sound = {7};
+  const request_traits deadly{{7, 8}};
+  const request_traits sound{{7}};
   for (uint64_t i = 0; i < GetParam().crashes; ++i) {
     now += milliseconds(200);
-    selector.crashes().RecordCrash(now, {i, i, kService, 0, 10, deadly});
+    selector.crashes().RecordCrash(now, {i, i, kService, 0, 10, deadly.parts});
     selector.crashes().Update(now);
   }
   for (int i = 0; i < 100; ++i) {
@@ -472,17 +472,17 @@
     selection_constraints constraints;
     constraints.is_batch = is_batch;
     constraints.is_repeat = GetParam().is_repeat;
-    constraints.prompt_parts = deadly;
+    constraints.traits = &deadly;
     const auto selection = selector.Acquire(now, kService, constraints);
     EXPECT_EQ(Selected(selection) != nullptr, GetParam().is_allowed);
     if (!GetParam().is_allowed) {
       EXPECT_EQ(std::get<selection_failure>(selection),
-                selection_failure::kPoisonPart);
+                selection_failure::kPoison);
     }
     EXPECT_EQ(selector.AcquireGranted(now, endpoint_id("e1"), constraints)
                   .has_value(),
               GetParam().is_allowed);
-    constraints.prompt_parts = sound;
+    constraints.traits = &sound;
     constraints.is_repeat = false;
     EXPECT_NE(Selected(selector.Acquire(now, kService, constraints)), nullptr);
   }
--- a/src/libshallotport/entry/poison_log.cc
+++ b/src/libshallotport/entry/poison_log.cc
@@ -19,16 +19,18 @@
 }  // namespace
 
 void LogBlockChange(decision_log& log, const block_change& change) {
-  const std::string part = FormatPromptParts({change.part});
+  const bool is_request = change.key.what == crash_key::kind::kRequest;
+  const std::string key = FormatDigest(change.key.value);
+  const std::string_view field = is_request ? "request_digest" : "part";
   if (change.why != block_change::reason::kCrashes) {
-    log.LogState("prompt_part_released",
-                 {{"part", part}, {"reason", LogName(change.why)}});
+    log.LogState(is_request ? "request_released" : "prompt_part_released",
+                 {{field, key}, {"reason", LogName(change.why)}});
     return;
   }
   char chance[32];
   std::snprintf(chance, sizeof(chance), "%.1e", change.chance);
-  log.LogState("prompt_part_blocked",
-               {{"part", part},
+  log.LogState(is_request ? "request_blocked" : "prompt_part_blocked",
+               {{field, key},
                 {"service", change.service.text()},
                 {"crashes", static_cast<int64_t>(change.crashes)},
                 {"chance", std::string_view(chance)}});
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -93,6 +93,12 @@
   return StreamKey(is_resumed ? request.resumed_request : request.id);
 }
 
+request_traits TraitsOf(const inbound_request& request,
+                        const wire_profile& wire) {
+  return {SharedPromptParts(request.headers, wire.prompt_parts),
+          DigestOf(request, wire.prompt_parts)};
+}
+
 std::string_view LogName(origin_source source) {
   constexpr std::string_view kNames[] = {"sole_version", "own", "store"};
   return kNames[static_cast<size_t>(source)];
@@ -117,8 +123,7 @@
       caller_(std::move(caller)),
       received_at_(duty.clock_.Now()),
       stream_key_(KeyOf(request_)),
-      prompt_parts_(SharedPromptParts(request_.wire.headers,
-                                      duty.options_.wire.prompt_parts)) {
+      traits_(TraitsOf(request_.wire, duty.options_.wire)) {
   std::chrono::milliseconds limit = route_.timeout;
   if (request_.time_limit.count() > 0) {
     limit = std::min(limit, request_.time_limit);
@@ -349,7 +354,7 @@
 
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
-  constraints.prompt_parts = prompt_parts_;
+  constraints.traits = &traits_;
   constraints.is_repeat = current_ != nullptr || !executed_at_.empty();
   constraints.avoided = displaced_;
   constraints.is_limited_to_avoided = IsLimitedToReturn(History());
@@ -396,7 +401,7 @@
     const endpoint_attempt& attempt) const {
   const selected_endpoint& at = attempt.at;
   return {{at.endpoint, at.start_time_ms}, at.address,       service_,
-          HashOf(request_.id.text()),      attempt.begun_at, prompt_parts_};
+          HashOf(request_.id.text()),      attempt.begun_at, traits_};
 }
 
 bool routed_exchange::DeferReturn() {
@@ -421,13 +426,13 @@
   const auto failure = std::get<selection_failure>(selection);
   if (current_ != nullptr) {
     DeferSecondAttempt();
-  } else if (failure != selection_failure::kPoisonPart && DeferReturn()) {
+  } else if (failure != selection_failure::kPoison && DeferReturn()) {
     return;
   } else if (has_response_begun_) {
     AbortStream("no endpoint available to resume the stream");
   } else if (!executed_at_.empty()) {
     Fail(502, "no other endpoint available for a retry");
-  } else if (failure == selection_failure::kPoisonPart) {
+  } else if (failure == selection_failure::kPoison) {
     ++duty_.counters_.refused_poison;
     RefusePoison();
   } else if (failure == selection_failure::kAllBusy) {
@@ -738,7 +743,8 @@
        {"runs", int64_t{Executions()}},
        {"max_runs", int64_t{route_.max_executions}},
        {"load_age_ms", load_age.count()},
-       {"prompt_parts", FormatPromptParts(prompt_parts_)}});
+       {"prompt_parts", FormatPromptParts(traits_.parts)},
+       {"request_digest", FormatDigest(traits_.digest)}});
   if (is_other_under_way) {
     return;
   }
@@ -883,10 +889,12 @@
 }
 
 void routed_exchange::RefusePoison() {
-  const duration blocked_for =
-      duty_.selector_.crashes().BlockedFor(duty_.clock_.Now(), prompt_parts_);
+  const steady_time now = duty_.clock_.Now();
+  const crash_attribution& crashes = duty_.selector_.crashes();
+  const duration blocked_for = crashes.BlockedFor(now, traits_);
   SendRefusal(
-      "poison_part",
+      crashes.IsBlocked(now, {traits_.parts}) ? "poison_part"
+                                              : "poison_request",
       std::chrono::ceil<std::chrono::milliseconds>(blocked_for).count());
 }
 
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -12,7 +12,7 @@
 #include "entry/endpoint_attempt.h"
 #include "entry/entry_duty.h"
 #include "entry/resumption_policy.h"
-#include "poison/prompt_parts.h"
+#include "poison/request_traits.h"
 
 namespace shallotport {
 
@@ -86,7 +86,7 @@
 
   void Refuse(error_kind kind);
   void RefuseUntil(error_kind kind, int64_t retry_after_ms);
-  // Endpoints crash under a part of its prompt.
+  // Endpoints crash under it or under a part of its prompt.
   void RefusePoison();
   void SendRefusal(std::string_view reason, int64_t retry_after_ms);
   void Fail(int status, std::string_view reason);
@@ -105,7 +105,7 @@
   steady_time deadline_{};  // By the route's timeout or the caller's limit.
   service_id service_;
   const uint64_t stream_key_;
-  const std::vector<prompt_part> prompt_parts_;  // Those that are shared.
+  const request_traits traits_;
   std::optional<std::string> recorded_version_;  // Of the stream's origin.
 
   // Its response goes to the caller. Null before the first attempt, and between
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -52,7 +52,7 @@
 struct item_dispatcher::item_attempt {
   std::unique_ptr<endpoint_call> call;
   std::string item_id;
-  std::vector<prompt_part> prompt_parts;
+  request_traits traits;
   endpoint_id endpoint;
   uint64_t start_time_ms = 0;  // Of the endpoint.
   response_head head;
@@ -333,18 +333,17 @@
   }
   const bool has_slots = HasSlotsAboveReserve(now, service);
   selection_constraints constraints;
-  const std::vector<prompt_part> parts = PromptParts(item);
+  const request_traits traits = TraitsOf(item);
   constraints.is_batch = true;
   constraints.is_limited_rate_only = !has_slots;
   constraints.software_version = software_version;
-  constraints.prompt_parts = parts;
+  constraints.traits = &traits;
   constraints.is_repeat = round.is_repeat;
   const auto selection = endpoints_.Acquire(now, service, constraints);
   if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
     return item_selection{*selected, {service, selected->software_version}};
   }
-  if (std::get<selection_failure>(selection) ==
-      selection_failure::kPoisonPart) {
+  if (std::get<selection_failure>(selection) == selection_failure::kPoison) {
     round.is_item_blocked = true;
     return std::nullopt;
   }
@@ -398,13 +397,12 @@
                      round);
 }
 
-std::vector<prompt_part> item_dispatcher::PromptParts(
-    const job_item& item) const {
+request_traits item_dispatcher::TraitsOf(const job_item& item) const {
   header_list headers;
   for (const auto& [name, value] : item.headers) {
     headers.Add(name, value);
   }
-  return SharedPromptParts(headers, options_.wire.prompt_parts);
+  return {SharedPromptParts(headers, options_.wire.prompt_parts)};
 }
 
 observed_attempt item_dispatcher::Observed(const item_attempt& attempt) const {
@@ -414,7 +412,7 @@
           attempt.selection.origin.service,
           HashOf(attempt.item_id),
           attempt.begun_at,
-          attempt.prompt_parts};
+          attempt.traits};
 }
 
 item_dispatcher::pending_item& item_dispatcher::PendingItem(
@@ -501,7 +499,7 @@
           ? 1
           : 0;
   attempt->item_id = item.id;
-  attempt->prompt_parts = PromptParts(item);
+  attempt->traits = TraitsOf(item);
   attempt->endpoint = selected.endpoint;
   attempt->start_time_ms = selected.start_time_ms;
   attempt->begun_at = now;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -133,7 +133,7 @@
       const std::optional<std::string>& software_version,
       const job_item& item,
       dispatch_round& round);
-  std::vector<prompt_part> PromptParts(const job_item& item) const;
+  request_traits TraitsOf(const job_item& item) const;
   observed_attempt Observed(const item_attempt& attempt) const;
   // The item's uncommitted state, which continues its committed progress.
   pending_item& PendingItem(const item_key& key);
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/random_source.h"
+
 namespace shallotport {
 
 namespace {
@@ -13,20 +15,43 @@
 constexpr size_t kMaxSnapshotRecords = 256;
 constexpr std::chrono::minutes kRecordLifetime{10};
 constexpr size_t kMaxAnsweredParts = 8'192;
-constexpr size_t kMaxBlockedParts = 64;
-// From a part's first crash to a verdict: by then a whole answer to a popular
-// part has been received and passed on.
-constexpr milliseconds kSettleTime{500};
-constexpr milliseconds kAnsweredSettleTime{1'500};
+constexpr size_t kMaxVerdicts = 64;
 constexpr milliseconds kDecisionInterval{20};
-// After the second crash of a part; doubled with each further one.
+// Without news of crashes and answers.
+constexpr milliseconds kUndecidedInterval{100};
+// Endpoints that end within this time end together.
+constexpr milliseconds kSameMoment{5};
+// After the second crash of a key; doubled with each further one.
 constexpr milliseconds kRepeatDelay{1'000};
 constexpr size_t kMinRepeatCrashes = 2;
+// The same for a request, and at most. Each host adds up to as much again, so
+// that one of them tries first: endpoints that are back at the same time would
+// all get it.
+constexpr milliseconds kRequestDelay{5'000};
+constexpr milliseconds kMaxRequestDelay{60'000};
 constexpr size_t kMaxRepeatDoublings = 9;
 constexpr size_t kMinCrashes = 3;
-constexpr size_t kMinAnsweredCrashes = 6;
+// A request is blocked for this long after its third crash, and for twice as
+// long after each further one: a sound one is answered when it is tried again.
+constexpr std::chrono::minutes kFirstRequestBlock{1};
+
+// What it takes for a verdict.
+struct verdict_rule {
+  size_t min_crashes;
+  size_t enough_crashes;  // Whatever the chance.
+  double max_chance;
+  // From the first crash: by then a whole answer to a popular key has been
+  // received and passed on.
+  milliseconds settle_time;
+};
 // Thousands of parts are asked for while endpoints fail for other reasons.
-constexpr double kMaxChance = 5e-7;
+constexpr verdict_rule kPartRule{kMinCrashes, SIZE_MAX, 5e-7,
+                                 milliseconds{500}};
+constexpr verdict_rule kAnsweredPartRule{6, SIZE_MAX, 5e-7,
+                                         milliseconds{1'500}};
+// Few requests are sent again after they have broken.
+constexpr verdict_rule kRequestRule{kMinCrashes, 6, 1e-3, milliseconds{500}};
+
 // Of these attempts, one is taken to have broken before the counted ones.
 constexpr double kAssumedAttempts = 100;
 constexpr milliseconds kCountHalfLife{10'000};
@@ -42,6 +67,41 @@
   return static_cast<uint32_t>(std::max<int64_t>(age, 0));
 }
 
+std::vector<crash_key> KeysOf(std::span<const prompt_part> parts,
+                              request_digest digest) {
+  std::vector<crash_key> keys;
+  keys.reserve(parts.size() + 1);
+  for (const prompt_part part : parts) {
+    keys.push_back({part, crash_key::kind::kPart});
+  }
+  if (digest != 0) {
+    keys.push_back({digest, crash_key::kind::kRequest});
+  }
+  return keys;
+}
+
+std::vector<crash_key> KeysOf(const request_traits& traits) {
+  return KeysOf(traits.parts, traits.digest);
+}
+
+bool Contains(std::span<const crash_key> keys, const crash_key& key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+bool IsRequest(const crash_key& key) {
+  return key.what == crash_key::kind::kRequest;
+}
+
+duration BlockTime(const crash_key& key, size_t crashes) {
+  if (!IsRequest(key)) {
+    return kRecordLifetime;
+  }
+  const size_t doublings =
+      std::min(crashes - std::min(crashes, kMinCrashes), kMaxRepeatDoublings);
+  return std::min<duration>(kFirstRequestBlock * (1u << doublings),
+                            kRecordLifetime);
+}
+
 // The weight of an attempt that ended this long ago.
 double DecayFactor(duration age) {
   const std::chrono::duration<double> seconds = age;
@@ -63,7 +123,8 @@
   size_t count = 0;
   steady_time last{};
   for (const suspected_crash& each : in_order) {
-    if (count == 0 || each.begun_at >= last) {
+    if (count == 0 || each.begun_at >= last ||
+        (is_request && each.broken_at >= last + kSameMoment)) {
       ++count;
       last = each.broken_at;
     }
@@ -107,47 +168,51 @@
 
 void crash_attribution::RecordWholeAnswer(steady_time now,
                                           const service_id& service,
-                                          std::span<const prompt_part> parts) {
+                                          const request_traits& traits) {
   service_counts& counts = DecayedCounts(now, service);
   counts.ended += 1;
   counts.whole_answers += 1;
-  for (const prompt_part part : parts) {
-    if (!parts_.contains(part)) {
-      RememberAnswer(part, now);
-    } else if (AddAnswer(part, now)) {
-      answer_news_.insert(part);
+  counts.answered_at = now;
+  for (const crash_key& key : KeysOf(traits)) {
+    if (!keys_.contains(key)) {
+      RememberAnswer(key, now);
+    } else if (AddAnswer(key, now)) {
+      answer_news_.insert(key);
     }
   }
 }
 
-bool crash_attribution::AddAnswer(prompt_part part, steady_time answered_at) {
-  const auto found = parts_.find(part);
-  if (found == parts_.end()) {
+bool crash_attribution::AddAnswer(const crash_key& key,
+                                  steady_time answered_at) {
+  const auto found = keys_.find(key);
+  if (found == keys_.end()) {
     return false;
   }
-  part_state& state = found->second;
+  key_state& state = found->second;
   if (state.was_answered && answered_at <= state.answered_at) {
     return false;
   }
-  const bool is_news = !state.was_answered || ExcusesCrash(part, answered_at);
+  const bool is_news = !state.was_answered || ExcusesCrash(key, answered_at);
   state.was_answered = true;
   state.answered_at = answered_at;
   has_changed_ = has_changed_ || state.is_suspected;
   return is_news;
 }
 
-bool crash_attribution::ExcusesCrash(prompt_part part,
+bool crash_attribution::ExcusesCrash(const crash_key& key,
                                      steady_time answered_at) const {
-  return std::any_of(
-      records_.begin(), records_.end(), [&](const known_record& each) {
-        const auto& parts = each.record.parts;
-        return each.broken_at < answered_at && Counts(each, part) &&
-               std::find(parts.begin(), parts.end(), part) != parts.end();
-      });
+  return std::any_of(records_.begin(), records_.end(),
+                     [&](const known_record& each) {
+                       return each.broken_at < answered_at &&
+                              Counts(each, key) && Contains(each.keys, key);
+                     });
 }
 
-void crash_attribution::RememberAnswer(prompt_part part,
+void crash_attribution::RememberAnswer(const crash_key& part,
                                        steady_time answered_at) {
+  if (IsRequest(part)) {
+    return;  // What was answered before its first crash tells nothing.
+  }
   if (answered_.insert_or_assign(part, answered_at).second) {
     answered_order_.push_back(part);
   }
@@ -159,7 +224,13 @@
 
 void crash_attribution::RecordCrash(steady_time now,
                                     const crash_record& record) {
-  if (Add(record, now - milliseconds(record.age_ms), true)) {
+  const steady_time broken_at = now - milliseconds(record.age_ms);
+  crash_record completed = record;
+  const auto counts = services_.find(record.service);
+  if (counts != services_.end() && counts->second.whole_answers > 0) {
+    completed.answered_before_ms = AgeMs(broken_at, counts->second.answered_at);
+  }
+  if (Add(completed, broken_at, true)) {
     crash_news_.insert({record.endpoint, record.request});
   }
 }
@@ -175,9 +246,12 @@
     }
   }
   for (const whole_answer_record& each : evidence.whole_answers) {
-    const bool is_news = AddAnswer(each.part, now - milliseconds(each.age_ms));
+    const crash_key key{each.part_or_digest, each.is_request
+                                                 ? crash_key::kind::kRequest
+                                                 : crash_key::kind::kPart};
+    const bool is_news = AddAnswer(key, now - milliseconds(each.age_ms));
     if (is_news && is_passed_on) {
-      answer_news_.insert(each.part);
+      answer_news_.insert(key);
     }
   }
   for (const service_answer_record& each : evidence.service_answers) {
@@ -193,32 +267,47 @@
 bool crash_attribution::Add(const crash_record& record,
                             steady_time broken_at,
                             bool is_own) {
-  const record_key key(record.endpoint, record.request);
-  if (record.parts.empty() || record.parts.size() > kMaxSharedParts ||
-      !known_.insert(key).second) {
+  std::vector<crash_key> keys = KeysOf(record.parts, record.digest);
+  if (keys.empty() || record.parts.size() > kMaxSharedParts ||
+      !known_.insert({record.endpoint, record.request}).second) {
     return false;
   }
-  records_.push_back({record, broken_at, is_own});
   has_changed_ = true;
-  for (const prompt_part part : record.parts) {
-    part_state& state = parts_[part];
-    const auto answered = answered_.find(part);
+  for (const crash_key& key : keys) {
+    key_state& state = keys_[key];
+    const auto answered = answered_.find(key);
     if (!state.was_answered && answered != answered_.end()) {
       state.was_answered = true;
       state.answered_at = answered->second;
       // Others may not know that it was sound.
-      answer_news_.insert(part);
+      answer_news_.insert(key);
     }
   }
+  records_.push_back({record, std::move(keys), broken_at, is_own});
   if (records_.size() > kMaxRecords) {
-    const crash_record& oldest = records_.front().record;
-    known_.erase({oldest.endpoint, oldest.request});
-    records_.pop_front();
-    ForgetUnusedParts();
+    EvictRecord();
   }
   return true;
 }
 
+bool crash_attribution::ExplainsVerdict(const known_record& known) const {
+  return std::any_of(
+      known.keys.begin(), known.keys.end(),
+      [this](const crash_key& key) { return verdicts_.contains(key); });
+}
+
+void crash_attribution::EvictRecord() {
+  auto evicted = std::find_if_not(
+      records_.begin(), records_.end(),
+      [this](const known_record& each) { return ExplainsVerdict(each); });
+  if (evicted == records_.end()) {
+    evicted = records_.begin();
+  }
+  known_.erase({evicted->record.endpoint, evicted->record.request});
+  records_.erase(evicted);
+  ForgetUnusedKeys();
+}
+
 void crash_attribution::Expire(steady_time now) {
   const auto is_old = [now](const known_record& each) {
     return now >= each.broken_at + kRecordLifetime;
@@ -232,16 +321,16 @@
     }
   }
   std::erase_if(records_, is_old);
-  ForgetUnusedParts();
+  ForgetUnusedKeys();
   has_changed_ = true;
 }
 
-void crash_attribution::ForgetUnusedParts() {
-  std::set<prompt_part> used;
+void crash_attribution::ForgetUnusedKeys() {
+  std::set<crash_key> used;
   for (const known_record& each : records_) {
-    used.insert(each.record.parts.begin(), each.record.parts.end());
+    used.insert(each.keys.begin(), each.keys.end());
   }
-  for (auto at = parts_.begin(); at != parts_.end();) {
+  for (auto at = keys_.begin(); at != keys_.end();) {
     if (used.contains(at->first)) {
       ++at;
       continue;
@@ -249,22 +338,22 @@
     if (at->second.was_answered) {
       RememberAnswer(at->first, at->second.answered_at);
     }
-    at = parts_.erase(at);
+    at = keys_.erase(at);
   }
 }
 
 bool crash_attribution::Counts(const known_record& known,
-                               prompt_part part) const {
-  const part_state& state = parts_.at(part);
+                               const crash_key& key) const {
+  const key_state& state = keys_.at(key);
   return !state.was_answered || state.answered_at <= known.broken_at;
 }
 
 crash_attribution::suspicions crash_attribution::SuspicionsBeside(
-    const std::set<prompt_part>& blocked) const {
+    const verdicts& guilty) const {
   std::set<uint64_t> explained;  // Endpoints.
   for (const known_record& each : records_) {
-    for (const prompt_part part : each.record.parts) {
-      if (blocked.contains(part) && Counts(each, part)) {
+    for (const crash_key& key : each.keys) {
+      if (guilty.contains(key) && Counts(each, key)) {
         explained.insert(each.record.endpoint);
       }
     }
@@ -274,15 +363,16 @@
     if (explained.contains(each.record.endpoint)) {
       continue;
     }
-    for (size_t i = 0; i < each.record.parts.size(); ++i) {
-      const prompt_part part = each.record.parts[i];
-      if (!Counts(each, part)) {
+    for (size_t i = 0; i < each.keys.size(); ++i) {
+      const crash_key& key = each.keys[i];
+      if (!Counts(each, key)) {
         continue;
       }
-      suspicion& suspect = all[part];
+      suspicion& suspect = all[key];
       suspect.service = each.record.service;
+      suspect.is_request = IsRequest(key);
       suspect.position = std::max(suspect.position, i);
-      suspect.was_answered = parts_.at(part).was_answered;
+      suspect.was_answered = keys_.at(key).was_answered;
       const steady_time begun_at =
           each.broken_at - milliseconds(each.record.ran_ms);
       const auto [at, is_new] = suspect.crashes.try_emplace(
@@ -296,18 +386,8 @@
 }
 
 void crash_attribution::UpdateSuspects(const suspicions& all) {
-  repeats_blocked_until_.clear();
-  for (const auto& [part, suspect] : all) {
-    const size_t crashes = suspect.CountCrashes();
-    if (crashes >= kMinRepeatCrashes) {
-      const size_t doublings =
-          std::min(crashes - kMinRepeatCrashes, kMaxRepeatDoublings);
-      repeats_blocked_until_[part] =
-          suspect.LastCrash() + kRepeatDelay * (1u << doublings);
-    }
-  }
-  for (auto& [part, state] : parts_) {
-    const auto found = all.find(part);
+  for (auto& [key, state] : keys_) {
+    const auto found = all.find(key);
     const bool is_suspected = found != all.end();
     if (is_suspected && !state.is_suspected) {
       state.answers_before = services_[found->second.service].whole_answers;
@@ -316,6 +396,25 @@
   }
 }
 
+void crash_attribution::HoldBack(const crash_key& key,
+                                 const suspicion& suspect) {
+  const size_t crashes = suspect.CountCrashes();
+  if (crashes < kMinRepeatCrashes) {
+    return;
+  }
+  const size_t doublings =
+      std::min(crashes - kMinRepeatCrashes, kMaxRepeatDoublings);
+  duration delay = kRepeatDelay * (1u << doublings);
+  if (IsRequest(key)) {
+    delay =
+        std::min<duration>(kRequestDelay * (1u << doublings), kMaxRequestDelay);
+    random_source random(seed_ ^ key.value);
+    delay +=
+        std::chrono::duration_cast<milliseconds>(delay * UniformUnit(random));
+  }
+  held_back_until_[key] = suspect.LastCrash() + delay;
+}
+
 double crash_attribution::ChanceOf(steady_time now,
                                    const suspicion& suspect) const {
   double ended = 0;
@@ -339,8 +438,11 @@
                   static_cast<double>(suspect.CountCrashes()));
 }
 
-bool crash_attribution::IsServiceAnswering(prompt_part part,
+bool crash_attribution::IsServiceAnswering(const crash_key& key,
                                            const suspicion& suspect) const {
+  if (IsRequest(key)) {
+    return HasAnswerBetween(suspect);
+  }
   const auto found = services_.find(suspect.service);
   if (found == services_.end()) {
     return false;
@@ -348,18 +450,32 @@
   const service_counts& counts = found->second;
   return counts.answering_at > suspect.FirstCrash() ||
          counts.whole_answers >=
-             parts_.at(part).answers_before + kMinOtherAnswers;
+             keys_.at(key).answers_before + kMinOtherAnswers;
+}
+
+bool crash_attribution::HasAnswerBetween(const suspicion& suspect) const {
+  const steady_time first = suspect.FirstCrash();
+  const steady_time last = suspect.LastCrash();
+  return std::any_of(
+      records_.begin(), records_.end(), [&](const known_record& each) {
+        const uint32_t before_ms = each.record.answered_before_ms;
+        const steady_time answered_at =
+            each.broken_at - milliseconds(before_ms);
+        return before_ms != kNeverAnswered &&
+               each.record.service == suspect.service && answered_at > first &&
+               answered_at < last;
+      });
 }
 
 void crash_attribution::NoteAnsweringServices(steady_time now,
                                               const suspicions& all) {
-  for (const auto& [part, suspect] : all) {
+  for (const auto& [key, suspect] : all) {
     if (suspect.crashes.size() < kMinCrashes) {
       continue;
     }
     service_counts& counts = services_[suspect.service];
-    const bool is_answering = counts.whole_answers >=
-                              parts_.at(part).answers_before + kMinOtherAnswers;
+    const bool is_answering =
+        counts.whole_answers >= keys_.at(key).answers_before + kMinOtherAnswers;
     if (is_answering && now >= counts.answering_at + kAnsweringInterval) {
       counts.answering_at = now;
       service_news_.insert(suspect.service);
@@ -368,82 +484,96 @@
 }
 
 bool crash_attribution::IsGuilty(steady_time now,
-                                 prompt_part part,
+                                 const crash_key& key,
                                  const suspicion& suspect) const {
-  if (blocked_.contains(part)) {
+  if (verdicts_.contains(key)) {
     return true;
   }
-  const duration settle_time =
-      suspect.was_answered ? kAnsweredSettleTime : kSettleTime;
-  const size_t min_crashes =
-      suspect.was_answered ? kMinAnsweredCrashes : kMinCrashes;
-  return now >= suspect.FirstCrash() + settle_time &&
-         IsServiceAnswering(part, suspect) &&
-         suspect.CountCrashes() >= min_crashes &&
-         ChanceOf(now, suspect) <= kMaxChance;
-}
-
-std::set<prompt_part> crash_attribution::Decide(
-    steady_time now,
-    std::vector<block_change>& changes) {
-  std::set<prompt_part> guilty;
-  while (guilty.size() < kMaxBlockedParts) {
-    const suspicions all = SuspicionsBeside(guilty);
-    if (guilty.empty()) {
-      UpdateSuspects(all);
-      NoteAnsweringServices(now, all);
-    }
-    is_undecided_ = std::any_of(all.begin(), all.end(), [](const auto& each) {
-      return each.second.crashes.size() >= kMinCrashes;
-    });
-    // Of parts that are always together, the last one is in the fewest prompts.
-    const auto order = [](const suspicion& suspect) {
-      const double weight = suspect.was_answered ? kAnsweredWeight : 1;
-      return std::pair(weight * static_cast<double>(suspect.CountCrashes()),
-                       suspect.position);
-    };
-    const std::pair<const prompt_part, suspicion>* worst = nullptr;
+  const verdict_rule& rule = IsRequest(key)         ? kRequestRule
+                             : suspect.was_answered ? kAnsweredPartRule
+                                                    : kPartRule;
+  const size_t crashes = suspect.CountCrashes();
+  return now >= suspect.FirstCrash() + rule.settle_time &&
+         IsServiceAnswering(key, suspect) && crashes >= rule.min_crashes &&
+         (crashes >= rule.enough_crashes ||
+          ChanceOf(now, suspect) <= rule.max_chance);
+}
+
+crash_attribution::verdicts crash_attribution::Decide(steady_time now) {
+  // Of keys that are always together, the last one is in the fewest requests.
+  const auto order = [](const auto& each) {
+    const suspicion& suspect = each.second;
+    const bool is_weak = suspect.was_answered && !IsRequest(each.first);
+    return std::pair((is_weak ? kAnsweredWeight : 1) *
+                         static_cast<double>(suspect.CountCrashes()),
+                     suspect.position);
+  };
+  held_back_until_.clear();
+  verdicts guilty;
+  suspicions all = SuspicionsBeside(guilty);
+  UpdateSuspects(all);
+  NoteAnsweringServices(now, all);
+  while (guilty.size() < kMaxVerdicts) {
+    const std::pair<const crash_key, suspicion>* worst = nullptr;
     for (const auto& each : all) {
       if (IsGuilty(now, each.first, each.second) &&
-          (worst == nullptr || order(worst->second) < order(each.second))) {
+          (worst == nullptr || order(*worst) < order(each))) {
         worst = &each;
       }
     }
     if (worst == nullptr) {
       break;
     }
-    guilty.insert(worst->first);
-    if (!blocked_.contains(worst->first)) {
-      changes.push_back({worst->first, block_change::reason::kCrashes,
-                         worst->second.service, worst->second.CountCrashes(),
-                         ChanceOf(now, worst->second)});
-    }
+    const auto& [key, suspect] = *worst;
+    guilty[key] = LastCrash(key) + BlockTime(key, suspect.CountCrashes());
+    HoldBack(key, suspect);
+    all = SuspicionsBeside(guilty);
   }
+  for (const auto& [key, suspect] : all) {
+    HoldBack(key, suspect);
+  }
+  is_undecided_ = std::any_of(all.begin(), all.end(), [](const auto& each) {
+    return each.second.crashes.size() >= kMinCrashes;
+  });
   return guilty;
 }
 
-steady_time crash_attribution::LastCrash(prompt_part part) const {
+steady_time crash_attribution::LastCrash(const crash_key& key) const {
   steady_time last{};
   for (const known_record& each : records_) {
-    const auto& parts = each.record.parts;
-    if (std::find(parts.begin(), parts.end(), part) != parts.end()) {
+    if (Contains(each.keys, key)) {
       last = std::max(last, each.broken_at);
     }
   }
   return last;
 }
 
-block_change::reason crash_attribution::ReleaseReason(prompt_part part) const {
-  const auto found = parts_.find(part);
-  if (found == parts_.end()) {
+block_change::reason crash_attribution::ReleaseReason(
+    const crash_key& key) const {
+  const auto found = keys_.find(key);
+  if (found == keys_.end() || verdicts_.contains(key)) {
     return block_change::reason::kExpired;
   }
   const bool is_answered =
-      found->second.was_answered && found->second.answered_at > LastCrash(part);
+      found->second.was_answered && found->second.answered_at > LastCrash(key);
   return is_answered ? block_change::reason::kWholeAnswer
                      : block_change::reason::kExplained;
 }
 
+block_change crash_attribution::BlockOf(steady_time now,
+                                        const crash_key& key) const {
+  verdicts others = verdicts_;
+  others.erase(key);
+  const suspicions all = SuspicionsBeside(others);
+  const auto found = all.find(key);
+  if (found == all.end()) {
+    return {key, block_change::reason::kCrashes, {}, 0, 0};
+  }
+  const suspicion& suspect = found->second;
+  return {key, block_change::reason::kCrashes, suspect.service,
+          suspect.CountCrashes(), ChanceOf(now, suspect)};
+}
+
 std::vector<block_change> crash_attribution::Update(steady_time now) {
   std::vector<block_change> changes;
   if (now < next_decision_) {
@@ -451,49 +581,74 @@
   }
   next_decision_ = now + kDecisionInterval;
   Expire(now);
-  if (!has_changed_ && !is_undecided_) {
-    return changes;
+  if (has_changed_ || (is_undecided_ && now >= next_undecided_decision_)) {
+    has_changed_ = false;
+    next_undecided_decision_ = now + kUndecidedInterval;
+    verdicts_ = Decide(now);
+  }
+  std::set<crash_key> blocked;
+  for (const auto& [key, until] : verdicts_) {
+    if (now < until) {
+      blocked.insert(key);
+    }
   }
-  has_changed_ = false;
-  const std::set<prompt_part> guilty = Decide(now, changes);
-  for (const auto& [part, last_crash] : blocked_) {
-    if (!guilty.contains(part)) {
-      changes.push_back({part, ReleaseReason(part), {}, 0, 0});
+  for (const crash_key& key : blocked) {
+    if (!blocked_.contains(key)) {
+      changes.push_back(BlockOf(now, key));
     }
   }
-  blocked_.clear();
-  for (const prompt_part part : guilty) {
-    blocked_[part] = LastCrash(part);
+  for (const crash_key& key : blocked_) {
+    if (!blocked.contains(key)) {
+      changes.push_back({key, ReleaseReason(key), {}, 0, 0});
+    }
   }
+  blocked_ = std::move(blocked);
   return changes;
 }
 
-bool crash_attribution::IsBlocked(std::span<const prompt_part> parts) const {
-  return !blocked_.empty() &&
-         std::any_of(parts.begin(), parts.end(), [this](prompt_part part) {
-           return blocked_.contains(part);
-         });
+size_t crash_attribution::CountBlocked(crash_key::kind what) const {
+  return static_cast<size_t>(
+      std::count_if(blocked_.begin(), blocked_.end(),
+                    [what](const crash_key& key) { return key.what == what; }));
 }
 
-bool crash_attribution::IsRepeatBlocked(
-    steady_time now,
-    std::span<const prompt_part> parts) const {
-  return !repeats_blocked_until_.empty() &&
-         std::any_of(parts.begin(), parts.end(), [&](prompt_part part) {
-           const auto found = repeats_blocked_until_.find(part);
-           return found != repeats_blocked_until_.end() && now < found->second;
-         });
+bool crash_attribution::IsBlocked(steady_time now,
+                                  const request_traits& traits) const {
+  if (verdicts_.empty()) {
+    return false;
+  }
+  const std::vector<crash_key> keys = KeysOf(traits);
+  return std::any_of(keys.begin(), keys.end(), [&](const crash_key& key) {
+    const auto found = verdicts_.find(key);
+    return found != verdicts_.end() && now < found->second;
+  });
 }
 
-duration crash_attribution::BlockedFor(
-    steady_time now,
-    std::span<const prompt_part> parts) const {
+bool crash_attribution::IsHeldBack(steady_time now,
+                                   const request_traits& traits,
+                                   bool is_repeat) const {
+  if (held_back_until_.empty()) {
+    return false;
+  }
+  const std::vector<crash_key> keys = KeysOf(traits);
+  return std::any_of(keys.begin(), keys.end(), [&](const crash_key& key) {
+    const auto found = held_back_until_.find(key);
+    return found != held_back_until_.end() && now < found->second &&
+           (is_repeat || IsRequest(key));
+  });
+}
+
+duration crash_attribution::BlockedFor(steady_time now,
+                                       const request_traits& traits) const {
   duration longest{};
-  for (const prompt_part part : parts) {
-    const auto found = blocked_.find(part);
-    if (found != blocked_.end()) {
-      longest =
-          std::max<duration>(longest, found->second + kRecordLifetime - now);
+  for (const crash_key& key : KeysOf(traits)) {
+    const auto blocked = verdicts_.find(key);
+    if (blocked != verdicts_.end()) {
+      longest = std::max<duration>(longest, blocked->second - now);
+    }
+    const auto held_back = held_back_until_.find(key);
+    if (IsRequest(key) && held_back != held_back_until_.end()) {
+      longest = std::max<duration>(longest, held_back->second - now);
     }
   }
   return longest;
@@ -507,11 +662,11 @@
       news.crashes.back().age_ms = AgeMs(now, each.broken_at);
     }
   }
-  for (const prompt_part part : answer_news_) {
-    const auto found = parts_.find(part);
-    if (found != parts_.end()) {
+  for (const crash_key& key : answer_news_) {
+    const auto found = keys_.find(key);
+    if (found != keys_.end()) {
       news.whole_answers.push_back(
-          {part, AgeMs(now, found->second.answered_at)});
+          {key.value, AgeMs(now, found->second.answered_at), IsRequest(key)});
     }
   }
   for (const service_id& service : service_news_) {
@@ -526,18 +681,25 @@
 
 crash_evidence crash_attribution::Snapshot(steady_time now) const {
   crash_evidence snapshot;
-  std::set<prompt_part> parts;
-  for (auto each = records_.rbegin();
-       each != records_.rend() && snapshot.crashes.size() < kMaxSnapshotRecords;
-       ++each) {
-    snapshot.crashes.push_back(each->record);
-    snapshot.crashes.back().age_ms = AgeMs(now, each->broken_at);
-    parts.insert(each->record.parts.begin(), each->record.parts.end());
+  std::set<crash_key> keys;
+  // What explains a verdict first, then the newest.
+  for (const bool explains : {true, false}) {
+    for (auto each = records_.rbegin(); each != records_.rend(); ++each) {
+      if (snapshot.crashes.size() >= kMaxSnapshotRecords) {
+        break;
+      }
+      if (ExplainsVerdict(*each) == explains) {
+        snapshot.crashes.push_back(each->record);
+        snapshot.crashes.back().age_ms = AgeMs(now, each->broken_at);
+        keys.insert(each->keys.begin(), each->keys.end());
+      }
+    }
   }
-  for (const prompt_part part : parts) {
-    const part_state& state = parts_.at(part);
+  for (const crash_key& key : keys) {
+    const key_state& state = keys_.at(key);
     if (state.was_answered) {
-      snapshot.whole_answers.push_back({part, AgeMs(now, state.answered_at)});
+      snapshot.whole_answers.push_back(
+          {key.value, AgeMs(now, state.answered_at), IsRequest(key)});
     }
   }
   for (const auto& [service, counts] : services_) {
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -15,38 +15,44 @@
 
 namespace shallotport {
 
-// A part was blocked, or is not blocked any more.
+// A part of prompts or a request was blocked, or is not blocked any more.
 struct block_change {
   enum class reason : uint8_t {
     kCrashes,      // Blocked.
     kWholeAnswer,  // Released: it was in a whole answer.
-    kExplained,    // Released: another part explains its crashes.
+    kExplained,    // Released: another key explains its crashes.
     kExpired,      // Released: its crashes are old.
   };
 
-  prompt_part part = 0;
+  crash_key key;
   reason why = reason::kCrashes;
   // Of kCrashes: the evidence.
   service_id service;
   size_t crashes = 0;  // Those that count, one after the other.
-  double chance = 0;   // That a sound part is in so many.
+  double chance = 0;   // That a sound one is in so many.
 };
 
-// Finds the parts of prompts under which endpoints crash. A crash breaks all
-// requests that the endpoint has, of which one is guilty. A whole answer
-// excuses the parts of its prompt from earlier crashes. Of the other parts, the
-// one that is in most crashes explains these, then the next one explains what
-// is left. A part is blocked if a sound one would hardly be in so many crashes,
-// and in no whole answer, by chance.
+// Finds what endpoints crash under: a part that prompts share, or one request
+// that is sent again and again (crash_key). A crash breaks all requests that
+// the endpoint has, of which one is guilty. A whole answer excuses the keys of
+// its request from earlier crashes. Of the other keys, the one that is in most
+// crashes explains these, then the next one explains what is left; of two that
+// are always together, the request goes before its parts. A key is blocked if a
+// sound one would hardly be in so many crashes, and in no whole answer, by
+// chance. For a request three crashes in a row are enough unless attempts often
+// break: nobody else sends it.
 //
 // Hosts exchange their records, and each one decides by all of them and by how
-// often its own attempts break. A host that errs blocks a part alone, and is
+// often its own attempts break. A host that errs blocks a key alone, and is
 // corrected by the first whole answer at another host. Crashes count if their
 // attempts began after the crash that was counted before: endpoints that end
-// together have a cause in common. After two crashes, a request with the part
-// is not sent again for a while that grows with each crash. Verdicts rest on
-// what endpoints do: naming a part in a request has no effect by itself. Owned
-// by the component that selects endpoints. Pure and bounded.
+// together have a cause in common. Those of a request that ran at several
+// endpoints at once also count if they came at different moments: it would be
+// answered elsewhere meanwhile if it were sound. After two crashes, a request
+// with the part is not sent again, and the request itself not sent at all, for
+// a while that grows with each crash. Verdicts rest on what endpoints do:
+// naming a part in a request has no effect by itself. Owned by the component
+// that selects endpoints. Pure and bounded.
 class crash_attribution {
  public:
   enum class role : uint8_t {
@@ -54,15 +60,18 @@
     kRelay,     // Passes on what observers saw, too.
   };
 
-  explicit crash_attribution(role own_role) : role_(own_role) {}
+  // `seed` differs between hosts: not all of them try a request again at the
+  // same time.
+  explicit crash_attribution(role own_role, uint64_t seed = 1)
+      : role_(own_role), seed_(seed) {}
 
   // An attempt of this host at an endpoint of the service broke, for whatever
   // reason.
   void RecordBreak(steady_time now, const service_id& service);
-  // This host got a whole answer to a prompt with these parts.
+  // This host got a whole answer to a request with these traits.
   void RecordWholeAnswer(steady_time now,
                          const service_id& service,
-                         std::span<const prompt_part> parts);
+                         const request_traits& traits);
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
   // Adds the records of another host. What a relay sent is not passed on.
@@ -74,15 +83,15 @@
   // second.
   std::vector<block_change> Update(steady_time now);
 
-  // True if requests with these parts must not reach any endpoint.
-  bool IsBlocked(std::span<const prompt_part> parts) const;
-  // True if such a request must not be sent once more after an attempt that may
-  // have been executed.
-  bool IsRepeatBlocked(steady_time now,
-                       std::span<const prompt_part> parts) const;
-  // How long they stay blocked if no more endpoints crash; 0: not blocked.
-  duration BlockedFor(steady_time now,
-                      std::span<const prompt_part> parts) const;
+  // True if a request with these traits must not reach any endpoint.
+  bool IsBlocked(steady_time now, const request_traits& traits) const;
+  // True if it must not be sent before some time has passed. `is_repeat`: an
+  // attempt of the same request of the caller may have been executed.
+  bool IsHeldBack(steady_time now,
+                  const request_traits& traits,
+                  bool is_repeat) const;
+  // How long it stays blocked or held back if no more endpoints crash.
+  duration BlockedFor(steady_time now, const request_traits& traits) const;
 
   bool HasNews() const {
     return !crash_news_.empty() || !answer_news_.empty() ||
@@ -93,7 +102,7 @@
   // What a host that has just started needs to know, bounded.
   crash_evidence Snapshot(steady_time now) const;
 
-  size_t blocked_count() const { return blocked_.size(); }
+  size_t CountBlocked(crash_key::kind what) const;
   size_t record_count() const { return records_.size(); }
 
  private:
@@ -101,6 +110,7 @@
   using record_key = std::pair<uint64_t, uint64_t>;
   struct known_record {
     crash_record record;
+    std::vector<crash_key> keys;
     steady_time broken_at{};
     bool is_own = false;
   };
@@ -110,80 +120,94 @@
     double broken = 0;
     steady_time counted_at{};
     uint64_t whole_answers = 0;  // Of all times.
+    steady_time answered_at{};   // The last of them.
     // When a host last saw that it answers while a part is suspected.
     steady_time answering_at{};
   };
-  // What is known of a part of a record.
-  struct part_state {
+  // What is known of a key of a record.
+  struct key_state {
     bool was_answered = false;
     steady_time answered_at{};  // The last whole answer.
     // It has crashes that count.
     bool is_suspected = false;
     uint64_t answers_before = 0;  // Whole answers of its service until then.
   };
-  // The crashes of a part that neither a whole answer nor another part excuses.
+  // The crashes of a key that neither a whole answer nor another key excuses.
   struct suspected_crash {
     steady_time broken_at{};
-    steady_time begun_at{};  // Of the latest attempt with the part.
+    steady_time begun_at{};  // Of the latest attempt with the key.
   };
   struct suspicion {
     std::map<uint64_t, suspected_crash> crashes;  // By endpoint.
     service_id service;
-    size_t position = 0;  // In the prompt.
+    size_t position = 0;  // In the prompt; a request's own key comes last.
     bool was_answered = false;
+    bool is_request = false;
 
-    // Those that do not overlap.
+    // Those that have no cause in common, as far as can be seen.
     size_t CountCrashes() const;
     steady_time FirstCrash() const;
     steady_time LastCrash() const;
   };
-  using suspicions = std::map<prompt_part, suspicion>;
+  using suspicions = std::map<crash_key, suspicion>;
+  // Keys with a verdict, and until when they are blocked. Afterwards they may
+  // be tried again, and still explain their crashes.
+  using verdicts = std::map<crash_key, steady_time>;
 
   bool Add(const crash_record& record, steady_time broken_at, bool is_own);
+  // Removes a record that explains no verdict, if there is one.
+  void EvictRecord();
+  bool ExplainsVerdict(const known_record& known) const;
   // Records a whole answer; true if other hosts may not know what it tells.
-  bool AddAnswer(prompt_part part, steady_time answered_at);
-  void RememberAnswer(prompt_part part, steady_time answered_at);
+  bool AddAnswer(const crash_key& key, steady_time answered_at);
+  void RememberAnswer(const crash_key& part, steady_time answered_at);
   void Expire(steady_time now);
-  void ForgetUnusedParts();
-  // Whether there is a crash of the part that an answer at `answered_at`
+  void ForgetUnusedKeys();
+  // Whether there is a crash of the key that an answer at `answered_at`
   // excuses and the known one does not.
-  bool ExcusesCrash(prompt_part part, steady_time answered_at) const;
-  // Whether the part is suspected for this record's crash.
-  bool Counts(const known_record& known, prompt_part part) const;
-  suspicions SuspicionsBeside(const std::set<prompt_part>& blocked) const;
+  bool ExcusesCrash(const crash_key& key, steady_time answered_at) const;
+  // Whether the key is suspected for this record's crash.
+  bool Counts(const known_record& known, const crash_key& key) const;
+  suspicions SuspicionsBeside(const verdicts& guilty) const;
   void UpdateSuspects(const suspicions& all);
-  std::set<prompt_part> Decide(steady_time now,
-                               std::vector<block_change>& changes);
-  // Where a service answers nothing, parts do not matter.
-  bool IsServiceAnswering(prompt_part part, const suspicion& suspect) const;
+  void HoldBack(const crash_key& key, const suspicion& suspect);
+  verdicts Decide(steady_time now);
+  // Where a service answers nothing, the keys of its requests do not matter.
+  bool IsServiceAnswering(const crash_key& key, const suspicion& suspect) const;
+  // Whether a host got a whole answer of the service between the first and the
+  // last of these crashes.
+  bool HasAnswerBetween(const suspicion& suspect) const;
   void NoteAnsweringServices(steady_time now, const suspicions& all);
   bool IsGuilty(steady_time now,
-                prompt_part part,
+                const crash_key& key,
                 const suspicion& suspect) const;
-  // That a sound part is in all these crashes and in no whole answer, by how
+  // That a sound key is in all these crashes and in no whole answer, by how
   // often attempts break at other times.
   double ChanceOf(steady_time now, const suspicion& suspect) const;
   service_counts& DecayedCounts(steady_time now, const service_id& service);
-  steady_time LastCrash(prompt_part part) const;
-  block_change::reason ReleaseReason(prompt_part part) const;
+  steady_time LastCrash(const crash_key& key) const;
+  block_change::reason ReleaseReason(const crash_key& key) const;
+  block_change BlockOf(steady_time now, const crash_key& key) const;
 
   const role role_;
+  const uint64_t seed_;
   std::deque<known_record> records_;  // In order of arrival.
   std::set<record_key> known_;
-  std::map<prompt_part, part_state> parts_;  // Of the records.
+  std::map<crash_key, key_state> keys_;  // Of the records.
   std::map<service_id, service_counts> services_;
-  std::map<prompt_part, steady_time> blocked_;  // With its last crash.
-  // Until when requests with these parts are not sent again.
-  std::map<prompt_part, steady_time> repeats_blocked_until_;
+  verdicts verdicts_;
+  std::set<crash_key> blocked_;  // At the last update.
+  std::map<crash_key, steady_time> held_back_until_;
   // Whole answers of parts that are in no record.
-  std::map<prompt_part, steady_time> answered_;
-  std::deque<prompt_part> answered_order_;
+  std::map<crash_key, steady_time> answered_;
+  std::deque<crash_key> answered_order_;
   std::set<record_key> crash_news_;
-  std::set<prompt_part> answer_news_;
+  std::set<crash_key> answer_news_;
   std::set<service_id> service_news_;
   bool has_changed_ = false;
-  bool is_undecided_ = false;  // A part is in enough crashes, and not blocked.
+  bool is_undecided_ = false;  // A key is in enough crashes, and not guilty.
   steady_time next_decision_{};
+  steady_time next_undecided_decision_{};
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/poison/crash_attribution_test.cc
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -30,7 +30,7 @@
   void Pass(int ms) { now += milliseconds(ms); }
   void Answer(const std::vector<prompt_part>& parts, int count = 1) {
     for (int i = 0; i < count; ++i) {
-      attribution.RecordWholeAnswer(now, kService, parts);
+      attribution.RecordWholeAnswer(now, kService, {parts});
     }
   }
   // An endpoint ends under one request with each of these prompts.
@@ -45,7 +45,7 @@
   }
   bool IsBlocked(prompt_part part) {
     attribution.Update(now);
-    return attribution.IsBlocked(std::vector<prompt_part>{part});
+    return attribution.IsBlocked(now, {{part}});
   }
 
   crash_attribution attribution;
@@ -223,8 +223,7 @@
   host.Answer({kOther}, 100);
   CrashThreeTimes(host, {kDeadly});
   ASSERT_TRUE(host.IsBlocked(kDeadly));
-  EXPECT_EQ(host.attribution.BlockedFor(
-                host.now, std::vector<prompt_part>{kOther, kDeadly}),
+  EXPECT_EQ(host.attribution.BlockedFor(host.now, {{kOther, kDeadly}}),
             std::chrono::minutes(10) - milliseconds(200));
   host.now += std::chrono::minutes(10) - milliseconds(250);
   EXPECT_TRUE(host.IsBlocked(kDeadly));
@@ -239,8 +238,8 @@
   test_host host;
   const std::vector<prompt_part> parts = {kDeadly};
   const auto may_repeat_after = [&](int ms) {
-    return !host.attribution.IsRepeatBlocked(host.now + milliseconds(ms),
-                                             parts);
+    return !host.attribution.IsHeldBack(host.now + milliseconds(ms), {parts},
+                                        true);
   };
   for (const int delay_ms : {0, 1'000, 2'000, 4'000}) {
     host.Pass(20'000);
@@ -429,7 +428,7 @@
         ended.clear();
       }
       for (const block_change& change : host.attribution.Update(host.now)) {
-        ADD_FAILURE() << "seed " << seed << ": part " << change.part << ", "
+        ADD_FAILURE() << "seed " << seed << ": " << change.key.value << ", "
                       << change.crashes << " crashes";
       }
     }
--- a/src/libshallotport/poison/crash_messages.h
+++ b/src/libshallotport/poison/crash_messages.h
@@ -8,10 +8,24 @@
 
 #include "base/ids.h"
 #include "base/result.h"
-#include "poison/prompt_parts.h"
+#include "poison/request_traits.h"
 
 namespace shallotport {
 
+// Fields that earlier builds do not send: left as they are where a record ends
+// before them.
+template <typename Archive, typename Field>
+void SerializeLaterField(Archive& archive, Field& field) {
+  if constexpr (requires { archive.IsAtEnd(); }) {
+    if (archive.IsAtEnd()) {
+      return;
+    }
+  }
+  archive(field);
+}
+
+inline constexpr uint32_t kNeverAnswered = UINT32_MAX;
+
 // An attempt that broke because its endpoint ended without notice.
 struct crash_record {
   uint64_t endpoint = 0;  // Key of the endpoint's start.
@@ -20,25 +34,33 @@
   uint32_t age_ms = 0;  // Since it broke.
   uint32_t ran_ms = 0;  // From its begin until it broke.
   std::vector<prompt_part> parts;
+  request_digest digest = 0;
+  // From the sender's last whole answer of the service until it broke.
+  uint32_t answered_before_ms = kNeverAnswered;
 
   auto operator<=>(const crash_record&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(endpoint, request, service, age_ms, ran_ms, parts);
+    SerializeLaterField(archive, digest);
+    SerializeLaterField(archive, answered_before_ms);
   }
 };
 
-// An endpoint gave a whole answer to a prompt with this part.
+// An endpoint gave a whole answer to a prompt with this part, or to this
+// request.
 struct whole_answer_record {
-  prompt_part part = 0;
+  uint64_t part_or_digest = 0;
   uint32_t age_ms = 0;
+  bool is_request = false;
 
   auto operator<=>(const whole_answer_record&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(part, age_ms);
+    archive(part_or_digest, age_ms);
+    SerializeLaterField(archive, is_request);
   }
 };
 
--- a/src/libshallotport/poison/crash_messages_test.cc
+++ b/src/libshallotport/poison/crash_messages_test.cc
@@ -12,8 +12,8 @@
 
 crash_evidence Evidence() {
   crash_evidence evidence;
-  evidence.crashes.push_back({1, 2, service_id("llm"), 30, 40, {5, 6}});
-  evidence.whole_answers.push_back({7, 80});
+  evidence.crashes.push_back({1, 2, service_id("llm"), 30, 40, {5, 6}, 11, 12});
+  evidence.whole_answers.push_back({7, 80, true});
   evidence.service_answers.push_back({service_id("llm"), 9});
   return evidence;
 }
@@ -47,6 +47,44 @@
   EXPECT_EQ(ValueOf(decoded).crashes, Evidence().crashes);
 }
 
+// Records as an earlier build sends them.
+struct earlier_crash_record {
+  uint64_t endpoint = 1;
+  uint64_t request = 2;
+  service_id service{"llm"};
+  uint32_t age_ms = 30;
+  uint32_t ran_ms = 40;
+  std::vector<prompt_part> parts = {5, 6};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, request, service, age_ms, ran_ms, parts);
+  }
+};
+struct earlier_answer_record {
+  uint64_t part = 7;
+  uint32_t age_ms = 80;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(part, age_ms);
+  }
+};
+
+TEST(crash_messages_test, FieldsThatEarlierBuildsDoNotSendHaveDefaults) {
+  const auto decoded =
+      DecodeEvidence(Encode(later_frame{{Encode(earlier_crash_record{})},
+                                        {Encode(earlier_answer_record{})},
+                                        {}}));
+  ASSERT_TRUE(IsOk(decoded));
+  crash_record record = Evidence().crashes[0];
+  record.digest = 0;
+  record.answered_before_ms = kNeverAnswered;
+  EXPECT_EQ(ValueOf(decoded).crashes[0], record);
+  EXPECT_EQ(ValueOf(decoded).whole_answers[0],
+            (whole_answer_record{7, 80, false}));
+}
+
 TEST(crash_messages_test, EveryCutOffMessageIsAnError) {
   const std::string whole = EncodeEvidence(Evidence());
   for (size_t size = 0; size < whole.size(); ++size) {
--- a/src/libshallotport/poison/crash_observer.cc
+++ b/src/libshallotport/poison/crash_observer.cc
@@ -22,13 +22,13 @@
 crash_observer::~crash_observer() = default;
 
 void crash_observer::OnWholeAnswer(const observed_attempt& attempt) {
-  attribution_.RecordWholeAnswer(clock_.Now(), attempt.service, attempt.parts);
+  attribution_.RecordWholeAnswer(clock_.Now(), attempt.service, attempt.traits);
 }
 
 void crash_observer::OnBroken(const observed_attempt& attempt) {
   const steady_time now = clock_.Now();
   attribution_.RecordBreak(now, attempt.service);
-  if (attempt.parts.empty()) {
+  if (attempt.traits.IsEmpty()) {
     return;
   }
   RemoveOld(now);
@@ -41,7 +41,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now -
                                                             attempt.begun_at)
           .count());
-  record.parts = attempt.parts;
+  record.parts = attempt.traits.parts;
+  record.digest = attempt.traits.digest;
   const auto [at, is_new] = pending_.try_emplace(attempt.start);
   pending_crash& pending = at->second;
   if (!is_new && !pending.is_probing &&
--- a/src/libshallotport/poison/crash_observer.h
+++ b/src/libshallotport/poison/crash_observer.h
@@ -20,7 +20,7 @@
   service_id service;
   uint64_t request = 0;  // Key of its id.
   steady_time begun_at{};
-  const std::vector<prompt_part>& parts;
+  const request_traits& traits;
 };
 
 // Tells crash_attribution which broken attempts are due to an endpoint's crash.
--- a/src/libshallotport/poison/crash_observer_test.cc
+++ b/src/libshallotport/poison/crash_observer_test.cc
@@ -19,7 +19,7 @@
 struct break_case {
   std::string name;
   peer endpoint;
-  std::vector<prompt_part> parts;
+  request_traits traits;
   size_t records;
   uint64_t probes;
 };
@@ -43,7 +43,7 @@
                            service_id("llm"),
                            0,
                            clock.Now(),
-                           GetParam().parts};
+                           GetParam().traits};
   // Both break at once; the third a little later.
   for (int i = 0; i < 3; ++i) {
     attempt.request = static_cast<uint64_t>(i);
@@ -64,10 +64,11 @@
 INSTANTIATE_TEST_SUITE_P(
     table,
     broken_attempts,
-    testing::Values(break_case{"ended", peer::kEnded, {1, 2}, 3, 1},
-                    break_case{"accepts", peer::kAccepting, {1, 2}, 0, 2},
-                    break_case{"unreachable", peer::kUnreachable, {1}, 0, 2},
-                    break_case{"no_parts", peer::kEnded, {}, 0, 0}),
+    testing::Values(break_case{"ended", peer::kEnded, {{1, 2}}, 3, 1},
+                    break_case{"accepts", peer::kAccepting, {{1, 2}}, 0, 2},
+                    break_case{"unreachable", peer::kUnreachable, {{1}}, 0, 2},
+                    break_case{"plain_call", peer::kEnded, {{}, 7}, 3, 1},
+                    break_case{"no_traits", peer::kEnded, {}, 0, 0}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
