eventio, fleet, jobstore: entry hosts that are cut off from all endpoints use relays

The host took its own partition for failures of endpoints, put all of them into backoff, and had no other way.

path_monitor tells a host that is cut off from endpoints that are down. Such a host opens its connections through job stores (relay_listener), which carry the bytes and read nothing of them: selection, slots, attempts, limits and logs stay where they are. An end of a response is a frame of its own, so that a relay that dies looks broken. Without a relay the host says that it is not ready.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -32,7 +32,7 @@
       log_(log),
       random_(options_.seed),
       selector_(options_.selector),
-      pool_(loop, clock),
+      pool_(loop, clock, options_.endpoint_source_ip),
       crash_observer_(clock, pool_, selector_.crashes()),
       slow_retry_budget_(kSlowRetryRatio, kMaxSavedSlowRetries) {}
 
@@ -62,6 +62,10 @@
   routed->Begin();
 }
 
+void entry_duty::SetRelays(std::vector<relay_address> relays) {
+  pool_.paths().SetRelays(std::move(relays));
+}
+
 void entry_duty::NotifyLoadChanged() const {
   if (on_load_changed) {
     on_load_changed();
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/random_source.h"
@@ -51,6 +52,8 @@
   struct options {
     endpoint_selector_options selector;
     wire_profile wire;
+    // From which endpoints are called; empty: the system chooses.
+    std::string endpoint_source_ip;
     uint64_t seed = 1;
   };
 
@@ -103,6 +106,8 @@
   size_t active_count() const { return active_.size(); }
   const entry_counters& counters() const { return counters_; }
   const entry_metrics& metrics() const { return metrics_; }
+  // Hosts through which endpoints can be reached, in order of preference.
+  void SetRelays(std::vector<relay_address> relays);
   const endpoint_connection_pool& connections() const { return pool_; }
   const crash_observer& crash_watch() const { return crash_observer_; }
 
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -123,7 +123,20 @@
 }
 
 bool entry_host::IsReady() const {
-  return !is_draining_ && duty_.routes() != nullptr;
+  return !is_draining_ && duty_.routes() != nullptr &&
+         !duty_.connections().paths().IsStranded(clock_.Now());
+}
+
+void entry_host::UpdatePaths(steady_time now) {
+  duty_.SetRelays(fleet_.Relays());
+  const path_monitor& paths = duty_.connections().paths();
+  if (paths.IsCutOff() == was_cut_off_) {
+    return;
+  }
+  was_cut_off_ = paths.IsCutOff();
+  const auto relay = paths.FirstRelay(now);
+  log_.LogState(was_cut_off_ ? "endpoints_cut_off" : "endpoints_reached",
+                {{"relay", relay ? relay->ip : ""}});
 }
 
 void entry_host::Tick(steady_time now) {
@@ -141,6 +154,7 @@
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     callers_.Sweep(now);
+    UpdatePaths(now);
     const bool has_control_link = fleet_.HasControlLink();
     if (has_control_link != had_control_link_) {
       had_control_link_ = has_control_link;
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -65,6 +65,7 @@
   void ExchangeLoad(steady_time now);
   void ApplyLoadTotals(host_link& link, std::string_view payload);
   bool HasCompleteView() const;
+  void UpdatePaths(steady_time now);
   void Drain(steady_time now);
 
   const clock_source& clock_;
@@ -88,6 +89,7 @@
   steady_time next_sweep_{};
   bool is_draining_ = false;
   bool had_control_link_ = false;
+  bool was_cut_off_ = false;
   // Since when all control hosts are linked; nullopt: they are not.
   std::optional<steady_time> all_linked_since_;
   steady_time drain_started_at_{};
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -20,6 +20,10 @@
 // second, which is too late for most requests: they are retried at another
 // endpoint.
 constexpr std::chrono::milliseconds kConnectTimeout{100};
+// While this host is cut off: a relay is tried next.
+constexpr std::chrono::milliseconds kCutOffConnectTimeout{40};
+// Includes the relay's own attempt to connect.
+constexpr std::chrono::milliseconds kRelayTimeout{250};
 // Time for which an idle connection may be reused if the endpoint states no
 // keep-alive time.
 constexpr std::chrono::milliseconds kDefaultKeepAlive{1'500};
@@ -80,37 +84,106 @@
 }
 
 void endpoint_connection::Connect() {
+  const steady_time now = pool_->clock_.Now();
+  const auto next = pool_->paths_.NextPath(now, tried_paths_);
+  if (!next) {
+    Finish(connect_failure_);
+    return;
+  }
+  path_ = *next;
+  tried_paths_.push_back(path_);
   error_code failure;
-  const ip::address address = ip::make_address(address_.ip, failure);
+  const ip::address address =
+      ip::make_address(path_ ? path_->ip : address_.ip, failure);
   if (failure) {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->Finish(call_end::kNotSent);
     });
     return;
   }
-  connect_timer_.expires_after(kConnectTimeout);
-  connect_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-    if (!cancelled && !self->is_connected_) {
-      self->Finish(call_end::kConnectTimeout);
-    }
-  });
-  socket_.async_connect(ip::tcp::endpoint(address, address_.port),
-                        [self = shared_from_this()](error_code failure) {
-                          self->connect_timer_.cancel();
-                          if (self->is_closed_) {
-                            return;
-                          }
-                          if (failure) {
-                            self->Finish(call_end::kNotSent);
-                            return;
-                          }
-                          self->is_connected_ = true;
-                          SetStreamOptions(self->socket_);
-                          self->Send();
-                        });
+  socket_ = ip::tcp::socket(socket_.get_executor());
+  is_reading_ = false;
+  if (!path_ && !pool_->source_ip_.empty()) {
+    socket_.open(ip::tcp::v4(), failure);
+    socket_.bind({ip::make_address(pool_->source_ip_, failure), 0}, failure);
+  }
+  connect_timer_.expires_after(path_ ? kRelayTimeout
+                               : pool_->paths_.IsCutOff()
+                                   ? kCutOffConnectTimeout
+                                   : kConnectTimeout);
+  const size_t attempt = tried_paths_.size();
+  connect_timer_.async_wait(
+      [self = shared_from_this(), attempt](error_code cancelled) {
+        if (!cancelled && self->IsConnecting(attempt)) {
+          self->OnPathFailed(call_end::kConnectTimeout);
+        }
+      });
+  socket_.async_connect(
+      ip::tcp::endpoint(address, path_ ? path_->port : address_.port),
+      [self = shared_from_this(), attempt](error_code failure) {
+        if (!self->IsConnecting(attempt)) {
+          return;
+        }
+        if (failure) {
+          self->OnPathFailed(call_end::kNotSent);
+          return;
+        }
+        SetStreamOptions(self->socket_);
+        if (self->path_) {
+          self->RequestRelay();
+        } else {
+          self->OnConnected();
+        }
+      });
+}
+
+bool endpoint_connection::IsConnecting(size_t attempt) const {
+  return !is_closed_ && !is_connected_ && is_in_call_ &&
+         attempt == tried_paths_.size();
+}
+
+void endpoint_connection::OnConnected() {
+  connect_timer_.cancel();
+  is_connected_ = true;
+  const steady_time now = pool_->clock_.Now();
+  if (path_) {
+    ++pool_->counters_.relayed;
+    pool_->paths_.RecordRelayUsed(now, *path_);
+  } else {
+    pool_->paths_.RecordConnected(now);
+  }
+  Send();
+}
+
+void endpoint_connection::OnPathFailed(call_end failure) {
+  connect_timer_.cancel();
+  connect_failure_ = failure;
+  const steady_time now = pool_->clock_.Now();
+  if (path_) {
+    pool_->paths_.RecordRelayFailed(now, *path_);
+  } else {
+    pool_->paths_.RecordConnectFailed(now, address_);
+  }
+  error_code ignored;
+  socket_.close(ignored);
+  Connect();
+}
+
+void endpoint_connection::RequestRelay() {
+  relay_frames_ = {};
+  relay_request_ = EncodeRelayOpen(address_);
+  boost::asio::async_write(socket_, boost::asio::buffer(relay_request_),
+                           [self = shared_from_this()](error_code, size_t) {
+                             // The read determines how it ended.
+                           });
+  Read();
 }
 
 void endpoint_connection::Send() {
+  if (!path_) {
+    call_ = pool_->next_call_++;
+    pool_->paths_.RecordSent(pool_->clock_.Now(), call_, address_);
+  }
   boost::asio::async_write(
       socket_, boost::asio::buffer(request_.bytes),
       [self = shared_from_this()](error_code failure, size_t) {
@@ -131,24 +204,114 @@
   is_reading_ = true;
   socket_.async_read_some(
       boost::asio::buffer(read_buffer_),
-      [self = shared_from_this()](error_code failure, size_t size) {
-        self->is_reading_ = false;
-        if (self->is_closed_) {
+      [self = shared_from_this(), attempt = tried_paths_.size()](
+          error_code failure, size_t size) {
+        if (self->is_closed_ || attempt != self->tried_paths_.size()) {
           return;
         }
-        if (failure == boost::asio::error::eof) {
+        self->is_reading_ = false;
+        // The end of a relayed connection is announced, if it is sound.
+        if (failure == boost::asio::error::eof && !self->path_) {
           self->OnEndOfStream();
           return;
         }
         if (failure) {
-          self->Finish(call_end::kBroken);
+          self->NoteTimeout(failure);
+          if (self->IsConnecting(attempt)) {
+            self->OnPathFailed(call_end::kNotSent);
+          } else {
+            self->Finish(call_end::kBroken);
+          }
           return;
         }
-        self->input_.append(self->read_buffer_.data(), size);
-        self->OnInput();
+        self->OnBytes({self->read_buffer_.data(), size});
       });
 }
 
+void endpoint_connection::NoteTimeout(const error_code& failure) {
+  if (!path_ && pool_ != nullptr && failure == boost::asio::error::timed_out) {
+    pool_->paths_.RecordTimedOut(pool_->clock_.Now(), address_);
+  }
+}
+
+void endpoint_connection::OnBytes(std::string_view bytes) {
+  if (!path_) {
+    if (pool_ != nullptr) {
+      pool_->paths_.RecordReceived(pool_->clock_.Now());
+    }
+    input_.append(bytes);
+    OnInput();
+    return;
+  }
+  const size_t attempt = tried_paths_.size();
+  const status read = relay_frames_.Feed(
+      bytes, [this](relay_frame kind, std::string_view payload) {
+        return OnRelayFrame(kind, payload);
+      });
+  if (is_closed_ || attempt != tried_paths_.size()) {
+    return;
+  }
+  if (!IsOk(read)) {
+    Finish(is_connected_ ? call_end::kBroken : call_end::kNotSent);
+    return;
+  }
+  if (!input_.empty()) {
+    OnInput();
+  }
+  if (has_relay_end_ && !is_closed_) {
+    OnEndOfStream();
+  } else if (is_relay_leaving_ && !is_in_call_) {
+    Close();
+  } else {
+    Read();
+  }
+}
+
+bool endpoint_connection::OnRelayFrame(relay_frame kind,
+                                       std::string_view payload) {
+  switch (kind) {
+    case relay_frame::kData:
+      input_.append(payload);
+      return is_connected_;
+    case relay_frame::kEnd:
+      has_relay_end_ = true;
+      return false;
+    case relay_frame::kLeaving:
+      is_relay_leaving_ = true;
+      return true;
+    case relay_frame::kOpened:
+      if (!is_connected_) {
+        OnConnected();
+      }
+      return true;
+    case relay_frame::kRefused:
+    case relay_frame::kNoAnswer:
+    case relay_frame::kDeclined:
+      break;
+  }
+  if (!is_connected_) {
+    OnRelayRefused(kind);
+  }
+  return false;
+}
+
+// The relay itself works.
+void endpoint_connection::OnRelayRefused(relay_frame reason) {
+  connect_timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  if (reason == relay_frame::kRefused) {
+    pool_->paths_.RecordRelayUsed(pool_->clock_.Now(), *path_);
+    Finish(call_end::kNotSent);
+    return;
+  }
+  if (reason == relay_frame::kNoAnswer) {
+    pool_->paths_.RecordRelayUnanswered(*path_);
+    connect_failure_ = call_end::kConnectTimeout;
+  }
+  Connect();
+}
+
 void endpoint_connection::OnInput() {
   if (!is_in_call_) {
     Close();  // Data outside a call belongs to no request.
@@ -283,10 +446,12 @@
   }
   const auto self = shared_from_this();
   is_in_call_ = false;
+  EndCall();
   // If the response is complete before the whole request was sent, the rest of
   // its body would precede the next request on this connection.
   const bool keeps_connection = end == call_end::kComplete && may_keep_alive_ &&
                                 is_sent_ && input_.empty() &&
+                                !is_relay_leaving_ && !has_relay_end_ &&
                                 pool_ != nullptr && keep_alive_ > duration(0);
   call_events events = std::exchange(events_, {});
   parser_.reset();
@@ -306,12 +471,19 @@
   }
 }
 
+void endpoint_connection::EndCall() {
+  if (pool_ != nullptr) {
+    pool_->paths_.RecordEnded(call_);
+  }
+}
+
 void endpoint_connection::Close() {
   if (std::exchange(is_closed_, true)) {
     return;
   }
   const auto self = shared_from_this();
   is_in_call_ = false;
+  EndCall();
   // Destroys the callbacks later, because one of them may be running now.
   boost::asio::post(socket_.get_executor(),
                     [released_events = std::exchange(events_, {})] {});
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -9,8 +9,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "eventio/endpoint_connection_pool.h"
+#include "eventio/relay_frames.h"
 
 namespace shallotport {
 
@@ -31,15 +34,28 @@
   void Detach();
 
   const endpoint_address& address() const { return address_; }
+  bool is_relayed() const { return path_.has_value(); }
   bool IsReusable(steady_time now) const;
 
  private:
   using response_parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  // Tries the next way to the endpoint, if one is left.
   void Connect();
+  // Whether the attempt with this number is under way.
+  bool IsConnecting(size_t attempt) const;
+  void OnConnected();
+  // `failure`: how the call ends if no other way is left.
+  void OnPathFailed(call_end failure);
+  void RequestRelay();
+  void OnRelayRefused(relay_frame reason);
   void Send();
   void Read();
+  void NoteTimeout(const boost::system::error_code& failure);
+  void OnBytes(std::string_view bytes);
+  // False if the rest of the frames is of no interest.
+  bool OnRelayFrame(relay_frame kind, std::string_view payload);
   void OnInput();
   void OnEndOfStream();
   bool ParseInput();
@@ -47,6 +63,7 @@
   void ProcessBody();
   void FinishResponse();
   void Finish(call_end end);
+  void EndCall();
   void CountParsed(size_t parsed_bytes);
   // An endpoint in trouble may write without end.
   bool IsTooLong() const;
@@ -57,6 +74,14 @@
   boost::asio::steady_timer connect_timer_;
   std::array<char, 8192> read_buffer_{};
   std::string input_;
+  std::vector<endpoint_path> tried_paths_;  // The last one is `path_`.
+  endpoint_path path_;
+  std::string relay_request_;
+  relay_frame_reader relay_frames_;
+  call_end connect_failure_ = call_end::kNotSent;  // Of the last path.
+  bool has_relay_end_ = false;  // The endpoint has ended the connection.
+  bool is_relay_leaving_ = false;
+  uint64_t call_ = 0;  // For the pool's path_monitor.
   std::optional<response_parser> parser_;
   outbound_request request_;
   call_events events_;
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "eventio/http_types.h"
+#include "eventio/path_monitor.h"
 
 namespace shallotport {
 
@@ -41,15 +42,6 @@
   virtual ~endpoint_call() = default;
 };
 
-// Address of an endpoint. It does not identify the endpoint: another one may
-// reuse it later.
-struct endpoint_address {
-  std::string ip;
-  uint16_t port = 0;
-
-  auto operator<=>(const endpoint_address&) const = default;
-};
-
 // A serialized request and how its response is recognized.
 struct outbound_request {
   std::string method;
@@ -70,7 +62,9 @@
 
 // Keeps connections to endpoints open between calls. An idle connection is
 // reused only within the endpoint's stated keep-alive time, and is closed as
-// soon as unexpected bytes or the end of the stream arrive on it. Not
+// soon as unexpected bytes or the end of the stream arrive on it. While this
+// host is cut off from the endpoints, connections are opened through relays
+// (path_monitor). Not
 // thread-safe: to be used on the thread of `loop`.
 class endpoint_connection_pool {
  public:
@@ -80,10 +74,13 @@
     uint64_t connect_failures = 0;
     uint64_t skipped_responses = 0;
     uint64_t probes = 0;
+    uint64_t relayed = 0;  // Of those opened.
   };
 
+  // Direct connections are made from `source_ip`; empty: the system chooses.
   endpoint_connection_pool(boost::asio::io_context& loop,
-                           const clock_source& clock);
+                           const clock_source& clock,
+                           std::string source_ip = {});
   ~endpoint_connection_pool();
 
   // Begins a call. Its callbacks are called later, from the event loop.
@@ -94,11 +91,14 @@
   // handler is called later, from the event loop.
   void Probe(const endpoint_address& to,
              std::function<void(probe_result result)> on_result);
-  // Closes idle connections whose keep-alive time has expired.
+  // Closes idle connections whose keep-alive time has expired, and relayed ones
+  // that are not needed any more.
   void Sweep(steady_time now);
   // Closes the idle connections to one address.
   void CloseIdle(const endpoint_address& to);
 
+  path_monitor& paths() { return paths_; }
+  const path_monitor& paths() const { return paths_; }
   const counters& totals() const { return counters_; }
   size_t idle_count() const;
 
@@ -112,8 +112,11 @@
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
+  const std::string source_ip_;
   std::map<endpoint_address, std::vector<std::shared_ptr<endpoint_connection>>>
       idle_;
+  path_monitor paths_;
+  uint64_t next_call_ = 1;
   counters counters_;
 };
 
--- a/src/libshallotport/eventio/loopback_test_util.h
+++ b/src/libshallotport/eventio/loopback_test_util.h
@@ -1,6 +1,9 @@
 #ifndef SHALLOTPORT_EVENTIO_LOOPBACK_TEST_UTIL_H_
 #define SHALLOTPORT_EVENTIO_LOOPBACK_TEST_UTIL_H_
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -98,6 +101,39 @@
   }
 
   uint16_t port() { return acceptor_.local_endpoint().port(); }
+  // Drops what arrives from an address, as a partition does, or ends that.
+  void Partition(const std::string& from) {
+    const uint32_t ip = boost::asio::ip::make_address_v4(from).to_uint();
+    sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+                 static_cast<uint32_t>(SKF_NET_OFF + 12)),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, ip, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    const sock_fprog program{std::size(code), code};
+    for (const int fd : Sockets()) {
+      setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+    }
+  }
+  void EndPartition() {
+    const int unused = 0;
+    for (const int fd : Sockets()) {
+      setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+    }
+  }
+  void ResetConnections(const std::string& from) {
+    for (const auto& weak : accepted_) {
+      const auto open = weak.lock();
+      boost::system::error_code failure;
+      if (open != nullptr &&
+          open->socket.remote_endpoint(failure).address().to_string() == from) {
+        open->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                failure);
+        open->Close();
+      }
+    }
+  }
   // Refuses connections from now on.
   void Close() { acceptor_.close(); }
 
@@ -113,6 +149,7 @@
       }
       ++connections;
       auto connection = std::make_shared<raw_connection>(std::move(socket));
+      accepted_.push_back(connection);
       connection->on_received = [this, raw = connection.get()] {
         ProcessRequests(*raw);
       };
@@ -141,7 +178,18 @@
     on_request_(connection, request);
   }
 
+  std::vector<int> Sockets() {
+    std::vector<int> sockets = {acceptor_.native_handle()};
+    for (const auto& weak : accepted_) {
+      if (const auto open = weak.lock(); open && open->socket.is_open()) {
+        sockets.push_back(open->socket.native_handle());
+      }
+    }
+    return sockets;
+  }
+
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<raw_connection>> accepted_;
   script on_request_;
 };
 
--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -96,6 +96,13 @@
   });
 }
 
+bool endpoint_directory::HasAddress(const endpoint_address& address) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& each) {
+    const endpoint_report& report = each.second.report;
+    return report.ip == address.ip && report.port == address.port;
+  });
+}
+
 const endpoint_directory::entry* endpoint_directory::Find(
     const endpoint_id& endpoint) const {
   const auto found = entries_.find(endpoint);
--- a/src/libshallotport/fleet/endpoint_directory.h
+++ b/src/libshallotport/fleet/endpoint_directory.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "eventio/path_monitor.h"
 #include "fleet/endpoint_report.h"
 
 namespace shallotport {
@@ -28,6 +29,8 @@
   // Removes endpoints that left or sent no report for a long time.
   void Expire(steady_time now);
 
+  // Whether an endpoint that is known is at this address.
+  bool HasAddress(const endpoint_address& address) const;
   const entry* Find(const endpoint_id& endpoint) const;
   const std::map<endpoint_id, entry>& entries() const { return entries_; }
   // All reports with their current age.
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/codec.h"
+#include "base/digest.h"
 #include "eventio/host_link.h"
 
 namespace shallotport {
@@ -200,6 +201,31 @@
   return hosts_.LiveHosts(clock_.Now(), role, kLiveTimeout);
 }
 
+std::vector<relay_address> fleet_host::Relays() const {
+  std::vector<relay_address> relays;
+  if (options_.relay_port == 0) {
+    return relays;
+  }
+  std::vector<host_announcement> stores = LiveHosts(host_role::kStore);
+  std::erase_if(stores, [this](const host_announcement& each) {
+    return !hub_.IsUp(each.host.text());
+  });
+  // Hosts of domains without a store spread over all of them.
+  const auto order = [this](const host_announcement& each) {
+    return std::pair(each.domain != options_.self.domain,
+                     HashOf(each.host.text(), HashOf(options_.self.name)));
+  };
+  std::sort(stores.begin(), stores.end(),
+            [&](const host_announcement& a, const host_announcement& b) {
+              return order(a) < order(b);
+            });
+  relays.reserve(stores.size());
+  for (const host_announcement& each : stores) {
+    relays.push_back({each.host.text(), options_.relay_port});
+  }
+  return relays;
+}
+
 bool fleet_host::HasControlLink() const {
   const auto up = hub_.UpTargets();
   return std::any_of(up.begin(), up.end(), [this](const std::string& ip) {
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "eventio/link_hub.h"
+#include "eventio/path_monitor.h"
 #include "fleet/endpoint_directory.h"
 #include "fleet/fleet_messages.h"
 #include "fleet/host_directory.h"
@@ -21,6 +22,9 @@
 struct fleet_host_options {
   host_announcement self;
   uint16_t port = 0;  // For links between hosts; the same on all.
+  // Where job stores open connections to endpoints for hosts that are cut off
+  // from them; the same on all. 0: they do not.
+  uint16_t relay_port = 0;
   std::vector<std::string> seed_ips;  // Some of the control hosts.
   // Address on which links between hosts are accepted and from which they are
   // dialed, if it differs from the address under which the others know this
@@ -72,6 +76,9 @@
   const std::set<std::string>& retiring() const { return retiring_; }
   // Hosts of a role with a recent announcement, this one included.
   std::vector<host_announcement> LiveHosts(host_role role) const;
+  // Hosts that relay connections to endpoints and are linked to this one; those
+  // of the own failure domain first.
+  std::vector<relay_address> Relays() const;
   uint32_t entry_host_count() const { return entry_host_count_; }
   bool HasControlLink() const;
   // To every control host that is known, and at least to one.
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -103,6 +103,9 @@
   // if there is none.
   bool YieldSlot(steady_time now, const endpoint_id& endpoint);
 
+  void SetRelays(std::vector<relay_address> relays) {
+    pool_.paths().SetRelays(std::move(relays));
+  }
   const counters& totals() const { return counters_; }
   const crash_observer& crash_watch() const { return crash_observer_; }
   size_t running_count() const { return attempts_.size(); }
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -15,6 +15,9 @@
 constexpr uint32_t kJobGroup = 2;
 constexpr std::chrono::milliseconds kHealingInterval{200};
 constexpr std::chrono::milliseconds kMembersPushInterval{300};
+// Of the leadership, before a stop.
+constexpr std::chrono::milliseconds kHandoverTimeout{2'500};
+constexpr std::chrono::milliseconds kRelaysInterval{300};
 // An entry host that reports no load for this long has failed or is
 // partitioned.
 constexpr std::chrono::milliseconds kLoadTimeout{1'000};
@@ -97,6 +100,10 @@
       crashes_(fleet_, endpoints_.crashes()),
       limits_(fleet_, endpoints_.limits()),
       healer_({options_.voters}),
+      relay_(loop,
+             [this](const endpoint_address& address) {
+               return fleet_.endpoints().HasAddress(address);
+             }),
       slots_(endpoints_.limits()) {
   table_.on_changed = [this](const job_id& job) {
     dispatcher_.OnJobChanged(job);
@@ -159,6 +166,16 @@
   if (status started = fleet_.Start(); !IsOk(started)) {
     return started;
   }
+  const fleet_host_options& fleet = options_.fleet;
+  if (fleet.relay_port != 0) {
+    const std::string& bind_ip = fleet.link_bind_ip.empty()
+                                     ? fleet.self.host.text()
+                                     : fleet.link_bind_ip;
+    if (status opened = relay_.Listen(bind_ip, fleet.relay_port);
+        !IsOk(opened)) {
+      return opened;
+    }
+  }
   return OpenGroupIfReady();
 }
 
@@ -187,6 +204,11 @@
 void job_store_duty::Tick(steady_time now) {
   fleet_.Tick(now);
   crashes_.Tick(now);
+  EndStop(now);
+  if (now >= next_relays_at_) {
+    next_relays_at_ = now + kRelaysInterval;
+    dispatcher_.SetRelays(fleet_.Relays());
+  }
   if (group_ == nullptr) {
     const status opened = OpenGroupIfReady();
     if (!IsOk(opened)) {
@@ -228,11 +250,23 @@
 }
 
 void job_store_duty::Stop(std::function<void()> done) {
+  on_stopped_ = std::move(done);
+  stop_begun_at_ = clock_.Now();
+  relay_.StartDraining();
   if (group_ == nullptr) {
-    done();
+    has_left_group_ = true;
     return;
   }
-  group_->Stop(std::move(done));
+  group_->Stop([this] { has_left_group_ = true; });
+}
+
+// Relayed connections are kept until their calls have ended.
+void job_store_duty::EndStop(steady_time now) {
+  const bool has_left =
+      has_left_group_ || now >= stop_begun_at_ + kHandoverTimeout;
+  if (on_stopped_ && has_left && relay_.tunnel_count() == 0) {
+    std::exchange(on_stopped_, nullptr)();
+  }
 }
 
 void job_store_duty::OnCall(const host_link& link,
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -13,6 +13,7 @@
 #include "entry/decision_log.h"
 #include "entry/endpoint_selector.h"
 #include "entry/route_table.h"
+#include "eventio/relay_listener.h"
 #include "fleet/fleet_host.h"
 #include "fleet/group_healer.h"
 #include "fleet/group_replica.h"
@@ -36,7 +37,8 @@
 // A job store: a host with a disk that is a member of the job group, which
 // replicates batch jobs. The leader of the group replies to the entry hosts'
 // calls about jobs, sends items to endpoints, and adds up the load that the
-// entry hosts report for the endpoints. Runs on the thread of `loop`.
+// entry hosts report for the endpoints. Every store relays connections for
+// hosts that are cut off from the endpoints. Runs on the thread of `loop`.
 class job_store_duty {
  public:
   // Parses a configuration document. Passed in, so that this class does not
@@ -68,6 +70,7 @@
   fleet_host& fleet() { return fleet_; }
   const job_table& table() const { return table_; }
   const item_dispatcher& dispatcher() const { return dispatcher_; }
+  const relay_listener& relay() const { return relay_; }
   const endpoint_selector& endpoints() const { return endpoints_; }
   const slot_counters& slot_totals() const { return slot_counters_; }
 
@@ -111,6 +114,7 @@
   void RecordLoad(host_link& link, std::string_view payload);
   void PushLoadTotals(steady_time now);
   void Heal(steady_time now);
+  void EndStop(steady_time now);
   void PushMembers();
 
   boost::asio::io_context& loop_;
@@ -129,6 +133,7 @@
   std::optional<route_table> routes_;
   std::list<waiting_read> waiting_reads_;
   std::map<std::string, entry_load> entry_loads_;
+  relay_listener relay_;
   slot_allocator slots_;
   slot_counters slot_counters_;
   stream_origins streams_;
@@ -136,7 +141,12 @@
   bool was_dispatching_ = false;
   steady_time next_heal_at_{};
   steady_time next_members_push_at_{};
+  steady_time next_relays_at_{};
   bool is_healing_ = false;
+  // Of a planned stop.
+  std::function<void()> on_stopped_;
+  steady_time stop_begun_at_{};
+  bool has_left_group_ = false;
   bool was_leading_ = false;
   steady_time leading_since_{};
 };
