poison: whole answers of popular parts no longer scan all records of crashes

Each whole answer of a part that is in a record looked through up to 1,024 records whether it excuses a crash, also when all its crashes were excused; a host that hears of the answers of many hosts did so for each. The last crash of a key answers that at once. Same verdicts; cost not measured by itself.

--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -201,6 +201,10 @@
 
 bool crash_attribution::ExcusesCrash(const crash_key& key,
                                      steady_time answered_at) const {
+  const key_state& state = keys_.at(key);
+  if (state.was_answered && state.answered_at > state.crashed_at) {
+    return false;  // All of them are excused.
+  }
   return std::any_of(records_.begin(), records_.end(),
                      [&](const known_record& each) {
                        return each.broken_at < answered_at &&
@@ -275,6 +279,7 @@
   has_changed_ = true;
   for (const crash_key& key : keys) {
     key_state& state = keys_[key];
+    state.crashed_at = std::max(state.crashed_at, broken_at);
     const auto answered = answered_.find(key);
     if (!state.was_answered && answered != answered_.end()) {
       state.was_answered = true;
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -128,6 +128,7 @@
   struct key_state {
     bool was_answered = false;
     steady_time answered_at{};  // The last whole answer.
+    steady_time crashed_at{};   // The last crash, whatever excuses it.
     // It has crashes that count.
     bool is_suspected = false;
     uint64_t answers_before = 0;  // Whole answers of its service until then.
