eventio: one class accepts connections for listeners, links and relays

Three classes had the same loop with its delay after a failure; the third came with relay_listener. The probe of an endpoint's address gets files of its own. No change of behaviour; the eventio tests pass.

--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "eventio/connection_probe.h"
 #include "eventio/http_types.h"
 #include "eventio/path_monitor.h"
 
@@ -53,13 +54,6 @@
   std::string echo_value;
 };
 
-// What listens at an endpoint's address.
-enum class probe_result : uint8_t {
-  kAccepted,  // A connection was accepted, and closed without a request.
-  kRefused,   // Nothing: the process has ended.
-  kUnknown,   // No answer in time, or another error.
-};
-
 // Keeps connections to endpoints open between calls. An idle connection is
 // reused only within the endpoint's stated keep-alive time, and is closed as
 // soon as unexpected bytes or the end of the stream arrive on it. While this
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -2,7 +2,6 @@
 #define SHALLOTPORT_EVENTIO_HTTP_LISTENER_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "eventio/connection_acceptor.h"
 #include "eventio/http_types.h"
 
 namespace shallotport {
@@ -107,15 +107,12 @@
   friend class http_connection;
   friend class http_exchange;
 
-  void Accept();
-
   boost::asio::io_context& loop_;
   const clock_source& clock_;
   request_handler on_request_;
   listener_limits limits_;
   listener_counters counters_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_retry_timer_;
+  connection_acceptor acceptor_;
   std::set<std::shared_ptr<http_connection>> connections_;
   bool is_draining_ = false;
 };
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "eventio/host_link.h"
-#include "eventio/socket_options.h"
 
 namespace shallotport {
 
@@ -12,7 +11,6 @@
 
 using error_code = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr std::chrono::milliseconds kRedialInterval{100};
 // Three usual intervals between ticks. If ticks are further apart, this process
 // stalled and has not yet read what arrived meanwhile.
@@ -47,8 +45,13 @@
       own_ip_(std::move(own_ip)),
       port_(port),
       bind_ip_(std::move(bind_ip)),
-      acceptor_(loop),
-      accept_retry_timer_(loop),
+      acceptor_(loop,
+                [this](boost::asio::ip::tcp::socket socket) {
+                  auto link =
+                      std::make_shared<host_link>(*this, std::move(socket));
+                  accepted_.insert(link);
+                  link->StartAccepted();
+                }),
       last_tick_at_(clock.Now()) {}
 
 link_hub::~link_hub() {
@@ -64,39 +67,7 @@
 }
 
 status link_hub::Listen() {
-  const std::string& ip = bind_ip_.empty() ? own_ip_ : bind_ip_;
-  if (status opened = OpenAcceptor(acceptor_, ip, port_); !IsOk(opened)) {
-    return opened;
-  }
-  Accept();
-  return success{};
-}
-
-void link_hub::Accept() {
-  acceptor_.async_accept(
-      [this](const error_code& failure, boost::asio::ip::tcp::socket socket) {
-        if (failure == boost::asio::error::operation_aborted ||
-            !acceptor_.is_open()) {
-          return;
-        }
-        if (!failure) {
-          auto link = std::make_shared<host_link>(*this, std::move(socket));
-          accepted_.insert(link);
-          link->StartAccepted();
-        }
-        if (failure) {
-          // Most likely out of file descriptors; some will be closed soon.
-          accept_retry_timer_.expires_after(kAcceptRetryDelay);
-          accept_retry_timer_.async_wait(
-              [this](boost::system::error_code cancelled) {
-                if (!cancelled) {
-                  Accept();
-                }
-              });
-          return;
-        }
-        Accept();
-      });
+  return acceptor_.Listen(bind_ip_.empty() ? own_ip_ : bind_ip_, port_);
 }
 
 void link_hub::SetTargets(const std::set<std::string>& ips) {
--- a/src/libshallotport/eventio/link_hub.h
+++ b/src/libshallotport/eventio/link_hub.h
@@ -2,7 +2,6 @@
 #define SHALLOTPORT_EVENTIO_LINK_HUB_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -14,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "eventio/connection_acceptor.h"
 
 namespace shallotport {
 
@@ -98,7 +98,6 @@
     reply_function on_reply;
   };
 
-  void Accept();
   void Dial(const std::string& ip);
   void OnFrame(host_link& link, uint8_t kind, std::string_view payload);
   void OnDown(host_link& link);
@@ -109,8 +108,7 @@
   const std::string own_ip_;
   const uint16_t port_;
   const std::string bind_ip_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_retry_timer_;
+  connection_acceptor acceptor_;
   std::set<std::string> targets_;
   std::map<std::string, std::shared_ptr<host_link>> dialed_;
   std::map<std::string, steady_time> next_dial_at_;
--- a/src/libshallotport/eventio/relay_listener.cc
+++ b/src/libshallotport/eventio/relay_listener.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "eventio/relay_tunnel.h"
-#include "eventio/socket_options.h"
 
 namespace shallotport {
 
@@ -11,7 +10,6 @@
 
 // Of one host; each has two descriptors and some 40 KB.
 constexpr size_t kMaxTunnels = 512;
-constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 
 }  // namespace
 
@@ -20,8 +18,9 @@
     std::function<bool(const endpoint_address& address)> is_endpoint)
     : loop_(loop),
       is_endpoint_(std::move(is_endpoint)),
-      acceptor_(loop),
-      accept_retry_timer_(loop) {}
+      acceptor_(loop, [this](boost::asio::ip::tcp::socket socket) {
+        OnAccepted(std::move(socket));
+      }) {}
 
 relay_listener::~relay_listener() {
   const auto tunnels = std::exchange(tunnels_, {});
@@ -31,41 +30,17 @@
 }
 
 status relay_listener::Listen(const std::string& ip, uint16_t port) {
-  if (status opened = OpenAcceptor(acceptor_, ip, port); !IsOk(opened)) {
-    return opened;
-  }
-  Accept();
-  return success{};
+  return acceptor_.Listen(ip, port);
 }
 
-void relay_listener::Accept() {
-  acceptor_.async_accept([this](boost::system::error_code failure,
-                                boost::asio::ip::tcp::socket socket) {
-    if (failure == boost::asio::error::operation_aborted ||
-        !acceptor_.is_open()) {
-      return;
-    }
-    if (failure) {
-      // Most likely out of file descriptors; some will be closed soon.
-      accept_retry_timer_.expires_after(kAcceptRetryDelay);
-      accept_retry_timer_.async_wait(
-          [this](boost::system::error_code cancelled) {
-            if (!cancelled) {
-              Accept();
-            }
-          });
-      return;
-    }
-    if (tunnels_.size() < kMaxTunnels) {
-      const auto tunnel =
-          std::make_shared<relay_tunnel>(*this, std::move(socket));
-      tunnels_.insert(tunnel);
-      tunnel->Begin();
-    } else {
-      ++counters_.declined;
-    }
-    Accept();
-  });
+void relay_listener::OnAccepted(boost::asio::ip::tcp::socket socket) {
+  if (tunnels_.size() >= kMaxTunnels) {
+    ++counters_.declined;
+    return;
+  }
+  const auto tunnel = std::make_shared<relay_tunnel>(*this, std::move(socket));
+  tunnels_.insert(tunnel);
+  tunnel->Begin();
 }
 
 void relay_listener::Remove(const std::shared_ptr<relay_tunnel>& tunnel) {
--- a/src/libshallotport/eventio/relay_listener.h
+++ b/src/libshallotport/eventio/relay_listener.h
@@ -2,7 +2,6 @@
 #define SHALLOTPORT_EVENTIO_RELAY_LISTENER_H_
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +9,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "eventio/connection_acceptor.h"
 #include "eventio/path_monitor.h"
 
 namespace shallotport {
@@ -47,13 +47,12 @@
  private:
   friend class relay_tunnel;
 
-  void Accept();
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Remove(const std::shared_ptr<relay_tunnel>& tunnel);
 
   boost::asio::io_context& loop_;
   const std::function<bool(const endpoint_address& address)> is_endpoint_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer accept_retry_timer_;
+  connection_acceptor acceptor_;
   std::set<std::shared_ptr<relay_tunnel>> tunnels_;
   counters counters_;
   bool is_draining_ = false;
