--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -52,9 +52,9 @@
   struct options {
     endpoint_selector_options selector;
     wire_profile wire;
+    uint64_t seed = 1;
     // From which endpoints are called; empty: the system chooses.
     std::string endpoint_source_ip;
-    uint64_t seed = 1;
   };
 
   entry_duty(boost::asio::io_context& loop,
--- a/src/libshallotport/eventio/relay_tunnel.cc
+++ b/src/libshallotport/eventio/relay_tunnel.cc
@@ -64,6 +64,11 @@
     ReadOpen();
     return;
   }
+  if (!open_input_.empty()) {
+    Close();  // A host sends nothing before it knows that there is a
+              // connection.
+    return;
+  }
   const endpoint_address& to = *ValueOf(request);
   if (listener_ == nullptr || listener_->is_draining_ ||
       !listener_->is_endpoint_(to)) {
--- a/src/libshallotport/eventio/relay_tunnel.h
+++ b/src/libshallotport/eventio/relay_tunnel.h
@@ -36,7 +36,7 @@
   void ReadFromHost();
   void WriteToEndpoint(size_t size);
   void ReadFromEndpoint();
-  // Writes what is queued for the host; `is_last`: then closes.
+  // Writes what is queued for the host, then reads on or closes.
   void WriteToHost();
   // The endpoint sees that its request was ended, the host that the connection
   // broke.
