review: case 2, a late leave ends a runner's next start

Cause: a leave without a start counts from when it is read, and ends each start from before then for 120 s.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -408,6 +408,21 @@
             writer.transport.abort()
         self.writers.clear()
 
+    def stop_reports(self):
+        self.reporter.cancel()
+
+    def end(self):
+        """The process ends as planned: its port refuses, its channels close."""
+        if self.server is None:
+            return
+        self.server.close()
+        self.server = None
+        self.reporter.cancel()
+        self.fleet.record.write("runner-ends", runner=self.name, id=self.id)
+        for writer in list(self.writers):
+            writer.close()
+        self.writers.clear()
+
     async def crash_for(self, seconds):
         self.crash()
         await asyncio.sleep(seconds)
