--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,9 @@
-"""Requests with a part of a prompt that crashes runners come in groups."""
+"""Three runners crash one after the other, each while it works on the same batch
+item. The runners come back sound; the item must still be done."""
 
 import asyncio
+import base64
+import json
 import os
 import random
 import sys
@@ -9,98 +12,125 @@
 import stand_ins as s  # noqa: E402
 
 HOST = "ficu95.example"
-SHARED = "5c1e07a2"  # The first part of all prompts of the route.
-CRASHING = "91bd3f06"
-RUNNERS = 18
-GROUP = 6  # Requests of one group.
-GROUPS = 5
-EVERY_S = 5.0
-DOWN_S = 3.0
-RATE = 30  # Sound requests a second.
-ALLOWED = 3  # Requests that may still reach runners.
+PREFIX = "/pule252/"
+RUNNERS = 6
+SLOTS = 8
+CRASHES = 3  # One runner of six at a time.
+EVERY_S = 2.5
+DOWN_S = 1.5
+LONG_ITEMS = 10
+LONG_EVENTS, LONG_GAP_S = 276, 0.05
+SHORT_EVENTS, SHORT_GAP_S = 12, 0.02
+SHORT_EVERY_S = 0.8  # A batch job of ten short items.
+FINISH_S = 18
 
 
 async def case(record):
-    fleet = s.Fleet(record, zones=3, entries=6)
-    crashes = []  # Times of the crashes.
-    reached = []  # Times at which requests with the part reached runners.
-    sound = {"sent": 0, "whole": 0}
-    restarts = []
+    fleet = s.Fleet(record, zones=3, entries=3)
+    tasks = []
+    jobs = {}  # Batch job -> its items.
+    running_at = {}  # Item -> the runner that got it last.
     try:
         fleet.start()
-        runners = [s.Runner(fleet, i, "huvo11a") for i in range(RUNNERS)]
 
         def on_arrival(run):
-            if CRASHING in run.parts[:-1]:
-                reached.append(record.now())
-                record.write("reaches", request=run.id, runner=run.runner.name)
-
-        def on_first_event(run):
-            if s.TROUBLE and CRASHING in run.parts[:-1] and run.runner.is_up():
-                crashes.append(record.now())
-                restarts.append(asyncio.ensure_future(run.runner.crash_for(DOWN_S)))
+            running_at[run.id] = run.runner
+            record.write("arrives", item=run.id, runner=run.runner.name, after=run.resume_after, path=run.path)
 
+        runners = [s.Runner(fleet, i, "huvo11a", slots=SLOTS) for i in range(RUNNERS)]
         for runner in runners:
+            runner.events_of = lambda run: LONG_EVENTS if "/long/" in run.path else SHORT_EVENTS
+            runner.gap_of = lambda run: LONG_GAP_S if "/long/" in run.path else SHORT_GAP_S
             runner.on_arrival = on_arrival
-            runner.on_first_event = on_first_event
         await fleet.put_manifest({
             "version": 7,
-            "routes": [s.route("r-1", HOST, "/lohu930/", "streaming", "huvo11a", sticky=True, resumable=False,
-                               gapTargetMs=300)],
-            "services": [s.service("huvo11a")], "limits": s.LIMITS})
+            "routes": [s.route("r-1", HOST, PREFIX, "batch", "huvo11a", sloMs=400, priority=2, maxAttempts=3,
+                               runTargetMs=18000, retentionS=60, maxCount=1100000, timeoutMs=15000)],
+            "services": [s.service("huvo11a", SLOTS)], "limits": s.LIMITS})
         for runner in runners:
             await runner.start()
         await fleet.wait_ready()
         await asyncio.sleep(3)
 
-        async def send(parts, kind, delay):
-            await asyncio.sleep(delay)
-            request = s.new_id()
-            prefix = ",".join(f"{part}:{tokens}" for part, tokens in parts)
-            at = random.randrange(len(fleet.entries))
-            record.write("sent", request=request, kind=kind, front=fleet.entries[at].name)
-            answer = await s.call(
-                fleet.front(at), "POST", f"/lohu930/{request[:6]}",
-                [("Host", HOST), ("X-Request-Id", request), ("X-Model", "m"), ("X-Token-Count", "460,80"),
-                 ("X-Prompt-Prefix", prefix), ("X-Deadline-Ms", "5000")], b"{}" + request.encode())
-            record.write("answered", request=request, kind=kind, status=answer.status,
-                         whole=int(answer.is_whole), why=answer.why.replace(" ", "_") or "-")
-            if kind == "sound":
-                sound["sent"] += 1
-                sound["whole"] += 1 if answer.status == 200 and answer.is_whole else 0
+        async def submit(kind, count, part_of):
+            job = s.new_id()
+            items = []
+            for number in range(count):
+                item = s.new_id()
+                items.append({
+                    "id": item, "path": f"{PREFIX}{kind}/{item[:6]}",
+                    "headers": {"X-Model": "m", "X-Token-Count": "350,276",
+                                "X-Prompt-Prefix": f"{part_of(number)}:100,{item[:8]}:250"},
+                    "body": base64.b64encode(os.urandom(300)).decode(), "tokens": 626})
+            body = json.dumps({"items": items}).encode()
+            for attempt in range(20):
+                answer = await s.call(fleet.front(random.randrange(3)), "POST", f"{PREFIX}{job[:6]}",
+                                      [("Host", HOST), ("X-Request-Id", job),
+                                       ("Content-Type", "application/json")], body, 4.0)
+                record.write("job", job=job, kind=kind, status=answer.status, items=",".join(i["id"] for i in items))
+                if answer.status == 202:
+                    jobs[job] = [item["id"] for item in items]
+                    return jobs[job]
+                await asyncio.sleep(0.5)
+
+        async def read(job):
+            answer = await s.call(fleet.front(random.randrange(3)), "GET", f"/v1/lots/{job}?after=0",
+                                  [("Host", HOST)], b"", 4.0)
+            return json.loads(answer.body)["results"] if answer.status == 200 else None
 
-        async def sound_traffic(until):
-            tasks = []
+        async def short_jobs(until):
             while record.now() < until:
-                tasks.append(asyncio.ensure_future(send(
-                    [(SHARED, 200), (s.new_id()[:8], 250)], "sound", 0)))
-                await asyncio.sleep(random.expovariate(RATE))
-            await asyncio.gather(*tasks)
+                tasks.append(asyncio.ensure_future(submit("short", 10, lambda number: "77aa01")))
+                await asyncio.sleep(SHORT_EVERY_S)
 
         begun = record.now()
-        traffic = asyncio.ensure_future(sound_traffic(begun + 5 + GROUPS * EVERY_S + 2))
-        await asyncio.sleep(5)
-        for group in range(GROUPS):
-            record.write("group", number=group + 1)
-            await asyncio.gather(*[
-                send([(SHARED, 200), (CRASHING, 250), (s.new_id()[:8], 100)], "crashing", random.uniform(0, 0.03))
-                for _ in range(GROUP)], asyncio.sleep(EVERY_S))
-        await traffic
-        crashes.sort()
-        late = []
-        if len(crashes) >= 5:
-            bound = crashes[4] + fleet.bounds["contactMs"] / 1000
-            late = [at for at in reached if at > bound]
-        print(f"{len(crashes)} crashes, {len(reached)} requests with the part reached runners, "
-              f"{len(late)} later than contactMs after the fifth crash ({ALLOWED} are allowed); "
-              f"sound requests: {sound['whole']} of {sound['sent']} served")
-        record.write("result", crashes=len(crashes), reached=len(reached), late=len(late),
-                     sound_sent=sound["sent"], sound_served=sound["whole"])
-        if sound["whole"] < 0.5 * sound["sent"] or not sound["sent"]:
-            raise s.CannotRun("too few sound requests were served")
-        return len(late) > ALLOWED
+        end = begun + 10 + 2 + CRASHES * EVERY_S + 2
+        short = asyncio.ensure_future(short_jobs(end))
+        await asyncio.sleep(10)
+        # Each item with a shared part of its own, as ten customers' templates.
+        long_items = await submit("long", LONG_ITEMS, lambda number: f"c0de{number:02d}")
+        if long_items is None:
+            raise s.CannotRun("the job was not accepted")
+        await asyncio.sleep(2)
+        last_crash = 0.0
+        for number in range(CRASHES):
+            runner = running_at.get(long_items[0])
+            if s.TROUBLE and runner is not None and runner.is_up():
+                tasks.append(asyncio.ensure_future(runner.crash_for(DOWN_S)))
+                last_crash = record.now()
+            await asyncio.sleep(EVERY_S)
+        # Another customer's job by the first item's template, after the trouble.
+        await submit("late", LONG_ITEMS, lambda number: "c0de00")
+        await short
+        record.write("traffic-ends")
+        await asyncio.sleep(FINISH_S)
+        # On, until no run has failed for 20 s and 5 s have been calm.
+        while record.now() < last_crash + 27:
+            await asyncio.sleep(0.5)
+        busy = []
+        for _ in range(10):
+            busy.append(sum(runner.running + runner.waiting for runner in runners))
+            await asyncio.sleep(0.5)
+        open_items, total, unread = [], 0, 0
+        for job, items in jobs.items():
+            results = await read(job) or await read(job)
+            if results is None:
+                unread += 1
+                continue
+            listed = {result["id"]: result["state"] for result in results}
+            total += len(items)
+            for item in items:
+                record.write("item", job=job, item=item, state=listed.get(item, "not-listed"))
+                if item not in listed:
+                    open_items.append(item)
+        print(f"{len(jobs)} jobs, {total} items; not listed: {len(open_items)}; jobs unread: {unread}; "
+              f"runners at work in the last 5 s: {max(busy)} of {RUNNERS * SLOTS}")
+        record.write("result", items=total, open=len(open_items), busy=max(busy))
+        if unread or not jobs:
+            raise s.CannotRun("batch jobs could not be read")
+        return len(open_items) > 0 and max(busy) == 0
     finally:
-        for task in restarts:
+        for task in tasks:
             task.cancel()
         fleet.stop()
 
