poison: crashes under one request do not block a prompt part

Cause: crash_attribution counted the crashes as independent draws of all attempts, but the item ran for long, was resumed after each crash and met the next one. Its part was blocked for ten minutes, and a blocked part gets no answer that could release it.

Change: a part is blocked only by crashes of at least two requests, and an attempt that has put out text for a second excuses its parts from the crashes before it began. An item that was refused between two attempts stays a repeat, which is held back.

--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "entry/endpoint_selector.h"
 #include "entry/event_splitter.h"
+#include "entry/output_period.h"
 #include "eventio/endpoint_connection_pool.h"
 
 namespace shallotport {
@@ -21,6 +22,7 @@
   response_head head;
   bool is_stream = false;
   bool has_output = false;  // Events of it were sent to the caller.
+  output_period output;     // Of these events.
   event_splitter events;    // Of a stream.
   std::string body;         // Of any other response.
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -571,6 +571,9 @@
   if (!attempt->events.last_id().empty()) {
     last_event_id_ = attempt->events.last_id();
   }
+  if (attempt->output.BecomesSustained(attempt->last_received_at)) {
+    duty_.crash_observer_.OnSustainedOutput(Observed(*attempt));
+  }
   caller_->SendChunk(complete_events);
 }
 
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -10,6 +10,7 @@
 #include "base/digest.h"
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
+#include "entry/output_period.h"
 #include "jobstore/item_version_policy.h"
 
 namespace shallotport {
@@ -57,6 +58,7 @@
   uint64_t start_time_ms = 0;  // Of the endpoint.
   response_head head;
   event_splitter events;
+  output_period output;
   steady_time begun_at{};
   steady_time last_received_at{};
   wall_milliseconds deadline = 0;  // Of its job, in wall time.
@@ -75,7 +77,7 @@
   steady_time first_attempt_at{};
   steady_time retry_at{};
   bool is_committing_result = false;
-  bool has_broken = false;  // Its last attempt.
+  bool has_broken = false;  // An attempt, and none has had output since.
   // The prefix of the text that is being committed as progress, and its last
   // event.
   size_t committing_bytes = 0;
@@ -478,7 +480,6 @@
   if (item_state.first_attempt_at == steady_time{}) {
     item_state.first_attempt_at = now;
   }
-  item_state.has_broken = false;
   const std::string& resume_after = item_state.last_event;
   header_list headers;
   headers.Add("Host", job->submission.host);
@@ -541,6 +542,10 @@
       item_state.origin = self->selection.origin;
       item_state.text += self->events.data();
       item_state.last_event = self->events.last_id();
+      item_state.has_broken = false;
+      if (self->output.BecomesSustained(self->last_received_at)) {
+        crash_observer_.OnSustainedOutput(Observed(*self));
+      }
     }
   };
   events.on_end = [this, key, weak](call_end end) {
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -31,6 +31,8 @@
 constexpr milliseconds kMaxRequestDelay{60'000};
 constexpr size_t kMaxRepeatDoublings = 9;
 constexpr size_t kMinCrashes = 3;
+// In whose crashes a part is, before it is taken for their cause.
+constexpr size_t kMinRequestsOfPart = 2;
 // A request is blocked for this long after its third crash, and for twice as
 // long after each further one: a sound one is answered when it is tried again.
 constexpr std::chrono::minutes kFirstRequestBlock{1};
@@ -173,10 +175,20 @@
   counts.ended += 1;
   counts.whole_answers += 1;
   counts.answered_at = now;
+  AddOwnAnswer(traits, now);
+}
+
+void crash_attribution::RecordSustainedOutput(steady_time begun_at,
+                                              const request_traits& traits) {
+  AddOwnAnswer(traits, begun_at);
+}
+
+void crash_attribution::AddOwnAnswer(const request_traits& traits,
+                                     steady_time answered_at) {
   for (const crash_key& key : KeysOf(traits)) {
     if (!keys_.contains(key)) {
-      RememberAnswer(key, now);
-    } else if (AddAnswer(key, now)) {
+      RememberAnswer(key, answered_at);
+    } else if (AddAnswer(key, answered_at)) {
       answer_news_.insert(key);
     }
   }
@@ -217,7 +229,9 @@
   if (IsRequest(part)) {
     return;  // What was answered before its first crash tells nothing.
   }
-  if (answered_.insert_or_assign(part, answered_at).second) {
+  const auto [known, is_new] = answered_.try_emplace(part, answered_at);
+  known->second = std::max(known->second, answered_at);
+  if (is_new) {
     answered_order_.push_back(part);
   }
   if (answered_order_.size() > kMaxAnsweredParts) {
@@ -374,6 +388,7 @@
         continue;
       }
       suspicion& suspect = all[key];
+      suspect.requests.insert(each.record.request);
       suspect.service = each.record.service;
       suspect.is_request = IsRequest(key);
       suspect.position = std::max(suspect.position, i);
@@ -497,6 +512,9 @@
   const verdict_rule& rule = IsRequest(key)         ? kRequestRule
                              : suspect.was_answered ? kAnsweredPartRule
                                                     : kPartRule;
+  if (!IsRequest(key) && suspect.requests.size() < kMinRequestsOfPart) {
+    return false;
+  }
   const size_t crashes = suspect.CountCrashes();
   return now >= suspect.FirstCrash() + rule.settle_time &&
          IsServiceAnswering(key, suspect) && crashes >= rule.min_crashes &&
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -39,8 +39,11 @@
 // crashes explains these, then the next one explains what is left; of two that
 // are always together, the request goes before its parts. A key is blocked if a
 // sound one would hardly be in so many crashes, and in no whole answer, by
-// chance. For a request three crashes in a row are enough unless attempts often
-// break: nobody else sends it.
+// chance. A part is never blocked by the crashes of a single request: one that
+// runs for long and is resumed each time meets one crash after the other. For a
+// request three crashes in a row are enough unless attempts often break: nobody
+// else sends it. An attempt that puts out text for a while shows, as a whole
+// answer does, that its keys did not crash endpoints when it began.
 //
 // Hosts exchange their records, and each one decides by all of them and by how
 // often its own attempts break. A host that errs blocks a key alone, and is
@@ -55,6 +58,9 @@
 // that selects endpoints. Pure and bounded.
 class crash_attribution {
  public:
+  // A key under which endpoints crash breaks its attempts well before.
+  static constexpr std::chrono::milliseconds kSustainedOutput{1'000};
+
   enum class role : uint8_t {
     kObserver,  // Passes on what this host saw.
     kRelay,     // Passes on what observers saw, too.
@@ -72,6 +78,10 @@
   void RecordWholeAnswer(steady_time now,
                          const service_id& service,
                          const request_traits& traits);
+  // An attempt of this host with these traits has put out text for
+  // kSustainedOutput: it excuses its keys from the crashes before it began.
+  void RecordSustainedOutput(steady_time begun_at,
+                             const request_traits& traits);
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
   // Adds the records of another host. What a relay sent is not passed on.
@@ -140,6 +150,7 @@
   };
   struct suspicion {
     std::map<uint64_t, suspected_crash> crashes;  // By endpoint.
+    std::set<uint64_t> requests;                  // Of these crashes.
     service_id service;
     size_t position = 0;  // In the prompt; a request's own key comes last.
     bool was_answered = false;
@@ -159,6 +170,8 @@
   // Removes a record that explains no verdict, if there is one.
   void EvictRecord();
   bool ExplainsVerdict(const known_record& known) const;
+  // Records the keys of a whole answer, or of output that is as good as one.
+  void AddOwnAnswer(const request_traits& traits, steady_time answered_at);
   // Records a whole answer; true if other hosts may not know what it tells.
   bool AddAnswer(const crash_key& key, steady_time answered_at);
   void RememberAnswer(const crash_key& part, steady_time answered_at);
--- a/src/libshallotport/poison/crash_observer.cc
+++ b/src/libshallotport/poison/crash_observer.cc
@@ -25,6 +25,10 @@
   attribution_.RecordWholeAnswer(clock_.Now(), attempt.service, attempt.traits);
 }
 
+void crash_observer::OnSustainedOutput(const observed_attempt& attempt) {
+  attribution_.RecordSustainedOutput(attempt.begun_at, attempt.traits);
+}
+
 void crash_observer::OnBroken(const observed_attempt& attempt) {
   const steady_time now = clock_.Now();
   attribution_.RecordBreak(now, attempt.service);
--- a/src/libshallotport/poison/crash_observer.h
+++ b/src/libshallotport/poison/crash_observer.h
@@ -41,8 +41,14 @@
                  crash_attribution& attribution);
   ~crash_observer();
 
+  // Called when the process of a start has ended, as far as this host saw. May
+  // be empty.
+  std::function<void(const endpoint_start& start)> on_ended;
+
   void OnBroken(const observed_attempt& attempt);
   void OnWholeAnswer(const observed_attempt& attempt);
+  // The attempt has put out text for crash_attribution::kSustainedOutput.
+  void OnSustainedOutput(const observed_attempt& attempt);
 
   const counters& totals() const { return counters_; }
 
