fleet: a late leave does not end an endpoint's next start

Cause: a leave that names no start got the time at which it was read and ended every earlier start. One that had waited at a stopped control host ended the endpoint's next start, whose reports were then refused for two minutes.

Change: such a leave is recorded 100 ms after it was read, if its caller still waits: the process that leaves is the one that waits. Otherwise it is passed over and not acknowledged. A start that one has ended and that goes on reporting for 15 s is used again.

--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds kHealingInterval{200};
 // Interval for saving new endpoints; a leave is saved at once.
 constexpr std::chrono::milliseconds kKnownSaveInterval{300};
+// The end of a caller's connection is read after its request: behind it in the
+// socket, or a round trip later if both were sent again after a partition.
+constexpr std::chrono::milliseconds kLeaveDelay{100};
 // All hosts of a new fleet start within a third of a second of each other.
 constexpr std::chrono::milliseconds kFoundingDelay{700};
 // After this long the job group is founded with the job stores that are live.
@@ -154,6 +157,7 @@
 
 void control_duty::Tick(steady_time now) {
   fleet_->Tick(now);
+  RecordAwaitedLeaves(now);
   if (needs_directory_push_ || now >= next_directory_) {
     needs_directory_push_ = false;
     const size_t control_hosts = fleet_->LiveHosts(host_role::kControl).size();
@@ -184,7 +188,7 @@
   fleet_->RecordDocument(known.document);
   for (endpoint_report report : known.reports) {
     report.age_ms = 0;
-    fleet_->RecordEndpoint(report);
+    fleet_->RecordEndpoint(report, endpoint_directory::source::kHost);
   }
   fleet_->on_endpoint = [this](const endpoint_directory::entry& entry) {
     auto& stage = saved_stages_[entry.report.endpoint];
@@ -348,14 +352,39 @@
 }
 
 void control_duty::ReportEndpoint(const endpoint_report& report) {
-  if (fleet_->RecordEndpoint(report) &&
+  if (fleet_->RecordEndpoint(report, endpoint_directory::source::kEndpoint) &&
       report_filter_.ShouldPassOn(clock_.Now(), report)) {
     PushToAll(fleet_frame::kEndpoint, Encode(endpoint_update{{report}}));
   }
 }
 
-void control_duty::RecordLeave(const endpoint_id& endpoint,
-                               uint64_t start_time_ms) {
+void control_duty::RecordLeave(leave_call call) {
+  if (call.start_time_ms != 0) {
+    EndStart(call.endpoint, call.start_time_ms, 0);
+    call.on_recorded();
+    return;
+  }
+  pending_leaves_.push_back({std::move(call),
+                             static_cast<uint64_t>(clock_.WallNow()),
+                             clock_.Now() + kLeaveDelay});
+}
+
+void control_duty::RecordAwaitedLeaves(steady_time now) {
+  while (!pending_leaves_.empty() && now >= pending_leaves_.front().due_at) {
+    const pending_leave due = std::move(pending_leaves_.front());
+    pending_leaves_.pop_front();
+    if (!due.call.is_awaited()) {
+      ++passed_over_leaves_;
+      continue;
+    }
+    EndStart(due.call.endpoint, 0, due.leave_time_ms);
+    due.call.on_recorded();
+  }
+}
+
+void control_duty::EndStart(const endpoint_id& endpoint,
+                            uint64_t start_time_ms,
+                            uint64_t leave_time_ms) {
   endpoint_report end;
   if (const auto* known = fleet_->endpoints().Find(endpoint)) {
     end = known->report;
@@ -363,11 +392,9 @@
   end.endpoint = endpoint;
   end.stage = endpoint_stage::kLeft;
   end.age_ms = 0;
-  end.leave_time_ms = 0;
+  end.leave_time_ms = leave_time_ms;
   if (start_time_ms != 0) {
     end.start_time_ms = start_time_ms;
-  } else {
-    end.leave_time_ms = static_cast<uint64_t>(clock_.WallNow());
   }
   ReportEndpoint(end);
 }
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_FLEET_CONTROL_DUTY_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,6 +25,16 @@
   size_t job_voters = 3;  // Of the job group.
 };
 
+// A call by which an endpoint says that it leaves.
+struct leave_call {
+  endpoint_id endpoint;
+  // The start that ends; 0: the endpoint did not name it.
+  uint64_t start_time_ms = 0;
+  // False once the caller has closed its connection.
+  std::function<bool()> is_awaited;
+  std::function<void()> on_recorded;
+};
+
 // Progress of a job store's retirement.
 enum class retirement_status : uint8_t { kUnknown, kInProgress, kCompleted };
 
@@ -54,9 +65,11 @@
   // Applies a report that an endpoint sent to this host; it is pushed before
   // this returns.
   void ReportEndpoint(const endpoint_report& report);
-  // Records that an endpoint leaves. `start_time_ms` is the start that ends; 0:
-  // the endpoint did not name it, and the one running now is meant.
-  void RecordLeave(const endpoint_id& endpoint, uint64_t start_time_ms);
+  // Records that an endpoint leaves. A call that names no start means the one
+  // that makes it: it counts only if its caller still awaits the outcome a
+  // moment later. Otherwise it is an old one that has waited somewhere, and a
+  // later start may be running by now.
+  void RecordLeave(leave_call call);
 
   // Starts to retire a job store. kNotFound: no such host; kConflict: too few
   // job stores would remain.
@@ -68,6 +81,8 @@
   bool IsLeading() const { return group_->IsLeading(); }
   bool is_failed() const { return group_->is_failed(); }
   sync_totals syncs() const { return group_->syncs(); }
+  // Calls of RecordLeave() whose callers had gone.
+  uint64_t passed_over_leaves() const { return passed_over_leaves_; }
   fleet_host& fleet() { return *fleet_; }
   const fleet_host& fleet() const { return *fleet_; }
   const control_state& state() const { return state_; }
@@ -85,6 +100,11 @@
   void PushToAll(fleet_frame kind, std::string_view payload);
   void HealGroup(steady_time now);
   void FoundJobGroup(steady_time now);
+  void RecordAwaitedLeaves(steady_time now);
+  // `leave_time_ms`: of a leave that names no start, otherwise 0.
+  void EndStart(const endpoint_id& endpoint,
+                uint64_t start_time_ms,
+                uint64_t leave_time_ms);
   std::string EncodeDirectory(steady_time now) const;
   void LoadKnownState();
   void SaveKnownState();
@@ -102,6 +122,13 @@
   bool is_known_state_dirty_ = false;
   std::map<endpoint_id, endpoint_stage> saved_stages_;
   report_filter report_filter_;
+  struct pending_leave {
+    leave_call call;
+    uint64_t leave_time_ms = 0;  // When the call was read.
+    steady_time due_at{};
+  };
+  std::deque<pending_leave> pending_leaves_;  // In order of arrival.
+  uint64_t passed_over_leaves_ = 0;
   steady_time next_known_save_{};
   steady_time next_directory_{};
   steady_time next_healing_{};
--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -12,11 +12,8 @@
 // An endpoint without reports may still serve: the hosts that send to it find
 // out whether it does.
 constexpr std::chrono::seconds kSilentRetention{60};
-
-// Within this time after a leave, the endpoint has stopped and its earlier
-// reports have been received. An endpoint that reports later has started again,
-// whatever the clocks of the hosts say.
-constexpr std::chrono::seconds kStaleReportWindow{15};
+// With rising sequence numbers, at one host.
+constexpr uint32_t kMinReportsAfterLeave = 3;
 
 auto OrderKey(const endpoint_report& report) {
   return std::make_tuple(report.start_time_ms,
@@ -41,9 +38,38 @@
          now < known.received_at + kStaleReportWindow;
 }
 
+// Whether the start that such a leave has ended reports for longer than a
+// delayed report takes.
+bool OutlivesLeave(steady_time now,
+                   const endpoint_report& report,
+                   endpoint_directory::source from,
+                   endpoint_directory::entry& known) {
+  const bool is_ended_start =
+      known.report.stage == endpoint_stage::kLeft &&
+      known.report.leave_time_ms != 0 && report.leave_time_ms == 0 &&
+      report.stage != endpoint_stage::kLeft &&
+      report.start_time_ms == known.report.start_time_ms;
+  if (!is_ended_start) {
+    return false;
+  }
+  const bool is_later =
+      report.sequence >
+      std::max(known.report.sequence, known.last_sequence_after_leave);
+  if (from == endpoint_directory::source::kEndpoint && is_later) {
+    ++known.reports_after_leave;
+    known.last_sequence_after_leave = report.sequence;
+  }
+  const bool is_confirmed = from == endpoint_directory::source::kHost ||
+                            known.reports_after_leave >= kMinReportsAfterLeave;
+  return is_later && is_confirmed &&
+         now >= known.received_at + kStaleReportWindow;
+}
+
 }  // namespace
 
-bool endpoint_directory::Apply(steady_time now, const endpoint_report& report) {
+bool endpoint_directory::Apply(steady_time now,
+                               const endpoint_report& report,
+                               source from) {
   const steady_time received_at =
       now - std::chrono::milliseconds(report.age_ms);
   const auto found = entries_.find(report.endpoint);
@@ -53,7 +79,8 @@
   }
   entry& known = found->second;
   const bool is_newer = OrderKey(report) > OrderKey(known.report);
-  if (!is_newer && !EndsKnownStart(report, known.report)) {
+  const bool has_gone_on = OutlivesLeave(now, report, from, known);
+  if (!is_newer && !has_gone_on && !EndsKnownStart(report, known.report)) {
     return false;
   }
   if (IsStaleAfterLeave(now, report, known)) {
@@ -69,6 +96,8 @@
   next.start_time_ms = std::max(next.start_time_ms, known.report.start_time_ms);
   known.received_at = std::max(known.received_at, received_at);
   known.report = std::move(next);
+  known.reports_after_leave = 0;
+  known.last_sequence_after_leave = 0;
   return true;
 }
 
--- a/src/libshallotport/fleet/endpoint_directory.h
+++ b/src/libshallotport/fleet/endpoint_directory.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_FLEET_ENDPOINT_DIRECTORY_H_
 #define SHALLOTPORT_FLEET_ENDPOINT_DIRECTORY_H_
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -12,16 +13,28 @@
 
 // The endpoints known from their reports, which may be delayed, duplicated,
 // reordered and received through several control hosts. An endpoint that left
-// is kept for a while, so that a delayed report does not add it again. Pure.
+// is kept for a while, so that a delayed report does not add it again. A start
+// that goes on reporting after a leave that did not name it was not meant.
+// Pure.
 class endpoint_directory {
  public:
   struct entry {
     endpoint_report report;
     steady_time received_at{};
+    // Of a start that has ended by a leave that did not name it: later reports
+    // by the endpoint itself.
+    uint32_t reports_after_leave = 0;
+    uint64_t last_sequence_after_leave = 0;
+  };
+  enum class source : uint8_t {
+    kEndpoint,
+    kHost,  // Another host, which has applied it.
   };
 
   // Applies a report; false if it is stale or already known.
-  bool Apply(steady_time now, const endpoint_report& report);
+  bool Apply(steady_time now,
+             const endpoint_report& report,
+             source from = source::kEndpoint);
   // Other endpoints that started earlier at the report's address. They have
   // ended without a word, unless clocks are wrong: then they report again.
   std::vector<endpoint_id> EarlierAtAddress(
--- a/src/libshallotport/fleet/endpoint_directory_test.cc
+++ b/src/libshallotport/fleet/endpoint_directory_test.cc
@@ -140,6 +140,78 @@
                                kReady}),
     [](const auto& info) { return info.param.name; });
 
+using source = endpoint_directory::source;
+
+struct received_report {
+  endpoint_report report;
+  int at_s = 0;  // Since the first one.
+  source from = source::kEndpoint;
+};
+
+struct outlived_leave_case {
+  std::string name;
+  std::vector<received_report> reports;
+  endpoint_stage stage;  // After all reports.
+};
+
+class outlived_leave : public testing::TestWithParam<outlived_leave_case> {};
+
+// An old leave had ended the endpoint's next start for two minutes.
+TEST_P(outlived_leave, StartThatGoesOnReportingIsUsedAgain) {
+  endpoint_directory directory;
+  for (const received_report& each : GetParam().reports) {
+    directory.Apply(steady_time(std::chrono::seconds(each.at_s)), each.report,
+                    each.from);
+  }
+  EXPECT_EQ(directory.Find(endpoint_id("e"))->report.stage, GetParam().stage);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    outlived_leave,
+    testing::Values(outlived_leave_case{"goes_on",
+                                        {{Report(900, 1, kReady)},
+                                         {Leave(1'000, 900)},
+                                         {Report(900, 2, kReady), 5},
+                                         {Report(900, 3, kReady), 10},
+                                         {Report(900, 4, kReady), 16}},
+                                        kReady},
+                    outlived_leave_case{"drains",
+                                        {{Report(900, 1, kReady)},
+                                         {Leave(1'000, 900)},
+                                         {Report(900, 2, kReady), 5},
+                                         {Report(900, 3, kReady), 10},
+                                         {Report(900, 4, kDraining), 16}},
+                                        kDraining},
+                    outlived_leave_case{"not_for_long_enough",
+                                        {{Report(900, 1, kReady)},
+                                         {Leave(1'000, 900)},
+                                         {Report(900, 2, kReady), 5},
+                                         {Report(900, 3, kReady), 10},
+                                         {Report(900, 4, kReady), 14}},
+                                        kLeft},
+                    outlived_leave_case{"delayed_copies",
+                                        {{Report(900, 1, kReady)},
+                                         {Leave(1'000, 900)},
+                                         {Report(900, 2, kReady), 5},
+                                         {Report(900, 2, kReady), 10},
+                                         {Report(900, 2, kReady), 16}},
+                                        kLeft},
+                    outlived_leave_case{"leave_names_its_start",
+                                        {{Report(900, 1, kReady)},
+                                         {Report(900, 1, kLeft)},
+                                         {Report(900, 2, kReady), 5},
+                                         {Report(900, 3, kReady), 10},
+                                         {Report(900, 4, kReady), 16}},
+                                        kLeft},
+                    outlived_leave_case{
+                        "passed_on",
+                        {{Report(900, 1, kReady), 0, source::kHost},
+                         {Leave(1'000, 900), 0, source::kHost},
+                         {Report(900, 9, kReady), 16, source::kHost}},
+                        kReady}),
+    [](const auto& info) { return info.param.name; });
+
 struct address_case {
   std::string name;
   std::string other_ip;  // Of an endpoint that is known already.
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
 #define SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -10,6 +11,11 @@
 
 enum class endpoint_stage : uint8_t { kReady = 1, kDraining = 2, kLeft = 3 };
 
+// Within this time after a start has ended, its earlier reports have been
+// received. An endpoint that reports later goes on or has started again,
+// whatever the clocks of the hosts say.
+inline constexpr std::chrono::seconds kStaleReportWindow{15};
+
 // The last report of an endpoint about itself, as a control host received it.
 struct endpoint_report {
   endpoint_id endpoint;
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -114,7 +114,7 @@
       const auto update = Decode<endpoint_update>(payload);
       if (IsOk(update)) {
         for (const endpoint_report& report : ValueOf(update).reports) {
-          RecordEndpoint(report);
+          RecordEndpoint(report, endpoint_directory::source::kHost);
         }
       }
       return;
@@ -165,11 +165,12 @@
   }
 }
 
-bool fleet_host::RecordEndpoint(const endpoint_report& report) {
+bool fleet_host::RecordEndpoint(const endpoint_report& report,
+                                endpoint_directory::source from) {
   const auto* known = endpoints_.Find(report.endpoint);
   const bool is_start =
       known == nullptr || known->report.start_time_ms < report.start_time_ms;
-  if (!endpoints_.Apply(clock_.Now(), report)) {
+  if (!endpoints_.Apply(clock_.Now(), report, from)) {
     return false;
   }
   if (on_endpoint) {
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -64,7 +64,8 @@
   void SetSeeds(std::vector<std::string> seed_ips);
 
   // Applies a report that this host received; false if it is stale.
-  bool RecordEndpoint(const endpoint_report& report);
+  bool RecordEndpoint(const endpoint_report& report,
+                      endpoint_directory::source from);
   // Applies a document if its version is higher than the current one.
   bool RecordDocument(const configuration_document& document);
   void RecordHost(const host_announcement& host);
