entry: an endpoint whose process has ended has no version until it reports

Cause: an endpoint was known by its last report, also after its process had been seen to end. One that started again under its id with another version was offered as ready, with its former version, once its backoff of 250 ms was over, and its reports came seconds later.

Change: a refused connection, directly or after a broken attempt, ends the known start. It has no version until a later start has reported, or the same one more than 15 s later. Resumption, second attempts, grants, items, take-ups and relays all ask the selector. Such an endpoint is the last choice otherwise, and what begins there is recorded as of unknown version. Hosts learn of ended starts from the crash records that they exchange already. The dispatcher's tests report a version now: an empty one means that it is not known. A refused connection has an end of its own (kRefused), so two tests expect that instead of kNotSent.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -55,6 +55,7 @@
     state.peer_load = 0;
     state.failures = 0;
     state.backoff_until = {};
+    state.ended_at.reset();
   }
   by_service_[report.service].insert(report.endpoint);
   if (report.stage == endpoint_stage::kLeft) {
@@ -88,6 +89,43 @@
   return true;
 }
 
+void endpoint_selector::MarkEnded(steady_time now, endpoint_state& state) {
+  state.ended_at = std::max(state.ended_at.value_or(now), now);
+  state.has_answered_since = false;
+}
+
+void endpoint_selector::RecordEnded(steady_time now,
+                                    const endpoint_start& start) {
+  const auto found = endpoints_.find(start.endpoint);
+  if (found != endpoints_.end() &&
+      found->second.report.start_time_ms == start.start_time_ms) {
+    MarkEnded(now, found->second);
+  }
+}
+
+void endpoint_selector::RecordEndedByKey(steady_time now, uint64_t key) {
+  for (auto& [id, state] : endpoints_) {
+    if (StartKey(StartOf(state)) == key) {
+      MarkEnded(now, state);
+      return;
+    }
+  }
+}
+
+void endpoint_selector::ConfirmStart(steady_time received_at,
+                                     const endpoint_start& start) {
+  const auto found = endpoints_.find(start.endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  endpoint_state& state = found->second;
+  const bool is_same = state.report.start_time_ms == start.start_time_ms;
+  if (is_same && state.ended_at &&
+      received_at >= *state.ended_at + kStaleReportWindow) {
+    state.ended_at.reset();
+  }
+}
+
 void endpoint_selector::SetPeerLoad(steady_time now,
                                     const endpoint_id& endpoint,
                                     uint32_t peer_load) {
@@ -164,7 +202,14 @@
     const endpoint_state& state,
     const std::optional<std::string>& software_version) {
   return !software_version ||
-         *software_version == state.report.software_version;
+         (!state.ended_at &&
+          *software_version == state.report.software_version);
+}
+
+bool endpoint_selector::IsLastChoice(const endpoint_state& state,
+                                     const selection_constraints& constraints) {
+  return state.ended_at &&
+         (constraints.prefers_known_version || !state.has_answered_since);
 }
 
 bool endpoint_selector::IsAllowed(
@@ -207,6 +252,8 @@
   endpoint_state* least_loaded_avoided = nullptr;
   double least_avoided_load = 0;
   endpoint_state* first_out_of_backoff = nullptr;
+  endpoint_state* least_loaded_last_choice = nullptr;
+  double least_last_choice_load = 0;
   size_t usable_count = 0;
   for (const endpoint_id& id : found->second) {
     endpoint_state& state = endpoints_.at(id);
@@ -247,6 +294,15 @@
       first_out_of_backoff = is_sooner ? &state : first_out_of_backoff;
       continue;
     }
+    if (IsLastChoice(state, constraints)) {
+      const bool is_less_loaded =
+          least_loaded_last_choice == nullptr || load < least_last_choice_load;
+      if (load + 1 <= slots && is_less_loaded) {
+        least_loaded_last_choice = &state;
+        least_last_choice_load = load;
+      }
+      continue;
+    }
     const double free_share = std::max(slots - load, 0.0) / slots;
     const bool is_own_domain = state.report.domain == options_.domain;
     // If one domain is unreachable, this host may be partitioned from the
@@ -272,6 +328,8 @@
         break;
       }
     }
+  } else if (least_loaded_last_choice != nullptr) {
+    selected = least_loaded_last_choice;
   } else if (!candidates.empty()) {
     selected = std::min_element(candidates.begin(), candidates.end(),
                                 [](const candidate& a, const candidate& b) {
@@ -299,7 +357,7 @@
   return selected_endpoint{state.report.endpoint,
                            {state.report.ip, state.report.port},
                            state.report.domain,
-                           state.report.software_version,
+                           state.ended_at ? "" : state.report.software_version,
                            state.report.start_time_ms};
 }
 
@@ -316,7 +374,8 @@
   const bool is_in_doubt = now < state.backoff_until ||
                            constraints.unreachable_domains.contains(domain) ||
                            reachability_.IsInBackoff(now, domain);
-  if (is_in_doubt || !IsAllowed(state, constraints)) {
+  if (is_in_doubt || !IsAllowed(state, constraints) ||
+      IsLastChoice(state, constraints)) {
     return std::nullopt;
   }
   return Take(now, state);
@@ -342,6 +401,21 @@
   return in_backoff;
 }
 
+std::vector<endpoint_id> endpoint_selector::UnconfirmedEndpoints(
+    const service_id& service) const {
+  std::vector<endpoint_id> unconfirmed;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return unconfirmed;
+  }
+  for (const endpoint_id& id : found->second) {
+    if (endpoints_.at(id).ended_at) {
+      unconfirmed.push_back(id);
+    }
+  }
+  return unconfirmed;
+}
+
 std::vector<domain_id> endpoint_selector::DomainsInBackoff(
     steady_time now,
     const service_id& service) const {
@@ -372,6 +446,9 @@
   if (has_responded) {
     reachability_.RecordResponse(state.report.domain);
   }
+  if (outcome == endpoint_outcome::kEnded) {
+    MarkEnded(now, state);
+  }
   // An endpoint that leaves stops at some time: no fault.
   const bool is_leaving =
       leaving_.IsLeaving(endpoint, state.report.start_time_ms);
@@ -386,6 +463,7 @@
       [[fallthrough]];
     case endpoint_outcome::kServed:
       state.failures = 0;
+      state.has_answered_since = true;
       break;
     case endpoint_outcome::kShed:
       state.backoff_until =
@@ -395,6 +473,7 @@
       reachability_.RecordConnectTimeout(now, state.report.domain, endpoint);
       [[fallthrough]];
     case endpoint_outcome::kUnreachable:
+    case endpoint_outcome::kEnded:
     case endpoint_outcome::kBroken: {
       const uint32_t doublings = std::min<uint32_t>(state.failures++, 4);
       const duration backoff = std::min<duration>(
@@ -471,8 +550,14 @@
 
 bool endpoint_selector::IsSameStart(const selected_endpoint& selected) const {
   const auto found = endpoints_.find(selected.endpoint);
-  return found == endpoints_.end() ||
-         found->second.report.start_time_ms == selected.start_time_ms;
+  if (found == endpoints_.end()) {
+    return true;
+  }
+  const endpoint_state& state = found->second;
+  const bool has_ended_since =
+      state.ended_at && !selected.software_version.empty();
+  return state.report.start_time_ms == selected.start_time_ms &&
+         !has_ended_since;
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -25,7 +25,7 @@
   endpoint_id endpoint;
   endpoint_address address;
   domain_id domain;
-  // By the report that was known when it was selected.
+  // By the report that was known when it was selected. Empty: not known.
   std::string software_version;
   uint64_t start_time_ms = 0;
 };
@@ -34,7 +34,8 @@
 enum class endpoint_outcome : uint8_t {
   kServed,
   kShed,           // The endpoint refused it: no free slot.
-  kUnreachable,    // The connection was refused.
+  kUnreachable,    // It could not be connected to.
+  kEnded,          // As kUnreachable: no process listens there.
   kSilent,         // The attempt to connect timed out.
   kBroken,         // The connection or response broke.
   kOtherEndpoint,  // The address now belongs to another endpoint.
@@ -52,6 +53,8 @@
   std::set<domain_id> unreachable_domains;  // Timed out for this request.
   // Only endpoints of this version; of any if empty.
   std::optional<std::string> software_version;
+  // Endpoints whose version is not known are used only if no other takes it.
+  bool prefers_known_version = false;
   // Of the request; they outlive the constraints. Null: none.
   const request_traits* traits = nullptr;
   bool is_repeat = false;             // It may have been executed already.
@@ -83,13 +86,25 @@
 // known load of the other hosts to the own one and selects at random, weighted
 // by free slots: if all hosts selected the least loaded endpoint, their
 // requests would meet there. A request at an endpoint without a free slot would
-// wait behind work that it cannot overtake, so only a few are sent there. Pure.
+// wait behind work that it cannot overtake, so only a few are sent there.
+//
+// When an endpoint's process has ended, what runs at its address and under its
+// id is not known until it has reported: it may be of another software version.
+// Pure.
 class endpoint_selector {
  public:
   explicit endpoint_selector(endpoint_selector_options options);
 
   void Update(const endpoint_report& report);
   void Remove(const endpoint_id& endpoint);
+  // The process of this start has ended, as a host saw: its address refused a
+  // connection.
+  void RecordEnded(steady_time now, const endpoint_start& start);
+  // As RecordEnded(), of the start with this key (StartKey()).
+  void RecordEndedByKey(steady_time now, uint64_t key);
+  // A report of this start was received at `received_at`. It goes on if that
+  // was later than a delayed report may be.
+  void ConfirmStart(steady_time received_at, const endpoint_start& start);
   // Requests of other hosts at an endpoint, from the hosts' load exchange.
   void SetPeerLoad(steady_time now,
                    const endpoint_id& endpoint,
@@ -142,6 +157,9 @@
                                               const service_id& service) const;
   std::vector<domain_id> DomainsInBackoff(steady_time now,
                                           const service_id& service) const;
+  // Endpoints whose process has ended and has not reported since.
+  std::vector<endpoint_id> UnconfirmedEndpoints(
+      const service_id& service) const;
 
   // Slots of an endpoint that are free by the known load; negative when
   // requests wait there.
@@ -184,6 +202,9 @@
     steady_time peer_load_at{};
     steady_time backoff_until{};
     uint32_t failures = 0;  // In a row.
+    // When the known start was last seen to have ended.
+    std::optional<steady_time> ended_at;
+    bool has_answered_since = false;
   };
 
   selected_endpoint Take(steady_time now, endpoint_state& state);
@@ -195,6 +216,10 @@
                  const selection_constraints& constraints) const;
   static bool HasVersion(const endpoint_state& state,
                          const std::optional<std::string>& software_version);
+  // Whether the request goes there only if no other endpoint takes it.
+  static bool IsLastChoice(const endpoint_state& state,
+                           const selection_constraints& constraints);
+  static void MarkEnded(steady_time now, endpoint_state& state);
 
   const endpoint_selector_options options_;
   random_source random_;
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -174,6 +174,83 @@
                          random_versions,
                          testing::Range<uint64_t>(1, 21));
 
+// What becomes of an endpoint whose process was seen to end.
+struct ended_start_case {
+  std::string name;
+  int reported_after_s;  // Its next report; negative: none.
+  uint64_t reported_start;
+  std::string reported_version;
+  std::string known_version;  // Empty: it is not known.
+};
+
+class ended_starts : public testing::TestWithParam<ended_start_case> {};
+
+TEST_P(ended_starts, HaveNoVersionUntilTheirNextReport) {
+  const steady_time ended_at{std::chrono::seconds(100)};
+  endpoint_selector selector({domain_id("d"), 2, 1});
+  endpoint_report report;
+  report.endpoint = endpoint_id("e");
+  report.service = kService;
+  report.domain = domain_id("d");
+  report.slots = kSlots;
+  report.start_time_ms = 5;
+  report.software_version = "v1";
+  selector.Update(report);
+  const auto before = std::get<selected_endpoint>(
+      selector.Acquire(ended_at, kService, selection_constraints()));
+  selector.RecordEnded(ended_at, {report.endpoint, 4});  // An earlier one.
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
+  selector.RecordEndedByKey(ended_at, StartKey({report.endpoint, 5}));
+  EXPECT_FALSE(selector.IsSameStart(before));
+  if (GetParam().reported_after_s >= 0) {
+    const steady_time received_at =
+        ended_at + std::chrono::seconds(GetParam().reported_after_s);
+    report.start_time_ms = GetParam().reported_start;
+    report.software_version = GetParam().reported_version;
+    selector.Update(report);
+    selector.ConfirmStart(received_at, {report.endpoint, report.start_time_ms});
+  }
+  const steady_time now = ended_at + std::chrono::seconds(20);
+  const std::string& version = GetParam().known_version;
+  for (const std::string& each : {std::string("v1"), std::string("v2")}) {
+    selection_constraints constraints;
+    constraints.software_version = each;
+    EXPECT_EQ(selector.IsVersionServing(kService, each), each == version);
+    EXPECT_EQ(std::holds_alternative<selected_endpoint>(
+                  selector.Acquire(now, kService, constraints)),
+              each == version);
+    EXPECT_EQ(
+        selector.AcquireGranted(now, report.endpoint, constraints).has_value(),
+        each == version);
+  }
+  // It is used as long as there is no other one.
+  selection_constraints unconstrained;
+  unconstrained.prefers_known_version = true;
+  const auto selection = selector.Acquire(now, kService, unconstrained);
+  ASSERT_TRUE(std::holds_alternative<selected_endpoint>(selection));
+  EXPECT_EQ(std::get<selected_endpoint>(selection).software_version, version);
+  report.endpoint = endpoint_id("other");
+  report.software_version = "v1";
+  selector.Update(report);
+  for (int i = 0; i < 20; ++i) {
+    const auto next = selector.Acquire(now, kService, unconstrained);
+    ASSERT_TRUE(std::holds_alternative<selected_endpoint>(next));
+    const auto& selected = std::get<selected_endpoint>(next);
+    EXPECT_TRUE(!version.empty() || selected.endpoint == report.endpoint);
+    selector.Release(now, selected.endpoint, endpoint_outcome::kServed);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    ended_starts,
+    testing::Values(ended_start_case{"no_report", -1, 0, "", ""},
+                    ended_start_case{"later_start", 1, 6, "v2", "v2"},
+                    ended_start_case{"delayed_report", 3, 5, "v1", ""},
+                    // It had not ended.
+                    ended_start_case{"goes_on", 16, 5, "v1", "v1"}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -34,7 +34,11 @@
       selector_(options_.selector),
       pool_(loop, clock, options_.endpoint_source_ip),
       crash_observer_(clock, pool_, selector_.crashes()),
-      slow_retry_budget_(kSlowRetryRatio, kMaxSavedSlowRetries) {}
+      slow_retry_budget_(kSlowRetryRatio, kMaxSavedSlowRetries) {
+  crash_observer_.on_ended = [this](const endpoint_start& start) {
+    selector_.RecordEnded(clock_.Now(), start);
+  };
+}
 
 entry_duty::~entry_duty() = default;
 
@@ -51,6 +55,8 @@
   const endpoint_report& report = entry.report;
   versions_.Record(entry.received_at, report.service, report.software_version);
   selector_.Update(report);
+  selector_.ConfirmStart(entry.received_at,
+                         {report.endpoint, report.start_time_ms});
 }
 
 void entry_duty::Serve(const route& matched_route,
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -42,8 +42,8 @@
 // Values of log fields.
 std::string_view LogName(endpoint_outcome end) {
   constexpr std::string_view kNames[] = {
-      "answered", "shed",           "refused",  "silent",
-      "broken",   "other_endpoint", "given_up", "answered"};
+      "answered", "shed",           "unreachable", "refused", "silent",
+      "broken",   "other_endpoint", "given_up",    "answered"};
   return kNames[static_cast<size_t>(end)];
 }
 
@@ -294,6 +294,10 @@
       request.avoided_endpoints.push_back(LoadKey(each));
     }
   }
+  for (const endpoint_id& each :
+       duty_.selector_.UnconfirmedEndpoints(service_)) {
+    request.avoided_endpoints.push_back(LoadKey(each));
+  }
   for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
     request.failed_endpoints.push_back(LoadKey(each));
   }
@@ -355,6 +359,8 @@
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
   constraints.traits = &traits_;
+  constraints.prefers_known_version =
+      route_.kind == request_kind::kStreaming && route_.is_resumable;
   constraints.is_repeat = current_ != nullptr || !executed_at_.empty();
   constraints.avoided = displaced_;
   constraints.is_limited_to_avoided = IsLimitedToReturn(History());
@@ -622,6 +628,10 @@
       OnAttemptFailed(attempt, attempt_result::kNotExecuted,
                       endpoint_outcome::kUnreachable);
       return;
+    case call_end::kRefused:
+      OnAttemptFailed(attempt, attempt_result::kNotExecuted,
+                      endpoint_outcome::kEnded);
+      return;
     case call_end::kConnectTimeout:
       OnAttemptFailed(attempt, attempt_result::kNotExecuted,
                       endpoint_outcome::kSilent);
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -108,6 +108,9 @@
   crashes_.on_change = [this](const block_change& change) {
     LogBlockChange(log_, change);
   };
+  crashes_.on_start_ended = [this](uint64_t start_key) {
+    duty_.selector().RecordEndedByKey(clock_.Now(), start_key);
+  };
 }
 
 // Open callers' connections end requests when the listener is destroyed.
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -125,7 +125,7 @@
           return;
         }
         if (failure) {
-          self->OnPathFailed(call_end::kNotSent);
+          self->OnPathFailed(self->ConnectFailure(failure));
           return;
         }
         SetStreamOptions(self->socket_);
@@ -155,6 +155,13 @@
   Send();
 }
 
+// A host that is cut off learns nothing of the endpoint.
+call_end endpoint_connection::ConnectFailure(const error_code& failure) const {
+  const bool is_refused = failure == boost::asio::error::connection_refused &&
+                          !path_ && !pool_->paths_.IsCutOff();
+  return is_refused ? call_end::kRefused : call_end::kNotSent;
+}
+
 void endpoint_connection::OnPathFailed(call_end failure) {
   connect_timer_.cancel();
   connect_failure_ = failure;
@@ -302,7 +309,7 @@
   socket_.close(ignored);
   if (reason == relay_frame::kRefused) {
     pool_->paths_.RecordRelayUsed(pool_->clock_.Now(), *path_);
-    Finish(call_end::kNotSent);
+    Finish(call_end::kRefused);
     return;
   }
   if (reason == relay_frame::kNoAnswer) {
@@ -460,8 +467,10 @@
     pool_->AddIdle(self);
     Read();
   } else {
-    if ((end == call_end::kNotSent || end == call_end::kConnectTimeout) &&
-        pool_ != nullptr) {
+    const bool has_connected = end != call_end::kNotSent &&
+                               end != call_end::kRefused &&
+                               end != call_end::kConnectTimeout;
+    if (!has_connected && pool_ != nullptr) {
       ++pool_->counters_.connect_failures;
     }
     Close();
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -47,6 +47,7 @@
   bool IsConnecting(size_t attempt) const;
   void OnConnected();
   // `failure`: how the call ends if no other way is left.
+  call_end ConnectFailure(const boost::system::error_code& failure) const;
   void OnPathFailed(call_end failure);
   void RequestRelay();
   void OnRelayRefused(relay_frame reason);
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -23,6 +23,7 @@
 enum class call_end : uint8_t {
   kComplete,         // The whole response was received.
   kNotSent,          // No connection: the request was not executed.
+  kRefused,          // As kNotSent: no process listens at the address.
   kConnectTimeout,   // As kNotSent: the attempt to connect timed out.
   kBroken,           // The connection broke: may have been executed.
   kInvalidResponse,  // Not a valid HTTP response: may have been executed.
--- a/src/libshallotport/eventio/endpoint_connection_pool_test.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool_test.cc
@@ -145,7 +145,7 @@
   scripted_endpoint endpoint(loop_, [](raw_connection&, const std::string&) {});
   const uint16_t port = endpoint.port();
   endpoint.Close();
-  EXPECT_EQ(Await(Call(port, "one")), call_end::kNotSent);
+  EXPECT_EQ(Await(Call(port, "one")), call_end::kRefused);
 }
 
 TEST_F(endpoint_connection_pool_test, DestroyingCallHandleClosesConnection) {
--- a/src/libshallotport/eventio/relayed_connection_test.cc
+++ b/src/libshallotport/eventio/relayed_connection_test.cc
@@ -212,7 +212,7 @@
   EXPECT_EQ(AwaitEnd(Call(down.port())), call_end::kNotSent);  // Declined.
   relay_.reset();
   StartRelay();
-  EXPECT_EQ(AwaitEnd(Call(port_)), call_end::kNotSent);
+  EXPECT_EQ(AwaitEnd(Call(port_)), call_end::kRefused);  // By the endpoint.
   EXPECT_EQ(down.connections, 0);
   EXPECT_EQ(endpoint_.connections, 0);
   relay_.reset();
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -35,6 +35,7 @@
   // received, in Unix milliseconds. It ends every earlier start. Otherwise 0.
   uint64_t leave_time_ms = 0;
   // Of the endpoint's software, without an order; not of a model's weights.
+  // Never empty in what an endpoint says.
   std::string software_version;
 
   template <typename Archive>
--- a/src/libshallotport/fleet/endpoint_start.h
+++ b/src/libshallotport/fleet/endpoint_start.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "base/digest.h"
 #include "base/ids.h"
 
 namespace shallotport {
@@ -21,6 +22,11 @@
   }
 };
 
+// Key of a start in messages between hosts.
+inline uint64_t StartKey(const endpoint_start& start) {
+  return HashOf(start.endpoint.text(), start.start_time_ms);
+}
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_FLEET_ENDPOINT_START_H_
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -110,7 +110,11 @@
       propose_(std::move(propose)),
       random_(options_.seed),
       pool_(loop, clock),
-      crash_observer_(clock, pool_, endpoints.crashes()) {}
+      crash_observer_(clock, pool_, endpoints.crashes()) {
+  crash_observer_.on_ended = [this](const endpoint_start& start) {
+    endpoints_.RecordEnded(clock_.Now(), start);
+  };
+}
 
 item_dispatcher::~item_dispatcher() = default;
 
@@ -339,6 +343,7 @@
   constraints.is_batch = true;
   constraints.is_limited_rate_only = !has_slots;
   constraints.software_version = software_version;
+  constraints.prefers_known_version = true;
   constraints.traits = &traits;
   constraints.is_repeat = round.is_repeat;
   const auto selection = endpoints_.Acquire(now, service, constraints);
@@ -474,7 +479,9 @@
   }
   const selected_endpoint& selected = selection->endpoint;
   pending_item& item_state = PendingItem(key);
-  if (item_state.origin && *item_state.origin != selection->origin) {
+  const bool continues_text = item_state.origin == selection->origin &&
+                              !selection->origin.software_version.empty();
+  if (item_state.origin && !continues_text) {
     DiscardText(key, item_state, selection->origin);
   }
   if (item_state.first_attempt_at == steady_time{}) {
@@ -671,6 +678,9 @@
       endpoints_.Release(now, attempt->endpoint,
                          endpoint_outcome::kUnreachable);
       break;
+    case call_end::kRefused:
+      endpoints_.Release(now, attempt->endpoint, endpoint_outcome::kEnded);
+      break;
     case call_end::kConnectTimeout:
       endpoints_.Release(now, attempt->endpoint, endpoint_outcome::kSilent);
       break;
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -77,6 +77,7 @@
     report.port = endpoint_.port();
     report.slots = 3;
     report.start_time_ms = 1;
+    report.software_version = "v1";
     selector_.Update(report);
     table_.on_changed = [this](const job_id& job) {
       dispatcher_.OnJobChanged(job);
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -121,8 +121,11 @@
     slots_.RecordLeaving(clock_.Now(), start);
   };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
-    endpoints_.Update(entry.report);
-    slots_.Update(entry.report);
+    const endpoint_report& report = entry.report;
+    endpoints_.Update(report);
+    endpoints_.ConfirmStart(entry.received_at,
+                            {report.endpoint, report.start_time_ms});
+    slots_.Update(report);
   };
   fleet_.on_endpoint_replaced = [this](const endpoint_id& endpoint) {
     endpoints_.Remove(endpoint);
@@ -155,6 +158,9 @@
   crashes_.on_change = [this](const block_change& change) {
     LogBlockChange(log_, change);
   };
+  crashes_.on_start_ended = [this](uint64_t start_key) {
+    endpoints_.RecordEndedByKey(clock_.Now(), start_key);
+  };
   fleet_.hub().on_call = [this](host_link& link, uint8_t method,
                                 std::string_view body,
                                 const std::function<void(std::string)>& reply) {
@@ -506,7 +512,7 @@
     const host_link& link,
     std::string_view body,
     const std::function<void(std::string)>& reply) {
-  const auto decoded = Decode<slot_request>(body);
+  auto decoded = Decode<slot_request>(body);
   const steady_time now = clock_.Now();
   const bool can_allocate = IsLeading() && IsOk(decoded) &&
                             !link.peer_name.empty() &&
@@ -516,8 +522,12 @@
     return;
   }
   UpdateBatchLoad();
-  const slot_decision decision =
-      slots_.Allocate(now, link.peer_name, ValueOf(decoded));
+  slot_request& request = ValueOf(decoded);
+  for (const endpoint_id& each :
+       endpoints_.UnconfirmedEndpoints(request.service)) {
+    request.avoided_endpoints.push_back(LoadKey(each));
+  }
+  const slot_decision decision = slots_.Allocate(now, link.peer_name, request);
   reply(Encode(decision.reply));
   if (decision.reply.kind != slot_reply_kind::kGranted) {
     ++slot_counters_.refused;
--- a/src/libshallotport/poison/crash_exchange.cc
+++ b/src/libshallotport/poison/crash_exchange.cc
@@ -80,6 +80,7 @@
   }
   const auto evidence = DecodeEvidence(payload);
   if (IsOk(evidence)) {
+    ReportEndedStarts(ValueOf(evidence));
     // All hosts dial the stores, and stores send on accepted links.
     attribution_.Merge(now, ValueOf(evidence),
                        link.is_dialed() ? crash_attribution::role::kRelay
@@ -90,6 +91,22 @@
   return true;
 }
 
+void crash_exchange::ReportEndedStarts(const crash_evidence& evidence) const {
+  if (!on_start_ended) {
+    return;
+  }
+  std::set<uint64_t> keys;
+  for (const crash_record& each : evidence.crashes) {
+    // If it had not ended, it has reported since.
+    if (std::chrono::milliseconds(each.age_ms) < kStaleReportWindow) {
+      keys.insert(each.endpoint);
+    }
+  }
+  for (const uint64_t key : keys) {
+    on_start_ended(key);
+  }
+}
+
 void crash_exchange::OnHostLinked(steady_time now, host_link& link) {
   const crash_evidence known = attribution_.Snapshot(now);
   if (!known.IsEmpty()) {
--- a/src/libshallotport/poison/crash_exchange.h
+++ b/src/libshallotport/poison/crash_exchange.h
@@ -27,6 +27,10 @@
   // Called for each part that is blocked or released. May be empty.
   std::function<void(const block_change& change)> on_change;
 
+  // Called with the key of each start (StartKey()) that ended lately as another
+  // host saw. May be empty.
+  std::function<void(uint64_t start_key)> on_start_ended;
+
   void Tick(steady_time now);
   // False if the frame is of another kind.
   bool OnFrame(steady_time now,
@@ -40,6 +44,7 @@
 
  private:
   void SendNews(steady_time now);
+  void ReportEndedStarts(const crash_evidence& evidence) const;
   std::vector<std::string> Relays() const;
 
   fleet_host& fleet_;
--- a/src/libshallotport/poison/crash_observer.cc
+++ b/src/libshallotport/poison/crash_observer.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "base/digest.h"
-
 namespace shallotport {
 
 namespace {
@@ -32,13 +30,9 @@
 void crash_observer::OnBroken(const observed_attempt& attempt) {
   const steady_time now = clock_.Now();
   attribution_.RecordBreak(now, attempt.service);
-  if (attempt.traits.IsEmpty()) {
-    return;
-  }
   RemoveOld(now);
   crash_record record;
-  record.endpoint =
-      HashOf(attempt.start.endpoint.text(), attempt.start.start_time_ms);
+  record.endpoint = StartKey(attempt.start);
   record.request = attempt.request;
   record.service = attempt.service;
   record.ran_ms = static_cast<uint32_t>(
@@ -95,6 +89,9 @@
       break;
   }
   ++counters_.crashes;
+  if (on_ended) {
+    on_ended(start);
+  }
   for (crash_record& each : records) {
     each.age_ms = static_cast<uint32_t>(age.count());
     attribution_.RecordCrash(now, each);
--- a/src/libshallotport/poison/crash_observer.h
+++ b/src/libshallotport/poison/crash_observer.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_POISON_CRASH_OBSERVER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
