entry: a host that is out of step does not guess a stream's version

Reported by other operators, shown here by a test: an entry host that is cut off from the others, or stands still, while endpoints of a new version join took up a stream of that version at the only one it knew.

Cause: its links to all control hosts were up, so it took its list of endpoints for complete. A link counts as up until its silence is noticed, and what arrived during a stall has not been read yet.

Change: where the origin of a stream is not known, each control host has to confirm that the host has received all that was passed on (call kConfirmView, answered on the same link). Otherwise the stream is refused at once. Control hosts of earlier builds do not reply; beside them nothing is guessed.

--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -79,8 +79,10 @@
   std::function<void(uint64_t stream,
                      stream_origin_client::find_handler on_found)>
       find_stream;
-  // True while this host hears of all endpoints. May be empty: it does not.
-  std::function<bool()> has_complete_view;
+  // Finds out whether this host has heard of all endpoints that reported until
+  // now; the handler is called once. May be empty: it has not.
+  std::function<void(std::function<void(bool is_current)> on_done)>
+      confirm_view;
   // Called when an attempt began or ended.
   std::function<void()> on_load_changed;
 
--- a/src/libshallotport/entry/resumption_policy.h
+++ b/src/libshallotport/entry/resumption_policy.h
@@ -20,7 +20,8 @@
   // Of the route's sole service, if the route had no other service, and that
   // no other version, while any stream that can be resumed may have begun.
   std::optional<std::string> sole_version;
-  // This host hears of all endpoints: it is linked to every control host.
+  // This host has heard of all endpoints: every control host confirmed it after
+  // the request was received.
   bool is_view_complete = false;
   // True if an endpoint of that service and version is ready.
   std::function<bool(const stream_origin& origin)> is_serving;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -174,13 +174,35 @@
                     });
 }
 
+// Where the origin is not known, a host that is out of step may not know of the
+// version either at which the stream began.
 void routed_exchange::OnOriginFound(const found_origin& found) {
   if (is_finished_) {
     return;
   }
+  const service_id* sole = SoleService(route_.services);
+  const bool needs_view =
+      found.source == origin_source::kNone && sole != nullptr &&
+      duty_.versions_.SoleVersion(duty_.clock_.Now(), *sole).has_value();
+  if (!needs_view || !duty_.confirm_view) {
+    ResumeAt(found, false);
+    return;
+  }
+  duty_.confirm_view([weak = weak_from_this(), found](bool is_current) {
+    if (const auto self = weak.lock()) {
+      self->ResumeAt(found, is_current);
+    }
+  });
+}
+
+void routed_exchange::ResumeAt(const found_origin& found,
+                               bool is_view_current) {
+  if (is_finished_) {
+    return;
+  }
   resumption_facts facts;
   facts.services = route_.services;
-  facts.is_view_complete = duty_.has_complete_view && duty_.has_complete_view();
+  facts.is_view_complete = is_view_current;
   facts.is_serving = [this](const stream_origin& origin) {
     return duty_.selector_.IsVersionServing(origin.service,
                                             origin.software_version);
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -40,6 +40,8 @@
   bool IsTakenUp() const;
   void FindOrigin();
   void OnOriginFound(const found_origin& found);
+  // `is_view_current`: this host has heard of all endpoints.
+  void ResumeAt(const found_origin& found, bool is_view_current);
   void RejectResumption(const resumption_decision& decision,
                         const resumption_facts& facts);
   // Records where the stream begins; before the caller sees its first event.
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -23,6 +23,8 @@
 // The reports that a control host knows are received within this time after the
 // link to it is up.
 constexpr std::chrono::milliseconds kReportSettleTime{300};
+// For control hosts to confirm that this host is in step.
+constexpr std::chrono::milliseconds kViewTimeout{200};
 // The load balancer checks readiness every second and removes a host after two
 // failed checks.
 constexpr std::chrono::milliseconds kAcceptWhileDraining{2'600};
@@ -95,7 +97,13 @@
                              stream_origin_client::find_handler on_found) {
     streams_.Find(stream, std::move(on_found));
   };
-  duty_.has_complete_view = [this] { return HasCompleteView(); };
+  duty_.confirm_view = [this](std::function<void(bool)> on_done) {
+    if (HasCompleteView()) {
+      fleet_.ConfirmView(kViewTimeout, std::move(on_done));
+    } else {
+      on_done(false);
+    }
+  };
   duty_.on_load_changed = [this] { ExchangeLoad(clock_.Now()); };
   fleet_.on_unhandled_frame = [this](host_link& link, uint8_t kind,
                                      std::string_view payload) {
--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -134,6 +134,12 @@
       OnJobMembers(payload);
     }
   };
+  fleet_->hub().on_call = [](host_link&, uint8_t method, std::string_view,
+                             const std::function<void(std::string)>& reply) {
+    if (static_cast<fleet_call>(method) == fleet_call::kConfirmView) {
+      reply({});
+    }
+  };
   auto opened = group_replica::Open(
       loop_, clock_, GroupOptions(options_), replicated_slice::kConfiguration,
       state_, [this](const host_id& to, std::string bytes) {
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet_host.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "base/codec.h"
@@ -244,6 +245,34 @@
                                        });
 }
 
+void fleet_host::ConfirmView(duration timeout,
+                             std::function<void(bool is_current)> on_done) {
+  if (!HasAllControlLinks()) {
+    on_done(false);
+    return;
+  }
+  const auto hosts =
+      hosts_.LiveHosts(clock_.Now(), host_role::kControl, kDialTimeout);
+  struct pending_confirmation {
+    size_t unanswered = 0;
+    std::function<void(bool is_current)> on_done;
+  };
+  auto pending = std::make_shared<pending_confirmation>();
+  pending->unanswered = hosts.size();
+  pending->on_done = std::move(on_done);
+  for (const host_announcement& host : hosts) {
+    hub_.Call(host.host.text(), static_cast<uint8_t>(fleet_call::kConfirmView),
+              {}, timeout, [pending](const result<std::string>& reply) {
+                --pending->unanswered;
+                const bool is_decided =
+                    !IsOk(reply) || pending->unanswered == 0;
+                if (pending->on_done && is_decided) {
+                  std::exchange(pending->on_done, nullptr)(IsOk(reply));
+                }
+              });
+  }
+}
+
 void fleet_host::SendConsensus(const host_id& to,
                                uint32_t group,
                                std::string bytes) {
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -84,6 +84,11 @@
   bool HasControlLink() const;
   // To every control host that is known, and at least to one.
   bool HasAllControlLinks() const;
+  // Whether this host has received all that the control hosts have passed on
+  // until now: each of them that is known replies within `timeout`. The handler
+  // is called once, possibly before this returns.
+  void ConfirmView(duration timeout,
+                   std::function<void(bool is_current)> on_done);
 
   void SendConsensus(const host_id& to, uint32_t group, std::string bytes);
 
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -31,7 +31,7 @@
   kEndpointLimits = 26,
 };
 
-// Calls from entry hosts to the leader of the job group, or to any job store
+// Calls from entry hosts to the leader of the job group, or to other hosts
 // where it says so.
 enum class fleet_call : uint8_t {
   kSubmitJob = 1,
@@ -40,6 +40,9 @@
   kEndJob = 4,
   kRequestSlot = 5,  // slot_request; the reply is a slot_reply.
   kFindStream = 6,   // stream_query, to any store; the reply is a stream_reply.
+  // Empty, to any control host. The empty reply comes after all that the
+  // control host has passed on before. Earlier builds do not reply.
+  kConfirmView = 7,
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
