storage: removed log segments stay removed over a power loss

Cause: old segments were removed without a sync of their folder.

Change: each removal is synced before the next one.

--- a/src/libshallotport/consensus/replica_storage.cc
+++ b/src/libshallotport/consensus/replica_storage.cc
@@ -145,8 +145,10 @@
 
 status replica_storage::Recover(consensus_core& core,
                                 const snapshot_point& point) {
+  write_ahead_log_options log_options = options_;
+  log_options.begins_after_gap = true;
   auto opened = write_ahead_log::Open(
-      files_, options_,
+      files_, std::move(log_options),
       [&](const log_record& record) { return OnRecord(core, record); });
   if (!IsOk(opened)) {
     return ErrorOf(opened);
@@ -159,6 +161,15 @@
   if (!IsOk(is_contained)) {
     return CorruptError(folder_ + ": " + ErrorOf(is_contained).detail);
   }
+  // The core has checked that the log's first entry follows the snapshot.
+  if (log_->has_leftovers() && positions_.empty()) {
+    return CorruptError(folder_ +
+                        ": log segments are missing, and those after them "
+                        "have no entry");
+  }
+  if (status removed = log_->RemoveLeftovers(); !IsOk(removed)) {
+    return removed;
+  }
   if (!ValueOf(is_contained)) {
     PutReset(point);
   }
--- a/src/libshallotport/storage/fake_file_system_test_util.h
+++ b/src/libshallotport/storage/fake_file_system_test_util.h
@@ -49,6 +49,27 @@
     durable_ = live_;
   }
 
+  // As Crash(), but of the unsynced folder changes each creation and removal is
+  // kept or undone on its own.
+  void CrashEachName(random_source& random) {
+    {
+      const std::lock_guard lock(mutex_);
+      std::map<std::string, std::shared_ptr<inode>> kept;
+      for (const auto& names : {live_, durable_}) {
+        for (const auto& [path, node] : names) {
+          const bool is_synced =
+              live_.contains(path) && durable_.contains(path);
+          if (is_synced || UniformBelow(random, 2) == 0) {
+            kept.try_emplace(path, node);
+          }
+        }
+      }
+      live_ = kept;
+      durable_ = std::move(kept);
+    }
+    Crash(random);
+  }
+
   void Wipe() {
     const std::lock_guard lock(mutex_);
     live_.clear();
--- a/src/libshallotport/storage/storage_test.cc
+++ b/src/libshallotport/storage/storage_test.cc
@@ -218,6 +218,51 @@
   }
 }
 
+// Old segments were removed without a sync of their folder: a power loss left a
+// gap, and the log was refused for good.
+TEST(write_ahead_log_test, PowerLossAfterRemovalsLeavesNoGap) {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    random_source random(seed);
+    fake_file_system files;
+    WriteAll(files, lines(8, std::string(300, 'x')), 200);
+    uint32_t kept = 0;
+    {
+      const opened_log opened = OpenLog(files, 200);
+      ASSERT_TRUE(IsOk(opened.log));
+      write_ahead_log& log = *ValueOf(opened.log);
+      kept = 2 + static_cast<uint32_t>(UniformBelow(random, 6));
+      ASSERT_TRUE(IsOk(log.RemoveSegmentsBefore(kept)));
+    }
+    files.CrashEachName(random);
+    const opened_log opened = OpenLog(files, 200);
+    ASSERT_TRUE(IsOk(opened.log))
+        << "seed " << seed << ": " << ErrorOf(opened.log).detail;
+    EXPECT_GE(opened.payloads.size(), 8u - (kept - 1)) << "seed " << seed;
+  }
+}
+
+// As earlier builds left it.
+TEST(write_ahead_log_test, LogBeginsAfterAGapWhereThatIsAsked) {
+  fake_file_system files;
+  WriteAll(files,
+           {"1-" + std::string(300, 'x'), "2-" + std::string(300, 'x'),
+            "3-" + std::string(300, 'x'), "4"},
+           200);
+  ASSERT_TRUE(IsOk(files.Remove("/data/log-0000000002.wal")));
+  lines read;
+  const auto opened = write_ahead_log::Open(
+      files, {kFolder, 1, 200, true}, [&](const log_record& record) {
+        read.push_back(record.payload.substr(0, 1));
+        return status(success{});
+      });
+  ASSERT_TRUE(IsOk(opened));
+  EXPECT_EQ(read, (lines{"3", "4"}));
+  EXPECT_TRUE(ValueOf(opened)->has_leftovers());
+  ASSERT_TRUE(IsOk(ValueOf(opened)->RemoveLeftovers()));
+  EXPECT_FALSE(files.Exists(kFirstSegment));
+  EXPECT_TRUE(IsOk(OpenLog(files, 200).log));
+}
+
 std::string SnapshotPath(uint64_t index) {
   fake_file_system files;
   return snapshot_folder(files, kFolder).PathOf(index);
--- a/src/libshallotport/storage/write_ahead_log.cc
+++ b/src/libshallotport/storage/write_ahead_log.cc
@@ -1,5 +1,6 @@
 #include "storage/write_ahead_log.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -95,13 +96,21 @@
   if (segments.empty()) {
     return OpenSegment(1);
   }
+  const auto gap = std::adjacent_find(
+      segments.rbegin(), segments.rend(),
+      [](uint32_t later, uint32_t earlier) { return later != earlier + 1; });
+  if (gap != segments.rend()) {
+    const std::string missing = PathOf(*gap - 1) + " is missing";
+    if (!options_.begins_after_gap) {
+      return MakeError(error_kind::kCorrupt, missing);
+    }
+    LogWarning(kDuty, missing + ": the log is read from the segment after it");
+    const auto first_read = gap.base() - 1;
+    leftovers_.assign(segments.begin(), first_read);
+    segments.erase(segments.begin(), first_read);
+  }
   first_ = segments.front();
   for (size_t i = 0; i < segments.size(); ++i) {
-    if (segments[i] != first_ + i) {
-      return MakeError(
-          error_kind::kCorrupt,
-          PathOf(first_ + static_cast<uint32_t>(i)) + " is missing");
-    }
     const bool is_last = i + 1 == segments.size();
     status recovered = RecoverSegment(segments[i], is_last, visit);
     if (!IsOk(recovered)) {
@@ -271,9 +280,18 @@
   return OpenSegment(current_ + 1);
 }
 
+// Each removal is durable before the next one: a power loss may undo any of
+// those that are not, and leave a gap.
+status write_ahead_log::RemoveSegment(uint32_t segment) {
+  if (status removed = files_.Remove(PathOf(segment)); !IsOk(removed)) {
+    return removed;
+  }
+  return files_.SyncFolder(options_.folder);
+}
+
 status write_ahead_log::RemoveSegmentsBefore(uint32_t segment) {
   while (first_ < segment && first_ < current_) {
-    if (status removed = files_.Remove(PathOf(first_)); !IsOk(removed)) {
+    if (status removed = RemoveSegment(first_); !IsOk(removed)) {
       return removed;
     }
     ++first_;
@@ -281,4 +299,13 @@
   return success{};
 }
 
+status write_ahead_log::RemoveLeftovers() {
+  for (const uint32_t each : std::exchange(leftovers_, {})) {
+    if (status removed = RemoveSegment(each); !IsOk(removed)) {
+      return removed;
+    }
+  }
+  return success{};
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/storage/write_ahead_log.h
+++ b/src/libshallotport/storage/write_ahead_log.h
@@ -32,6 +32,10 @@
   std::string folder;
   uint32_t group = 1;
   uint32_t segment_bytes = 16u << 20;
+  // A gap in the numbers of the segments is taken for the trace of a removal
+  // that a power loss has undone in part: reading begins after it. The caller
+  // checks that what is left is enough, and then calls RemoveLeftovers().
+  bool begins_after_gap = false;
 };
 
 // An append-only log of checksummed records in numbered segment files. Records
@@ -53,6 +57,10 @@
       const visitor& visit);
   ~write_ahead_log();
 
+  // Whether there are segments before a gap, which were not read.
+  bool has_leftovers() const { return !leftovers_.empty(); }
+  status RemoveLeftovers();
+
   // Gathers a record for the next Sync().
   log_position Append(uint8_t kind, std::string_view payload);
 
@@ -86,10 +94,12 @@
   status RecoverSegment(uint32_t segment, bool is_last, const visitor& visit);
   status CutTail(uint32_t segment, uint64_t size);
   status OpenSegment(uint32_t segment);
+  status RemoveSegment(uint32_t segment);
   status Fail(const error& cause);
 
   file_system& files_;
   const write_ahead_log_options options_;
+  std::vector<uint32_t> leftovers_;  // Segments before a gap.
   uint32_t first_ = 1;
   uint32_t current_ = 0;
   std::unique_ptr<appendable_file> file_;
