fleet: bounds on what an endpoint may say of itself

Reported by other operators: one odd entry among those of the endpoints (deeply nested, a number too large, a port out of range) ended the hosts that read it, or stopped them. Not reproduced as such here: nested JSON, numbers out of range and ports above 65535 were answered 400 before, and no process ended. Tried beside it, and taken as sound before: names of 500 kB, an empty zone or version, addresses that no endpoint can have, port 0, and a start in the future, which (by reading) made all later reports of its id old, so that the endpoint was lost for as long as it ran.

--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -27,6 +27,8 @@
 // The end of a caller's connection is read after its request: behind it in the
 // socket, or a round trip later if both were sent again after a partition.
 constexpr std::chrono::milliseconds kLeaveDelay{100};
+// Clocks of hosts and endpoints may differ by this much.
+constexpr wall_milliseconds kMaxClockLeadMs = 3'600'000;
 // All hosts of a new fleet start within a third of a second of each other.
 constexpr std::chrono::milliseconds kFoundingDelay{700};
 // After this long the job group is founded with the job stores that are live.
@@ -194,7 +196,9 @@
   fleet_->RecordDocument(known.document);
   for (endpoint_report report : known.reports) {
     report.age_ms = 0;
-    fleet_->RecordEndpoint(report, endpoint_directory::source::kHost);
+    if (IsOk(CheckReport(report))) {
+      fleet_->RecordEndpoint(report, endpoint_directory::source::kHost);
+    }
   }
   fleet_->on_endpoint = [this](const endpoint_directory::entry& entry) {
     auto& stage = saved_stages_[entry.report.endpoint];
@@ -357,7 +361,20 @@
       });
 }
 
-void control_duty::ReportEndpoint(const endpoint_report& report) {
+status control_duty::ReportEndpoint(const endpoint_report& report) {
+  if (status checked = CheckReport(report); !IsOk(checked)) {
+    return checked;
+  }
+  const auto latest_start =
+      static_cast<uint64_t>(clock_.WallNow() + kMaxClockLeadMs);
+  if (report.start_time_ms > latest_start) {
+    return MakeError(error_kind::kInvalidRequest, "born: not in the future");
+  }
+  ApplyAndPass(report);
+  return success{};
+}
+
+void control_duty::ApplyAndPass(const endpoint_report& report) {
   if (fleet_->RecordEndpoint(report, endpoint_directory::source::kEndpoint) &&
       report_filter_.ShouldPassOn(clock_.Now(), report)) {
     PushToAll(fleet_frame::kEndpoint, Encode(endpoint_update{{report}}));
@@ -402,7 +419,7 @@
   if (start_time_ms != 0) {
     end.start_time_ms = start_time_ms;
   }
-  ReportEndpoint(end);
+  ApplyAndPass(end);
 }
 
 void control_duty::Retire(const std::string& host_name, status_reply reply) {
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -63,8 +63,10 @@
   // Returns the newest document, or kNotLeader.
   void ReadDocument(document_reply reply);
   // Applies a report that an endpoint sent to this host; it is pushed before
-  // this returns.
-  void ReportEndpoint(const endpoint_report& report);
+  // this returns. kInvalidRequest: no endpoint can say this of itself, or it
+  // would have started in the future; later reports of the endpoint would be
+  // taken for older ones.
+  status ReportEndpoint(const endpoint_report& report);
   // Records that an endpoint leaves. A call that names no start means the one
   // that makes it: it counts only if its caller still awaits the outcome a
   // moment later. Otherwise it is an old one that has waited somewhere, and a
@@ -100,6 +102,7 @@
   void PushToAll(fleet_frame kind, std::string_view payload);
   void HealGroup(steady_time now);
   void FoundJobGroup(steady_time now);
+  void ApplyAndPass(const endpoint_report& report);
   void RecordAwaitedLeaves(steady_time now);
   // `leave_time_ms`: of a leave that names no start, otherwise 0.
   void EndStart(const endpoint_id& endpoint,
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "base/result.h"
 
 namespace shallotport {
 
@@ -35,7 +36,6 @@
   // received, in Unix milliseconds. It ends every earlier start. Otherwise 0.
   uint64_t leave_time_ms = 0;
   // Of the endpoint's software, without an order; not of a model's weights.
-  // Never empty in what an endpoint says.
   std::string software_version;
 
   template <typename Archive>
@@ -46,6 +46,11 @@
   }
 };
 
+// Whether an endpoint can say this of itself. A report that it cannot say names
+// no endpoint: it comes from another writer, from an earlier build's files, or
+// is damaged. kInvalidRequest: the detail begins with the field's name.
+status CheckReport(const endpoint_report& report);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_FLEET_ENDPOINT_REPORT_H_
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -115,7 +115,11 @@
       const auto update = Decode<endpoint_update>(payload);
       if (IsOk(update)) {
         for (const endpoint_report& report : ValueOf(update).reports) {
-          RecordEndpoint(report, endpoint_directory::source::kHost);
+          if (IsOk(CheckReport(report))) {
+            RecordEndpoint(report, endpoint_directory::source::kHost);
+          } else {
+            ++malformed_reports_;
+          }
         }
       }
       return;
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -70,6 +70,9 @@
   bool RecordDocument(const configuration_document& document);
   void RecordHost(const host_announcement& host);
 
+  // That other hosts passed on; left out.
+  uint64_t malformed_reports() const { return malformed_reports_; }
+
   const host_directory& hosts() const { return hosts_; }
   const endpoint_directory& endpoints() const { return endpoints_; }
   const configuration_document& document() const { return document_; }
@@ -110,6 +113,7 @@
   std::vector<host_id> job_founders_;
   std::set<std::string> retiring_;
   uint32_t entry_host_count_ = 0;
+  uint64_t malformed_reports_ = 0;
   steady_time next_announcement_{};
 };
 
