entry: hosts tell each other of endpoints that refuse connections

Cause: a host that only had a connection refused, without a request that broke, told nobody, and a host that had no request there went on by the last report. And a late report of a start that had ended again meanwhile cleared what was known of that end.

Change: ended starts go with the crash records to all hosts (as a record without parts and digest, which earlier builds pass over), once in five seconds for each start. A report of a later start counts only if that start began after the last refused connection that was seen.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -42,7 +42,8 @@
       random_(options_.seed),
       crashes_(options_.crash_role, options_.seed) {}
 
-void endpoint_selector::Update(const endpoint_report& report) {
+void endpoint_selector::Update(const endpoint_report& report,
+                               steady_time started_at) {
   endpoint_state& state = endpoints_[report.endpoint];
   const bool is_new_start = state.report.start_time_ms != report.start_time_ms;
   if (state.report.service != report.service) {
@@ -55,7 +56,9 @@
     state.peer_load = 0;
     state.failures = 0;
     state.backoff_until = {};
-    state.ended_at.reset();
+    if (state.ended_at && *state.ended_at < started_at) {
+      state.ended_at.reset();
+    }
   }
   by_service_[report.service].insert(report.endpoint);
   if (report.stage == endpoint_stage::kLeft) {
@@ -100,6 +103,7 @@
   if (found != endpoints_.end() &&
       found->second.report.start_time_ms == start.start_time_ms) {
     MarkEnded(now, found->second);
+    crashes_.RecordEnded(now, StartKey(start));
   }
 }
 
@@ -113,7 +117,8 @@
 }
 
 void endpoint_selector::ConfirmStart(steady_time received_at,
-                                     const endpoint_start& start) {
+                                     const endpoint_start& start,
+                                     steady_time started_at) {
   const auto found = endpoints_.find(start.endpoint);
   if (found == endpoints_.end()) {
     return;
@@ -447,7 +452,7 @@
     reachability_.RecordResponse(state.report.domain);
   }
   if (outcome == endpoint_outcome::kEnded) {
-    MarkEnded(now, state);
+    RecordEnded(now, StartOf(state));
   }
   // An endpoint that leaves stops at some time: no fault.
   const bool is_leaving =
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -95,16 +95,23 @@
  public:
   explicit endpoint_selector(endpoint_selector_options options);
 
-  void Update(const endpoint_report& report);
+  // `started_at`: when the reported start began, by the endpoint's clock. If
+  // its address refused a connection later, that start may have ended as well.
+  void Update(const endpoint_report& report,
+              steady_time started_at = steady_time::max());
   void Remove(const endpoint_id& endpoint);
-  // The process of this start has ended, as a host saw: its address refused a
-  // connection.
+  // The process of this start has ended, as this host saw: its address refused
+  // a connection. Other hosts are told (crash_attribution).
   void RecordEnded(steady_time now, const endpoint_start& start);
-  // As RecordEnded(), of the start with this key (StartKey()).
+  // As RecordEnded(), as another host saw; `key`: StartKey() of the start.
   void RecordEndedByKey(steady_time now, uint64_t key);
-  // A report of this start was received at `received_at`. It goes on if that
-  // was later than a delayed report may be.
-  void ConfirmStart(steady_time received_at, const endpoint_start& start);
+  // A report of this start, which began at `started_at` by the endpoint's
+  // clock, was received at `received_at`. The start goes on if that was later
+  // than a delayed report may be. It is not used for so long if this host had
+  // heard that the endpoint leaves after it began: the notice may be its own.
+  void ConfirmStart(steady_time received_at,
+                    const endpoint_start& start,
+                    steady_time started_at = steady_time::max());
   // Requests of other hosts at an endpoint, from the hosts' load exchange.
   void SetPeerLoad(steady_time now,
                    const endpoint_id& endpoint,
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -181,6 +181,7 @@
   uint64_t reported_start;
   std::string reported_version;
   std::string known_version;  // Empty: it is not known.
+  int started_ms = 500;       // Since the end was seen.
 };
 
 class ended_starts : public testing::TestWithParam<ended_start_case> {};
@@ -207,7 +208,7 @@
         ended_at + std::chrono::seconds(GetParam().reported_after_s);
     report.start_time_ms = GetParam().reported_start;
     report.software_version = GetParam().reported_version;
-    selector.Update(report);
+    selector.Update(report, ended_at + milliseconds(GetParam().started_ms));
     selector.ConfirmStart(received_at, {report.endpoint, report.start_time_ms});
   }
   const steady_time now = ended_at + std::chrono::seconds(20);
@@ -246,6 +247,9 @@
     ended_starts,
     testing::Values(ended_start_case{"no_report", -1, 0, "", ""},
                     ended_start_case{"later_start", 1, 6, "v2", "v2"},
+                    // It may be the one that was seen to end.
+                    ended_start_case{"start_before_the_end", 1, 6, "v2", "",
+                                     -200},
                     ended_start_case{"delayed_report", 3, 5, "v1", ""},
                     // It had not ended.
                     ended_start_case{"goes_on", 16, 5, "v1", "v1"}),
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -54,9 +54,10 @@
 void entry_duty::UpdateEndpoint(const endpoint_directory::entry& entry) {
   const endpoint_report& report = entry.report;
   versions_.Record(entry.received_at, report.service, report.software_version);
-  selector_.Update(report);
+  const steady_time started_at = StartedAt(clock_, report);
+  selector_.Update(report, started_at);
   selector_.ConfirmStart(entry.received_at,
-                         {report.endpoint, report.start_time_ms});
+                         {report.endpoint, report.start_time_ms}, started_at);
 }
 
 void entry_duty::Serve(const route& matched_route,
--- a/src/libshallotport/fleet/endpoint_report.h
+++ b/src/libshallotport/fleet/endpoint_report.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "base/result.h"
 
@@ -46,6 +47,14 @@
   }
 };
 
+// When the reported start began, as far as the clocks agree.
+inline steady_time StartedAt(const clock_source& clock,
+                             const endpoint_report& report) {
+  const std::chrono::milliseconds age(
+      clock.WallNow() - static_cast<wall_milliseconds>(report.start_time_ms));
+  return clock.Now() - age;
+}
+
 // Whether an endpoint can say this of itself. A report that it cannot say names
 // no endpoint: it comes from another writer, from an earlier build's files, or
 // is damaged. kInvalidRequest: the detail begins with the field's name.
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -122,9 +122,10 @@
   };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
     const endpoint_report& report = entry.report;
-    endpoints_.Update(report);
-    endpoints_.ConfirmStart(entry.received_at,
-                            {report.endpoint, report.start_time_ms});
+    const steady_time started_at = StartedAt(clock_, report);
+    endpoints_.Update(report, started_at);
+    endpoints_.ConfirmStart(
+        entry.received_at, {report.endpoint, report.start_time_ms}, started_at);
     slots_.Update(report);
   };
   fleet_.on_endpoint_replaced = [this](const endpoint_id& endpoint) {
@@ -158,8 +159,8 @@
   crashes_.on_change = [this](const block_change& change) {
     LogBlockChange(log_, change);
   };
-  crashes_.on_start_ended = [this](uint64_t start_key) {
-    endpoints_.RecordEndedByKey(clock_.Now(), start_key);
+  crashes_.on_start_ended = [this](uint64_t start_key, duration age) {
+    endpoints_.RecordEndedByKey(clock_.Now() - age, start_key);
   };
   fleet_.hub().on_call = [this](host_link& link, uint8_t method,
                                 std::string_view body,
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "base/random_source.h"
+#include "fleet/endpoint_report.h"
 
 namespace shallotport {
 
@@ -13,6 +14,10 @@
 
 constexpr size_t kMaxRecords = 1'024;
 constexpr size_t kMaxSnapshotRecords = 256;
+// Later, the endpoint has reported.
+constexpr duration kEndedLifetime = kStaleReportWindow;
+// Between two messages that a start has ended.
+constexpr milliseconds kEndedInterval{5'000};
 constexpr std::chrono::minutes kRecordLifetime{10};
 constexpr size_t kMaxAnsweredParts = 8'192;
 constexpr size_t kMaxVerdicts = 64;
@@ -240,6 +245,33 @@
   }
 }
 
+void crash_attribution::RecordEnded(steady_time now, uint64_t start_key) {
+  if (AddEnded(start_key, now)) {
+    ended_news_.insert(start_key);
+  }
+}
+
+bool crash_attribution::AddEnded(uint64_t start_key, steady_time ended_at) {
+  std::erase_if(ended_, [ended_at](const auto& each) {
+    return ended_at > each.second + kEndedLifetime;
+  });
+  const auto known = ended_.find(start_key);
+  if ((known == ended_.end() && ended_.size() >= kMaxRecords) ||
+      (known != ended_.end() && ended_at < known->second + kEndedInterval)) {
+    return false;
+  }
+  ended_[start_key] = ended_at;
+  return true;
+}
+
+crash_record crash_attribution::EndedRecord(steady_time now,
+                                            uint64_t start_key) const {
+  crash_record record;
+  record.endpoint = start_key;
+  record.age_ms = AgeMs(now, ended_.at(start_key));
+  return record;
+}
+
 void crash_attribution::RecordCrash(steady_time now,
                                     const crash_record& record) {
   const steady_time broken_at = now - milliseconds(record.age_ms);
@@ -258,6 +290,13 @@
                               role sender) {
   const bool is_passed_on = role_ == role::kRelay && sender == role::kObserver;
   for (const crash_record& each : evidence.crashes) {
+    if (each.parts.empty() && each.digest == 0) {
+      const steady_time ended_at = now - milliseconds(each.age_ms);
+      if (AddEnded(each.endpoint, ended_at) && is_passed_on) {
+        ended_news_.insert(each.endpoint);
+      }
+      continue;
+    }
     const bool is_new = Add(each, now - milliseconds(each.age_ms), false);
     if (is_new && is_passed_on) {
       crash_news_.insert({each.endpoint, each.request});
@@ -696,6 +735,12 @@
     news.service_answers.push_back(
         {service, AgeMs(now, services_[service].answering_at)});
   }
+  for (const uint64_t start_key : ended_news_) {
+    if (ended_.contains(start_key)) {
+      news.crashes.push_back(EndedRecord(now, start_key));
+    }
+  }
+  ended_news_.clear();
   service_news_.clear();
   crash_news_.clear();
   answer_news_.clear();
@@ -718,6 +763,11 @@
       }
     }
   }
+  for (const auto& [start_key, ended_at] : ended_) {
+    if (now < ended_at + kEndedLifetime) {
+      snapshot.crashes.push_back(EndedRecord(now, start_key));
+    }
+  }
   for (const crash_key& key : keys) {
     const key_state& state = keys_.at(key);
     if (state.was_answered) {
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -82,6 +82,8 @@
   // kSustainedOutput: it excuses its keys from the crashes before it began.
   void RecordSustainedOutput(steady_time begun_at,
                              const request_traits& traits);
+  // A connection of this host to the endpoint was refused. To be passed on.
+  void RecordEnded(steady_time now, uint64_t start_key);
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
   // Adds the records of another host. What a relay sent is not passed on.
@@ -105,7 +107,7 @@
 
   bool HasNews() const {
     return !crash_news_.empty() || !answer_news_.empty() ||
-           !service_news_.empty();
+           !service_news_.empty() || !ended_news_.empty();
   }
   // Records since the last call that may be new to other hosts.
   crash_evidence TakeNews(steady_time now);
@@ -167,6 +169,9 @@
   using verdicts = std::map<crash_key, steady_time>;
 
   bool Add(const crash_record& record, steady_time broken_at, bool is_own);
+  // True if other hosts may not know that the start ended.
+  bool AddEnded(uint64_t start_key, steady_time ended_at);
+  crash_record EndedRecord(steady_time now, uint64_t start_key) const;
   // Removes a record that explains no verdict, if there is one.
   void EvictRecord();
   bool ExplainsVerdict(const known_record& known) const;
@@ -215,6 +220,9 @@
   // Whole answers of parts that are in no record.
   std::map<crash_key, steady_time> answered_;
   std::deque<crash_key> answered_order_;
+  // Starts of endpoints that have ended lately, and when that was seen.
+  std::map<uint64_t, steady_time> ended_;
+  std::set<uint64_t> ended_news_;
   std::set<record_key> crash_news_;
   std::set<crash_key> answer_news_;
   std::set<service_id> service_news_;
--- a/src/libshallotport/poison/crash_attribution_test.cc
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -421,6 +421,31 @@
   }
 }
 
+// Hosts that had no request there took the endpoint for the one before.
+TEST(crash_attribution_test, EndedStartsArePassedOnOnce) {
+  test_host host;
+  test_host relay(crash_attribution::role::kRelay);
+  test_host other;
+  host.attribution.RecordEnded(host.now, 7);
+  host.attribution.RecordEnded(host.now, 7);
+  const crash_evidence seen = host.attribution.TakeNews(host.now);
+  ASSERT_EQ(seen.crashes.size(), 1u);
+  for (int copies = 0; copies < 2; ++copies) {
+    relay.attribution.Merge(relay.now, seen);
+  }
+  relay.Pass(20);
+  const crash_evidence passed = relay.attribution.TakeNews(relay.now);
+  ASSERT_EQ(passed.crashes.size(), 1u);
+  EXPECT_EQ(passed.crashes[0].endpoint, 7u);
+  EXPECT_EQ(passed.crashes[0].age_ms, 20u);
+  other.attribution.Merge(other.now, passed, crash_attribution::role::kRelay);
+  EXPECT_FALSE(other.attribution.HasNews());
+  EXPECT_EQ(other.attribution.record_count(), 0u);
+  EXPECT_EQ(relay.attribution.Snapshot(relay.now).crashes.size(), 1u);
+  relay.Pass(16'000);
+  EXPECT_TRUE(relay.attribution.Snapshot(relay.now).crashes.empty());
+}
+
 TEST(crash_attribution_test, IsBoundedAndSameEvidenceIsNoNews) {
   test_host host(crash_attribution::role::kRelay);
   for (int i = 0; i < 5'000; ++i) {
--- a/src/libshallotport/poison/crash_exchange.cc
+++ b/src/libshallotport/poison/crash_exchange.cc
@@ -1,6 +1,7 @@
 #include "poison/crash_exchange.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace shallotport {
@@ -95,16 +96,19 @@
   if (!on_start_ended) {
     return;
   }
-  std::set<uint64_t> keys;
+  std::map<uint64_t, uint32_t> ages;
   for (const crash_record& each : evidence.crashes) {
+    uint32_t& age_ms =
+        ages.try_emplace(each.endpoint, each.age_ms).first->second;
+    age_ms = std::min(age_ms, each.age_ms);
+  }
+  for (const auto& [key, age_ms] : ages) {
+    const std::chrono::milliseconds age(age_ms);
     // If it had not ended, it has reported since.
-    if (std::chrono::milliseconds(each.age_ms) < kStaleReportWindow) {
-      keys.insert(each.endpoint);
+    if (age < kStaleReportWindow) {
+      on_start_ended(key, age);
     }
   }
-  for (const uint64_t key : keys) {
-    on_start_ended(key);
-  }
 }
 
 void crash_exchange::OnHostLinked(steady_time now, host_link& link) {
--- a/src/libshallotport/poison/crash_exchange.h
+++ b/src/libshallotport/poison/crash_exchange.h
@@ -29,7 +29,7 @@
 
   // Called with the key of each start (StartKey()) that ended lately as another
   // host saw. May be empty.
-  std::function<void(uint64_t start_key)> on_start_ended;
+  std::function<void(uint64_t start_key, duration age)> on_start_ended;
 
   void Tick(steady_time now);
   // False if the frame is of another kind.
--- a/src/libshallotport/poison/crash_messages.h
+++ b/src/libshallotport/poison/crash_messages.h
@@ -26,7 +26,9 @@
 
 inline constexpr uint32_t kNeverAnswered = UINT32_MAX;
 
-// An attempt that broke because its endpoint ended without notice.
+// An attempt that broke because its endpoint ended without notice. Without
+// parts and digest: the start of an endpoint has ended, as a refused connection
+// shows; earlier builds pass over it.
 struct crash_record {
   uint64_t endpoint = 0;  // Key of the endpoint's start.
   uint64_t request = 0;   // Key of the request's id.
