entry: a leave notice holds for a start that is not known yet

Cause: the notice was recorded for the start that the last report told of. It came from a later one, whose late report made the endpoint ready again.

Change: a start that began before this host heard a notice is not used for 15 s after it: the notice may be its own, and by then it has reported that it drains.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -81,10 +81,14 @@
 bool endpoint_selector::RecordLeaving(steady_time now,
                                       const endpoint_start& start,
                                       leaving_endpoints::origin from) {
+  const auto found = endpoints_.find(start.endpoint);
+  if (found != endpoints_.end() &&
+      from == leaving_endpoints::origin::kOwnResponse) {
+    found->second.notice_at = now;
+  }
   if (!leaving_.Add(now, start, from)) {
     return false;
   }
-  const auto found = endpoints_.find(start.endpoint);
   if (found != endpoints_.end() &&
       found->second.report.start_time_ms <= start.start_time_ms) {
     found->second.is_ready = false;
@@ -129,6 +133,10 @@
       received_at >= *state.ended_at + kStaleReportWindow) {
     state.ended_at.reset();
   }
+  const bool may_be_leaving =
+      state.notice_at && started_at <= *state.notice_at &&
+      received_at < *state.notice_at + kStaleReportWindow;
+  state.is_ready = state.is_ready && !may_be_leaving;
 }
 
 void endpoint_selector::SetPeerLoad(steady_time now,
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -212,6 +212,8 @@
     // When the known start was last seen to have ended.
     std::optional<steady_time> ended_at;
     bool has_answered_since = false;
+    // When a response to this host last said that the endpoint leaves.
+    std::optional<steady_time> notice_at;
   };
 
   selected_endpoint Take(steady_time now, endpoint_state& state);
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -174,6 +174,48 @@
                          random_versions,
                          testing::Range<uint64_t>(1, 21));
 
+// An endpoint says in a response that it leaves. A report of a later start than
+// the known one arrives after that.
+struct early_notice_case {
+  std::string name;
+  int started_ms;   // Of the start that is reported, since the notice.
+  int reported_ms;  // Likewise, when its report is received.
+  bool is_used;
+};
+
+class early_notices : public testing::TestWithParam<early_notice_case> {};
+
+// The notice was held against the earlier start only.
+TEST_P(early_notices, HoldForStartsFromBefore) {
+  const steady_time heard_at{std::chrono::seconds(100)};
+  endpoint_selector selector({domain_id("d"), 2, 1});
+  endpoint_report report;
+  report.endpoint = endpoint_id("e");
+  report.service = kService;
+  report.slots = kSlots;
+  report.start_time_ms = 5;
+  report.software_version = "v1";
+  selector.Update(report);
+  selector.RecordLeaving(heard_at, {report.endpoint, 5},
+                         leaving_endpoints::origin::kOwnResponse);
+  report.start_time_ms = 6;
+  const steady_time started_at = heard_at + milliseconds(GetParam().started_ms);
+  selector.Update(report, started_at);
+  selector.ConfirmStart(heard_at + milliseconds(GetParam().reported_ms),
+                        {report.endpoint, 6}, started_at);
+  EXPECT_EQ(selector.IsServing(report.endpoint), GetParam().is_used);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    early_notices,
+    testing::Values(
+        early_notice_case{"start_from_before", -1'500, 3'000, false},
+        early_notice_case{"start_from_after", 500, 3'000, true},
+        // A start that leaves has said so in its reports by then.
+        early_notice_case{"goes_on_reporting", -1'500, 16'000, true}),
+    [](const auto& info) { return info.param.name; });
+
 // What becomes of an endpoint whose process was seen to end.
 struct ended_start_case {
   std::string name;
