entry: full endpoints that refuse connections have not ended

Batch items began anew and waited up to 39 s.

Cause: each refused connection was taken for the end of the endpoint's process.

Change: a start has ended if requests there broke, its address refuses connections and this host has none left there; without a request that broke, only if no host has any there by the load exchange.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -32,6 +32,8 @@
 // Where the number of requests is limited, those that run for long make the
 // most of it.
 constexpr double kBatchAtLimitedFactor = 8;
+// Less than one request.
+constexpr double kNoLoad = 0.5;
 // Bounds the memory while nobody asks for the failures.
 constexpr size_t kMaxFailures = 20;
 
@@ -96,25 +98,34 @@
   return true;
 }
 
-void endpoint_selector::MarkEnded(steady_time now, endpoint_state& state) {
+bool endpoint_selector::MarkEnded(steady_time now,
+                                  endpoint_state& state,
+                                  bool has_broken) {
+  const double load = has_broken ? state.own_load : EstimatedLoad(now, state);
+  if (load >= kNoLoad) {
+    return false;
+  }
   state.ended_at = std::max(state.ended_at.value_or(now), now);
   state.has_answered_since = false;
+  return true;
 }
 
 void endpoint_selector::RecordEnded(steady_time now,
                                     const endpoint_start& start) {
   const auto found = endpoints_.find(start.endpoint);
   if (found != endpoints_.end() &&
-      found->second.report.start_time_ms == start.start_time_ms) {
-    MarkEnded(now, found->second);
+      found->second.report.start_time_ms == start.start_time_ms &&
+      MarkEnded(now, found->second, true)) {
     crashes_.RecordEnded(now, StartKey(start));
   }
 }
 
-void endpoint_selector::RecordEndedByKey(steady_time now, uint64_t key) {
+void endpoint_selector::RecordEndedByKey(steady_time now,
+                                         uint64_t key,
+                                         bool has_broken) {
   for (auto& [id, state] : endpoints_) {
     if (StartKey(StartOf(state)) == key) {
-      MarkEnded(now, state);
+      MarkEnded(now, state, has_broken);
       return;
     }
   }
@@ -459,8 +470,8 @@
   if (has_responded) {
     reachability_.RecordResponse(state.report.domain);
   }
-  if (outcome == endpoint_outcome::kEnded) {
-    RecordEnded(now, StartOf(state));
+  if (outcome == endpoint_outcome::kEnded && MarkEnded(now, state, false)) {
+    crashes_.RecordEnded(now, StartKey(StartOf(state)));
   }
   // An endpoint that leaves stops at some time: no fault.
   const bool is_leaving =
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -100,11 +100,14 @@
   void Update(const endpoint_report& report,
               steady_time started_at = steady_time::max());
   void Remove(const endpoint_id& endpoint);
-  // The process of this start has ended, as this host saw: its address refused
-  // a connection. Other hosts are told (crash_attribution).
+  // Requests at this start broke, and its address refused a connection then:
+  // the process has ended, unless this host still has requests there. Other
+  // hosts are told (crash_attribution).
   void RecordEnded(steady_time now, const endpoint_start& start);
-  // As RecordEnded(), as another host saw; `key`: StartKey() of the start.
-  void RecordEndedByKey(steady_time now, uint64_t key);
+  // As another host saw; `key`: StartKey() of the start. Without requests that
+  // broke, the endpoint may have refused the connection because it is full:
+  // then no host may have a request there.
+  void RecordEndedByKey(steady_time now, uint64_t key, bool has_broken);
   // A report of this start, which began at `started_at` by the endpoint's
   // clock, was received at `received_at`. The start goes on if that was later
   // than a delayed report may be. It is not used for so long if this host had
@@ -228,7 +231,8 @@
   // Whether the request goes there only if no other endpoint takes it.
   static bool IsLastChoice(const endpoint_state& state,
                            const selection_constraints& constraints);
-  static void MarkEnded(steady_time now, endpoint_state& state);
+  // False if the process goes on, as requests there show.
+  bool MarkEnded(steady_time now, endpoint_state& state, bool has_broken);
 
   const endpoint_selector_options options_;
   random_source random_;
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -243,7 +243,15 @@
       selector.Acquire(ended_at, kService, selection_constraints()));
   selector.RecordEnded(ended_at, {report.endpoint, 4});  // An earlier one.
   EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
-  selector.RecordEndedByKey(ended_at, StartKey({report.endpoint, 5}));
+  const uint64_t key = StartKey({report.endpoint, 5});
+  // A request of this host, or of another one, goes on there.
+  selector.RecordEndedByKey(ended_at, key, true);
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
+  selector.Release(ended_at, report.endpoint, endpoint_outcome::kBroken);
+  selector.SetPeerLoad(ended_at, report.endpoint, 1);
+  selector.RecordEndedByKey(ended_at, key, false);
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
+  selector.RecordEndedByKey(ended_at, key, true);
   EXPECT_FALSE(selector.IsSameStart(before));
   if (GetParam().reported_after_s >= 0) {
     const steady_time received_at =
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -116,8 +116,10 @@
   crashes_.on_change = [this](const block_change& change) {
     LogBlockChange(log_, change);
   };
-  crashes_.on_start_ended = [this](uint64_t start_key, duration age) {
-    duty_.selector().RecordEndedByKey(clock_.Now() - age, start_key);
+  crashes_.on_start_ended = [this](uint64_t start_key, duration age,
+                                   bool has_broken) {
+    duty_.selector().RecordEndedByKey(clock_.Now() - age, start_key,
+                                      has_broken);
   };
 }
 
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -159,8 +159,9 @@
   crashes_.on_change = [this](const block_change& change) {
     LogBlockChange(log_, change);
   };
-  crashes_.on_start_ended = [this](uint64_t start_key, duration age) {
-    endpoints_.RecordEndedByKey(clock_.Now() - age, start_key);
+  crashes_.on_start_ended = [this](uint64_t start_key, duration age,
+                                   bool has_broken) {
+    endpoints_.RecordEndedByKey(clock_.Now() - age, start_key, has_broken);
   };
   fleet_.hub().on_call = [this](host_link& link, uint8_t method,
                                 std::string_view body,
--- a/src/libshallotport/poison/crash_exchange.cc
+++ b/src/libshallotport/poison/crash_exchange.cc
@@ -96,17 +96,22 @@
   if (!on_start_ended) {
     return;
   }
-  std::map<uint64_t, uint32_t> ages;
+  struct ended_start {
+    uint32_t age_ms = UINT32_MAX;
+    bool has_broken = false;
+  };
+  std::map<uint64_t, ended_start> ended;
   for (const crash_record& each : evidence.crashes) {
-    uint32_t& age_ms =
-        ages.try_emplace(each.endpoint, each.age_ms).first->second;
-    age_ms = std::min(age_ms, each.age_ms);
+    ended_start& start = ended[each.endpoint];
+    start.age_ms = std::min(start.age_ms, each.age_ms);
+    start.has_broken =
+        start.has_broken || !each.parts.empty() || each.digest != 0;
   }
-  for (const auto& [key, age_ms] : ages) {
-    const std::chrono::milliseconds age(age_ms);
+  for (const auto& [key, start] : ended) {
+    const std::chrono::milliseconds age(start.age_ms);
     // If it had not ended, it has reported since.
     if (age < kStaleReportWindow) {
-      on_start_ended(key, age);
+      on_start_ended(key, age, start.has_broken);
     }
   }
 }
--- a/src/libshallotport/poison/crash_exchange.h
+++ b/src/libshallotport/poison/crash_exchange.h
@@ -28,8 +28,9 @@
   std::function<void(const block_change& change)> on_change;
 
   // Called with the key of each start (StartKey()) that ended lately as another
-  // host saw. May be empty.
-  std::function<void(uint64_t start_key, duration age)> on_start_ended;
+  // host saw, and whether requests broke there. May be empty.
+  std::function<void(uint64_t start_key, duration age, bool has_broken)>
+      on_start_ended;
 
   void Tick(steady_time now);
   // False if the frame is of another kind.
