--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -559,6 +559,11 @@
   return found != endpoints_.end() && found->second.is_ready;
 }
 
+bool endpoint_selector::HasEnded(const endpoint_id& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found != endpoints_.end() && found->second.ended_at;
+}
+
 bool endpoint_selector::IsVersionServing(
     const service_id& service,
     const std::string& software_version) const {
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -196,6 +196,8 @@
   std::vector<std::pair<endpoint_id, uint32_t>> OwnLoad() const;
   uint32_t OwnLoad(const endpoint_id& endpoint) const;
   bool IsServing(const endpoint_id& endpoint) const;
+  // Its process was seen to end, and it has not reported since.
+  bool HasEnded(const endpoint_id& endpoint) const;
   bool IsVersionServing(const service_id& service,
                         const std::string& software_version) const;
   // The endpoint has not started again since it was selected, as far as is
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -757,7 +757,7 @@
   }
   if (outcome != attempt_result::kNotExecuted) {
     executed_at_.insert(endpoint);
-  } else if (!was_second && end != endpoint_outcome::kEnded) {
+  } else if (!was_second && !duty_.selector_.HasEnded(endpoint)) {
     ++refusals_;
   }
   const steady_time now = duty_.clock_.Now();
