entry: an end is known once the last of its requests breaks

Cause: where several requests break at once, the first one's probe is refused while the others have not been seen to break. The host still had requests there, so the start did not count as ended, and nothing asked again.

Change: the refused connection is remembered for a second; the release of the last request, if that breaks as well, ends the start.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -32,6 +32,8 @@
 // Where the number of requests is limited, those that run for long make the
 // most of it.
 constexpr double kBatchAtLimitedFactor = 8;
+// The requests at an endpoint that ends break within this time.
+constexpr std::chrono::milliseconds kBreakTime{1'000};
 // Less than one request.
 constexpr double kNoLoad = 0.5;
 // Bounds the memory while nobody asks for the failures.
@@ -58,6 +60,7 @@
     state.peer_load = 0;
     state.failures = 0;
     state.backoff_until = {};
+    state.refused_at.reset();
     if (state.ended_at && *state.ended_at < started_at) {
       state.ended_at.reset();
     }
@@ -103,8 +106,12 @@
                                   bool has_broken) {
   const double load = has_broken ? state.own_load : EstimatedLoad(now, state);
   if (load >= kNoLoad) {
+    if (has_broken) {
+      state.refused_at = now;
+    }
     return false;
   }
+  state.refused_at.reset();
   state.ended_at = std::max(state.ended_at.value_or(now), now);
   state.has_answered_since = false;
   return true;
@@ -470,7 +477,11 @@
   if (has_responded) {
     reachability_.RecordResponse(state.report.domain);
   }
-  if (outcome == endpoint_outcome::kEnded && MarkEnded(now, state, false)) {
+  const bool is_last_to_break = outcome == endpoint_outcome::kBroken &&
+                                state.refused_at &&
+                                now < *state.refused_at + kBreakTime;
+  if ((is_last_to_break || outcome == endpoint_outcome::kEnded) &&
+      MarkEnded(now, state, is_last_to_break)) {
     crashes_.RecordEnded(now, StartKey(StartOf(state)));
   }
   // An endpoint that leaves stops at some time: no fault.
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -217,6 +217,9 @@
     // When the known start was last seen to have ended.
     std::optional<steady_time> ended_at;
     bool has_answered_since = false;
+    // When it refused a connection after requests had broken, while this host
+    // had others there: these may be about to break as well.
+    std::optional<steady_time> refused_at;
     // When a response to this host last said that the endpoint leaves.
     std::optional<steady_time> notice_at;
   };
