eventio: an acceptor whose port was taken can listen on another one

Cause: OpenAcceptor left the acceptor open when bind() failed, so that each later call failed at open(). The tests' loop over ports never ended; their ports reached into the range from which the system gives outgoing connections theirs, where the first one may be taken.

Change: the acceptor is closed after a failure. The tests bind to port 0 and read the port back.

--- a/src/libshallotport/eventio/connection_acceptor.cc
+++ b/src/libshallotport/eventio/connection_acceptor.cc
@@ -31,6 +31,11 @@
   acceptor_.close(ignored);
 }
 
+uint16_t connection_acceptor::port() const {
+  boost::system::error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
 void connection_acceptor::Accept() {
   acceptor_.async_accept([this](const boost::system::error_code& failure,
                                 boost::asio::ip::tcp::socket socket) {
--- a/src/libshallotport/eventio/connection_acceptor.h
+++ b/src/libshallotport/eventio/connection_acceptor.h
@@ -22,8 +22,11 @@
   connection_acceptor(boost::asio::io_context& loop,
                       accept_handler on_accepted);
 
+  // Port 0: the system chooses one. May be called again after a failure.
   status Listen(const std::string& ip, uint16_t port);
   void Close();
+  // 0 if it does not listen.
+  uint16_t port() const;
 
  private:
   void Accept();
--- a/src/libshallotport/eventio/relay_listener.h
+++ b/src/libshallotport/eventio/relay_listener.h
@@ -37,7 +37,9 @@
       std::function<bool(const endpoint_address& address)> is_endpoint);
   ~relay_listener();
 
+  // Port 0: the system chooses one.
   status Listen(const std::string& ip, uint16_t port);
+  uint16_t port() const { return acceptor_.port(); }
   // Opens no more connections and asks the other hosts to end theirs.
   void StartDraining();
 
--- a/src/libshallotport/eventio/relayed_connection_test.cc
+++ b/src/libshallotport/eventio/relayed_connection_test.cc
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -43,11 +42,8 @@
         loop_, [this](const endpoint_address& address) {
           return address.port == port_;
         });
-    for (relay_port_ = 20'000 + getpid() % 20'000;
-         !IsOk(relay_->Listen(std::string(kRelayIp), relay_port_));
-         ++relay_port_) {
-    }
-    pool_.paths().SetRelays({{std::string(kRelayIp), relay_port_}});
+    ASSERT_TRUE(IsOk(relay_->Listen(std::string(kRelayIp), 0)));
+    pool_.paths().SetRelays({{std::string(kRelayIp), relay_->port()}});
   }
   void CutOff() {
     for (uint16_t port = 1; port <= 3; ++port) {
@@ -96,7 +92,6 @@
   const uint16_t port_ = endpoint_.port();
   std::shared_ptr<raw_connection> last_;  // The last that brought a request.
   std::unique_ptr<relay_listener> relay_;
-  uint16_t relay_port_ = 0;
 };
 
 void Reset(raw_connection& connection) {
--- a/src/libshallotport/eventio/socket_options.cc
+++ b/src/libshallotport/eventio/socket_options.cc
@@ -55,6 +55,8 @@
     acceptor.listen(kBacklog, failure);
   }
   if (failure) {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
     return MakeError(error_kind::kInternal, "cannot listen on " + ip + ":" +
                                                 std::to_string(port) + ": " +
                                                 failure.message());
