poison: crashes that overlap are weighed by what else ended with them

Cause: crashes whose attempts overlap counted as one, whatever the crashed endpoints had in common, and a verdict takes three. A verdict on a request also asked for an answer between its first crash and its last.

Change: a group of overlapping crashes tells by itself if a cause of the endpoints' own would hardly have met just those with the part: at least four endpoints of two failure domains in which others go on, no answer and no second of output with the part anywhere for 2 s, answers to others, and a chance of at most 1% (crash_group). Such a block lasts two minutes. Crash records name the endpoint's failure domain; builds of before pass it over.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -50,8 +50,9 @@
                                steady_time started_at) {
   endpoint_state& state = endpoints_[report.endpoint];
   const bool is_new_start = state.report.start_time_ms != report.start_time_ms;
-  if (state.report.service != report.service) {
-    by_service_[state.report.service].erase(report.endpoint);
+  if (state.report.service != report.service ||
+      state.report.domain != report.domain) {
+    RemoveFromService(state);
   }
   state.report = report;
   state.is_ready = report.stage == endpoint_stage::kReady &&
@@ -65,19 +66,33 @@
       state.ended_at.reset();
     }
   }
-  by_service_[report.service].insert(report.endpoint);
+  AddToService(state);
   if (report.stage == endpoint_stage::kLeft) {
     Remove(report.endpoint);
   }
 }
 
+void endpoint_selector::AddToService(const endpoint_state& state) {
+  const endpoint_report& report = state.report;
+  if (by_service_[report.service].insert(report.endpoint).second) {
+    crashes_.AddEndpoint(report.service, report.domain);
+  }
+}
+
+void endpoint_selector::RemoveFromService(const endpoint_state& state) {
+  const endpoint_report& report = state.report;
+  if (by_service_[report.service].erase(report.endpoint) > 0) {
+    crashes_.RemoveEndpoint(report.service, report.domain);
+  }
+}
+
 void endpoint_selector::Remove(const endpoint_id& endpoint) {
   const auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) {
     return;
   }
   found->second.is_ready = false;
-  by_service_[found->second.report.service].erase(endpoint);
+  RemoveFromService(found->second);
   if (found->second.own_load == 0) {
     endpoints_.erase(found);
   }
@@ -123,10 +138,16 @@
   if (found != endpoints_.end() &&
       found->second.report.start_time_ms == start.start_time_ms &&
       MarkEnded(now, found->second, true)) {
-    crashes_.RecordEnded(now, StartKey(start));
+    RecordOwnEnd(now, found->second);
   }
 }
 
+void endpoint_selector::RecordOwnEnd(steady_time now,
+                                     const endpoint_state& state) {
+  crashes_.RecordEnded(now, StartKey(StartOf(state)), state.report.service,
+                       state.report.domain);
+}
+
 void endpoint_selector::RecordEndedByKey(steady_time now,
                                          uint64_t key,
                                          bool has_broken) {
@@ -482,7 +503,7 @@
                                 now < *state.refused_at + kBreakTime;
   if ((is_last_to_break || outcome == endpoint_outcome::kEnded) &&
       MarkEnded(now, state, is_last_to_break)) {
-    crashes_.RecordEnded(now, StartKey(StartOf(state)));
+    RecordOwnEnd(now, state);
   }
   // An endpoint that leaves stops at some time: no fault.
   const bool is_leaving =
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -238,6 +238,9 @@
                            const selection_constraints& constraints);
   // False if the process goes on, as requests there show.
   bool MarkEnded(steady_time now, endpoint_state& state, bool has_broken);
+  void RecordOwnEnd(steady_time now, const endpoint_state& state);
+  void AddToService(const endpoint_state& state);
+  void RemoveFromService(const endpoint_state& state);
 
   const endpoint_selector_options options_;
   random_source random_;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -428,8 +428,9 @@
 observed_attempt routed_exchange::Observed(
     const endpoint_attempt& attempt) const {
   const selected_endpoint& at = attempt.at;
-  return {{at.endpoint, at.start_time_ms}, at.address,       service_,
-          HashOf(request_.id.text()),      attempt.begun_at, traits_};
+  return {
+      {at.endpoint, at.start_time_ms}, at.address,       at.domain, service_,
+      HashOf(request_.id.text()),      attempt.begun_at, traits_};
 }
 
 bool routed_exchange::DeferReturn() {
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -416,6 +416,7 @@
   const selected_endpoint& at = attempt.selection.endpoint;
   return {{at.endpoint, at.start_time_ms},
           at.address,
+          at.domain,
           attempt.selection.origin.service,
           HashOf(attempt.item_id),
           attempt.begun_at,
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -58,6 +58,16 @@
                                          milliseconds{1'500}};
 // Few requests are sent again after they have broken.
 constexpr verdict_rule kRequestRule{kMinCrashes, 6, 1e-3, milliseconds{500}};
+// Endpoints that end together under a key. A key is rarely at so many of them,
+// and never answered yet.
+constexpr size_t kMinGroup = 4;
+constexpr double kMaxGroupChance = 1e-2;
+// Attempts with the key at other endpoints have sustained output by then.
+constexpr milliseconds kGroupSettleTime{2'000};
+// Others that end so much earlier or later may have the same cause.
+constexpr milliseconds kGroupMargin{1'000};
+// While a part is blocked, no answer can show that the verdict was wrong.
+constexpr std::chrono::minutes kGroupBlock{2};
 
 // Of these attempts, one is taken to have broken before the counted ones.
 constexpr double kAssumedAttempts = 100;
@@ -119,19 +129,25 @@
 }  // namespace
 
 size_t crash_attribution::suspicion::CountCrashes() const {
-  std::vector<suspected_crash> in_order;
-  for (const auto& [endpoint, crash] : crashes) {
+  if (crashes.size() < 2) {
+    return crashes.size();
+  }
+  if (!is_request) {
+    return Groups().size();
+  }
+  std::vector<endpoint_crash> in_order;
+  for (const auto& [start_key, crash] : crashes) {
     in_order.push_back(crash);
   }
   std::sort(in_order.begin(), in_order.end(),
-            [](const suspected_crash& a, const suspected_crash& b) {
+            [](const endpoint_crash& a, const endpoint_crash& b) {
               return a.broken_at < b.broken_at;
             });
   size_t count = 0;
   steady_time last{};
-  for (const suspected_crash& each : in_order) {
+  for (const endpoint_crash& each : in_order) {
     if (count == 0 || each.begun_at >= last ||
-        (is_request && each.broken_at >= last + kSameMoment)) {
+        each.broken_at >= last + kSameMoment) {
       ++count;
       last = each.broken_at;
     }
@@ -139,6 +155,18 @@
   return count;
 }
 
+bool crash_attribution::suspicion::IsOfGroupsOnly() const {
+  return CountCrashes() < kMinCrashes && crashes.size() >= kMinGroup;
+}
+
+std::vector<crash_group> crash_attribution::suspicion::Groups() const {
+  std::vector<endpoint_crash> all;
+  for (const auto& [start_key, crash] : crashes) {
+    all.push_back(crash);
+  }
+  return crash_group::Split(std::move(all));
+}
+
 steady_time crash_attribution::suspicion::FirstCrash() const {
   steady_time first = steady_time::max();
   for (const auto& [endpoint, crash] : crashes) {
@@ -166,6 +194,21 @@
   return counts;
 }
 
+void crash_attribution::AddEndpoint(const service_id& service,
+                                    const domain_id& domain) {
+  ++endpoints_[service][domain].all;
+}
+
+void crash_attribution::RemoveEndpoint(const service_id& service,
+                                       const domain_id& domain) {
+  const auto known = endpoints_.find(service);
+  if (known == endpoints_.end() || !known->second.contains(domain)) {
+    return;
+  }
+  size_t& count = known->second[domain].all;
+  count -= std::min<size_t>(count, 1);
+}
+
 void crash_attribution::RecordBreak(steady_time now,
                                     const service_id& service) {
   service_counts& counts = DecayedCounts(now, service);
@@ -245,30 +288,37 @@
   }
 }
 
-void crash_attribution::RecordEnded(steady_time now, uint64_t start_key) {
-  if (AddEnded(start_key, now)) {
+void crash_attribution::RecordEnded(steady_time now,
+                                    uint64_t start_key,
+                                    const service_id& service,
+                                    const domain_id& domain) {
+  if (AddEnded(start_key, {service, domain, now})) {
     ended_news_.insert(start_key);
   }
 }
 
-bool crash_attribution::AddEnded(uint64_t start_key, steady_time ended_at) {
-  std::erase_if(ended_, [ended_at](const auto& each) {
-    return ended_at > each.second + kEndedLifetime;
+bool crash_attribution::AddEnded(uint64_t start_key, const ended_start& ended) {
+  std::erase_if(ended_, [&ended](const auto& each) {
+    return ended.seen_at > each.second.seen_at + kEndedLifetime;
   });
   const auto known = ended_.find(start_key);
   if ((known == ended_.end() && ended_.size() >= kMaxRecords) ||
-      (known != ended_.end() && ended_at < known->second + kEndedInterval)) {
+      (known != ended_.end() &&
+       ended.seen_at < known->second.seen_at + kEndedInterval)) {
     return false;
   }
-  ended_[start_key] = ended_at;
+  ended_[start_key] = ended;
   return true;
 }
 
 crash_record crash_attribution::EndedRecord(steady_time now,
                                             uint64_t start_key) const {
+  const ended_start& ended = ended_.at(start_key);
   crash_record record;
   record.endpoint = start_key;
-  record.age_ms = AgeMs(now, ended_.at(start_key));
+  record.service = ended.service;
+  record.domain = ended.domain;
+  record.age_ms = AgeMs(now, ended.seen_at);
   return record;
 }
 
@@ -291,8 +341,9 @@
   const bool is_passed_on = role_ == role::kRelay && sender == role::kObserver;
   for (const crash_record& each : evidence.crashes) {
     if (each.parts.empty() && each.digest == 0) {
-      const steady_time ended_at = now - milliseconds(each.age_ms);
-      if (AddEnded(each.endpoint, ended_at) && is_passed_on) {
+      const steady_time seen_at = now - milliseconds(each.age_ms);
+      if (AddEnded(each.endpoint, {each.service, each.domain, seen_at}) &&
+          is_passed_on) {
         ended_news_.insert(each.endpoint);
       }
       continue;
@@ -434,9 +485,13 @@
       suspect.was_answered = keys_.at(key).was_answered;
       const steady_time begun_at =
           each.broken_at - milliseconds(each.record.ran_ms);
-      const auto [at, is_new] = suspect.crashes.try_emplace(
-          each.record.endpoint, suspected_crash{each.broken_at, begun_at});
-      suspected_crash& crash = at->second;
+      const auto [at, is_new] =
+          suspect.crashes.try_emplace(each.record.endpoint);
+      endpoint_crash& crash = at->second;
+      if (is_new) {
+        crash = {each.record.endpoint, each.record.domain, each.broken_at,
+                 begun_at};
+      }
       crash.broken_at = std::min(crash.broken_at, each.broken_at);
       crash.begun_at = std::max(crash.begun_at, begun_at);
     }
@@ -476,6 +531,59 @@
 
 double crash_attribution::ChanceOf(steady_time now,
                                    const suspicion& suspect) const {
+  return std::pow(BrokenShare(now, suspect),
+                  static_cast<double>(suspect.CountCrashes()));
+}
+
+double crash_attribution::ChanceOfGroups(steady_time now,
+                                         const suspicion& suspect) const {
+  const double broken_share = BrokenShare(now, suspect);
+  double chance = 1;
+  for (const crash_group& group : suspect.Groups()) {
+    if (group.size() >= kMinGroup &&
+        now >= group.first_at() + kGroupSettleTime) {
+      chance *= std::max(
+          group.ChanceOfCoincidence(PopulationAt(suspect.service, group)),
+          std::pow(broken_share, static_cast<double>(group.size())));
+    }
+  }
+  return chance;
+}
+
+endpoint_population crash_attribution::PopulationAt(
+    const service_id& service,
+    const crash_group& group) const {
+  const auto known = endpoints_.find(service);
+  if (known == endpoints_.end()) {
+    return {};
+  }
+  std::map<uint64_t, domain_id> ended;
+  const auto add = [&](uint64_t start_key, const domain_id& domain,
+                       steady_time at) {
+    if (at >= group.first_at() - kGroupMargin &&
+        at <= group.last_at() + kGroupMargin) {
+      ended.emplace(start_key, domain);
+    }
+  };
+  for (const known_record& each : records_) {
+    if (each.record.service == service) {
+      add(each.record.endpoint, each.record.domain, each.broken_at);
+    }
+  }
+  for (const auto& [start_key, start] : ended_) {
+    if (start.service == service) {
+      add(start_key, start.domain, start.seen_at);
+    }
+  }
+  endpoint_population population = known->second;
+  for (const auto& [start_key, domain] : ended) {
+    ++population[domain].ended;
+  }
+  return population;
+}
+
+double crash_attribution::BrokenShare(steady_time now,
+                                      const suspicion& suspect) const {
   double ended = 0;
   double broken = 0;
   const auto found = services_.find(suspect.service);
@@ -493,15 +601,17 @@
   }
   const double broken_share =
       (std::max(broken, 0.0) + 1) / (std::max(ended, 0.0) + kAssumedAttempts);
-  return std::pow(std::min(broken_share, 1.0),
-                  static_cast<double>(suspect.CountCrashes()));
+  return std::min(broken_share, 1.0);
 }
 
 bool crash_attribution::IsServiceAnswering(const crash_key& key,
                                            const suspicion& suspect) const {
-  if (IsRequest(key)) {
-    return HasAnswerBetween(suspect);
-  }
+  return IsRequest(key) ? HasAnswerBetween(suspect)
+                        : HasAnswersSince(key, suspect);
+}
+
+bool crash_attribution::HasAnswersSince(const crash_key& key,
+                                        const suspicion& suspect) const {
   const auto found = services_.find(suspect.service);
   if (found == services_.end()) {
     return false;
@@ -548,12 +658,27 @@
   if (verdicts_.contains(key)) {
     return true;
   }
-  const verdict_rule& rule = IsRequest(key)         ? kRequestRule
-                             : suspect.was_answered ? kAnsweredPartRule
-                                                    : kPartRule;
   if (!IsRequest(key) && suspect.requests.size() < kMinRequestsOfPart) {
     return false;
   }
+  return IsGuiltyBySequence(now, key, suspect) ||
+         IsGuiltyByGroups(now, key, suspect);
+}
+
+bool crash_attribution::IsGuiltyByGroups(steady_time now,
+                                         const crash_key& key,
+                                         const suspicion& suspect) const {
+  return suspect.crashes.size() >= kMinGroup && !suspect.was_answered &&
+         HasAnswersSince(key, suspect) &&
+         ChanceOfGroups(now, suspect) <= kMaxGroupChance;
+}
+
+bool crash_attribution::IsGuiltyBySequence(steady_time now,
+                                           const crash_key& key,
+                                           const suspicion& suspect) const {
+  const verdict_rule& rule = IsRequest(key)         ? kRequestRule
+                             : suspect.was_answered ? kAnsweredPartRule
+                                                    : kPartRule;
   const size_t crashes = suspect.CountCrashes();
   return now >= suspect.FirstCrash() + rule.settle_time &&
          IsServiceAnswering(key, suspect) && crashes >= rule.min_crashes &&
@@ -587,7 +712,10 @@
       break;
     }
     const auto& [key, suspect] = *worst;
-    guilty[key] = LastCrash(key) + BlockTime(key, suspect.CountCrashes());
+    const duration block_time = !suspect.is_request && suspect.IsOfGroupsOnly()
+                                    ? duration(kGroupBlock)
+                                    : BlockTime(key, suspect.CountCrashes());
+    guilty[key] = LastCrash(key) + block_time;
     HoldBack(key, suspect);
     all = SuspicionsBeside(guilty);
   }
@@ -632,8 +760,10 @@
     return {key, block_change::reason::kCrashes, {}, 0, 0};
   }
   const suspicion& suspect = found->second;
+  const bool is_by_groups = suspect.IsOfGroupsOnly();
   return {key, block_change::reason::kCrashes, suspect.service,
-          suspect.CountCrashes(), ChanceOf(now, suspect)};
+          is_by_groups ? suspect.crashes.size() : suspect.CountCrashes(),
+          is_by_groups ? ChanceOfGroups(now, suspect) : ChanceOf(now, suspect)};
 }
 
 std::vector<block_change> crash_attribution::Update(steady_time now) {
@@ -763,8 +893,8 @@
       }
     }
   }
-  for (const auto& [start_key, ended_at] : ended_) {
-    if (now < ended_at + kEndedLifetime) {
+  for (const auto& [start_key, ended] : ended_) {
+    if (now < ended.seen_at + kEndedLifetime) {
       snapshot.crashes.push_back(EndedRecord(now, start_key));
     }
   }
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "poison/crash_group.h"
 #include "poison/crash_messages.h"
 
 namespace shallotport {
@@ -28,8 +29,9 @@
   reason why = reason::kCrashes;
   // Of kCrashes: the evidence.
   service_id service;
-  size_t crashes = 0;  // Those that count, one after the other.
-  double chance = 0;   // That a sound one is in so many.
+  // Those that count, one after the other; if there are few, those at a time.
+  size_t crashes = 0;
+  double chance = 0;  // That a sound one is in so many.
 };
 
 // Finds what endpoints crash under: a part that prompts share, or one request
@@ -51,7 +53,10 @@
 // attempts began after the crash that was counted before: endpoints that end
 // together have a cause in common. Those of a request that ran at several
 // endpoints at once also count if they came at different moments: it would be
-// answered elsewhere meanwhile if it were sound. After two crashes, a request
+// answered elsewhere meanwhile if it were sound. Endpoints that end together
+// tell by themselves if there are many of them, all had requests with a key
+// that was never answered, and the others of their failure domains go on
+// (crash_group). After two crashes, a request
 // with the part is not sent again, and the request itself not sent at all, for
 // a while that grows with each crash. Verdicts rest on what endpoints do:
 // naming a part in a request has no effect by itself. Owned by the component
@@ -71,6 +76,10 @@
   explicit crash_attribution(role own_role, uint64_t seed = 1)
       : role_(own_role), seed_(seed) {}
 
+  // The endpoints of a service that this host knows.
+  void AddEndpoint(const service_id& service, const domain_id& domain);
+  void RemoveEndpoint(const service_id& service, const domain_id& domain);
+
   // An attempt of this host at an endpoint of the service broke, for whatever
   // reason.
   void RecordBreak(steady_time now, const service_id& service);
@@ -82,8 +91,12 @@
   // kSustainedOutput: it excuses its keys from the crashes before it began.
   void RecordSustainedOutput(steady_time begun_at,
                              const request_traits& traits);
-  // A connection of this host to the endpoint was refused. To be passed on.
-  void RecordEnded(steady_time now, uint64_t start_key);
+  // This start of an endpoint has ended, as far as this host saw. To be passed
+  // on.
+  void RecordEnded(steady_time now,
+                   uint64_t start_key,
+                   const service_id& service,
+                   const domain_id& domain);
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
   // Adds the records of another host. What a relay sent is not passed on.
@@ -146,13 +159,9 @@
     uint64_t answers_before = 0;  // Whole answers of its service until then.
   };
   // The crashes of a key that neither a whole answer nor another key excuses.
-  struct suspected_crash {
-    steady_time broken_at{};
-    steady_time begun_at{};  // Of the latest attempt with the key.
-  };
   struct suspicion {
-    std::map<uint64_t, suspected_crash> crashes;  // By endpoint.
-    std::set<uint64_t> requests;                  // Of these crashes.
+    std::map<uint64_t, endpoint_crash> crashes;  // By start.
+    std::set<uint64_t> requests;                 // Of these crashes.
     service_id service;
     size_t position = 0;  // In the prompt; a request's own key comes last.
     bool was_answered = false;
@@ -160,9 +169,18 @@
 
     // Those that have no cause in common, as far as can be seen.
     size_t CountCrashes() const;
+    std::vector<crash_group> Groups() const;
+    // Too few crashes came one after the other, but many at a time.
+    bool IsOfGroupsOnly() const;
     steady_time FirstCrash() const;
     steady_time LastCrash() const;
   };
+  // A start of an endpoint that has ended lately.
+  struct ended_start {
+    service_id service;
+    domain_id domain;
+    steady_time seen_at{};
+  };
   using suspicions = std::map<crash_key, suspicion>;
   // Keys with a verdict, and until when they are blocked. Afterwards they may
   // be tried again, and still explain their crashes.
@@ -170,7 +188,7 @@
 
   bool Add(const crash_record& record, steady_time broken_at, bool is_own);
   // True if other hosts may not know that the start ended.
-  bool AddEnded(uint64_t start_key, steady_time ended_at);
+  bool AddEnded(uint64_t start_key, const ended_start& ended);
   crash_record EndedRecord(steady_time now, uint64_t start_key) const;
   // Removes a record that explains no verdict, if there is one.
   void EvictRecord();
@@ -193,6 +211,9 @@
   verdicts Decide(steady_time now);
   // Where a service answers nothing, the keys of its requests do not matter.
   bool IsServiceAnswering(const crash_key& key, const suspicion& suspect) const;
+  // Whether a host got whole answers of the service since the first of these
+  // crashes.
+  bool HasAnswersSince(const crash_key& key, const suspicion& suspect) const;
   // Whether a host got a whole answer of the service between the first and the
   // last of these crashes.
   bool HasAnswerBetween(const suspicion& suspect) const;
@@ -200,9 +221,21 @@
   bool IsGuilty(steady_time now,
                 const crash_key& key,
                 const suspicion& suspect) const;
+  bool IsGuiltyBySequence(steady_time now,
+                          const crash_key& key,
+                          const suspicion& suspect) const;
+  bool IsGuiltyByGroups(steady_time now,
+                        const crash_key& key,
+                        const suspicion& suspect) const;
   // That a sound key is in all these crashes and in no whole answer, by how
   // often attempts break at other times.
   double ChanceOf(steady_time now, const suspicion& suspect) const;
+  // The share of this host's attempts that break, apart from these crashes.
+  double BrokenShare(steady_time now, const suspicion& suspect) const;
+  // That a sound key is in all crashes of these large groups, and in no output.
+  double ChanceOfGroups(steady_time now, const suspicion& suspect) const;
+  endpoint_population PopulationAt(const service_id& service,
+                                   const crash_group& group) const;
   service_counts& DecayedCounts(steady_time now, const service_id& service);
   steady_time LastCrash(const crash_key& key) const;
   block_change::reason ReleaseReason(const crash_key& key) const;
@@ -214,14 +247,14 @@
   std::set<record_key> known_;
   std::map<crash_key, key_state> keys_;  // Of the records.
   std::map<service_id, service_counts> services_;
+  std::map<service_id, endpoint_population> endpoints_;
   verdicts verdicts_;
   std::set<crash_key> blocked_;  // At the last update.
   std::map<crash_key, steady_time> held_back_until_;
   // Whole answers of parts that are in no record.
   std::map<crash_key, steady_time> answered_;
   std::deque<crash_key> answered_order_;
-  // Starts of endpoints that have ended lately, and when that was seen.
-  std::map<uint64_t, steady_time> ended_;
+  std::map<uint64_t, ended_start> ended_;
   std::set<uint64_t> ended_news_;
   std::set<record_key> crash_news_;
   std::set<crash_key> answer_news_;
--- a/src/libshallotport/poison/crash_attribution_test.cc
+++ b/src/libshallotport/poison/crash_attribution_test.cc
@@ -426,8 +426,9 @@
   test_host host;
   test_host relay(crash_attribution::role::kRelay);
   test_host other;
-  host.attribution.RecordEnded(host.now, 7);
-  host.attribution.RecordEnded(host.now, 7);
+  for (int times = 0; times < 2; ++times) {
+    host.attribution.RecordEnded(host.now, 7, kService, domain_id("d"));
+  }
   const crash_evidence seen = host.attribution.TakeNews(host.now);
   ASSERT_EQ(seen.crashes.size(), 1u);
   for (int copies = 0; copies < 2; ++copies) {
@@ -437,6 +438,8 @@
   const crash_evidence passed = relay.attribution.TakeNews(relay.now);
   ASSERT_EQ(passed.crashes.size(), 1u);
   EXPECT_EQ(passed.crashes[0].endpoint, 7u);
+  EXPECT_EQ(passed.crashes[0].service, kService);
+  EXPECT_EQ(passed.crashes[0].domain, domain_id("d"));
   EXPECT_EQ(passed.crashes[0].age_ms, 20u);
   other.attribution.Merge(other.now, passed, crash_attribution::role::kRelay);
   EXPECT_FALSE(other.attribution.HasNews());
--- a/src/libshallotport/poison/crash_messages.h
+++ b/src/libshallotport/poison/crash_messages.h
@@ -39,6 +39,7 @@
   request_digest digest = 0;
   // From the sender's last whole answer of the service until it broke.
   uint32_t answered_before_ms = kNeverAnswered;
+  domain_id domain;  // Of the endpoint. Empty: not known.
 
   auto operator<=>(const crash_record&) const = default;
 
@@ -47,6 +48,7 @@
     archive(endpoint, request, service, age_ms, ran_ms, parts);
     SerializeLaterField(archive, digest);
     SerializeLaterField(archive, answered_before_ms);
+    SerializeLaterField(archive, domain);
   }
 };
 
--- a/src/libshallotport/poison/crash_messages_test.cc
+++ b/src/libshallotport/poison/crash_messages_test.cc
@@ -12,7 +12,8 @@
 
 crash_evidence Evidence() {
   crash_evidence evidence;
-  evidence.crashes.push_back({1, 2, service_id("llm"), 30, 40, {5, 6}, 11, 12});
+  evidence.crashes.push_back(
+      {1, 2, service_id("llm"), 30, 40, {5, 6}, 11, 12, domain_id("d")});
   evidence.whole_answers.push_back({7, 80, true});
   evidence.service_answers.push_back({service_id("llm"), 9});
   return evidence;
@@ -80,6 +81,7 @@
   crash_record record = Evidence().crashes[0];
   record.digest = 0;
   record.answered_before_ms = kNeverAnswered;
+  record.domain = domain_id();
   EXPECT_EQ(ValueOf(decoded).crashes[0], record);
   EXPECT_EQ(ValueOf(decoded).whole_answers[0],
             (whole_answer_record{7, 80, false}));
--- a/src/libshallotport/poison/crash_observer.cc
+++ b/src/libshallotport/poison/crash_observer.cc
@@ -35,6 +35,7 @@
   record.endpoint = StartKey(attempt.start);
   record.request = attempt.request;
   record.service = attempt.service;
+  record.domain = attempt.domain;
   record.ran_ms = static_cast<uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(now -
                                                             attempt.begun_at)
--- a/src/libshallotport/poison/crash_observer.h
+++ b/src/libshallotport/poison/crash_observer.h
@@ -18,6 +18,7 @@
 struct observed_attempt {
   endpoint_start start;  // Of the endpoint.
   endpoint_address address;
+  domain_id domain;  // Of the endpoint.
   service_id service;
   uint64_t request = 0;  // Key of its id.
   steady_time begun_at{};
--- a/src/libshallotport/poison/crash_observer_test.cc
+++ b/src/libshallotport/poison/crash_observer_test.cc
@@ -46,6 +46,7 @@
   }
   observed_attempt attempt{{endpoint_id("e"), 5},
                            {is_unreachable ? "no address" : "127.0.0.1", port},
+                           domain_id("d"),
                            service_id("llm"),
                            0,
                            clock.Now(),
