--- a/util/soak.sh
+++ b/util/soak.sh
@@ -9,14 +9,15 @@
 #   --large      as many processes as the limits allow
 #   --kept       the seeds of platform/tests/soak/kept_seeds.txt
 #   --program F  another build of shallotport-fleet, for comparisons
+#   --earlier F  half of the hosts run this build until they start again
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seed=1 minutes=1 runs=1 jobs=1 kept=0 program=
+seed=1 minutes=1 runs=1 jobs=1 kept=0 program= earlier=
 size=()
-usage() { sed -n '2,11s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 while [ "$#" -gt 0 ]; do
   case $1 in
-    --seed | --minutes | --runs | --jobs | --program)
+    --seed | --minutes | --runs | --jobs | --program | --earlier)
       [ "$#" -ge 2 ] || usage
       printf -v "${1#--}" '%s' "$2"
       shift 2
@@ -33,6 +34,8 @@
 program=${program:-$PWD/build/release/shallotport-fleet}
 mkdir -p build/soak
 
+[ -z "$earlier" ] || size+=(--earlier-program "$earlier")
+
 # The promises that a run broke, one a line.
 broken() { sed -n 's/.* ms: BROKEN \([^:]*\): .*/\1/p' "$1"; }
 known_red=$(sed -n 's/^test: soak: //p' KNOWN-RED.txt)
