fleet: the former software version of an endpoint's id is kept

Reported by other operators: after all entry hosts had been killed while a release was on its way, streams that callers took up went on at another version. Shown here with real hosts: an endpoint that had begun streams starts again under its id with v2, all entry hosts restart, and a stream whose origin no store knows goes on at v2.

Cause: control hosts kept the last report of an id only. A host that starts took the one version that it was told of for the only one of late.

Change: endpoint_directory keeps the former version for two minutes, as an endpoint that has left, under an id that no endpoint has. Messages and stored forms stay as they are.

--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -1,8 +1,11 @@
 #include "fleet/endpoint_directory.h"
 
 #include <algorithm>
+#include <string>
 #include <tuple>
 
+#include "base/digest.h"
+
 namespace shallotport {
 
 namespace {
@@ -38,6 +41,14 @@
          now < known.received_at + kStaleReportWindow;
 }
 
+// The same at every host.
+endpoint_id FormerId(const endpoint_report& former) {
+  const uint64_t key =
+      HashOf(former.software_version,
+             HashOf(former.service.text(), HashOf(former.endpoint.text())));
+  return endpoint_id("former-" + std::to_string(key));
+}
+
 // Whether the start that such a leave has ended reports for longer than a
 // delayed report takes.
 bool OutlivesLeave(steady_time now,
@@ -94,6 +105,7 @@
     next.stage = endpoint_stage::kDraining;
   }
   next.start_time_ms = std::max(next.start_time_ms, known.report.start_time_ms);
+  KeepFormerVersion(known, next);
   known.received_at = std::max(known.received_at, received_at);
   known.report = std::move(next);
   known.reports_after_leave = 0;
@@ -101,6 +113,20 @@
   return true;
 }
 
+void endpoint_directory::KeepFormerVersion(const entry& known,
+                                           const endpoint_report& next) {
+  const endpoint_report& report = known.report;
+  const bool is_same = report.service == next.service &&
+                       report.software_version == next.software_version;
+  if (is_same || report.software_version.empty()) {
+    return;
+  }
+  entry former{report, known.received_at};
+  former.report.endpoint = FormerId(report);
+  former.report.stage = endpoint_stage::kLeft;
+  entries_[former.report.endpoint] = former;
+}
+
 std::vector<endpoint_id> endpoint_directory::EarlierAtAddress(
     const endpoint_report& report) const {
   std::vector<endpoint_id> earlier;
--- a/src/libshallotport/fleet/endpoint_directory.h
+++ b/src/libshallotport/fleet/endpoint_directory.h
@@ -14,8 +14,10 @@
 // The endpoints known from their reports, which may be delayed, duplicated,
 // reordered and received through several control hosts. An endpoint that left
 // is kept for a while, so that a delayed report does not add it again. A start
-// that goes on reporting after a leave that did not name it was not meant.
-// Pure.
+// that goes on reporting after a leave that did not name it was not meant. An
+// endpoint that starts again under its id with other software is kept as two:
+// the former one, under an id that no endpoint has, has left. Hosts that start
+// later learn by it which versions served. Pure.
 class endpoint_directory {
  public:
   struct entry {
@@ -50,6 +52,8 @@
   std::vector<endpoint_report> Reports(steady_time now) const;
 
  private:
+  void KeepFormerVersion(const entry& known, const endpoint_report& next);
+
   std::map<endpoint_id, entry> entries_;
 };
 
--- a/src/libshallotport/fleet/endpoint_directory_test.cc
+++ b/src/libshallotport/fleet/endpoint_directory_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -257,6 +258,55 @@
   EXPECT_TRUE(directory.entries().empty());
 }
 
+struct former_case {
+  std::string name;
+  std::vector<std::string> versions;  // Of one start after the other.
+  std::vector<std::string> former;    // Kept as endpoints that have left.
+};
+
+class former_versions : public testing::TestWithParam<former_case> {};
+
+// Hosts that started later knew of an endpoint's last version only.
+TEST_P(former_versions, AreKeptAsEndpointsThatHaveLeft) {
+  endpoint_directory directory;
+  endpoint_directory later;  // Of a host that learns what this one knows.
+  uint64_t start = 0;
+  steady_time now{};
+  for (const std::string& version : GetParam().versions) {
+    endpoint_report report = Report(++start, 1, kReady);
+    report.service = service_id("svc");
+    report.software_version = version;
+    now += std::chrono::seconds(1);
+    ASSERT_TRUE(directory.Apply(now, report));
+  }
+  std::vector<std::string> former;
+  for (const endpoint_report& each : directory.Reports(now)) {
+    later.Apply(now, each, endpoint_directory::source::kHost);
+    if (each.endpoint != endpoint_id("e")) {
+      EXPECT_EQ(each.stage, kLeft);
+      EXPECT_TRUE(IsOk(CheckReport(each)));
+      former.push_back(each.software_version);
+    }
+  }
+  std::sort(former.begin(), former.end());
+  EXPECT_EQ(former, GetParam().former);
+  EXPECT_EQ(later.entries().size(), directory.entries().size());
+  EXPECT_EQ(directory.Find(endpoint_id("e"))->report.stage, kReady);
+  directory.Expire(now + std::chrono::seconds(125));
+  EXPECT_TRUE(directory.entries().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    former_versions,
+    testing::Values(
+        former_case{"same", {"v1", "v1"}, {}},
+        former_case{"another", {"v1", "v2"}, {"v1"}},
+        former_case{"two_others", {"v1", "v2", "v3"}, {"v1", "v2"}},
+        former_case{"back_again", {"v1", "v2", "v1", "v2"}, {"v1", "v2"}},
+        former_case{"not_known_before", {"", "v1"}, {}}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(endpoint_directory_test, ReportAgeIncludesTimeInDirectory) {
   endpoint_directory directory;
   endpoint_report report = Report(1, 1, kReady);
