--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -51,16 +51,16 @@
 // often its own attempts break. A host that errs blocks a key alone, and is
 // corrected by the first whole answer at another host. Crashes count if their
 // attempts began after the crash that was counted before: endpoints that end
-// together have a cause in common. Those of a request that ran at several
+// together may have a cause in common. Those of a request that ran at several
 // endpoints at once also count if they came at different moments: it would be
 // answered elsewhere meanwhile if it were sound. Endpoints that end together
 // tell by themselves if there are many of them, all had requests with a key
 // that was never answered, and the others of their failure domains go on
-// (crash_group). After two crashes, a request
-// with the part is not sent again, and the request itself not sent at all, for
-// a while that grows with each crash. Verdicts rest on what endpoints do:
-// naming a part in a request has no effect by itself. Owned by the component
-// that selects endpoints. Pure and bounded.
+// (crash_group). After two crashes, a request with the part is not sent again,
+// and the request itself not sent at all, for a while that grows with each
+// crash. Verdicts rest on what endpoints do: naming a part in a request has no
+// effect by itself. Owned by the component that selects endpoints. Pure and
+// bounded.
 class crash_attribution {
  public:
   // A key under which endpoints crash breaks its attempts well before.
