eventio: only a response that names the request is its answer on a kept connection

Callers were answered 503 though an endpoint ran their request, and requests of unsafe and streaming routes ran at two endpoints, when an endpoint wrote an earlier refusal once more on a kept connection.

Cause: a response without an id was taken for the awaited answer, and an id could be sent on a connection that had carried it before, so that a repeated refusal even bore the right id.

Change: - On a connection that has carried an earlier request a response is accepted only if it names the request; others are skipped and the call goes on. A first response may still name none. - A connection is kept only after a response that named its request, and not after one on which a response was skipped, after a HEAD request or after 1,000 calls. - An id is sent once on a connection (hashes of the ids are kept). - A request without an echo header gets a connection of its own, unless its sender trusts the order of responses (the callers of the soak do). - An idle connection that has ended or on which bytes wait is not used. - A skipped response without a length ends the call at once, in doubt. - Responses that name no request are counted.

Three tests changed. They expected a connection to be kept after a response without an id (now a case of its own, not kept; the same response with an id is kept), after a skipped response (now: not kept), and for two sends of one id (now two ids).

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -1,9 +1,13 @@
 #include "eventio/endpoint_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 #include "eventio/socket_options.h"
@@ -34,9 +38,15 @@
 // Of a chunk's size line, of all trailers, and of other input without a whole
 // element.
 constexpr size_t kMaxFramingBytes = 64u << 10;
-// Interim responses and late responses to earlier requests.
+// Interim responses and responses to other requests.
 constexpr size_t kMaxPreambleBytes = 1u << 20;
 constexpr size_t kMaxBodyBytes = 16u << 20;
+// Bounds the record of ids.
+constexpr size_t kMaxCalls = 1'000;
+
+size_t HashOf(std::string_view id) {
+  return std::hash<std::string_view>()(id);
+}
 
 // "timeout=5, max=100" -> 5 s.
 duration KeepAliveTime(std::string_view header) {
@@ -65,6 +75,28 @@
   return !is_closed_ && !is_in_call_ && input_.empty() && now < idle_until_;
 }
 
+bool endpoint_connection::HasInput() {
+  char unused = 0;
+  if (recv(socket_.native_handle(), &unused, sizeof(unused),
+           MSG_PEEK | MSG_DONTWAIT) >= 0) {
+    return true;
+  }
+  const error_code failure(errno, boost::system::system_category());
+  NoteTimeout(failure);
+  return failure != boost::asio::error::would_block;
+}
+
+// Whether a response to an earlier request has a body may depend on the method
+// of that request.
+bool endpoint_connection::MayCarry(const outbound_request& request) const {
+  if (carried_ids_.empty() || request.is_order_trusted) {
+    return true;
+  }
+  return !request.echo_header.empty() && request.method != "HEAD" &&
+         std::find(carried_ids_.begin(), carried_ids_.end(),
+                   HashOf(request.echo_value)) == carried_ids_.end();
+}
+
 void endpoint_connection::Begin(outbound_request request, call_events events) {
   request_ = std::move(request);
   events_ = std::move(events);
@@ -72,10 +104,13 @@
   is_sent_ = false;
   has_head_ = false;
   is_skipping_response_ = false;
+  has_skipped_response_ = false;
+  is_named_ = false;
   may_keep_alive_ = false;
   preamble_bytes_ = 0;
   framing_bytes_ = 0;
   parser_.reset();
+  carried_ids_.push_back(HashOf(request_.echo_value));
   if (is_connected_) {
     Send();
   } else {
@@ -394,15 +429,10 @@
     head.headers.Add({each.name_string().data(), each.name_string().size()},
                      {each.value().data(), each.value().size()});
   }
-  const std::string* echo = request_.echo_header.empty()
-                                ? nullptr
-                                : head.headers.Find(request_.echo_header);
-  is_skipping_response_ = echo != nullptr && *echo != request_.echo_value;
+  is_skipping_response_ = !IsAnswer(head);
   if (is_skipping_response_) {
-    if (pool_ != nullptr) {
-      ++pool_->counters_.skipped_responses;
-    }
-    return true;
+    Skip(head);
+    return !is_closed_;
   }
   may_keep_alive_ = parser_->keep_alive();
   keep_alive_ = KeepAliveTime(head.headers.Value("Keep-Alive"));
@@ -412,6 +442,36 @@
   return true;
 }
 
+// On a connection that has carried other requests only a response that names
+// the request is its answer: an endpoint may write an earlier one once more.
+bool endpoint_connection::IsAnswer(const response_head& head) {
+  if (request_.echo_header.empty()) {
+    return true;
+  }
+  for (const auto& [name, value] : head.headers.fields()) {
+    if (EqualsIgnoringCase(name, request_.echo_header)) {
+      if (value != request_.echo_value) {
+        is_named_ = false;
+        return false;
+      }
+      is_named_ = true;
+    }
+  }
+  return is_named_ || carried_ids_.size() == 1;
+}
+
+void endpoint_connection::Skip(const response_head& head) {
+  has_skipped_response_ = true;
+  if (pool_ != nullptr) {
+    pool_->RecordSkipped(address_, head,
+                         head.headers.Find(request_.echo_header) != nullptr);
+  }
+  // Where the next response begins is not known.
+  if (parser_->need_eof() || request_.method == "HEAD") {
+    Finish(call_end::kInvalidResponse);
+  }
+}
+
 void endpoint_connection::ProcessBody() {
   if (!parser_ || !has_head_ || is_closed_ || !is_in_call_) {
     return;
@@ -456,10 +516,10 @@
   EndCall();
   // If the response is complete before the whole request was sent, the rest of
   // its body would precede the next request on this connection.
-  const bool keeps_connection = end == call_end::kComplete && may_keep_alive_ &&
-                                is_sent_ && input_.empty() &&
-                                !is_relay_leaving_ && !has_relay_end_ &&
-                                pool_ != nullptr && keep_alive_ > duration(0);
+  const bool keeps_connection =
+      end == call_end::kComplete && may_keep_alive_ && is_sent_ &&
+      input_.empty() && !is_relay_leaving_ && !has_relay_end_ &&
+      pool_ != nullptr && keep_alive_ > duration(0) && MayCarryMore();
   call_events events = std::exchange(events_, {});
   parser_.reset();
   if (keeps_connection) {
@@ -480,6 +540,12 @@
   }
 }
 
+// Responses that follow are told apart by the ids that they name.
+bool endpoint_connection::MayCarryMore() const {
+  return (is_named_ || request_.is_order_trusted) && !has_skipped_response_ &&
+         request_.method != "HEAD" && carried_ids_.size() < kMaxCalls;
+}
+
 void endpoint_connection::EndCall() {
   if (pool_ != nullptr) {
     pool_->paths_.RecordEnded(call_);
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -36,6 +36,11 @@
   const endpoint_address& address() const { return address_; }
   bool is_relayed() const { return path_.has_value(); }
   bool IsReusable(steady_time now) const;
+  // Whether bytes wait to be read, or the connection has ended.
+  bool HasInput();
+  // Whether the response to the request can be told from those to requests
+  // that the connection has carried.
+  bool MayCarry(const outbound_request& request) const;
 
  private:
   using response_parser =
@@ -61,9 +66,12 @@
   void OnEndOfStream();
   bool ParseInput();
   bool ProcessHead();
+  bool IsAnswer(const response_head& head);
+  void Skip(const response_head& head);
   void ProcessBody();
   void FinishResponse();
   void Finish(call_end end);
+  bool MayCarryMore() const;
   void EndCall();
   void CountParsed(size_t parsed_bytes);
   // An endpoint in trouble may write without end.
@@ -82,7 +90,8 @@
   call_end connect_failure_ = call_end::kNotSent;  // Of the last path.
   bool has_relay_end_ = false;  // The endpoint has ended the connection.
   bool is_relay_leaving_ = false;
-  uint64_t call_ = 0;  // For the pool's path_monitor.
+  uint64_t call_ = 0;                // For the pool's path_monitor.
+  std::vector<size_t> carried_ids_;  // Hashes.
   std::optional<response_parser> parser_;
   outbound_request request_;
   call_events events_;
@@ -91,8 +100,10 @@
   bool is_in_call_ = false;
   bool is_sent_ = false;  // The whole request has been written.
   bool has_head_ = false;
-  // Discards a late response to an earlier request.
+  // Discards a response that belongs to no waiting request.
   bool is_skipping_response_ = false;
+  bool has_skipped_response_ = false;
+  bool is_named_ = false;  // The response names the request.
   bool may_keep_alive_ = false;
   bool is_closed_ = false;
   // Of the current call: before its response's head (interim responses, answers
--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -47,7 +47,7 @@
     const endpoint_address& to,
     outbound_request request,
     call_events events) {
-  std::shared_ptr<endpoint_connection> connection = TakeReusable(to);
+  std::shared_ptr<endpoint_connection> connection = TakeReusable(to, request);
   if (connection == nullptr) {
     ++counters_.opened;
     connection = std::make_shared<endpoint_connection>(*this, to);
@@ -67,15 +67,15 @@
 }
 
 std::shared_ptr<endpoint_connection> endpoint_connection_pool::TakeReusable(
-    const endpoint_address& to) {
+    const endpoint_address& to,
+    const outbound_request& request) {
   const steady_time now = clock_.Now();
   // Looked up anew for each connection: closing one changes the map.
-  for (auto found = idle_.find(to); found != idle_.end();
-       found = idle_.find(to)) {
-    std::shared_ptr<endpoint_connection> connection = found->second.back();
+  while (const auto connection = FindIdle(to, request)) {
     RemoveIdle(connection.get());
     if (connection->IsReusable(now) &&
-        paths_.MayReuse(now, connection->is_relayed())) {
+        paths_.MayReuse(now, connection->is_relayed()) &&
+        !connection->HasInput()) {
       return connection;
     }
     connection->Close();
@@ -83,6 +83,29 @@
   return nullptr;
 }
 
+std::shared_ptr<endpoint_connection> endpoint_connection_pool::FindIdle(
+    const endpoint_address& to,
+    const outbound_request& request) const {
+  const auto found = idle_.find(to);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const auto last = std::find_if(
+      found->second.rbegin(), found->second.rend(),
+      [&request](const auto& each) { return each->MayCarry(request); });
+  return last == found->second.rend() ? nullptr : *last;
+}
+
+void endpoint_connection_pool::RecordSkipped(const endpoint_address& from,
+                                             const response_head& head,
+                                             bool names_request) {
+  ++counters_.skipped_responses;
+  counters_.unidentified_responses += names_request ? 0 : 1;
+  if (on_skipped) {
+    on_skipped(from, head, names_request);
+  }
+}
+
 void endpoint_connection_pool::AddIdle(
     std::shared_ptr<endpoint_connection> connection) {
   auto& idle = idle_[connection->address()];
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -49,29 +49,43 @@
   std::string method;
   std::string bytes;
   // Name of the header in which the endpoint echoes the request's id, and that
-  // id. Responses that echo another id are late responses to earlier requests
-  // and are skipped. Empty: not checked.
+  // id. Responses that echo another id belong to other requests and are
+  // skipped, and so are those that echo none, but for the first response on a
+  // connection. Empty: nothing identifies the response, and the request gets a
+  // connection of its own.
   std::string echo_header;
   std::string echo_value;
+  // Without an echo header: the other side is known to answer each request
+  // once and in order, so that the connection may be shared.
+  bool is_order_trusted = false;
 };
 
 // Keeps connections to endpoints open between calls. An idle connection is
 // reused only within the endpoint's stated keep-alive time, and is closed as
-// soon as unexpected bytes or the end of the stream arrive on it. While this
-// host is cut off from the endpoints, connections are opened through relays
-// (path_monitor). Not
-// thread-safe: to be used on the thread of `loop`.
+// soon as unexpected bytes or the end of the stream arrive on it. It is kept
+// only after a response that named its request, and carries an id once: else
+// earlier responses that the endpoint writes again could not be told from the
+// awaited one. While this host is cut off from the endpoints, connections are
+// opened through relays (path_monitor). Not thread-safe: to be used on the
+// thread of `loop`.
 class endpoint_connection_pool {
  public:
   struct counters {
     uint64_t opened = 0;
     uint64_t reused = 0;
     uint64_t connect_failures = 0;
-    uint64_t skipped_responses = 0;
+    uint64_t skipped_responses = 0;       // That belong to no waiting request.
+    uint64_t unidentified_responses = 0;  // Of these, that name no request.
     uint64_t probes = 0;
     uint64_t relayed = 0;  // Of those opened.
   };
 
+  // A response was skipped. Called from the event loop, during a call.
+  std::function<void(const endpoint_address& from,
+                     const response_head& head,
+                     bool names_request)>
+      on_skipped;
+
   // Direct connections are made from `source_ip`; empty: the system chooses.
   endpoint_connection_pool(boost::asio::io_context& loop,
                            const clock_source& clock,
@@ -100,8 +114,19 @@
  private:
   friend class endpoint_connection;
 
-  // Removes an idle connection to `to` from the pool; null if there is none.
-  std::shared_ptr<endpoint_connection> TakeReusable(const endpoint_address& to);
+  // Removes an idle connection to `to` that may carry the request from the
+  // pool; null if there is none.
+  std::shared_ptr<endpoint_connection> TakeReusable(
+      const endpoint_address& to,
+      const outbound_request& request);
+  // The idle connection of the most recent call to `to` that may carry the
+  // request; null if there is none.
+  std::shared_ptr<endpoint_connection> FindIdle(
+      const endpoint_address& to,
+      const outbound_request& request) const;
+  void RecordSkipped(const endpoint_address& from,
+                     const response_head& head,
+                     bool names_request);
   void AddIdle(std::shared_ptr<endpoint_connection> connection);
   void RemoveIdle(const endpoint_connection* connection);
 
--- a/src/libshallotport/eventio/endpoint_connection_pool_test.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool_test.cc
@@ -104,9 +104,14 @@
         response_case{"whole", CompleteResponse("one", "abc"), false,
                       call_end::kComplete, "abc", true},
         response_case{"chunked",
-                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nX-Id: one\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
                       "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
                       false, call_end::kComplete, "abc", true},
+        response_case{"chunked_without_id",
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+                      false, call_end::kComplete, "abc", false},
         response_case{"unframed", "HTTP/1.1 200 OK\r\n\r\nabc", true,
                       call_end::kComplete, "abc", false},
         response_case{"truncated",
@@ -126,19 +131,20 @@
         response_case{
             "late_response_to_earlier_request_first",
             CompleteResponse("zero", "old") + CompleteResponse("one", "abc"),
-            false, call_end::kComplete, "abc", true},
+            false, call_end::kComplete, "abc", false},
         response_case{
             "interim_response_first",
             "HTTP/1.1 102 Processing\r\n\r\n" + CompleteResponse("one", "abc"),
             false, call_end::kComplete, "abc", true},
         response_case{"connection_close",
-                      "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                      "HTTP/1.1 200 OK\r\nX-Id: one\r\nConnection: close\r\n"
                       "Content-Length: 3\r\n\r\nabc",
                       false, call_end::kComplete, "abc", false},
-        response_case{"keep_alive_of_zero",
-                      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
-                      "Content-Length: 3\r\n\r\nabc",
-                      false, call_end::kComplete, "abc", false}),
+        response_case{
+            "keep_alive_of_zero",
+            "HTTP/1.1 200 OK\r\nX-Id: one\r\nKeep-Alive: timeout=0\r\n"
+            "Content-Length: 3\r\n\r\nabc",
+            false, call_end::kComplete, "abc", false}),
     [](const auto& info) { return info.param.name; });
 
 TEST_F(endpoint_connection_pool_test, RefusedConnectionIsReportedAsNotSent) {
--- a/src/libshallotport/eventio/relayed_connection_test.cc
+++ b/src/libshallotport/eventio/relayed_connection_test.cc
@@ -51,7 +51,8 @@
     }
     ASSERT_TRUE(pool_.paths().IsCutOff());
   }
-  std::shared_ptr<call_record> Call(uint16_t port) {
+  std::shared_ptr<call_record> Call(uint16_t port,
+                                    const std::string& id = "r") {
     auto record = std::make_shared<call_record>();
     call_events events;
     events.on_head = [record](const response_head& head) {
@@ -62,12 +63,12 @@
     };
     events.on_end = [record](call_end end) { record->end = end; };
     header_list headers;
-    headers.Add("X-Id", "r");
+    headers.Add("X-Id", id);
     outbound_request request;
     request.method = "POST";
     request.bytes = FormatRequest("POST", "/", headers, "body");
     request.echo_header = "X-Id";
-    request.echo_value = "r";
+    request.echo_value = id;
     record->call =
         pool_.Start({"127.0.0.1", port}, std::move(request), std::move(events));
     return record;
@@ -215,12 +216,16 @@
 }
 
 TEST_F(relayed_connection_test, ConnectionIsKeptUntilTheRelayLeaves) {
-  respond_ = [](raw_connection& connection) {
-    connection.Write(
-        Response("Content-Length: 5\r\nKeep-Alive: timeout=9\r\n", "hello"));
+  std::string id;
+  respond_ = [&id](raw_connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nX-Id: " + id +
+                     "\r\nContent-Length: 5\r\nKeep-Alive: "
+                     "timeout=9\r\n\r\nhello");
   };
-  EXPECT_EQ(AwaitEnd(Call(port_)), call_end::kComplete);
-  EXPECT_EQ(AwaitEnd(Call(port_)), call_end::kComplete);
+  for (const char* each : {"r", "s"}) {
+    id = each;
+    EXPECT_EQ(AwaitEnd(Call(port_, id)), call_end::kComplete);
+  }
   EXPECT_EQ(endpoint_.connections, 1);
   EXPECT_EQ(pool_.idle_count(), 1u);
   relay_->StartDraining();
