http: an answer that ends within its head is not whole

Cause: libcurl reports an answer whose connection ends within the head as received without an error, so that a cut head counted as a whole answer, and its status was reported.

Change: a call is whole only once the head's last line, an empty one, has arrived for an answer that is not an interim one.

Each call of endpoint_caller has its own connection, so that no earlier answer can be taken for the awaited one.

--- a/src/libshallotport/http/endpoint_caller.cc
+++ b/src/libshallotport/http/endpoint_caller.cc
@@ -29,6 +29,7 @@
   CURL* handle = nullptr;
   curl_slist* header_list = nullptr;
   int status = 0;
+  bool is_head_whole = false;  // Of the final answer, not an interim one.
   bool is_head_reported = false;
   std::vector<http_field> headers;
 
@@ -60,11 +61,16 @@
 size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<running_call*>(user);
   const std::string_view line = Trimmed({data, size * count});
+  if (line.empty()) {
+    call->is_head_whole = call->status >= 200;
+    return size * count;
+  }
   if (line.starts_with("HTTP/")) {
     long status = 0;
     curl_easy_getinfo(call->handle, CURLINFO_RESPONSE_CODE, &status);
     call->status = static_cast<int>(status);
     call->headers.clear();
+    call->is_head_whole = false;
     return size * count;
   }
   const size_t colon = line.find(':');
@@ -236,9 +242,14 @@
 
   void End(running_call* call, CURLcode outcome) {
     endpoint_call_end end;
-    end.is_whole = outcome == CURLE_OK;
+    // The library takes an answer that ends within its head for a whole one.
+    end.is_whole = outcome == CURLE_OK && call->is_head_whole;
     end.is_sent = WasSent(call->handle, outcome);
-    end.detail = end.is_whole ? "" : curl_easy_strerror(outcome);
+    if (outcome != CURLE_OK) {
+      end.detail = curl_easy_strerror(outcome);
+    } else if (!end.is_whole) {
+      end.detail = "the answer ended within its head";
+    }
     if (end.is_whole) {
       call->ReportHead();
     }
