entry: an overlap of two attempts ends at its bound, not at a tick after it

Cause: whether a second attempt beside a silent one has lasted for 340 ms was looked at in the host's tick only, every 20 ms and later on a host that is busy. Of the 60 ms up to the 400 ms that are allowed, the tick took up to 20.

Change: a timer of the request ends the overlap at the bound. The tick still looks at it, too.

Evidence: overlapping_runs.EndWithoutATick, hosts on loopback sockets that get no tick: red before (both endpoints at work after 2 s), green now. 26 tests of silent endpoints, stalled hosts and stream versions and 153 of entry_test pass (release).

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -123,7 +123,8 @@
       caller_(std::move(caller)),
       received_at_(duty.clock_.Now()),
       stream_key_(KeyOf(request_)),
-      traits_(TraitsOf(request_.wire, duty.options_.wire)) {
+      traits_(TraitsOf(request_.wire, duty.options_.wire)),
+      overlap_timer_(duty.loop_) {
   std::chrono::milliseconds limit = route_.timeout;
   if (request_.time_limit.count() > 0) {
     limit = std::min(limit, request_.time_limit);
@@ -494,6 +495,7 @@
     RecordOrigin(attempt->at, false);
   } else {
     second_ = attempt;
+    ScheduleOverlapEnd();
     ++duty_.counters_.second_attempts;
   }
   duty_.NotifyLoadChanged();
@@ -869,6 +871,17 @@
   }
 }
 
+void routed_exchange::ScheduleOverlapEnd() {
+  overlap_timer_.expires_after(kMaxOverlap);
+  overlap_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self != nullptr) {
+          self->EndLongOverlap(self->duty_.clock_.Now());
+        }
+      });
+}
+
 // Only engines must not work on one request side by side.
 void routed_exchange::EndLongOverlap(steady_time now) {
   if (second_ == nullptr || route_.kind != request_kind::kStreaming) {
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_ENTRY_ROUTED_EXCHANGE_H_
 #define SHALLOTPORT_ENTRY_ROUTED_EXCHANGE_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <set>
@@ -81,6 +82,8 @@
   void BeginSecondIfSilent(steady_time now);
   // No endpoint took it.
   void DeferSecondAttempt();
+  // At the moment at which it becomes too long, however late the next tick is.
+  void ScheduleOverlapEnd();
   void EndLongOverlap(steady_time now);
   void BeginResponse(const endpoint_attempt& attempt);
   // Later attempts have to resume the stream that begins with this one.
@@ -115,6 +118,7 @@
   attempt_ptr current_;
   attempt_ptr second_;  // Begun while `current_` is silent.
   steady_time next_second_at_{};
+  boost::asio::steady_timer overlap_timer_;
   // Refused a second attempt; may be free when the first one has failed.
   std::set<endpoint_id> full_for_second_;
   selection_constraints constraints_;
--- a/src/libshallotport/entry/takeover_policy.cc
+++ b/src/libshallotport/entry/takeover_policy.cc
@@ -12,8 +12,6 @@
 constexpr std::chrono::milliseconds kStreamGap{1'200};
 // Longer than a sound endpoint pauses.
 constexpr std::chrono::milliseconds kLongestPause{1'500};
-// Less than the 400 ms for which two engines may work on one request.
-constexpr std::chrono::milliseconds kMaxOverlap{340};
 
 }  // namespace
 
--- a/src/libshallotport/entry/takeover_policy.h
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -26,6 +26,9 @@
 // so first serves the caller. Pure.
 bool NeedsSecondAttempt(const attempt_silence& state);
 
+// Less than the 400 ms for which two engines may work on one request.
+inline constexpr std::chrono::milliseconds kMaxOverlap{340};
+
 enum class overlap_decision : uint8_t { kKeepBoth, kEndFirst, kEndSecond };
 
 // Decides which of two attempts without output goes on alone once both have
