entry: an overlap of two attempts leaves a host time to be held up

Cause: an attempt beside a silent one was ended after 340 ms. A host that is held up for 60 ms at that moment passes 400 ms, and so does one of which the relay or the endpoint reads the end of the connection late.

Change: the bound is 300 ms. In a table of takeover_policy the overlap that is still kept was 300 ms; it is 290 ms now, and 300 ms has to end. A second attempt that would have had its first output after 300 to 340 ms is given up now, unless the first one has been silent for 1.5 s.

What the bound costs callers of silent endpoints was not measured.

--- a/src/libshallotport/entry/takeover_policy.h
+++ b/src/libshallotport/entry/takeover_policy.h
@@ -26,8 +26,9 @@
 // so first serves the caller. Pure.
 bool NeedsSecondAttempt(const attempt_silence& state);
 
-// Less than the 400 ms for which two engines may work on one request.
-inline constexpr std::chrono::milliseconds kMaxOverlap{340};
+// Of the 400 ms for which two engines may work on one request, the rest is for
+// this host, a relay and the endpoint, each of which may be held up.
+inline constexpr std::chrono::milliseconds kMaxOverlap{300};
 
 enum class overlap_decision : uint8_t { kKeepBoth, kEndFirst, kEndSecond };
 
--- a/src/libshallotport/entry/takeover_policy_test.cc
+++ b/src/libshallotport/entry/takeover_policy_test.cc
@@ -85,8 +85,11 @@
     table,
     overlapping_attempts,
     testing::Values(
-        overlap_case{"short", milliseconds(300), milliseconds(5'000),
+        overlap_case{"short", milliseconds(290), milliseconds(5'000),
                      overlap_decision::kKeepBoth},
+        overlap_case{"leaves_time_for_a_host_that_is_held_up",
+                     milliseconds(300), milliseconds(1'400),
+                     overlap_decision::kEndSecond},
         overlap_case{"first_may_go_on", milliseconds(370), milliseconds(1'400),
                      overlap_decision::kEndSecond},
         overlap_case{"first_is_lost", milliseconds(370), milliseconds(1'600),
