entry: log lines of second attempts say for how long two were under way

What was missing: of overlaps on real processes no host told how long they were. Change: overlap_ms in second_try_ended and second_try_took_over: the time since the second attempt began.

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -830,15 +830,21 @@
   displaced_.insert(other->at.endpoint);
   next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
   duty_.counters_.takeovers += is_takeover ? 1 : 0;
-  const auto silent_for = std::chrono::duration_cast<std::chrono::milliseconds>(
-      duty_.clock_.Now() - other->last_received_at);
+  using std::chrono::milliseconds;
+  const steady_time now = duty_.clock_.Now();
+  const auto silent_for = std::chrono::duration_cast<milliseconds>(
+      now - other->last_received_at);
+  const endpoint_attempt& later = is_takeover ? *current_ : *other;
+  const auto overlap =
+      std::chrono::duration_cast<milliseconds>(now - later.begun_at);
   duty_.log_.LogRequest(
       is_takeover ? "second_try_took_over" : "second_try_ended",
       {{"request", request_.id.text()},
        {"route", route_.name},
        {"endpoint", current_->at.endpoint.text()},
        {"ended_endpoint", other->at.endpoint.text()},
-       {"silent_ms", silent_for.count()}});
+       {"silent_ms", silent_for.count()},
+       {"overlap_ms", overlap.count()}});
   EndAttempt(*other, endpoint_outcome::kCancelled);
 }
 
