entry: a host that is held up again and again lets overlaps be shorter

What callers saw: nothing; two endpoints worked on one stream for more than 400 ms (TWICE), on machines that are busy.

Cause: the bound on an overlap leaves a host 100 ms to be held up. On a busy machine hosts are held up for longer, and more than once within some seconds.

Change: hold_up_record keeps for 5 s for how long ticks came late. An overlap may last for 300 ms less that time. Where less than 100 ms are left, a second attempt begins only beside an endpoint that has been silent for longer than sound ones pause (1.5 s), and the first one is ended as it begins. Hosts that are not held up do as before; routes without engines, too.

What it costs callers of silent endpoints was not measured.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -114,6 +114,7 @@
 
 void entry_duty::Tick(steady_time now) {
   const duration gap = now - last_tick_at_;
+  hold_ups_.RecordTick(now);
   const std::vector<std::shared_ptr<routed_exchange>> all(active_.begin(),
                                                           active_.end());
   for (const auto& each : all) {
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -16,6 +16,7 @@
 #include "entry/endpoint_selector.h"
 #include "entry/entry_counters.h"
 #include "entry/entry_metrics.h"
+#include "entry/hold_up_record.h"
 #include "entry/route_history.h"
 #include "entry/route_table.h"
 #include "entry/usual_time_limit.h"
@@ -140,6 +141,7 @@
   std::set<std::shared_ptr<routed_exchange>> active_;
   std::optional<steady_time> last_deadline_;  // Of a request that is begun.
   steady_time last_tick_at_{};
+  hold_up_record hold_ups_;
   steady_time next_sweep_{};
 };
 
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -495,7 +495,7 @@
     RecordOrigin(attempt->at, false);
   } else {
     second_ = attempt;
-    ScheduleOverlapEnd();
+    ScheduleOverlapEnd(now);
     ++duty_.counters_.second_attempts;
   }
   duty_.NotifyLoadChanged();
@@ -832,8 +832,8 @@
   duty_.counters_.takeovers += is_takeover ? 1 : 0;
   using std::chrono::milliseconds;
   const steady_time now = duty_.clock_.Now();
-  const auto silent_for = std::chrono::duration_cast<milliseconds>(
-      now - other->last_received_at);
+  const auto silent_for =
+      std::chrono::duration_cast<milliseconds>(now - other->last_received_at);
   const endpoint_attempt& later = is_takeover ? *current_ : *other;
   const auto overlap =
       std::chrono::duration_cast<milliseconds>(now - later.begun_at);
@@ -866,6 +866,9 @@
   state.may_return = MayReturn();
   state.silent_for = now - current_->last_received_at;
   state.objective = route_.objective;
+  if (route_.kind == request_kind::kStreaming) {
+    state.max_overlap = MaxOverlap(duty_.hold_ups_.Longest(now));
+  }
   return NeedsSecondAttempt(state);
 }
 
@@ -877,8 +880,13 @@
   }
 }
 
-void routed_exchange::ScheduleOverlapEnd() {
-  overlap_timer_.expires_after(kMaxOverlap);
+// Only engines must not work on one request side by side.
+void routed_exchange::ScheduleOverlapEnd(steady_time now) {
+  if (route_.kind != request_kind::kStreaming) {
+    return;
+  }
+  max_overlap_ = MaxOverlap(duty_.hold_ups_.Longest(now));
+  overlap_timer_.expires_after(max_overlap_);
   overlap_timer_.async_wait(
       [weak = weak_from_this()](boost::system::error_code cancelled) {
         const auto self = weak.lock();
@@ -888,12 +896,11 @@
       });
 }
 
-// Only engines must not work on one request side by side.
 void routed_exchange::EndLongOverlap(steady_time now) {
   if (second_ == nullptr || route_.kind != request_kind::kStreaming) {
     return;
   }
-  switch (DecideOverlap(now - second_->begun_at,
+  switch (DecideOverlap(now - second_->begun_at, max_overlap_,
                         now - current_->last_received_at)) {
     case overlap_decision::kKeepBoth:
       return;
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -83,7 +83,7 @@
   // No endpoint took it.
   void DeferSecondAttempt();
   // At the moment at which it becomes too long, however late the next tick is.
-  void ScheduleOverlapEnd();
+  void ScheduleOverlapEnd(steady_time now);
   void EndLongOverlap(steady_time now);
   void BeginResponse(const endpoint_attempt& attempt);
   // Later attempts have to resume the stream that begins with this one.
@@ -119,6 +119,7 @@
   attempt_ptr second_;  // Begun while `current_` is silent.
   steady_time next_second_at_{};
   boost::asio::steady_timer overlap_timer_;
+  duration max_overlap_{};  // Of the attempts under way.
   // Refused a second attempt; may be free when the first one has failed.
   std::set<endpoint_id> full_for_second_;
   selection_constraints constraints_;
--- a/src/libshallotport/entry/takeover_policy.cc
+++ b/src/libshallotport/entry/takeover_policy.cc
@@ -1,5 +1,7 @@
 #include "entry/takeover_policy.h"
 
+#include <algorithm>
+
 namespace shallotport {
 
 namespace {
@@ -12,6 +14,11 @@
 constexpr std::chrono::milliseconds kStreamGap{1'200};
 // Longer than a sound endpoint pauses.
 constexpr std::chrono::milliseconds kLongestPause{1'500};
+// Of the 400 ms for which two engines may work on one request, 100 ms are for a
+// host, a relay or an endpoint that is held up.
+constexpr std::chrono::milliseconds kMaxOverlap{300};
+// In less time hardly any engine has output.
+constexpr std::chrono::milliseconds kLeastOverlap{100};
 
 }  // namespace
 
@@ -25,12 +32,22 @@
   }
   const auto first_byte_limit =
       std::chrono::duration_cast<duration>(kFirstByteShare * state.objective);
+  const duration limit =
+      state.has_response_begun ? duration(kStreamGap) : first_byte_limit;
+  const bool ends_first = state.max_overlap == duration(0);
   return state.silent_for >
-         (state.has_response_begun ? duration(kStreamGap) : first_byte_limit);
+         (ends_first ? std::max<duration>(limit, kLongestPause) : limit);
+}
+
+duration MaxOverlap(duration hold_up) {
+  const duration left = kMaxOverlap - hold_up;
+  return left < kLeastOverlap ? duration(0) : left;
 }
 
-overlap_decision DecideOverlap(duration overlap, duration first_silent_for) {
-  if (overlap < kMaxOverlap) {
+overlap_decision DecideOverlap(duration overlap,
+                               duration max_overlap,
+                               duration first_silent_for) {
+  if (overlap < max_overlap) {
     return overlap_decision::kKeepBoth;
   }
   return first_silent_for >= kLongestPause ? overlap_decision::kEndFirst
--- a/src/libshallotport/entry/takeover_policy_test.cc
+++ b/src/libshallotport/entry/takeover_policy_test.cc
@@ -39,6 +39,12 @@
   return state;
 }
 
+attempt_silence WithoutOverlap(milliseconds silent_for) {
+  attempt_silence state = SilentFor(silent_for, true);
+  state.max_overlap = duration(0);
+  return state;
+}
+
 class takeover_policy : public testing::TestWithParam<silence_case> {};
 
 TEST_P(takeover_policy, BeginsASecondAttempt) {
@@ -63,6 +69,10 @@
         silence_case{
             "executed_before_and_returns",
             WithReturn(With(&attempt_silence::executions, uint32_t{2})), true},
+        silence_case{"has_to_end_the_first_one_that_may_go_on",
+                     WithoutOverlap(milliseconds(1'490)), false},
+        silence_case{"ends_the_first_one", WithoutOverlap(milliseconds(1'510)),
+                     true},
         silence_case{"no_objective",
                      With(&attempt_silence::objective, duration(0)), false}),
     [](const auto& info) { return info.param.name; });
@@ -72,12 +82,14 @@
   milliseconds overlap;
   milliseconds first_silent_for;
   overlap_decision expected;
+  milliseconds hold_up{0};
 };
 
 class overlapping_attempts : public testing::TestWithParam<overlap_case> {};
 
 TEST_P(overlapping_attempts, EndInTime) {
-  EXPECT_EQ(DecideOverlap(GetParam().overlap, GetParam().first_silent_for),
+  EXPECT_EQ(DecideOverlap(GetParam().overlap, MaxOverlap(GetParam().hold_up),
+                          GetParam().first_silent_for),
             GetParam().expected);
 }
 
@@ -93,7 +105,15 @@
         overlap_case{"first_may_go_on", milliseconds(370), milliseconds(1'400),
                      overlap_decision::kEndSecond},
         overlap_case{"first_is_lost", milliseconds(370), milliseconds(1'600),
-                     overlap_decision::kEndFirst}),
+                     overlap_decision::kEndFirst},
+        overlap_case{"host_was_held_up_for_a_moment", milliseconds(230),
+                     milliseconds(1'400), overlap_decision::kKeepBoth,
+                     milliseconds(60)},
+        overlap_case{"host_was_held_up", milliseconds(240), milliseconds(1'400),
+                     overlap_decision::kEndSecond, milliseconds(60)},
+        overlap_case{"host_was_held_up_for_long", milliseconds(0),
+                     milliseconds(1'510), overlap_decision::kEndFirst,
+                     milliseconds(210)}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
