fleet: versions of silent endpoints are kept for two minutes

Callers could get a stream that goes on at another software version: a stream may be resumed for two minutes, but control hosts forgot an endpoint that ended without a word after one. A host that started in the second minute heard of the other version only, and resumed streams of unknown origin there. Found by reading; no joined stream was seen.

Cause: endpoint_directory keeps endpoints that have left for two minutes, those without reports for one.

Change: after the minute a silent endpoint's version is kept as an endpoint that has left, under an id that no endpoint has, until two minutes after its last report, as that of an endpoint that changes its version is. It is stored and passed on like any other report, so earlier builds read it. The endpoint itself may report again.

--- a/src/libshallotport/fleet/endpoint_directory.cc
+++ b/src/libshallotport/fleet/endpoint_directory.cc
@@ -13,7 +13,7 @@
 // Reports that a network partition delays are received within this time.
 constexpr std::chrono::seconds kLeftRetention{120};
 // An endpoint without reports may still serve: the hosts that send to it find
-// out whether it does.
+// out whether it does. Its version is kept as that of one that has left.
 constexpr std::chrono::seconds kSilentRetention{60};
 // With rising sequence numbers, at one host.
 constexpr uint32_t kMinReportsAfterLeave = 3;
@@ -118,11 +118,17 @@
   const endpoint_report& report = known.report;
   const bool is_same = report.service == next.service &&
                        report.software_version == next.software_version;
-  if (is_same || report.software_version.empty()) {
+  if (!is_same) {
+    AddFormer(known);
+  }
+}
+
+void endpoint_directory::AddFormer(const entry& known) {
+  if (known.report.software_version.empty()) {
     return;
   }
-  entry former{report, known.received_at};
-  former.report.endpoint = FormerId(report);
+  entry former{known.report, known.received_at};
+  former.report.endpoint = FormerId(known.report);
   former.report.stage = endpoint_stage::kLeft;
   entries_[former.report.endpoint] = former;
 }
@@ -143,11 +149,19 @@
 }
 
 void endpoint_directory::Expire(steady_time now) {
+  std::vector<entry> silent;
+  for (const auto& [id, each] : entries_) {
+    if (each.report.stage == endpoint_stage::kReady &&
+        now > each.received_at + kSilentRetention) {
+      silent.push_back(each);
+    }
+  }
+  for (const entry& each : silent) {
+    entries_.erase(each.report.endpoint);
+    AddFormer(each);
+  }
   std::erase_if(entries_, [now](const auto& each) {
-    const auto retention = each.second.report.stage == endpoint_stage::kReady
-                               ? kSilentRetention
-                               : kLeftRetention;
-    return now > each.second.received_at + retention;
+    return now > each.second.received_at + kLeftRetention;
   });
 }
 
--- a/src/libshallotport/fleet/endpoint_directory.h
+++ b/src/libshallotport/fleet/endpoint_directory.h
@@ -16,8 +16,9 @@
 // is kept for a while, so that a delayed report does not add it again. A start
 // that goes on reporting after a leave that did not name it was not meant. An
 // endpoint that starts again under its id with other software is kept as two:
-// the former one, under an id that no endpoint has, has left. Hosts that start
-// later learn by it which versions served. Pure.
+// the former one, under an id that no endpoint has, has left. So has one that
+// has not reported for long. Hosts that start later learn by it which versions
+// served. Pure.
 class endpoint_directory {
  public:
   struct entry {
@@ -41,7 +42,8 @@
   // ended without a word, unless clocks are wrong: then they report again.
   std::vector<endpoint_id> EarlierAtAddress(
       const endpoint_report& report) const;
-  // Removes endpoints that left or sent no report for a long time.
+  // Removes endpoints that left or sent no report for a long time. The version
+  // of a silent one is kept as long as that of one that left.
   void Expire(steady_time now);
 
   // Whether an endpoint that is known is at this address.
@@ -53,6 +55,8 @@
 
  private:
   void KeepFormerVersion(const entry& known, const endpoint_report& next);
+  // Adds the endpoint's version under an id that no endpoint has.
+  void AddFormer(const entry& known);
 
   std::map<endpoint_id, entry> entries_;
 };
--- a/src/libshallotport/fleet/endpoint_directory_test.cc
+++ b/src/libshallotport/fleet/endpoint_directory_test.cc
@@ -307,6 +307,41 @@
         former_case{"not_known_before", {"", "v1"}, {}}),
     [](const auto& info) { return info.param.name; });
 
+// A stream may be resumed for two minutes; after one, hosts that started did
+// not hear of the version of an endpoint that had ended without a word.
+TEST(endpoint_directory_test, VersionOfSilentEndpointIsKeptForTwoMinutes) {
+  endpoint_directory directory;
+  endpoint_report report = Report(1, 1, kReady);
+  report.service = service_id("svc");
+  report.software_version = "v1";
+  const steady_time start{std::chrono::seconds(1'000)};
+  directory.Apply(start, report);
+  directory.Expire(start + std::chrono::seconds(59));
+  EXPECT_NE(directory.Find(endpoint_id("e")), nullptr);
+  const steady_time silent = start + std::chrono::seconds(61);
+  directory.Expire(silent);
+  EXPECT_EQ(directory.Find(endpoint_id("e")), nullptr);
+  const auto reports = directory.Reports(silent);
+  ASSERT_EQ(reports.size(), 1u);
+  EXPECT_EQ(reports[0].stage, kLeft);
+  EXPECT_EQ(reports[0].software_version, "v1");
+  EXPECT_EQ(reports[0].age_ms, 61'000u);
+  EXPECT_TRUE(IsOk(CheckReport(reports[0])));
+  endpoint_directory later;  // Of a host that starts.
+  EXPECT_TRUE(
+      later.Apply(silent, reports[0], endpoint_directory::source::kHost));
+  // The endpoint was only cut off.
+  report.sequence = 2;
+  EXPECT_TRUE(directory.Apply(silent, report));
+  EXPECT_EQ(directory.Find(endpoint_id("e"))->report.stage, kReady);
+  for (endpoint_directory* each : {&directory, &later}) {
+    each->Expire(start + std::chrono::seconds(119));
+    EXPECT_EQ(each->entries().size(), each == &later ? 1u : 2u);
+  }
+  later.Expire(start + std::chrono::seconds(121));
+  EXPECT_TRUE(later.entries().empty());
+}
+
 TEST(endpoint_directory_test, ReportAgeIncludesTimeInDirectory) {
   endpoint_directory directory;
   endpoint_report report = Report(1, 1, kReady);
