entry: refused requests do not show that an endpoint goes on

Cause: without a request that broke, a refused connection counts as the end of a start only if the load exchange counts no request there, since full endpoints refuse connections, too. Requests of other hosts that are being refused at that moment are counted.

Change: if slots were free by the known load when the connection was refused, the refusal is kept until the exchange has counted again: if no request is left there within 300 ms, and none was answered to this host since, the start has ended, when the connection was refused. An endpoint without a free slot is judged as before. Both for own refusals and for those that other hosts tell of.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -34,6 +34,8 @@
 constexpr double kBatchAtLimitedFactor = 8;
 // The requests at an endpoint that ends break within this time.
 constexpr std::chrono::milliseconds kBreakTime{1'000};
+// The hosts' load exchange no longer counts refused requests after this time.
+constexpr std::chrono::milliseconds kRefusedLoadTime{300};
 // Less than one request.
 constexpr double kNoLoad = 0.5;
 // Bounds the memory while nobody asks for the failures.
@@ -61,7 +63,7 @@
     state.peer_load = 0;
     state.failures = 0;
     state.backoff_until = {};
-    state.refused_at.reset();
+    state.refused.reset();
     if (state.ended_at && *state.ended_at < started_at) {
       state.ended_at.reset();
     }
@@ -116,20 +118,40 @@
   return true;
 }
 
+void endpoint_selector::SetEnded(steady_time ended_at, endpoint_state& state) {
+  state.refused.reset();
+  state.ended_at = std::max(state.ended_at.value_or(ended_at), ended_at);
+  state.has_answered_since = false;
+}
+
 bool endpoint_selector::MarkEnded(steady_time now,
                                   endpoint_state& state,
                                   bool has_broken) {
   const double load = has_broken ? state.own_load : EstimatedLoad(now, state);
-  if (load >= kNoLoad) {
-    if (has_broken) {
-      state.refused_at = now;
-    }
-    return false;
+  if (load < kNoLoad) {
+    SetEnded(now, state);
+    return true;
+  }
+  const bool has_broken_before = state.refused && state.refused->has_broken &&
+                                 now < state.refused->at + kBreakTime;
+  const bool is_full = load + kNoLoad >= state.report.slots;
+  if (has_broken || (!has_broken_before && !is_full)) {
+    state.refused = refusal{now, has_broken};
+  }
+  return false;
+}
+
+void endpoint_selector::CheckRefusal(steady_time now, endpoint_state& state) {
+  if (!state.refused || state.refused->has_broken) {
+    return;
+  }
+  const steady_time refused_at = state.refused->at;
+  if (now >= refused_at + kRefusedLoadTime) {
+    state.refused.reset();
+  } else if (EstimatedLoad(now, state) < kNoLoad) {
+    SetEnded(refused_at, state);
+    RecordOwnEnd(refused_at, state);
   }
-  state.refused_at.reset();
-  state.ended_at = std::max(state.ended_at.value_or(now), now);
-  state.has_answered_since = false;
-  return true;
 }
 
 void endpoint_selector::RecordEnded(steady_time now,
@@ -185,6 +207,7 @@
   if (found != endpoints_.end()) {
     found->second.peer_load = peer_load;
     found->second.peer_load_at = now;
+    CheckRefusal(now, found->second);
   }
 }
 
@@ -499,8 +522,8 @@
     reachability_.RecordResponse(state.report.domain);
   }
   const bool is_last_to_break = outcome == endpoint_outcome::kBroken &&
-                                state.refused_at &&
-                                now < *state.refused_at + kBreakTime;
+                                state.refused && state.refused->has_broken &&
+                                now < state.refused->at + kBreakTime;
   if ((is_last_to_break || outcome == endpoint_outcome::kEnded) &&
       MarkEnded(now, state, is_last_to_break)) {
     RecordOwnEnd(now, state);
@@ -520,6 +543,9 @@
     case endpoint_outcome::kServed:
       state.failures = 0;
       state.has_answered_since = true;
+      if (state.refused && !state.refused->has_broken) {
+        state.refused.reset();
+      }
       break;
     case endpoint_outcome::kShed:
       state.backoff_until =
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -106,7 +106,8 @@
   void RecordEnded(steady_time now, const endpoint_start& start);
   // As another host saw; `key`: StartKey() of the start. Without requests that
   // broke, the endpoint may have refused the connection because it is full:
-  // then no host may have a request there.
+  // then no host may have a request there, or slots were free and the requests
+  // are gone by the next counts of the load exchange.
   void RecordEndedByKey(steady_time now, uint64_t key, bool has_broken);
   // A report of this start, which began at `started_at` by the endpoint's
   // clock, was received at `received_at`. The start goes on if that was later
@@ -205,6 +206,13 @@
   bool IsSameStart(const selected_endpoint& selected) const;
 
  private:
+  struct refusal {
+    steady_time at{};
+    // After requests had broken, while this host had others there: these may be
+    // about to break as well. Otherwise requests of any host were counted
+    // there, which may have been refused, too.
+    bool has_broken = false;
+  };
   struct endpoint_state {
     endpoint_report report;
     // By its last report, unless it said that it leaves.
@@ -217,9 +225,8 @@
     // When the known start was last seen to have ended.
     std::optional<steady_time> ended_at;
     bool has_answered_since = false;
-    // When it refused a connection after requests had broken, while this host
-    // had others there: these may be about to break as well.
-    std::optional<steady_time> refused_at;
+    // The last refused connection that leaves open whether the start has ended.
+    std::optional<refusal> refused;
     // When a response to this host last said that the endpoint leaves.
     std::optional<steady_time> notice_at;
   };
@@ -236,8 +243,11 @@
   // Whether the request goes there only if no other endpoint takes it.
   static bool IsLastChoice(const endpoint_state& state,
                            const selection_constraints& constraints);
-  // False if the process goes on, as requests there show.
+  static void SetEnded(steady_time ended_at, endpoint_state& state);
+  // False if the process goes on, as requests there show, or may do so.
   bool MarkEnded(steady_time now, endpoint_state& state, bool has_broken);
+  // Whether requests that were counted there at a refusal were refused as well.
+  void CheckRefusal(steady_time now, endpoint_state& state);
   void RecordOwnEnd(steady_time now, const endpoint_state& state);
   void AddToService(const endpoint_state& state);
   void RemoveFromService(const endpoint_state& state);
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -241,6 +241,97 @@
   EXPECT_TRUE(selector.crashes().HasNews());
 }
 
+// An endpoint refuses a connection while the load exchange counts requests of
+// other hosts there.
+struct refusal_case {
+  std::string name;
+  uint32_t counted;  // Requests of other hosts, at the refusal.
+  uint32_t counted_next;
+  int next_ms;       // When the exchange counts again, since the refusal.
+  bool is_answered;  // Another request is answered before that.
+  bool has_ended;
+};
+
+class refusals : public testing::TestWithParam<refusal_case> {
+ protected:
+  refusals() : selector_({domain_id("d"), 2, 1}) {
+    report_.endpoint = endpoint_id("e");
+    report_.service = kService;
+    report_.slots = kSlots;
+    report_.start_time_ms = 5;
+    report_.software_version = "v1";
+    selector_.Update(report_);
+    selector_.SetPeerLoad(refused_at_, report_.endpoint, GetParam().counted);
+  }
+
+  void CountAgain() {
+    const steady_time now = refused_at_ + milliseconds(GetParam().next_ms);
+    selector_.SetPeerLoad(now, report_.endpoint, GetParam().counted_next);
+  }
+
+  const steady_time refused_at_{std::chrono::seconds(100)};
+  endpoint_report report_;
+  endpoint_selector selector_;
+};
+
+// Requests that had been refused as well were taken for running ones.
+TEST_P(refusals, EndAStartIfNoRequestIsLeftThere) {
+  const selection_constraints constraints;
+  selector_.Acquire(refused_at_, kService, constraints);
+  if (GetParam().is_answered) {
+    selector_.Acquire(refused_at_, kService, constraints);
+  }
+  selector_.Release(refused_at_, report_.endpoint, endpoint_outcome::kEnded);
+  EXPECT_TRUE(selector_.IsVersionServing(kService, "v1"));
+  if (GetParam().is_answered) {
+    selector_.Release(refused_at_, report_.endpoint, endpoint_outcome::kServed);
+  }
+  CountAgain();
+  EXPECT_EQ(selector_.HasEnded(report_.endpoint), GetParam().has_ended);
+  EXPECT_EQ(selector_.IsVersionServing(kService, "v1"), !GetParam().has_ended);
+  EXPECT_EQ(selector_.crashes().HasNews(), GetParam().has_ended);
+  // A start from before the refusal may be the one that ended.
+  report_.start_time_ms = 6;
+  selector_.Update(report_, refused_at_ - milliseconds(1));
+  EXPECT_EQ(selector_.HasEnded(report_.endpoint), GetParam().has_ended);
+  report_.start_time_ms = 7;
+  selector_.Update(report_, refused_at_ + milliseconds(1));
+  EXPECT_FALSE(selector_.HasEnded(report_.endpoint));
+}
+
+TEST_P(refusals, OfOtherHostsCountLikewise) {
+  if (GetParam().is_answered) {
+    return;  // By another host: not known here.
+  }
+  selector_.RecordEndedByKey(refused_at_, StartKey({report_.endpoint, 5}),
+                             false);
+  EXPECT_TRUE(selector_.IsVersionServing(kService, "v1"));
+  CountAgain();
+  EXPECT_EQ(selector_.HasEnded(report_.endpoint), GetParam().has_ended);
+}
+
+// The refusal was that of an earlier start.
+TEST_P(refusals, AreForgottenWithTheStart) {
+  selector_.RecordEndedByKey(refused_at_, StartKey({report_.endpoint, 5}),
+                             false);
+  report_.start_time_ms = 6;
+  selector_.Update(report_, refused_at_ + milliseconds(1));
+  CountAgain();
+  EXPECT_FALSE(selector_.HasEnded(report_.endpoint));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    refusals,
+    testing::Values(refusal_case{"none_left", 1, 0, 150, false, true},
+                    refusal_case{"one_goes_on", 2, 1, 150, false, false},
+                    // It may be full.
+                    refusal_case{"no_free_slot", kSlots, 0, 150, false, false},
+                    // They may have been served.
+                    refusal_case{"late", 1, 0, 1'000, false, false},
+                    refusal_case{"answered", 1, 0, 150, true, false}),
+    [](const auto& info) { return info.param.name; });
+
 // What becomes of an endpoint whose process was seen to end.
 struct ended_start_case {
   std::string name;
