entry: the end of a start counts also if it is heard of before the start

Callers of streams could get output joined from two software versions after an entry host had started again.

Cause: a host that starts gets the starts that have ended lately from the job stores, and the endpoints from the control hosts. An end that arrived before its endpoint was dropped and is not sent again, so that streams went on at the endpoint by its last report.

Change: when the selector hears of a start, it looks for its end among those that hosts have told (crash_attribution::EndedAt).

Test: EndIsKnownBeforeTheStartReports, red before.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -67,6 +67,10 @@
     if (state.ended_at && *state.ended_at < started_at) {
       state.ended_at.reset();
     }
+    // Hosts that start may hear of the end before they hear of the start.
+    if (const auto ended_at = crashes_.EndedAt(StartKey(StartOf(state)))) {
+      SetEnded(*ended_at, state);
+    }
   }
   AddToService(state);
   if (report.stage == endpoint_stage::kLeft) {
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -332,6 +332,39 @@
                     refusal_case{"answered", 1, 0, 150, true, false}),
     [](const auto& info) { return info.param.name; });
 
+// A host that starts may hear that a start has ended before it hears of the
+// endpoint; it forgot what it could not match.
+TEST(ended_start_test, EndIsKnownBeforeTheStartReports) {
+  const steady_time ended_at{std::chrono::seconds(100)};
+  endpoint_selector selector({domain_id("d"), 2, 1});
+  endpoint_report report;
+  report.endpoint = endpoint_id("e");
+  report.service = kService;
+  report.slots = kSlots;
+  report.start_time_ms = 5;
+  report.software_version = "v1";
+  crash_evidence evidence;
+  crash_record& ended = evidence.crashes.emplace_back();
+  ended.endpoint = StartKey({report.endpoint, 5});
+  ended.service = kService;
+  selector.RecordEndedByKey(ended_at, ended.endpoint, false);
+  selector.crashes().Merge(ended_at, evidence);
+  selector.Update(report, ended_at - std::chrono::seconds(10));
+  selector.ConfirmStart(ended_at - milliseconds(500), {report.endpoint, 5});
+  EXPECT_TRUE(selector.HasEnded(report.endpoint));
+  EXPECT_FALSE(selector.IsVersionServing(kService, "v1"));
+  // It had not ended.
+  selector.ConfirmStart(ended_at + std::chrono::seconds(16),
+                        {report.endpoint, 5});
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
+  selector.Update(report, ended_at - std::chrono::seconds(10));
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v1"));
+  report.start_time_ms = 6;
+  report.software_version = "v2";
+  selector.Update(report, ended_at + std::chrono::seconds(17));
+  EXPECT_TRUE(selector.IsVersionServing(kService, "v2"));
+}
+
 // What becomes of an endpoint whose process was seen to end.
 struct ended_start_case {
   std::string name;
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -297,6 +297,13 @@
   }
 }
 
+std::optional<steady_time> crash_attribution::EndedAt(
+    uint64_t start_key) const {
+  const auto found = ended_.find(start_key);
+  return found == ended_.end() ? std::nullopt
+                               : std::optional(found->second.seen_at);
+}
+
 bool crash_attribution::AddEnded(uint64_t start_key, const ended_start& ended) {
   std::erase_if(ended_, [&ended](const auto& each) {
     return ended.seen_at > each.second.seen_at + kEndedLifetime;
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <utility>
@@ -97,6 +98,9 @@
                    uint64_t start_key,
                    const service_id& service,
                    const domain_id& domain);
+  // When this start was seen to have ended, by this host or another one;
+  // nullopt if it was not, or long ago.
+  std::optional<steady_time> EndedAt(uint64_t start_key) const;
   // An attempt of this host broke since its endpoint ended.
   void RecordCrash(steady_time now, const crash_record& record);
   // Adds the records of another host. What a relay sent is not passed on.
