entry: only an answer whose head says so goes on with a stream

Cause: any 2xx of that kind was passed on event by event. The endpoint's proof was looked at when the answer had ended, a mark of "not executed" on a success never, and a 2xx of another kind went to a caller that resumes a stream.

Change: ClassifyResponse decides when the head arrives, before a byte is passed on. A stream has status 200, the kind, the proof and no mark. A success without proof or with the mark is in doubt at once; so is any other success where events have been delivered, by this response or to a caller that resumes. An endpoint's error ends a resumption at its head. A stream that begins may still be answered by another success: it is sent on whole, with its status. try_failed gets reason=, metrics get unusable_heads.

--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_ENTRY_ENDPOINT_ATTEMPT_H_
 #define SHALLOTPORT_ENTRY_ENDPOINT_ATTEMPT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -8,10 +9,20 @@
 #include "entry/endpoint_selector.h"
 #include "entry/event_splitter.h"
 #include "entry/output_period.h"
+#include "entry/response_kind.h"
 #include "eventio/endpoint_connection_pool.h"
 
 namespace shallotport {
 
+// What was wrong with an attempt's response, beyond how its connection ended.
+enum class attempt_fault : uint8_t {
+  kNone,
+  kUnusableHead,  // Of no answer, or of none that goes on with the stream.
+  kEventTooLong,
+  kIncomplete,      // It ended within an event, or is longer than the buffer.
+  kUnknownVersion,  // The endpoint has started again since it was selected.
+};
+
 // One attempt of a request at one endpoint, and what has been received of its
 // response. Owned by its routed_exchange; destroying it cancels the call.
 struct endpoint_attempt {
@@ -20,11 +31,13 @@
   steady_time begun_at{};
   steady_time last_received_at{};
   response_head head;
-  bool is_stream = false;
-  bool has_output = false;  // Events of it were sent to the caller.
-  output_period output;     // Of these events.
-  event_splitter events;    // Of a stream.
-  std::string body;         // Of any other response.
+  response_kind kind = response_kind::kNone;
+  attempt_fault fault = attempt_fault::kNone;
+  bool has_output = false;   // Events of it were sent to the caller.
+  output_period output;      // Of these events.
+  event_splitter events;     // Of a stream.
+  std::string body;          // Of any other response.
+  bool is_body_cut = false;  // It is longer than the buffer.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -21,6 +21,8 @@
   uint64_t callers_disconnected = 0;
   uint64_t attempts = 0;
   uint64_t broken_attempts = 0;  // Their connection or response broke.
+  // Of these, those whose head was not of a usable response.
+  uint64_t unusable_heads = 0;
   uint64_t resumed = 0;
   uint64_t taken_up = 0;  // Streams that callers resume with a new request.
   // Of these, by where their origin was found, and those that were refused.
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -53,16 +53,19 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
+std::string_view LogName(attempt_fault fault) {
+  constexpr std::string_view kNames[] = {"none", "not_the_stream",
+                                         "event_too_long", "incomplete",
+                                         "unknown_version"};
+  return kNames[static_cast<size_t>(fault)];
+}
+
 std::string_view LogName(retry_decision next) {
   constexpr std::string_view kNames[] = {"try_again", "resume",  "refuse",
                                          "fail",      "pass_on", "break_off"};
   return kNames[static_cast<size_t>(next)];
 }
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 std::string FormatSeconds(int64_t milliseconds) {
   char text[24];
   std::snprintf(text, sizeof(text), "%lld.%03lld",
@@ -162,6 +165,14 @@
          !request_.resume_after.empty();
 }
 
+bool routed_exchange::IsResumable() const {
+  return route_.kind == request_kind::kStreaming && route_.is_resumable;
+}
+
+bool routed_exchange::HasUnknownVersion(const endpoint_attempt& attempt) const {
+  return !attempt.has_output && !duty_.selector_.IsSameStart(attempt.at);
+}
+
 void routed_exchange::FindOrigin() {
   if (!duty_.find_stream) {
     OnOriginFound({});
@@ -263,9 +274,7 @@
 }
 
 void routed_exchange::RecordOrigin(const selected_endpoint& at, bool at_once) {
-  const bool may_be_taken_up =
-      route_.kind == request_kind::kStreaming && route_.is_resumable;
-  if (!may_be_taken_up || !duty_.record_stream ||
+  if (!IsResumable() || !duty_.record_stream ||
       recorded_version_ == at.software_version) {
     return;
   }
@@ -382,8 +391,7 @@
 selection_constraints routed_exchange::CurrentConstraints() const {
   selection_constraints constraints = constraints_;
   constraints.traits = &traits_;
-  constraints.prefers_known_version =
-      route_.kind == request_kind::kStreaming && route_.is_resumable;
+  constraints.prefers_known_version = IsResumable();
   constraints.is_repeat = current_ != nullptr || !executed_at_.empty();
   constraints.avoided = displaced_;
   constraints.is_limited_to_avoided = IsLimitedToReturn(History());
@@ -416,7 +424,7 @@
 attempt_history routed_exchange::History() const {
   attempt_history history;
   history.is_repeatable = route_.IsRepeatable();
-  history.is_resumable = route_.is_resumable;
+  history.is_resumable = IsResumable();
   history.max_executions = route_.max_executions;
   history.executions = Executions();
   history.may_return = MayReturn();
@@ -515,7 +523,7 @@
   call_events events;
   events.on_head = [notify](response_head head) {
     notify([&head](routed_exchange& self, const attempt_ptr& open) {
-      self.OnHead(*open, std::move(head));
+      self.OnHead(open, std::move(head));
     });
   };
   events.on_body = [notify](std::string_view bytes) {
@@ -556,43 +564,49 @@
                        request_.wire.body);
 }
 
-void routed_exchange::OnHead(endpoint_attempt& attempt, response_head head) {
+// Nothing of a response is sent on, or joined with what was, before its head
+// says that it can be.
+void routed_exchange::OnHead(const attempt_ptr& attempt, response_head head) {
   const wire_profile& wire = duty_.options_.wire;
   const steady_time now = duty_.clock_.Now();
   if (const auto load = ParseLoad(head.headers.Value(wire.load))) {
-    duty_.selector_.RecordLoad(now, attempt.at.endpoint, load->first,
+    duty_.selector_.RecordLoad(now, attempt->at.endpoint, load->first,
                                load->second);
   }
-  duty_.ReadLeaving(attempt.at, head);
-  duty_.ReadLimit(attempt.at, head);
-  attempt.head = std::move(head);
-  const bool is_event_stream = attempt.head.headers.Value("Content-Type")
-                                   .starts_with("text/event-stream");
-  attempt.is_stream = IsSuccess(attempt.head.status) && is_event_stream;
+  duty_.ReadLeaving(attempt->at, head);
+  duty_.ReadLimit(attempt->at, head);
+  attempt->head = std::move(head);
+  attempt->kind = ClassifyResponse(FactsOf(attempt->head, wire),
+                                   has_response_begun_ || IsTakenUp());
+  if (attempt->kind == response_kind::kUnusable) {
+    OnFaultyResponse(attempt, attempt_fault::kUnusableHead);
+  } else if (has_response_begun_ && attempt->kind == response_kind::kFailure) {
+    OnCompleteResponse(attempt);  // Its body is of no use.
+  }
 }
 
 void routed_exchange::OnBody(const attempt_ptr& attempt,
                              std::string_view bytes) {
   attempt->last_received_at = duty_.clock_.Now();
-  if (!attempt->is_stream) {
-    if (attempt->body.size() + bytes.size() <= kMaxResponseBytes) {
+  if (attempt->kind != response_kind::kStream) {
+    attempt->is_body_cut =
+        attempt->is_body_cut ||
+        attempt->body.size() + bytes.size() > kMaxResponseBytes;
+    if (!attempt->is_body_cut) {
       attempt->body.append(bytes);
     }
     return;
   }
   const std::string complete_events = attempt->events.Feed(bytes);
   if (attempt->events.is_overlong()) {
-    OnAttemptFailed(attempt, attempt_result::kInDoubt,
-                    endpoint_outcome::kBroken);
+    OnFaultyResponse(attempt, attempt_fault::kEventTooLong);
     return;
   }
   if (complete_events.empty()) {
     return;
   }
-  if (!attempt->has_output && !duty_.selector_.IsSameStart(attempt->at)) {
-    // Its software version is not known.
-    OnAttemptFailed(attempt, attempt_result::kInDoubt,
-                    endpoint_outcome::kCancelled);
+  if (HasUnknownVersion(*attempt)) {
+    OnFaultyResponse(attempt, attempt_fault::kUnknownVersion);
     return;
   }
   attempt->has_output = true;
@@ -644,7 +658,6 @@
 void routed_exchange::OnEnd(const attempt_ptr& attempt, call_end end) {
   const auto self = shared_from_this();
   attempt->call.reset();
-  const wire_profile& wire = duty_.options_.wire;
   switch (end) {
     case call_end::kComplete:
       OnCompleteResponse(attempt);
@@ -664,8 +677,7 @@
     case call_end::kBroken:
     case call_end::kInvalidResponse: {
       // A refusal is valid even if its body is incomplete.
-      const bool is_refused =
-          attempt->head.headers.Find(wire.not_executed) != nullptr;
+      const bool is_refused = attempt->kind == response_kind::kNotExecuted;
       OnAttemptFailed(
           attempt,
           is_refused ? attempt_result::kNotExecuted : attempt_result::kInDoubt,
@@ -676,33 +688,37 @@
 }
 
 void routed_exchange::OnCompleteResponse(const attempt_ptr& attempt) {
-  const wire_profile& wire = duty_.options_.wire;
   const int status = attempt->head.status;
-  const bool is_not_executed =
-      attempt->head.headers.Find(wire.not_executed) != nullptr || status == 421;
-  if (is_not_executed) {
-    OnAttemptFailed(attempt, attempt_result::kNotExecuted,
-                    status == 421 ? endpoint_outcome::kOtherEndpoint
-                                  : endpoint_outcome::kShed);
-    return;
-  }
-  const bool has_endpoint_proof =
-      attempt->head.headers.Find(wire.endpoint_proof) != nullptr;
-  if (attempt->is_stream) {
-    if (attempt->events.has_partial() || !has_endpoint_proof) {
-      OnAttemptFailed(attempt, attempt_result::kInDoubt,
-                      endpoint_outcome::kBroken);
+  switch (attempt->kind) {
+    case response_kind::kNotExecuted:
+      OnAttemptFailed(attempt, attempt_result::kNotExecuted,
+                      status == 421 ? endpoint_outcome::kOtherEndpoint
+                                    : endpoint_outcome::kShed);
       return;
-    }
-  } else if (!IsSuccess(status)) {
-    OnAttemptFailed(attempt, attempt_result::kEndpointFailed,
-                    endpoint_outcome::kFailed);
-    return;
-  } else if (!has_endpoint_proof || attempt->body.size() >= kMaxResponseBytes ||
-             has_response_begun_) {
-    OnAttemptFailed(attempt, attempt_result::kInDoubt,
-                    endpoint_outcome::kBroken);
-    return;
+    case response_kind::kFailure:
+      OnAttemptFailed(attempt, attempt_result::kEndpointFailed,
+                      endpoint_outcome::kFailed);
+      return;
+    case response_kind::kNone:
+    case response_kind::kUnusable:
+      OnFaultyResponse(attempt, attempt_fault::kUnusableHead);
+      return;
+    case response_kind::kStream:
+      if (attempt->events.has_partial()) {
+        OnFaultyResponse(attempt, attempt_fault::kIncomplete);
+        return;
+      }
+      if (HasUnknownVersion(*attempt)) {
+        OnFaultyResponse(attempt, attempt_fault::kUnknownVersion);
+        return;
+      }
+      break;
+    case response_kind::kWhole:
+      if (attempt->is_body_cut || has_response_begun_) {
+        OnFaultyResponse(attempt, attempt_fault::kIncomplete);
+        return;
+      }
+      break;
   }
   KeepOnly(attempt);
   duty_.crash_observer_.OnWholeAnswer(Observed(*attempt));
@@ -710,7 +726,7 @@
   current_.reset();
   ++duty_.counters_.served;
   duty_.slow_retry_budget_.OnSuccess();
-  if (attempt->is_stream) {
+  if (attempt->kind == response_kind::kStream) {
     BeginResponse(*attempt);
     caller_->EndStream();
   } else {
@@ -719,6 +735,18 @@
   Finish();
 }
 
+void routed_exchange::OnFaultyResponse(const attempt_ptr& attempt,
+                                       attempt_fault fault) {
+  attempt->fault = fault;
+  duty_.counters_.unusable_heads +=
+      fault == attempt_fault::kUnusableHead ? 1 : 0;
+  // An endpoint that has started again is sound.
+  OnAttemptFailed(attempt, attempt_result::kInDoubt,
+                  fault == attempt_fault::kUnknownVersion
+                      ? endpoint_outcome::kCancelled
+                      : endpoint_outcome::kBroken);
+}
+
 void routed_exchange::OnAttemptFailed(const attempt_ptr& attempt,
                                       attempt_result outcome,
                                       endpoint_outcome end) {
@@ -777,6 +805,7 @@
        {"end", LogName(end)},
        {"outcome", LogName(outcome)},
        {"status", int64_t{attempt->head.status}},
+       {"reason", LogName(attempt->fault)},
        {"next", is_other_under_way ? "other_attempt" : LogName(next)},
        {"runs", int64_t{Executions()}},
        {"max_runs", int64_t{route_.max_executions}},
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -39,6 +39,10 @@
 
   // Whether the caller resumes a stream of an earlier request of its own.
   bool IsTakenUp() const;
+  bool IsResumable() const;
+  // Whether the endpoint may run another version than the one that was
+  // selected.
+  bool HasUnknownVersion(const endpoint_attempt& attempt) const;
   void FindOrigin();
   void OnOriginFound(const found_origin& found);
   // `is_view_current`: this host has heard of all endpoints.
@@ -66,13 +70,15 @@
   selection_constraints CurrentConstraints() const;
   void SendTo(selected_endpoint endpoint);
   std::string FormatAttempt(const selected_endpoint& at, steady_time now) const;
-  void OnHead(endpoint_attempt& attempt, response_head head);
+  void OnHead(const attempt_ptr& attempt, response_head head);
   void OnBody(const attempt_ptr& attempt, std::string_view bytes);
   void OnEnd(const attempt_ptr& attempt, call_end end);
   void OnCompleteResponse(const attempt_ptr& attempt);
   void OnAttemptFailed(const attempt_ptr& attempt,
                        attempt_result outcome,
                        endpoint_outcome end);
+  // As OnAttemptFailed(), for a response that is not, or not any more, usable.
+  void OnFaultyResponse(const attempt_ptr& attempt, attempt_fault fault);
   // Ends the other attempt, if any.
   void KeepOnly(const attempt_ptr& attempt);
   // Cancels the attempt's call if it has not ended.
