entry: only events that follow the last one are passed on

Cause: the numbers of events were only kept to ask for the next one. Where an event had none, a later resumption began anew within the response.

Evidence: 223,000 events of the users' endpoints: each first one is 1 or the one after Last-Event-Id, each later one its predecessor plus 1.

Change: event_sequence knows the last delivered number and takes only the next one. Events of the same read before one that does not follow are delivered; then the attempt ends in doubt (reason=event_out_of_order, a counter of the same name), and the stream is resumed after them or broken off. Streams that begin are checked from 1 on, also on routes that are never resumed. Blocks without number and data wait for the first event of their answer. A right answer that ends at once is complete: a stream may break after its last event. Callers whose Last-Event-Id is no number get 400. Streams are resumed on streaming routes only, whatever else a route says.

leaving_endpoint_test: its stand-in answered new requests with event 2, as no endpoint does; it sends event 1 before it now, and the checks are as before.

--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -18,6 +18,7 @@
 enum class attempt_fault : uint8_t {
   kNone,
   kUnusableHead,  // Of no answer, or of none that goes on with the stream.
+  kEventOutOfOrder,
   kEventTooLong,
   kIncomplete,      // It ended within an event, or is longer than the buffer.
   kUnknownVersion,  // The endpoint has started again since it was selected.
--- a/src/libshallotport/entry/entry_counters.h
+++ b/src/libshallotport/entry/entry_counters.h
@@ -21,8 +21,10 @@
   uint64_t callers_disconnected = 0;
   uint64_t attempts = 0;
   uint64_t broken_attempts = 0;  // Their connection or response broke.
-  // Of these, those whose head was not of a usable response.
+  // Of these, those whose head was not of a usable response, and those with an
+  // event that did not follow the last one.
   uint64_t unusable_heads = 0;
+  uint64_t events_out_of_order = 0;
   uint64_t resumed = 0;
   uint64_t taken_up = 0;  // Streams that callers resume with a new request.
   // Of these, by where their origin was found, and those that were refused.
--- a/src/libshallotport/entry/event_splitter.cc
+++ b/src/libshallotport/entry/event_splitter.cc
@@ -26,9 +26,10 @@
   }
 }
 
-// The value of "name: value", without the optional space.
+// The value of "name: value", without the optional space. A line that is only a
+// name has an empty value.
 std::string_view ValueAfter(std::string_view line, size_t name_size) {
-  std::string_view value = line.substr(name_size);
+  std::string_view value = line.substr(std::min(line.size(), name_size + 1));
   if (value.starts_with(' ')) {
     value.remove_prefix(1);
   }
@@ -39,36 +40,66 @@
 
 std::string event_splitter::Feed(std::string_view bytes) {
   data_.clear();
+  if (is_out_of_order_) {
+    return {};
+  }
   partial_.append(bytes);
+  std::string complete_events;
   size_t consumed = 0;
-  for (size_t end = EndOfEvent(partial_, 0); end != std::string::npos;
+  for (size_t end = EndOfEvent(partial_, 0);
+       end != std::string::npos && !is_out_of_order_;
        end = EndOfEvent(partial_, consumed)) {
-    ParseEvent(std::string_view(partial_).substr(consumed, end - consumed));
+    const auto event =
+        std::string_view(partial_).substr(consumed, end - consumed);
+    if (ParseEvent(event)) {
+      complete_events.append(TakeHeldBack()).append(event);
+    } else if (!is_out_of_order_) {
+      held_back_.append(event);
+    }
     consumed = end;
   }
-  std::string complete_events = partial_.substr(0, consumed);
   partial_.erase(0, consumed);
   return complete_events;
 }
 
 bool event_splitter::is_overlong() const {
-  return partial_.size() > kMaxEventBytes;
+  return partial_.size() + held_back_.size() > kMaxEventBytes;
 }
 
-void event_splitter::ParseEvent(std::string_view event) {
+bool event_splitter::ParseEvent(std::string_view event) {
+  event_fields fields;
+  std::string data;
   while (!event.empty()) {
     const size_t newline = std::min(event.find('\n'), event.size() - 1);
     std::string_view line = event.substr(0, newline);
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
-    if (line.starts_with("id:")) {
-      last_id_ = ValueAfter(line, 3);
-    } else if (line.starts_with("data:")) {
-      data_.append(ValueAfter(line, 5)).push_back('\n');
+    const std::string_view name = line.substr(0, line.find(':'));
+    const std::string_view value = ValueAfter(line, name.size());
+    if (name == "id") {
+      fields.id = value;
+    } else if (name == "event") {
+      fields.type = value;
+    } else if (name == "data") {
+      fields.has_data = true;
+      data.append(value).push_back('\n');
     }
     event.remove_prefix(newline + 1);
   }
+  if (sequence_) {
+    const event_place place = sequence_->Place(fields);
+    is_out_of_order_ = place == event_place::kOutOfOrder;
+    has_first_ = has_first_ || place == event_place::kFollows;
+    if (is_out_of_order_ || !has_first_) {
+      return false;
+    }
+  }
+  if (fields.id) {
+    last_id_ = *fields.id;
+  }
+  data_.append(data);
+  return true;
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/event_splitter.h
+++ b/src/libshallotport/entry/event_splitter.h
@@ -1,24 +1,37 @@
 #ifndef SHALLOTPORT_ENTRY_EVENT_SPLITTER_H_
 #define SHALLOTPORT_ENTRY_EVENT_SPLITTER_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+
+#include "entry/event_sequence.h"
 
 namespace shallotport {
 
 // Splits the bytes of one endpoint's event stream into complete events. A
 // partial event is held back until its rest arrives, because the stream may
-// break in the middle of it.
+// break in the middle of it. With a sequence, nothing is returned from the
+// first event on that does not follow, and nothing before the first one that
+// does.
 class event_splitter {
  public:
+  event_splitter() = default;
+  explicit event_splitter(event_sequence sequence) : sequence_(sequence) {}
+
   // Adds bytes and returns the events that are now complete, unchanged.
   std::string Feed(std::string_view bytes);
   // Discards a partial event of an attempt that ended.
   void Reset() { partial_.clear(); }
 
   bool has_partial() const { return !partial_.empty(); }
+  // An event did not follow: the stream is not the one that was begun.
+  bool is_out_of_order() const { return is_out_of_order_; }
   // The event that is being received is longer than any event.
   bool is_overlong() const;
+  // What was held back of a stream that has ended without a numbered event.
+  std::string TakeHeldBack() { return std::exchange(held_back_, {}); }
   // The id of the last complete event; empty if none had one.
   const std::string& last_id() const { return last_id_; }
   // The data of the events that the last Feed() returned, each followed by a
@@ -26,9 +39,14 @@
   const std::string& data() const { return data_; }
 
  private:
-  void ParseEvent(std::string_view event);
+  // Whether the event may be sent on.
+  bool ParseEvent(std::string_view event);
 
+  std::optional<event_sequence> sequence_;
   std::string partial_;
+  std::string held_back_;
+  bool has_first_ = false;
+  bool is_out_of_order_ = false;
   std::string last_id_;
   std::string data_;
 };
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -54,9 +54,9 @@
 }
 
 std::string_view LogName(attempt_fault fault) {
-  constexpr std::string_view kNames[] = {"none", "not_the_stream",
-                                         "event_too_long", "incomplete",
-                                         "unknown_version"};
+  constexpr std::string_view kNames[] = {
+      "none",           "not_the_stream", "event_out_of_order",
+      "event_too_long", "incomplete",     "unknown_version"};
   return kNames[static_cast<size_t>(fault)];
 }
 
@@ -152,6 +152,12 @@
     return;
   }
   if (IsTakenUp()) {
+    if (!ParseEventNumber(request_.resume_after)) {
+      Log("request_refused", "malformed_last_event", 400);
+      caller_->Respond(400, {}, {});
+      Finish();
+      return;
+    }
     ++duty_.counters_.taken_up;
     FindOrigin();
     return;
@@ -488,6 +494,9 @@
   attempt->at = std::move(endpoint);
   attempt->begun_at = now;
   attempt->last_received_at = now;
+  if (route_.kind == request_kind::kStreaming) {
+    attempt->events = event_splitter(event_sequence(last_event_id_));
+  }
   // Endpoints without recent reports are used as well.
   duty_.versions_.Record(now, service_, attempt->at.software_version);
   ++attempts_;
@@ -598,17 +607,25 @@
     return;
   }
   const std::string complete_events = attempt->events.Feed(bytes);
-  if (attempt->events.is_overlong()) {
-    OnFaultyResponse(attempt, attempt_fault::kEventTooLong);
-    return;
+  if (!complete_events.empty()) {
+    if (HasUnknownVersion(*attempt)) {
+      OnFaultyResponse(attempt, attempt_fault::kUnknownVersion);
+      return;
+    }
+    SendOn(attempt, complete_events);
   }
-  if (complete_events.empty()) {
+  if (is_finished_) {
     return;
   }
-  if (HasUnknownVersion(*attempt)) {
-    OnFaultyResponse(attempt, attempt_fault::kUnknownVersion);
-    return;
+  if (attempt->events.is_out_of_order()) {
+    OnFaultyResponse(attempt, attempt_fault::kEventOutOfOrder);
+  } else if (attempt->events.is_overlong()) {
+    OnFaultyResponse(attempt, attempt_fault::kEventTooLong);
   }
+}
+
+void routed_exchange::SendOn(const attempt_ptr& attempt,
+                             const std::string& events) {
   attempt->has_output = true;
   KeepOnly(attempt);
   FixVersion(*attempt);
@@ -619,7 +636,7 @@
   if (attempt->output.BecomesSustained(attempt->last_received_at)) {
     duty_.crash_observer_.OnSustainedOutput(Observed(*attempt));
   }
-  caller_->SendChunk(complete_events);
+  caller_->SendChunk(events);
 }
 
 void routed_exchange::FixVersion(const endpoint_attempt& attempt) {
@@ -728,6 +745,7 @@
   duty_.slow_retry_budget_.OnSuccess();
   if (attempt->kind == response_kind::kStream) {
     BeginResponse(*attempt);
+    caller_->SendChunk(attempt->events.TakeHeldBack());
     caller_->EndStream();
   } else {
     caller_->Respond(status, ResponseHeaders(*attempt), attempt->body);
@@ -740,6 +758,8 @@
   attempt->fault = fault;
   duty_.counters_.unusable_heads +=
       fault == attempt_fault::kUnusableHead ? 1 : 0;
+  duty_.counters_.events_out_of_order +=
+      fault == attempt_fault::kEventOutOfOrder ? 1 : 0;
   // An endpoint that has started again is sound.
   OnAttemptFailed(attempt, attempt_result::kInDoubt,
                   fault == attempt_fault::kUnknownVersion
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -72,6 +72,8 @@
   std::string FormatAttempt(const selected_endpoint& at, steady_time now) const;
   void OnHead(const attempt_ptr& attempt, response_head head);
   void OnBody(const attempt_ptr& attempt, std::string_view bytes);
+  // Sends events of a stream on to the caller.
+  void SendOn(const attempt_ptr& attempt, const std::string& events);
   void OnEnd(const attempt_ptr& attempt, call_end end);
   void OnCompleteResponse(const attempt_ptr& attempt);
   void OnAttemptFailed(const attempt_ptr& attempt,
--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -117,7 +117,8 @@
     return wire;
   }
 
-  // A response with one event, complete unless it is a stream that goes on.
+  // A response up to an event, complete unless it is a stream that goes on. One
+  // that resumes has no first event.
   static script Answer(const std::string& status,
                        const std::string& headers,
                        const std::string& event,
@@ -126,11 +127,14 @@
       const size_t at = request.find("X-Id: ");
       const std::string id = request.substr(at, request.find('\r', at) - at);
       const size_t rest = is_complete ? 0 : std::string(kLastEvent).size();
+      const bool has_first =
+          event == kLastEvent && request.find("X-After: ") == std::string::npos;
+      const std::string events = has_first ? kFirstEvent + event : event;
       connection.Write(
           "HTTP/1.1 " + status + "\r\n" + id + "\r\n" + headers +
           "X-Proof: p\r\nContent-Type: text/event-stream\r\n" +
-          "Content-Length: " + std::to_string(event.size() + rest) +
-          "\r\n\r\n" + event);
+          "Content-Length: " + std::to_string(events.size() + rest) +
+          "\r\n\r\n" + events);
     };
   }
 
