jobstore: only the events that follow add to an item's text

What callers saw: results of batch items that held an endpoint's error text, events twice or not at all, and results that were completed by an answer without the endpoint's stream.

Cause: any 2xx added to the text, whatever its kind; the proof was looked at when it had ended, and the numbers of events never. A 204 completed a text.

Change: the dispatcher uses ClassifyResponse and event_sequence as online streams do. Another success, or an event that does not follow, ends the attempt (item_try_failed with its reason, unusable_heads, events_out_of_order); the item keeps what it had and is resumed after it. A text of an earlier build whose last event has no number begins anew. docs/design/stream-versions.md says what may join.

item_dispatcher_test: its stand-ins sent answers without a kind, and one sent event 2 again and again; they answer as endpoints do now, and the checks are as before.

--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -11,6 +11,7 @@
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
 #include "entry/output_period.h"
+#include "entry/response_kind.h"
 #include "jobstore/item_version_policy.h"
 
 namespace shallotport {
@@ -37,10 +38,6 @@
 constexpr std::chrono::milliseconds kExpiryCheckInterval{1'000};
 constexpr size_t kMaxExpiredPerCheck = 50;
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 bool AllowsService(const route& item_route, const service_id& service) {
   return std::any_of(item_route.services.begin(), item_route.services.end(),
                      [&](const weighted_service& each) {
@@ -57,6 +54,7 @@
   endpoint_id endpoint;
   uint64_t start_time_ms = 0;  // Of the endpoint.
   response_head head;
+  response_kind kind = response_kind::kNone;
   event_splitter events;
   output_period output;
   steady_time begun_at{};
@@ -481,7 +479,8 @@
   const selected_endpoint& selected = selection->endpoint;
   pending_item& item_state = PendingItem(key);
   const bool continues_text = item_state.origin == selection->origin &&
-                              !selection->origin.software_version.empty();
+                              !selection->origin.software_version.empty() &&
+                              ParseEventNumber(item_state.last_event);
   if (item_state.origin && !continues_text) {
     DiscardText(key, item_state, selection->origin);
   }
@@ -515,6 +514,7 @@
   attempt->last_received_at = now;
   attempt->deadline = job->accepted_at + job->submission.objective_ms;
   attempt->selection = *selection;
+  attempt->events = event_splitter(event_sequence(resume_after));
   outbound_request request;
   request.method = "POST";
   request.bytes = FormatRequest("POST", item.path, headers, item.body.text());
@@ -522,38 +522,15 @@
   request.echo_value = item.id;
   const std::weak_ptr<item_attempt> weak = attempt;
   call_events events;
-  events.on_head = [this, weak](response_head head) {
+  events.on_head = [this, key, weak](response_head head) {
     if (const auto self = weak.lock()) {
-      OnHead(*self, std::move(head));
+      OnHead(key, *self, std::move(head));
     }
   };
   events.on_body = [this, key, weak](std::string_view bytes) {
     const auto self = weak.lock();
-    if (self == nullptr || !IsSuccess(self->head.status)) {
-      return;
-    }
-    self->last_received_at = clock_.Now();
-    const bool has_events = !self->events.last_id().empty();
-    self->events.Feed(bytes);
-    if (self->events.is_overlong()) {
-      ++counters_.broken;
-      AbortAttempt(key, endpoint_outcome::kBroken, kRetryDelayAfterBreak);
-      return;
-    }
-    if (!has_events && !endpoints_.IsSameStart(self->selection.endpoint)) {
-      // Its software version is not known.
-      AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterBreak);
-      return;
-    }
-    if (!self->events.data().empty()) {
-      pending_item& item_state = pending_items_.at(key);
-      item_state.origin = self->selection.origin;
-      item_state.text += self->events.data();
-      item_state.last_event = self->events.last_id();
-      item_state.has_broken = false;
-      if (self->output.BecomesSustained(self->last_received_at)) {
-        crash_observer_.OnSustainedOutput(Observed(*self));
-      }
+    if (self != nullptr && self->kind == response_kind::kStream) {
+      OnBody(key, *self, bytes);
     }
   };
   events.on_end = [this, key, weak](call_end end) {
@@ -635,7 +612,60 @@
   return true;
 }
 
-void item_dispatcher::OnHead(item_attempt& attempt, response_head head) {
+void item_dispatcher::OnBody(const item_key& key,
+                             item_attempt& attempt,
+                             std::string_view bytes) {
+  attempt.last_received_at = clock_.Now();
+  const bool has_events = !attempt.events.last_id().empty();
+  const bool is_following = !attempt.events.Feed(bytes).empty();
+  if (!has_events && !endpoints_.IsSameStart(attempt.selection.endpoint)) {
+    // Its software version is not known.
+    AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterBreak);
+    return;
+  }
+  if (is_following) {
+    pending_item& item_state = pending_items_.at(key);
+    item_state.origin = attempt.selection.origin;
+    item_state.text += attempt.events.data();
+    item_state.last_event = attempt.events.last_id();
+    item_state.has_broken = false;
+    if (attempt.output.BecomesSustained(attempt.last_received_at)) {
+      crash_observer_.OnSustainedOutput(Observed(attempt));
+    }
+  }
+  if (attempt.events.is_out_of_order()) {
+    ++counters_.events_out_of_order;
+    OnFaultyResponse(key, attempt, "event_out_of_order");
+  } else if (attempt.events.is_overlong()) {
+    OnFaultyResponse(key, attempt, "event_too_long");
+  }
+}
+
+void item_dispatcher::OnFaultyResponse(const item_key& key,
+                                       const item_attempt& attempt,
+                                       std::string_view reason) {
+  ++counters_.broken;
+  log_.LogRequest("item_try_failed",
+                  {{"job", key.first.text()},
+                   {"item", attempt.item_id},
+                   {"endpoint", attempt.endpoint.text()},
+                   {"status", int64_t{attempt.head.status}},
+                   {"reason", reason},
+                   {"last_event", pending_items_.at(key).last_event}});
+  pending_items_.at(key).has_broken = true;
+  const steady_time now = clock_.Now();
+  const auto open = attempts_.find(key);
+  if (open != attempts_.end()) {
+    pending_items_.at(key).time_spent += now - attempt.begun_at;
+    attempts_.erase(open);
+  }
+  endpoints_.Release(now, attempt.endpoint, endpoint_outcome::kBroken);
+  ScheduleRetry(key, kRetryDelayAfterFailure);
+}
+
+void item_dispatcher::OnHead(const item_key& key,
+                             item_attempt& attempt,
+                             response_head head) {
   const endpoint_start limited{attempt.endpoint, attempt.start_time_ms};
   const limit_read limit =
       RecordLimit(clock_.Now(), limited, head.headers, options_.wire.limit,
@@ -649,16 +679,21 @@
   counters_.malformed_leave_notices +=
       notice == leave_notice::kMalformed ? 1 : 0;
   const endpoint_start start{attempt.endpoint, attempt.start_time_ms};
-  if (notice != leave_notice::kLeaving ||
-      !endpoints_.RecordLeaving(clock_.Now(), start,
-                                leaving_endpoints::origin::kOwnResponse)) {
-    return;
+  if (notice == leave_notice::kLeaving &&
+      endpoints_.RecordLeaving(clock_.Now(), start,
+                               leaving_endpoints::origin::kOwnResponse)) {
+    ++counters_.endpoints_leaving;
+    log_.LogState("endpoint_says_leaving",
+                  {{"endpoint", attempt.endpoint.text()}});
+    if (on_endpoint_leaving) {
+      on_endpoint_leaving(start);
+    }
   }
-  ++counters_.endpoints_leaving;
-  log_.LogState("endpoint_says_leaving",
-                {{"endpoint", attempt.endpoint.text()}});
-  if (on_endpoint_leaving) {
-    on_endpoint_leaving(start);
+  // Only a stream may add to a text, or complete it.
+  attempt.kind = ClassifyResponse(FactsOf(attempt.head, options_.wire), true);
+  if (attempt.kind == response_kind::kUnusable) {
+    ++counters_.unusable_heads;
+    OnFaultyResponse(key, attempt, "not_the_stream");
   }
 }
 
@@ -700,11 +735,9 @@
 }
 
 void item_dispatcher::OnResponse(const item_key& key, item_attempt& attempt) {
-  const wire_profile& wire = options_.wire;
   const steady_time now = clock_.Now();
   const int status = attempt.head.status;
-  if (attempt.head.headers.Find(wire.not_executed) != nullptr ||
-      status == 421) {
+  if (attempt.kind == response_kind::kNotExecuted) {
     endpoints_.Release(now, attempt.endpoint,
                        status == 421 ? endpoint_outcome::kOtherEndpoint
                                      : endpoint_outcome::kShed);
@@ -712,10 +745,18 @@
     ScheduleRetry(key, kRetryDelayAfterRefusal);
     return;
   }
+  if (attempt.kind == response_kind::kStream && attempt.events.has_partial()) {
+    OnFaultyResponse(key, attempt, "incomplete");
+    return;
+  }
+  if (attempt.kind == response_kind::kStream &&
+      attempt.events.last_id().empty() &&
+      !endpoints_.IsSameStart(attempt.selection.endpoint)) {
+    OnFaultyResponse(key, attempt, "unknown_version");
+    return;
+  }
   endpoints_.Release(now, attempt.endpoint, endpoint_outcome::kServed);
-  const bool is_proven =
-      attempt.head.headers.Find(wire.endpoint_proof) != nullptr;
-  if (IsSuccess(status) && is_proven && !attempt.events.has_partial()) {
+  if (attempt.kind == response_kind::kStream) {
     crash_observer_.OnWholeAnswer(Observed(attempt));
     const pending_item& item_state = pending_items_[key];
     ++counters_.finished;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -54,6 +55,10 @@
     uint64_t yielded = 0;    // Aborted to free slots for online requests.
     uint64_t silent = 0;
     uint64_t broken = 0;
+    // Of these, attempts whose head was not of an event stream of the endpoint,
+    // and those with an event that did not follow the last one.
+    uint64_t unusable_heads = 0;
+    uint64_t events_out_of_order = 0;
     uint64_t refused = 0;  // By endpoints without a free slot.
     uint64_t poison = 0;   // Not sent: endpoints crash under their prompts.
     uint64_t expired = 0;  // Given up after their retention.
@@ -144,7 +149,14 @@
   void DiscardText(const item_key& key,
                    pending_item& item_state,
                    const stream_origin& next_origin);
-  void OnHead(item_attempt& attempt, response_head head);
+  void OnHead(const item_key& key, item_attempt& attempt, response_head head);
+  void OnBody(const item_key& key,
+              item_attempt& attempt,
+              std::string_view bytes);
+  // The endpoint's response is not, or not any more, the item's text.
+  void OnFaultyResponse(const item_key& key,
+                        const item_attempt& attempt,
+                        std::string_view reason);
   void OnAttemptEnd(const item_key& key, call_end end);
   void OnResponse(const item_key& key, item_attempt& attempt);
   void AbortAttempt(const item_key& key,
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -151,13 +151,16 @@
   static std::string CompleteResponse(const std::string& id,
                                       const std::string& events) {
     return "HTTP/1.1 200 OK\r\nX-Id: " + id +
-           "\r\nX-Proof: p\r\nContent-Length: " +
+           "\r\nX-Proof: p\r\nContent-Type: text/event-stream"
+           "\r\nContent-Length: " +
            std::to_string(events.size()) + "\r\n\r\n" + events;
   }
   static std::string PartialResponse(const std::string& id,
                                      const std::string& events) {
     return "HTTP/1.1 200 OK\r\nX-Id: " + id +
-           "\r\nX-Proof: p\r\nContent-Length: 999\r\n\r\n" + events;
+           "\r\nX-Proof: p\r\nContent-Type: text/event-stream"
+           "\r\nContent-Length: 999\r\n\r\n" +
+           events;
   }
 
   boost::asio::io_context loop_;
@@ -307,7 +310,8 @@
   respond_ = [&running](raw_connection& connection, const std::string& id,
                         const std::string&) {
     connection.Write("HTTP/1.1 200 OK\r\nX-Id: " + id +
-                     "\r\nX-Proof: p\r\nContent-Length: 99999\r\n\r\n");
+                     "\r\nX-Proof: p\r\nContent-Type: text/event-stream"
+                     "\r\nContent-Length: 99999\r\n\r\n");
     running = connection.shared_from_this();
   };
   // Nothing is sent while all slots are occupied.
@@ -318,10 +322,11 @@
   clock_.wall_offset = GetParam().age;
   const steady_time end = clock_.Now() + milliseconds(1'200);
   steady_time next_event_at{};
+  int events = 0;
   RunUntilDone([&] {
     if (GetParam().is_running && clock_.Now() >= next_event_at) {
       next_event_at = clock_.Now() + milliseconds(20);
-      running->Write(kSecondEvent);
+      running->Write("id: " + std::to_string(++events) + "\ndata: b\n\n");
     }
     return ResultCount("j") == 1 || clock_.Now() >= end;
   });
@@ -551,6 +556,89 @@
   EXPECT_TRUE(Text("j") == kNewText || Text("j") == kResumedText) << Text("j");
 }
 
+// Earlier builds committed texts without the number of their last event.
+TEST_F(item_versions_test, TextWithoutALastEventBeginsAnew) {
+  Submit("j", 1, kInTime);
+  job_command command;
+  command.kind = job_command_kind::kProgress;
+  command.progress = {
+      {job_id("j"), {{0, "", "v1.1\n", "", {service_id("svc"), kOldVersion}}}}};
+  Commit(command, [](commit_outcome) {});
+  RemoveFirstEndpoint();
+  AddEndpoint("g", kOldVersion);
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), kResumedText);
+  EXPECT_EQ(dispatcher_.totals().restarted, 1u);
+}
+
+struct faulty_text_case {
+  std::string name;
+  std::string response;  // To a resumption after event 1; "ID" is the item's.
+  uint64_t unusable_heads;
+  uint64_t events_out_of_order;
+};
+
+void PrintTo(const faulty_text_case& each, std::ostream* out) {
+  *out << each.name;
+}
+
+class faulty_texts : public item_versions_test,
+                     public testing::WithParamInterface<faulty_text_case> {};
+
+TEST_P(faulty_texts, LeaveTheItemWhatItHad) {
+  int resumptions = 0;
+  respond_ = [&](raw_connection& connection, const std::string& id,
+                 const std::string& request) {
+    ASSERT_TRUE(IsResumed(request));
+    if (resumptions++ > 0) {
+      connection.Write(CompleteResponse(id, Event(2, kOldVersion)));
+      return;
+    }
+    std::string response = GetParam().response;
+    connection.Write(response.replace(response.find("ID"), 2, id));
+  };
+  Submit("j", 1, kInTime);
+  CommitText({service_id("svc"), kOldVersion});
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(Text("j"), kResumedText);
+  EXPECT_EQ(dispatcher_.totals().unusable_heads, GetParam().unusable_heads);
+  EXPECT_EQ(dispatcher_.totals().events_out_of_order,
+            GetParam().events_out_of_order);
+}
+
+const std::string kNamedHead = "\r\nX-Id: ID\r\nContent-Length: 17\r\n";
+const std::string kStreamHead =
+    kNamedHead + "X-Proof: p\r\nContent-Type: text/event-stream\r\n";
+const std::string kBadText = "\r\nid: 2\ndata: bad\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    faulty_texts,
+    testing::Values(
+        faulty_text_case{"partial_content",
+                         "HTTP/1.1 206 OK" + kStreamHead + kBadText, 1, 0},
+        faulty_text_case{"without_proof",
+                         "HTTP/1.1 200 OK" + kNamedHead +
+                             "Content-Type: text/event-stream\r\n" + kBadText,
+                         1, 0},
+        faulty_text_case{"another_kind",
+                         "HTTP/1.1 200 OK" + kNamedHead +
+                             "X-Proof: p\r\nContent-Type: text/plain\r\n" +
+                             kBadText,
+                         1, 0},
+        faulty_text_case{
+            "not_executed",
+            "HTTP/1.1 200 OK" + kStreamHead + "X-Not-Run: 1\r\n" + kBadText, 1,
+            0},
+        faulty_text_case{
+            "leaves_one_out",
+            "HTTP/1.1 200 OK" + kStreamHead + "\r\nid: 3\ndata: bad\n\n", 0, 1},
+        faulty_text_case{
+            "begins_anew",
+            "HTTP/1.1 200 OK" + kStreamHead + "\r\nid: 1\ndata: bad\n\n", 0,
+            1}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(item_versions_test, TextThatBeganAnewIsResumedByTheNextLeader) {
   bool is_led_anew = false;
   respond_ = [&](raw_connection& connection, const std::string& id,
