entry: an endpoint's status that promises too much is not passed on

What callers saw: 429, 503 or 408 of an endpoint without the mark of "not executed", passed on. To callers these promise that the request was not and will not be run; an endpoint may have run it.

Cause: ForwardFailure passed every error of an endpoint on unchanged.

--- a/src/libshallotport/entry/response_kind.cc
+++ b/src/libshallotport/entry/response_kind.cc
@@ -45,4 +45,8 @@
   return continues_stream ? response_kind::kUnusable : response_kind::kWhole;
 }
 
+bool PromisesNotExecuted(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/entry/response_kind.h
+++ b/src/libshallotport/entry/response_kind.h
@@ -32,6 +32,10 @@
 response_kind ClassifyResponse(const response_facts& facts,
                                bool continues_stream);
 
+// Callers take the status for a promise that the request was not and will not
+// be executed.
+bool PromisesNotExecuted(int status);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_ENTRY_RESPONSE_KIND_H_
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -1028,6 +1028,11 @@
 
 void routed_exchange::ForwardFailure(const endpoint_attempt& attempt) {
   const int status = attempt.head.status;
+  // The endpoint did not mark it as not executed.
+  if (PromisesNotExecuted(status) || attempt.is_body_cut) {
+    Fail(502, "the endpoint's error can't be passed on");
+    return;
+  }
   ++duty_.counters_.forwarded_failures;
   Log("request_failed", "the endpoint returned an error", status);
   caller_->Respond(status, ResponseHeaders(attempt), attempt.body);
