entry: streams that run once begin at endpoints that have started again

Cause: the first event of an endpoint is not passed on when its start or version is not the one that was selected, because its stream could be resumed at another version. On routes whose streams are never resumed, and for other requests, that protects nothing and loses the answer.

Change: the start is looked at only where a stream may be joined: on resumable routes, and for callers that resume.

--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -176,7 +176,9 @@
 }
 
 bool routed_exchange::HasUnknownVersion(const endpoint_attempt& attempt) const {
-  return !attempt.has_output && !duty_.selector_.IsSameStart(attempt.at);
+  const bool may_be_joined = IsResumable() || IsTakenUp();
+  return may_be_joined && !attempt.has_output &&
+         !duty_.selector_.IsSameStart(attempt.at);
 }
 
 void routed_exchange::FindOrigin() {
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -41,7 +41,7 @@
   bool IsTakenUp() const;
   bool IsResumable() const;
   // Whether the endpoint may run another version than the one that was
-  // selected.
+  // selected, which matters where a stream is joined from several attempts.
   bool HasUnknownVersion(const endpoint_attempt& attempt) const;
   void FindOrigin();
   void OnOriginFound(const found_origin& found);
