--- a/util/soak.sh
+++ b/util/soak.sh
@@ -10,11 +10,12 @@
 #   --kept       the seeds of platform/tests/soak/kept_seeds.txt
 #   --program F  another build of shallotport-fleet, for comparisons
 #   --earlier F  half of the hosts run this build until they start again
+#   --odd KINDS  of odd answers, separated by commas, or none
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1 minutes=1 runs=1 jobs=1 kept=0 program= earlier=
-size=()
-usage() { sed -n '2,12s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+size=() troubles=()
+usage() { sed -n '2,13s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 while [ "$#" -gt 0 ]; do
   case $1 in
     --seed | --minutes | --runs | --jobs | --program | --earlier)
@@ -23,6 +24,11 @@
       shift 2
       ;;
     --large) size=(--control 9 --stores 16 --entries 60 --endpoints 40 --rate 200); shift ;;
+    --odd)
+      [ "$#" -ge 2 ] || usage
+      troubles+=("$1" "$2")
+      shift 2
+      ;;
     --kept) kept=1; shift ;;
     *) usage ;;
   esac
@@ -70,4 +76,4 @@
   mapfile -t seeds < <(seq "$seed" $((seed + runs - 1)))
 fi
 # An exit code of 255 keeps xargs from starting more.
-printf '%s\n' "${seeds[@]}" | xargs -r -P "$jobs" -I{} bash -c 'run_one "$@" || exit 255' _ {} "${size[@]}"
+printf '%s\n' "${seeds[@]}" | xargs -r -P "$jobs" -I{} bash -c 'run_one "$@" || exit 255' _ {} "${size[@]}" "${troubles[@]}"
