soak: hosts are held up for tens of milliseconds, and the power is lost

Every host of the soak had a processor whenever it asked for one, and no run ended with all hosts down at once. One host after the other is now stopped for 30 to 90 ms, as a scheduler does, without counting as disturbed; threads that compute are an option.

--- a/util/soak.sh
+++ b/util/soak.sh
@@ -10,7 +10,7 @@
 #   --kept       the seeds of platform/tests/soak/kept_seeds.txt
 #   --program F  another build of shallotport-fleet, for comparisons
 #   --earlier F  half of the hosts run this build until they start again
-#   --odd KINDS  of odd answers, separated by commas, or none
+#   --odd KINDS, --no-hold-ups, --power-loss, --busy K   see docs/SOAK.md
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1 minutes=1 runs=1 jobs=1 kept=0 program= earlier=
@@ -24,11 +24,12 @@
       shift 2
       ;;
     --large) size=(--control 9 --stores 16 --entries 60 --endpoints 40 --rate 200); shift ;;
-    --odd)
+    --odd | --busy)
       [ "$#" -ge 2 ] || usage
       troubles+=("$1" "$2")
       shift 2
       ;;
+    --no-hold-ups | --power-loss) troubles+=("$1"); shift ;;
     --kept) kept=1; shift ;;
     *) usage ;;
   esac
