--- a/src/libshallotport/jobstore/job_table_test.cc
+++ b/src/libshallotport/jobstore/job_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -84,6 +86,21 @@
     command.job = kJob;
     return Apply(command);
   }
+  // As an item that can never be done.
+  job_store_reply_kind GiveUp(uint32_t item) {
+    job_command command;
+    command.kind = job_command_kind::kRecord;
+    command.job = kJob;
+    command.item_index = item;
+    return Apply(command);
+  }
+  // From a snapshot of itself.
+  void Restore() {
+    std::ostringstream out;
+    ASSERT_TRUE(IsOk(table.BeginSnapshot()->Write(out)));
+    std::istringstream in(out.str());
+    ASSERT_TRUE(IsOk(table.LoadSnapshot(in)));
+  }
   void Advance(wall_milliseconds by) { context_.leader_time += by; }
 
   job_table table;
@@ -240,6 +257,57 @@
             job_store_reply_kind::kDone);
 }
 
+// Commands of several leaders, sent again and late, with snapshots between.
+TEST(job_table_test, ItemsStandAtOnePositionWhateverIsProposedAgain) {
+  constexpr uint32_t kItems = 6;
+  std::mt19937 random(1);
+  const auto below = [&random](uint32_t limit) {
+    return static_cast<uint32_t>(random() % limit);
+  };
+  for (int round = 0; round < 200; ++round) {
+    table_driver driver;
+    driver.Submit(MakeJob("job-1", kItems));
+    std::vector<item_result> seen;
+    for (int step = 0; step < 80; ++step) {
+      const uint32_t item = below(kItems);
+      const std::string base = below(2) == 0 ? "" : std::to_string(below(3));
+      const std::string text = "text-" + std::to_string(step) + "\n";
+      const bool is_restart = below(4) == 0;
+      switch (below(5)) {
+        case 0:
+          driver.Record(item, base, text, kOld, is_restart);
+          driver.Record(item, base, text, kOld, is_restart);
+          break;
+        case 1:
+          driver.Progress(item, base, text, std::to_string(below(3)), kOld,
+                          is_restart);
+          break;
+        case 2:
+          driver.GiveUp(item);
+          break;
+        case 3:
+          driver.Submit(MakeJob("job-1", kItems));
+          break;
+        case 4:
+          driver.Restore();
+          break;
+      }
+      const auto results = driver.table.Read(kJob, 0).results;
+      ASSERT_GE(results.size(), seen.size());
+      std::set<std::string> items;
+      for (size_t at = 0; at < results.size(); ++at) {
+        EXPECT_TRUE(items.insert(results[at].item_id).second);
+        if (at < seen.size()) {
+          EXPECT_EQ(results[at].item_id, seen[at].item_id);
+          EXPECT_EQ(results[at].is_completed, seen[at].is_completed);
+          EXPECT_EQ(results[at].text.text(), seen[at].text.text());
+        }
+      }
+      seen = results;
+    }
+  }
+}
+
 TEST(job_table_test, FinishedJobsStayReadableForThreeMinutes) {
   table_driver driver;
   driver.Submit(MakeJob("job-1", 1));
