--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -128,19 +128,30 @@
   state.has_answered_since = false;
 }
 
-bool endpoint_selector::MarkEnded(steady_time now,
+uint32_t endpoint_selector::LoadFromBefore(steady_time ended_at,
+                                           const endpoint_state& state) {
+  return static_cast<uint32_t>(
+      std::count_if(state.begun_at.begin(), state.begun_at.end(),
+                    [ended_at](steady_time at) { return at <= ended_at; }));
+}
+
+bool endpoint_selector::MarkEnded(steady_time ended_at,
                                   endpoint_state& state,
                                   bool has_broken) {
-  const double load = has_broken ? state.own_load : EstimatedLoad(now, state);
-  if (load < kNoLoad) {
-    SetEnded(now, state);
+  const double all = EstimatedLoad(ended_at, state);
+  const bool is_counted_later =
+      state.peer_load_at >= ended_at + kRefusedLoadTime;
+  const double peers =
+      has_broken || is_counted_later ? 0 : all - state.own_load;
+  if (LoadFromBefore(ended_at, state) + peers < kNoLoad) {
+    SetEnded(ended_at, state);
     return true;
   }
   const bool has_broken_before = state.refused && state.refused->has_broken &&
-                                 now < state.refused->at + kBreakTime;
-  const bool is_full = load + kNoLoad >= state.report.slots;
+                                 ended_at < state.refused->at + kBreakTime;
+  const bool is_full = all + kNoLoad >= state.report.slots;
   if (has_broken || (!has_broken_before && !is_full)) {
-    state.refused = refusal{now, has_broken};
+    state.refused = refusal{ended_at, has_broken};
   }
   return false;
 }
@@ -152,7 +163,7 @@
   const steady_time refused_at = state.refused->at;
   if (now >= refused_at + kRefusedLoadTime) {
     state.refused.reset();
-  } else if (EstimatedLoad(now, state) < kNoLoad) {
+  } else if (LoadFromBefore(refused_at, state) + state.peer_load == 0) {
     SetEnded(refused_at, state);
     RecordOwnEnd(refused_at, state);
   }
@@ -432,6 +443,7 @@
 selected_endpoint endpoint_selector::Take(steady_time now,
                                           endpoint_state& state) {
   ++state.own_load;
+  state.begun_at.push_back(now);
   reachability_.RecordAttempt(now, state.report.domain);
   return selected_endpoint{state.report.endpoint,
                            {state.report.ip, state.report.port},
@@ -520,6 +532,9 @@
   }
   endpoint_state& state = found->second;
   state.own_load -= std::min<uint32_t>(state.own_load, 1);
+  if (!state.begun_at.empty()) {
+    state.begun_at.pop_front();
+  }
   const bool has_responded = outcome != endpoint_outcome::kSilent &&
                              outcome != endpoint_outcome::kCancelled;
   if (has_responded) {
@@ -528,9 +543,10 @@
   const bool is_last_to_break = outcome == endpoint_outcome::kBroken &&
                                 state.refused && state.refused->has_broken &&
                                 now < state.refused->at + kBreakTime;
+  const steady_time ended_at = is_last_to_break ? state.refused->at : now;
   if ((is_last_to_break || outcome == endpoint_outcome::kEnded) &&
-      MarkEnded(now, state, is_last_to_break)) {
-    RecordOwnEnd(now, state);
+      MarkEnded(ended_at, state, is_last_to_break)) {
+    RecordOwnEnd(ended_at, state);
   }
   // An endpoint that leaves stops at some time: no fault.
   const bool is_leaving =
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -2,6 +2,7 @@
 #define SHALLOTPORT_ENTRY_ENDPOINT_SELECTOR_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -104,7 +105,8 @@
   // the process has ended, unless this host still has requests there. Other
   // hosts are told (crash_attribution).
   void RecordEnded(steady_time now, const endpoint_start& start);
-  // As another host saw; `key`: StartKey() of the start. Without requests that
+  // As another host saw, which this one may hear much later; `key`: StartKey()
+  // of the start. Requests that began since tell nothing. Without requests that
   // broke, the endpoint may have refused the connection because it is full:
   // then no host may have a request there, or slots were free and the requests
   // are gone by the next counts of the load exchange.
@@ -218,6 +220,9 @@
     // By its last report, unless it said that it leaves.
     bool is_ready = false;
     uint32_t own_load = 0;
+    // When requests of the own load began. Which of them has ended is not told:
+    // taken for the oldest.
+    std::deque<steady_time> begun_at;
     uint32_t peer_load = 0;
     steady_time peer_load_at{};
     steady_time backoff_until{};
@@ -244,8 +249,11 @@
   static bool IsLastChoice(const endpoint_state& state,
                            const selection_constraints& constraints);
   static void SetEnded(steady_time ended_at, endpoint_state& state);
-  // False if the process goes on, as requests there show, or may do so.
-  bool MarkEnded(steady_time now, endpoint_state& state, bool has_broken);
+  // Requests of this host there that began before.
+  static uint32_t LoadFromBefore(steady_time ended_at,
+                                 const endpoint_state& state);
+  // False if the process goes on, as requests from before show, or may do so.
+  bool MarkEnded(steady_time ended_at, endpoint_state& state, bool has_broken);
   // Whether requests that were counted there at a refusal were refused as well.
   void CheckRefusal(steady_time now, endpoint_state& state);
   void RecordOwnEnd(steady_time now, const endpoint_state& state);
--- a/src/libshallotport/entry/endpoint_selector_versions_test.cc
+++ b/src/libshallotport/entry/endpoint_selector_versions_test.cc
@@ -365,6 +365,59 @@
   EXPECT_TRUE(selector.IsVersionServing(kService, "v2"));
 }
 
+// A host hears late that a start has ended, when its link to the job stores is
+// back.
+struct late_end_case {
+  std::string name;
+  int begun_ms;  // A request that this host has there; since the end.
+  uint32_t counted;
+  int counted_ms;  // When requests of other hosts were counted there.
+  bool has_broken;
+  bool has_ended;
+};
+
+class late_ends : public testing::TestWithParam<late_end_case> {};
+
+// Requests that had begun since were taken for a sign that it goes on.
+TEST_P(late_ends, AreNotDeniedByLaterRequests) {
+  const late_end_case& param = GetParam();
+  const steady_time ended_at{std::chrono::seconds(100)};
+  endpoint_selector selector({domain_id("d"), 2, 1});
+  endpoint_report report;
+  report.endpoint = endpoint_id("e");
+  report.service = kService;
+  report.slots = kSlots;
+  report.start_time_ms = 5;
+  report.software_version = "v1";
+  selector.Update(report);
+  selector.Acquire(ended_at - std::chrono::seconds(1), kService, {});
+  const auto before =
+      selector.Acquire(ended_at + milliseconds(param.begun_ms), kService, {});
+  selector.Release(ended_at + milliseconds(param.begun_ms), report.endpoint,
+                   endpoint_outcome::kServed);
+  selector.SetPeerLoad(ended_at + milliseconds(param.counted_ms),
+                       report.endpoint, param.counted);
+  selector.RecordEndedByKey(ended_at, StartKey({report.endpoint, 5}),
+                            param.has_broken);
+  EXPECT_EQ(selector.HasEnded(report.endpoint), param.has_ended);
+  EXPECT_EQ(selector.IsVersionServing(kService, "v1"), !param.has_ended);
+  ASSERT_TRUE(std::holds_alternative<selected_endpoint>(before));
+  EXPECT_EQ(selector.IsSameStart(std::get<selected_endpoint>(before)),
+            !param.has_ended);
+  EXPECT_EQ(selector.OwnLoad(report.endpoint), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    late_ends,
+    testing::Values(
+        late_end_case{"begun_later", 2'000, 0, 0, true, true},
+        late_end_case{"begun_later_none_broke", 2'000, 0, 0, false, true},
+        late_end_case{"counted_later", 2'000, 2, 2'000, false, true},
+        late_end_case{"begun_before", -500, 0, 0, true, false},
+        late_end_case{"counted_before", 2'000, 1, 0, false, false}),
+    [](const auto& info) { return info.param.name; });
+
 // What becomes of an endpoint whose process was seen to end.
 struct ended_start_case {
   std::string name;
