jobstore: requests that have ended at an endpoint are no longer counted

Cause, by the trace: an endpoint ended and started again under its id with other software, its report late. An entry host had a connection refused there and told all hosts. The entry hosts took the start for ended, the four job stores did not: each still counted a request there, which was the refused one. An entry host's load report does not list endpoints where it has no request any more, and a store took over the counts of listed ones only, so that without a leader the count stayed until it had faded.

--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "base/codec.h"
@@ -464,13 +465,19 @@
   for (const endpoint_start& each : ValueOf(decoded).leaving) {
     endpoints_.RecordLeaving(now, each, leaving_endpoints::origin::kOtherHost);
   }
+  // Endpoints where the host has no request any more are not listed.
+  std::set<uint32_t>& counted = entry.endpoints;
   for (const load_entry& each : ValueOf(decoded).entries) {
-    const auto endpoint = slots_.endpoint_ids().find(each.endpoint);
+    counted.insert(each.endpoint);
+  }
+  std::erase_if(counted, [&](uint32_t key) {
+    const uint32_t online = slots_.OnlineLoad(key);
+    const auto endpoint = slots_.endpoint_ids().find(key);
     if (endpoint != slots_.endpoint_ids().end()) {
-      endpoints_.SetPeerLoad(now, endpoint->second,
-                             slots_.OnlineLoad(each.endpoint));
+      endpoints_.SetPeerLoad(now, endpoint->second, online);
     }
-  }
+    return online == 0;
+  });
 }
 
 void job_store_duty::RecordStreams(std::string_view payload) {
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/result.h"
@@ -83,6 +84,7 @@
   struct entry_load {
     steady_time received_at{};
     std::weak_ptr<host_link> link;
+    std::set<uint32_t> endpoints;  // That it had requests at, by LoadKey().
   };
 
   status OpenGroupIfReady();
