platform: responses that belong to no request are counted and logged

Entry hosts and job stores export endpoint_responses_skipped and, of these, endpoint_responses_without_id, and log response_skipped with the address and the status, at the rate of lines about requests: an operator can tell which endpoint writes answers once more.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -6,6 +6,7 @@
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
 #include "entry/routed_exchange.h"
+#include "entry/skipped_response_log.h"
 
 namespace shallotport {
 
@@ -38,6 +39,7 @@
   crash_observer_.on_ended = [this](const endpoint_start& start) {
     selector_.RecordEnded(clock_.Now(), start);
   };
+  LogSkippedResponses(pool_, log_);
 }
 
 entry_duty::~entry_duty() = default;
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -12,6 +12,7 @@
 #include "entry/limit_log.h"
 #include "entry/output_period.h"
 #include "entry/response_kind.h"
+#include "entry/skipped_response_log.h"
 #include "jobstore/item_version_policy.h"
 
 namespace shallotport {
@@ -112,6 +113,7 @@
   crash_observer_.on_ended = [this](const endpoint_start& start) {
     endpoints_.RecordEnded(clock_.Now(), start);
   };
+  LogSkippedResponses(pool_, log_);
 }
 
 item_dispatcher::~item_dispatcher() = default;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -112,6 +112,7 @@
     pool_.paths().SetRelays(std::move(relays));
   }
   const counters& totals() const { return counters_; }
+  const endpoint_connection_pool& connections() const { return pool_; }
   const crash_observer& crash_watch() const { return crash_observer_; }
   size_t running_count() const { return attempts_.size(); }
 
