--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -71,7 +71,7 @@
     const outbound_request& request) {
   const steady_time now = clock_.Now();
   // Looked up anew for each connection: closing one changes the map.
-  while (const auto connection = FindIdle(to, request)) {
+  while (auto connection = FindIdle(to, request)) {
     RemoveIdle(connection.get());
     if (connection->IsReusable(now) &&
         paths_.MayReuse(now, connection->is_relayed()) &&
