eventio: after a skipped response, only one that names the request is its answer

What callers could see: told that nothing ran though the endpoint runs the request, as with refusals that are written once more.

Cause: on a new connection a response without an id was taken for the answer, also after one to another request had been skipped there. Found in a review, by reading.

Test: foreign_response_test.FollowEachOtherOnANewConnection; eventio_test 186 of 186 green (release). Not run without the change.

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -457,7 +457,8 @@
       is_named_ = true;
     }
   }
-  return is_named_ || carried_ids_.size() == 1;
+  const bool is_first = carried_ids_.size() == 1 && !has_skipped_response_;
+  return is_named_ || is_first;
 }
 
 void endpoint_connection::Skip(const response_head& head) {
--- a/src/libshallotport/eventio/foreign_response_test.cc
+++ b/src/libshallotport/eventio/foreign_response_test.cc
@@ -99,6 +99,18 @@
   std::shared_ptr<raw_connection> last_;  // The last that brought a request.
 };
 
+// After an answer to another request, a refusal was taken for that of the
+// first request on the connection.
+TEST_F(foreign_response_test, FollowEachOtherOnANewConnection) {
+  const auto call = Call("two");
+  AwaitRequests(1);
+  last_->Write(Answer("zero") + Refusal("") + Answer("two"));
+  EXPECT_EQ(AwaitEnd(call), call_end::kComplete);
+  EXPECT_EQ(call->status, 200);
+  EXPECT_EQ(call->body, "answer to two");
+  EXPECT_EQ(pool_.totals().skipped_responses, 2u);
+}
+
 struct foreign_case {
   std::string name;
   std::vector<std::string> pieces;  // Written to request "two", one by one.
