--- a/src/libshallotport/serving/batch_lane.cc
+++ b/src/libshallotport/serving/batch_lane.cc
@@ -126,9 +126,9 @@
     is_foreign_ =
         status == kOkStatus &&
         FindField(headers, kRequestIdHeader).value_or(attempt_) != attempt_;
-    is_stream_ = FindField(headers, "Content-Type")
-                     .value_or("")
-                     .starts_with("text/event-stream");
+    is_stream_ = status == kOkStatus && FindField(headers, "Content-Type")
+                                            .value_or("")
+                                            .starts_with("text/event-stream");
   }
 
   void OnBytes(std::string_view bytes) override {
--- a/src/libshallotport/serving/batch_lane_test.cc
+++ b/src/libshallotport/serving/batch_lane_test.cc
@@ -121,6 +121,10 @@
                               false, call_outcome::kRejected, 0},
                     lane_case{"ServerError", 500, "text/plain", "", "oops",
                               kWhole, false, call_outcome::kFailed, 0},
+                    // Its tokens went into the text that is resumed.
+                    lane_case{"ServerErrorAsStream", 500, kStream, "",
+                              Token(kAttempt, "x"), kWhole, false,
+                              call_outcome::kFailed, 0},
                     lane_case{"Stream", 200, kStream, "",
                               Token(kAttempt, "x") + "data: [DONE]\n\n", kWhole,
                               false, call_outcome::kDone, 1},
