entry, jobstore: a run that ends just after its head is not the rest of a stream

What callers could see: a stream that ends as complete after a few events, an item's text that is completed without its rest.

Cause: a response with neither a length nor chunks ends with its connection, and an endpoint that dies after the head closes it as well. Without an event nothing tells that the run had begun. Found in a review, by reading.

Change: such a run without any event is broken: the stream goes on elsewhere or is broken off. With a length, or chunks, it may still say that nothing is left.

--- a/src/libshallotport/entry/event_splitter.cc
+++ b/src/libshallotport/entry/event_splitter.cc
@@ -95,6 +95,7 @@
       return false;
     }
   }
+  has_first_ = true;
   if (fields.id) {
     last_id_ = *fields.id;
   }
--- a/src/libshallotport/entry/event_splitter.h
+++ b/src/libshallotport/entry/event_splitter.h
@@ -32,6 +32,8 @@
   bool is_overlong() const;
   // What was held back of a stream that has ended without a numbered event.
   std::string TakeHeldBack() { return std::exchange(held_back_, {}); }
+  // Whether an event followed.
+  bool has_first() const { return has_first_; }
   // The id of the last complete event; empty if none had one.
   const std::string& last_id() const { return last_id_; }
   // The data of the events that the last Feed() returned, each followed by a
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -102,6 +102,11 @@
           DigestOf(request, wire.prompt_parts)};
 }
 
+// An endpoint that ends just after a head may look as if nothing were left.
+bool IsCutBeforeEvents(const endpoint_attempt& attempt) {
+  return attempt.head.is_close_delimited && !attempt.events.has_first();
+}
+
 std::string_view LogName(origin_source source) {
   constexpr std::string_view kNames[] = {"sole_version", "own", "store"};
   return kNames[static_cast<size_t>(source)];
@@ -723,7 +728,7 @@
       OnFaultyResponse(attempt, attempt_fault::kUnusableHead);
       return;
     case response_kind::kStream:
-      if (attempt->events.has_partial()) {
+      if (attempt->events.has_partial() || IsCutBeforeEvents(*attempt)) {
         OnFaultyResponse(attempt, attempt_fault::kIncomplete);
         return;
       }
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -429,6 +429,7 @@
     head.headers.Add({each.name_string().data(), each.name_string().size()},
                      {each.value().data(), each.value().size()});
   }
+  head.is_close_delimited = parser_->need_eof();
   is_skipping_response_ = !IsAnswer(head);
   if (is_skipping_response_) {
     Skip(head);
--- a/src/libshallotport/eventio/http_types.h
+++ b/src/libshallotport/eventio/http_types.h
@@ -49,6 +49,7 @@
 struct response_head {
   int status = 0;
   header_list headers;
+  bool is_close_delimited = false;  // The body ends with the connection.
 };
 
 std::string_view ReasonPhrase(int status);
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -747,7 +747,11 @@
     ScheduleRetry(key, kRetryDelayAfterRefusal);
     return;
   }
-  if (attempt.kind == response_kind::kStream && attempt.events.has_partial()) {
+  // An endpoint that ends just after a head may look as if nothing were left.
+  const bool is_cut_before_events =
+      attempt.head.is_close_delimited && !attempt.events.has_first();
+  if (attempt.kind == response_kind::kStream &&
+      (attempt.events.has_partial() || is_cut_before_events)) {
     OnFaultyResponse(key, attempt, "incomplete");
     return;
   }
