entry: a second attempt within a stream does not end just before the first one would

What callers saw: a stream whose endpoint falls silent goes on later: the second attempt is given up at the end of the overlap and begun once more.

Cause: within a stream a second attempt begins after 1,200 ms of silence, and the first one ends if it has been silent for 1,500 ms when the overlap is over. Since the overlap is at most 300 ms instead of 340, and less on a host that was held up, it mostly had not.

Change: it begins so late that the first one is the one that ends.

--- a/src/libshallotport/entry/takeover_policy.cc
+++ b/src/libshallotport/entry/takeover_policy.cc
@@ -34,9 +34,12 @@
       std::chrono::duration_cast<duration>(kFirstByteShare * state.objective);
   const duration limit =
       state.has_response_begun ? duration(kStreamGap) : first_byte_limit;
-  const bool ends_first = state.max_overlap == duration(0);
-  return state.silent_for >
-         (ends_first ? std::max<duration>(limit, kLongestPause) : limit);
+  // Within a stream the first one has been silent for long when the overlap is
+  // over, and is the one that ends.
+  const bool ends_first =
+      state.has_response_begun || state.max_overlap == duration(0);
+  const duration least = kLongestPause - state.max_overlap;
+  return state.silent_for > (ends_first ? std::max(limit, least) : limit);
 }
 
 duration MaxOverlap(duration hold_up) {
--- a/src/libshallotport/entry/takeover_policy_test.cc
+++ b/src/libshallotport/entry/takeover_policy_test.cc
@@ -77,6 +77,30 @@
                      With(&attempt_silence::objective, duration(0)), false}),
     [](const auto& info) { return info.param.name; });
 
+class overlaps_within_streams : public testing::TestWithParam<milliseconds> {};
+
+// The second attempt was given up and begun once more: the first one had not
+// been silent for quite long enough when the overlap was over.
+TEST_P(overlaps_within_streams, EndTheFirstAttempt) {
+  const duration max_overlap = MaxOverlap(GetParam());
+  attempt_silence state = SilentFor(milliseconds(0), true);
+  state.max_overlap = max_overlap;
+  while (!NeedsSecondAttempt(state)) {
+    state.silent_for += milliseconds(1);
+  }
+  EXPECT_EQ(
+      DecideOverlap(max_overlap, max_overlap, state.silent_for + max_overlap),
+      overlap_decision::kEndFirst);
+}
+
+INSTANTIATE_TEST_SUITE_P(hold_ups,
+                         overlaps_within_streams,
+                         testing::Values(milliseconds(0),
+                                         milliseconds(4),
+                                         milliseconds(100),
+                                         milliseconds(200),
+                                         milliseconds(210)));
+
 struct overlap_case {
   std::string name;
   milliseconds overlap;
