accounts: callers are identified by API keys of client accounts

Cause: nothing of the fleet knew client accounts. The caller's key reached the endpoint, and keys that no configuration holds were served. Change: the configuration may hold accounts with keys, a priority, a rate and a burst. A request needs a key unless its route is public; unknown keys are answered 401, also for calls about jobs. Endpoints get the account's name, also with items. Without accounts in the configuration nothing changes. Conclusion: the rate and the burst are read, not yet applied.

--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "accounts/caller_identity.h"
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "base/retry_budget.h"
@@ -43,6 +44,8 @@
   // The caller's attempt that brought the first event of the stream that this
   // one resumes; empty if the caller names none.
   request_id resumed_request;
+  // On whose behalf; without a name if the caller needs no account.
+  caller_account account;
 };
 
 // Serves callers' online requests on one entry host: finds the route, selects
--- a/src/libshallotport/entry/route_table.cc
+++ b/src/libshallotport/entry/route_table.cc
@@ -59,11 +59,12 @@
       return InvalidRoute(each, "another route has its host and prefix");
     }
   }
-  return success{};
+  return CheckAccounts(configuration.accounts);
 }
 
 route_table::route_table(route_configuration configuration)
-    : configuration_(std::move(configuration)) {
+    : configuration_(std::move(configuration)),
+      accounts_(configuration_.accounts) {
   for (size_t i = 0; i < configuration_.routes.size(); ++i) {
     by_host_[HostName(configuration_.routes[i].host)].push_back(i);
   }
@@ -89,6 +90,16 @@
   return nullptr;
 }
 
+bool route_table::HasPublicJobs(std::string_view host) const {
+  const auto found = by_host_.find(HostName(host));
+  return found != by_host_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [this](size_t each) {
+                       const route& own = configuration_.routes[each];
+                       return own.kind == request_kind::kBatch && own.is_public;
+                     });
+}
+
 service_id DrawService(const route& split_route, random_source& random) {
   uint64_t remaining_weight =
       UniformBelow(random, std::max<uint64_t>(TotalWeight(split_route), 1));
--- a/src/libshallotport/entry/route_table.h
+++ b/src/libshallotport/entry/route_table.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "accounts/account_rules.h"
+#include "accounts/account_table.h"
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/random_source.h"
@@ -41,6 +43,7 @@
   std::vector<weighted_service> services;
   uint32_t max_executions = 1;  // Maximum executions of one request.
   bool is_resumable = false;
+  bool is_public = false;                      // Callers need no key.
   std::chrono::milliseconds job_objective{0};  // For all results of a job.
   // After it, unfinished items may be dropped.
   std::chrono::milliseconds job_retention{0};
@@ -72,10 +75,11 @@
   std::vector<route> routes;
   std::vector<service_rules> services;
   caller_limits limits;
+  std::vector<account_rules> accounts;  // Empty: callers need no key.
 };
 
-// Returns kInvalidRequest, naming the route, if the configuration must not come
-// into force.
+// Returns kInvalidRequest, naming the route or the account, if the
+// configuration must not come into force.
 status CheckRoutes(const route_configuration& configuration);
 
 // Finds the route of a request: of the routes for its host name, the one with
@@ -87,9 +91,13 @@
 
   const route* Match(std::string_view host, std::string_view path) const;
   const route_configuration& configuration() const { return configuration_; }
+  const account_table& accounts() const { return accounts_; }
+  // Whether callers without a key may have batch jobs on this host name.
+  bool HasPublicJobs(std::string_view host) const;
 
  private:
   route_configuration configuration_;
+  account_table accounts_;
   std::map<std::string, std::vector<size_t>, std::less<>> by_host_;
 };
 
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -99,7 +99,7 @@
 request_traits TraitsOf(const inbound_request& request,
                         const wire_profile& wire) {
   return {SharedPromptParts(request.headers, wire.prompt_parts),
-          DigestOf(request, wire.prompt_parts)};
+          DigestOf(request, wire.prompt_parts, wire.account)};
 }
 
 // An endpoint that ends just after a head may look as if nothing were left.
--- a/src/libshallotport/entry/wire_profile.h
+++ b/src/libshallotport/entry/wire_profile.h
@@ -19,6 +19,8 @@
   std::string retry_after;        // Seconds, on refusals.
   std::string limit;  // Requests a second that the endpoint takes in all.
   std::string prompt_parts;  // ID:TOKENS entries of the prompt.
+  std::string credentials;   // The caller's API key; not passed on.
+  std::string account;       // Name of the caller's account, for endpoints.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -29,7 +29,9 @@
 // A whole job, with the settings of its route when it was submitted.
 struct job_submission {
   job_id job;
-  std::string route;                  // Its limit of waiting tokens applies.
+  // Its limit of waiting tokens applies; by ScopeToAccount() if an account has
+  // submitted the job.
+  std::string route;
   std::string host;                   // Host header of the submission.
   std::string prefix;                 // Path prefix of the route.
   uint64_t waiting_tokens_limit = 0;  // 0: unlimited.
--- a/src/libshallotport/poison/request_traits.cc
+++ b/src/libshallotport/poison/request_traits.cc
@@ -16,7 +16,8 @@
 }  // namespace
 
 request_digest DigestOf(const inbound_request& request,
-                        std::string_view prompt_field) {
+                        std::string_view prompt_field,
+                        std::string_view account_field) {
   uint64_t digest = HashOf(request.method);
   digest = HashOf(request.target, digest);
   const auto add_field = [&](std::string_view name) {
@@ -27,8 +28,10 @@
   for (const std::string_view name : kCallerFields) {
     add_field(name);
   }
-  if (!prompt_field.empty()) {
-    add_field(prompt_field);
+  for (const std::string_view name : {prompt_field, account_field}) {
+    if (!name.empty()) {
+      add_field(name);
+    }
   }
   digest = HashOf(request.body, digest);
   return std::max<request_digest>(digest, 1);
--- a/src/libshallotport/poison/request_traits.h
+++ b/src/libshallotport/poison/request_traits.h
@@ -38,12 +38,15 @@
 };
 
 // Digest of method, path, query, body and of the header fields that name the
-// caller and the prompt: the credentials, the host and `prompt_field`. Fields
+// caller and the prompt: the credentials, the host, `prompt_field` and
+// `account_field`, which replaces the credentials where the configuration has
+// accounts. Fields
 // that change from one attempt to the next, such as the id, the time limit or
 // the point at which a stream is resumed, have no effect; neither has the order
 // of fields, nor whether the body was sent in chunks.
 request_digest DigestOf(const inbound_request& request,
-                        std::string_view prompt_field);
+                        std::string_view prompt_field,
+                        std::string_view account_field = {});
 
 std::string FormatDigest(request_digest digest);
 
