accounts, slots: allotments over all entry hosts; requests wait for slots

In bursts, calls of plain services were refused though a short wait would have served them in time: their endpoints have no queue.

--- /dev/null
+++ b/src/libshallotport/accounts/allotment_messages.h
@@ -0,0 +1,55 @@
+#ifndef SHALLOTPORT_ACCOUNTS_ALLOTMENT_MESSAGES_H_
+#define SHALLOTPORT_ACCOUNTS_ALLOTMENT_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+
+namespace shallotport {
+
+// What an entry host needs of one account's allotment.
+struct allotment_need {
+  uint64_t account = 0;    // AccountDigest().
+  uint32_t waiting = 0;    // Requests that wait for a token.
+  uint32_t ahead = 0;      // Tokens for requests that are expected.
+  uint32_t returned = 0;   // Tokens of an earlier grant that it does not use.
+  uint32_t overdrawn = 0;  // Requests that it sent without a token.
+
+  bool operator==(const allotment_need&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(account, waiting, ahead, returned, overdrawn);
+  }
+};
+
+// Tokens of one account that an entry host may use.
+struct allotment_grant {
+  uint64_t account = 0;
+  uint32_t granted = 0;
+  // Until the account has another token; 0 if every waiting request got one.
+  uint32_t next_token_ms = 0;
+
+  bool operator==(const allotment_grant&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(account, granted, next_token_ms);
+  }
+};
+
+// Later builds may add fields at the end of either message. Messages of another
+// kind are kCorrupt: hosts of an earlier build answer calls that they do not
+// know with such.
+std::string EncodeNeeds(const std::vector<allotment_need>& needs);
+result<std::vector<allotment_need>> DecodeNeeds(std::string_view bytes);
+// Only the leader of the job group grants tokens.
+std::string EncodeGrants(const std::vector<allotment_grant>& grants);
+result<std::vector<allotment_grant>> DecodeGrants(std::string_view bytes);
+
+}  // namespace shallotport
+
+#endif  // SHALLOTPORT_ACCOUNTS_ALLOTMENT_MESSAGES_H_
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -5,6 +5,7 @@
 
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
+#include "entry/load_header.h"
 #include "entry/routed_exchange.h"
 #include "entry/skipped_response_log.h"
 
@@ -16,6 +17,9 @@
 // Several intervals between ticks. If they are further apart, this process
 // stalled and has not yet read what arrived meanwhile.
 constexpr std::chrono::milliseconds kStallThreshold{300};
+// While fewer than this share of a service's slots are taken, a free one is
+// found without a request for it.
+constexpr double kScarceShare = 0.5;
 // At most one retry of a slow request for every 20 requests served, so that a
 // fleet that is slow as a whole gets hardly any extra load.
 constexpr double kSlowRetryRatio = 0.05;
@@ -35,6 +39,7 @@
       selector_(options_.selector),
       pool_(loop, clock, options_.endpoint_source_ip),
       crash_observer_(clock, pool_, selector_.crashes()),
+      admission_(clock, log, options_.wire.retry_after, options_.seed),
       slow_retry_budget_(kSlowRetryRatio, kMaxSavedSlowRetries) {
   crash_observer_.on_ended = [this](const endpoint_start& start) {
     selector_.RecordEnded(clock_.Now(), start);
@@ -65,6 +70,17 @@
 void entry_duty::Serve(const route& matched_route,
                        caller_request request,
                        std::shared_ptr<http_exchange> exchange) {
+  admission_.Begin(matched_route, std::move(request), std::move(exchange),
+                   [this](const route& admitted_route, caller_request admitted,
+                          std::shared_ptr<http_exchange> caller) {
+                     ServeAdmitted(admitted_route, std::move(admitted),
+                                   std::move(caller));
+                   });
+}
+
+void entry_duty::ServeAdmitted(const route& matched_route,
+                               caller_request request,
+                               std::shared_ptr<http_exchange> exchange) {
   auto routed = std::make_shared<routed_exchange>(
       *this, matched_route, std::move(request), std::move(exchange));
   active_.insert(routed);
@@ -102,6 +118,35 @@
   }
 }
 
+void entry_duty::ReadLoad(const service_id& service,
+                          const selected_endpoint& from,
+                          const response_head& head) {
+  const auto load = ParseLoadHeader(head.headers.Value(options_.wire.load));
+  if (!load) {
+    return;
+  }
+  selector_.RecordLoad(clock_.Now(), from.endpoint, load->running,
+                       load->waiting);
+  if (load->pace) {
+    paced_services_.insert(service);
+  }
+}
+
+bool entry_duty::MayQueueForSlots(const service_id& service) const {
+  return paced_services_.contains(service) ||
+         (routes_ && !routes_->accounts().IsEmpty());
+}
+
+// Plain services have few slots and no queue: hosts that select by themselves
+// meet at them.
+bool entry_duty::AreSlotsScarce(
+    const service_id& service,
+    const endpoint_selector::slot_usage& usage) const {
+  const bool has_engine = routes_ && routes_->HasEngine(service);
+  return (!has_engine && MayQueueForSlots(service)) ||
+         usage.taken >= kScarceShare * usage.slots;
+}
+
 void entry_duty::ReadLimit(const selected_endpoint& from,
                            const response_head& head) {
   const endpoint_start start{from.endpoint, from.start_time_ms};
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -9,10 +9,12 @@
 #include <string>
 #include <vector>
 
+#include "accounts/allotment_budget.h"
 #include "accounts/caller_identity.h"
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "base/retry_budget.h"
+#include "entry/account_admission.h"
 #include "entry/decision_log.h"
 #include "entry/endpoint_selector.h"
 #include "entry/entry_counters.h"
@@ -46,6 +48,7 @@
   request_id resumed_request;
   // On whose behalf; without a name if the caller needs no account.
   caller_account account;
+  allotment_verdict admission;  // By the account's allotment.
 };
 
 // Serves callers' online requests on one entry host: finds the route, selects
@@ -67,12 +70,15 @@
              decision_log& log);
   ~entry_duty();
 
-  // Requests a slot for an online request; false if nobody can be asked, and
+  // Requests a slot for an online request; nullopt if nobody can be asked, and
   // then the handler is not called. May be empty: this host selects endpoints
   // by itself.
   using slot_reply_handler = std::function<void(slot_reply reply)>;
-  std::function<bool(const slot_request& request, slot_reply_handler on_reply)>
+  std::function<std::optional<uint64_t>(queued_slot_request demand,
+                                        slot_reply_handler on_reply)>
       request_slot;
+  // The request that awaits a slot has ended.
+  std::function<void(uint64_t ticket)> cancel_slot;
   // Records where a stream that may be resumed began, by StreamKey(). Send at
   // once what the caller is about to see. May be empty.
   std::function<
@@ -101,6 +107,8 @@
   void Serve(const route& matched_route,
              caller_request request,
              std::shared_ptr<http_exchange> exchange);
+  account_admission& admission() { return admission_; }
+  const account_admission& admission() const { return admission_; }
   // From now on, requests that may still be under way at `end` are refused: the
   // host ends then.
   void RefuseBeyond(steady_time end) { last_deadline_ = end; }
@@ -109,6 +117,9 @@
 
   endpoint_selector& selector() { return selector_; }
   const endpoint_selector& selector() const { return selector_; }
+  // Whether requests of the service may wait for a slot at the leader of the
+  // job group: where accounts compete, or endpoints say how their machines are.
+  bool MayQueueForSlots(const service_id& service) const;
   size_t active_count() const { return active_.size(); }
   const entry_counters& counters() const { return counters_; }
   const entry_metrics& metrics() const { return metrics_; }
@@ -120,11 +131,20 @@
  private:
   friend class routed_exchange;
 
+  void ServeAdmitted(const route& matched_route,
+                     caller_request request,
+                     std::shared_ptr<http_exchange> exchange);
   void NotifyLoadChanged() const;
   // To be called with the head of every response, before anything else is
   // decided.
   void ReadLeaving(const selected_endpoint& from, const response_head& head);
   void ReadLimit(const selected_endpoint& from, const response_head& head);
+  void ReadLoad(const service_id& service,
+                const selected_endpoint& from,
+                const response_head& head);
+  // Whether a slot has to be requested rather than selected.
+  bool AreSlotsScarce(const service_id& service,
+                      const endpoint_selector::slot_usage& usage) const;
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
@@ -137,10 +157,13 @@
   software_version_history versions_;
   endpoint_connection_pool pool_;
   crash_observer crash_observer_;
+  account_admission admission_;
   retry_budget slow_retry_budget_;  // For retries of slow requests.
   entry_counters counters_;
   entry_metrics metrics_;
   usual_time_limit usual_time_limit_;
+  // Their endpoints name the pace of their machines.
+  std::set<service_id> paced_services_;
   std::set<std::shared_ptr<routed_exchange>> active_;
   std::optional<steady_time> last_deadline_;  // Of a request that is begun.
   steady_time last_tick_at_{};
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 #include <variant>
 
 #include "base/digest.h"
+#include "entry/retry_after.h"
+#include "entry/slot_demand.h"
 #include "entry/takeover_policy.h"
 #include "fleet/fleet_messages.h"
 
@@ -28,16 +29,6 @@
 constexpr std::chrono::milliseconds kReturnDelay{100};
 // Longer than a sound endpoint pauses.
 constexpr std::chrono::milliseconds kReturnWindow{1'500};
-// While fewer than this share of a service's slots are taken, a free one is
-// found without a request for it.
-constexpr double kScarceShare = 0.5;
-// A request that waits in an engine's queue for longer than this share of its
-// objective would be late.
-constexpr double kUsefulWaitShare = 0.5;
-// A caller that was refused before is served late rather than refused again.
-constexpr std::chrono::milliseconds kReturnedCallerWait{1'000};
-// Callers follow a retry delay up to this share of the time that they have.
-constexpr int64_t kRetryAfterDivisor = 3;
 
 // Values of log fields.
 std::string_view LogName(endpoint_outcome end) {
@@ -66,28 +57,8 @@
   return kNames[static_cast<size_t>(next)];
 }
 
-std::string FormatSeconds(int64_t milliseconds) {
-  char text[24];
-  std::snprintf(text, sizeof(text), "%lld.%03lld",
-                static_cast<long long>(milliseconds / 1000),
-                static_cast<long long>(milliseconds % 1000));
-  return text;
-}
-
-// "3,0,8" -> running 3, waiting 0.
-std::optional<std::pair<uint32_t, uint32_t>> ParseLoad(std::string_view text) {
-  uint32_t running = 0;
-  uint32_t waiting = 0;
-  const char* end = text.data() + text.size();
-  const auto first = std::from_chars(text.data(), end, running);
-  if (first.ec != std::errc() || first.ptr == end || *first.ptr != ',') {
-    return std::nullopt;
-  }
-  const auto second = std::from_chars(first.ptr + 1, end, waiting);
-  if (second.ec != std::errc()) {
-    return std::nullopt;
-  }
-  return std::pair(running, waiting);
+int64_t InMilliseconds(duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
 uint64_t KeyOf(const caller_request& request) {
@@ -302,20 +273,21 @@
   const steady_time now = duty_.clock_.Now();
   const auto usage =
       duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
-  const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
+  const bool is_scarce = duty_.AreSlotsScarce(service_, usage);
   const selection_constraints constraints = CurrentConstraints();
   const bool may_be_granted = !constraints.is_limited_to_avoided &&
                               duty_.selector_.MayBegin(now, constraints);
   if (is_scarce && may_be_granted && duty_.request_slot) {
     is_awaiting_slot_ = true;
-    const bool is_requested =
-        duty_.request_slot(MakeSlotRequest(now),
+    const auto ticket =
+        duty_.request_slot(MakeDemand(now, constraints),
                            [weak = weak_from_this()](const slot_reply& reply) {
                              if (const auto self = weak.lock()) {
                                self->OnSlotReply(reply);
                              }
                            });
-    if (is_requested) {
+    if (ticket) {
+      slot_ticket_ = *ticket;
       return;
     }
     is_awaiting_slot_ = false;
@@ -323,51 +295,16 @@
   StartAttemptAtOwnSelection();
 }
 
-slot_request routed_exchange::MakeSlotRequest(steady_time now) const {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  slot_request request;
-  request.service = service_;
-  request.domain = duty_.options_.selector.domain;
-  for (const endpoint_id& each :
-       duty_.selector_.EndpointsInBackoff(now, service_)) {
-    request.avoided_endpoints.push_back(LoadKey(each));
-  }
-  const selection_constraints constraints = CurrentConstraints();
-  for (const auto& endpoints : {constraints.excluded, constraints.avoided}) {
-    for (const endpoint_id& each : endpoints) {
-      request.avoided_endpoints.push_back(LoadKey(each));
-    }
-  }
-  for (const endpoint_id& each :
-       duty_.selector_.UnconfirmedEndpoints(service_)) {
-    request.avoided_endpoints.push_back(LoadKey(each));
-  }
-  for (const endpoint_id& each : duty_.selector_.TakeFailures()) {
-    request.failed_endpoints.push_back(LoadKey(each));
-  }
-  request.avoided_domains = duty_.selector_.DomainsInBackoff(now, service_);
-  request.avoided_domains.insert(request.avoided_domains.end(),
-                                 constraints_.unreachable_domains.begin(),
-                                 constraints_.unreachable_domains.end());
-  const auto elapsed = duration_cast<milliseconds>(now - received_at_);
-  const auto remaining =
-      std::max(duration_cast<milliseconds>(deadline_ - now), milliseconds(0));
+queued_slot_request routed_exchange::MakeDemand(
+    steady_time now,
+    const selection_constraints& constraints) const {
   const bool may_refuse =
       current_ == nullptr && executed_at_.empty() && !has_response_begun_;
-  const bool has_returned = elapsed_before_.count() > 0 || IsTakenUp();
-  const bool has_objective = route_.objective.count() > 0;
-  const auto useful_wait =
-      has_returned || !may_refuse || !has_objective
-          ? kReturnedCallerWait
-          : duration_cast<milliseconds>(route_.objective * kUsefulWaitShare) -
-                elapsed;
-  request.max_wait_ms = static_cast<uint32_t>(
-      std::clamp<int64_t>(useful_wait.count(), 0, remaining.count()));
-  request.software_version = constraints.software_version;
-  request.max_retry_after_ms =
-      static_cast<uint32_t>(remaining.count() / kRetryAfterDivisor);
-  return request;
+  return MakeSlotDemand(
+      now,
+      {route_, request_.account, service_, received_at_, deadline_,
+       elapsed_before_.count() > 0 || IsTakenUp(), may_refuse},
+      constraints, duty_.options_.selector.domain, duty_.selector_);
 }
 
 void routed_exchange::OnSlotReply(const slot_reply& reply) {
@@ -506,6 +443,9 @@
   }
   // Endpoints without recent reports are used as well.
   duty_.versions_.Record(now, service_, attempt->at.software_version);
+  if (current_ != nullptr || !executed_at_.empty()) {
+    duty_.admission_.OnRepeated(request_);
+  }
   ++attempts_;
   ++duty_.counters_.attempts;
   if (duty_.selector_.limits().IsLimited(
@@ -584,11 +524,7 @@
 // says that it can be.
 void routed_exchange::OnHead(const attempt_ptr& attempt, response_head head) {
   const wire_profile& wire = duty_.options_.wire;
-  const steady_time now = duty_.clock_.Now();
-  if (const auto load = ParseLoad(head.headers.Value(wire.load))) {
-    duty_.selector_.RecordLoad(now, attempt->at.endpoint, load->first,
-                               load->second);
-  }
+  duty_.ReadLoad(service_, attempt->at, head);
   duty_.ReadLeaving(attempt->at, head);
   duty_.ReadLimit(attempt->at, head);
   attempt->head = std::move(head);
@@ -821,8 +757,8 @@
   const steady_time now = duty_.clock_.Now();
   const bool is_other_under_way = current_ != nullptr;
   const retry_decision next = DecideRetry(History(), outcome);
-  const auto load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      duty_.selector_.PeerLoadAge(now, endpoint));
+  const int64_t load_age_ms =
+      InMilliseconds(duty_.selector_.PeerLoadAge(now, endpoint));
   duty_.log_.LogRequest(
       "try_failed",
       {{"request", request_.id.text()},
@@ -836,7 +772,7 @@
        {"next", is_other_under_way ? "other_attempt" : LogName(next)},
        {"runs", int64_t{Executions()}},
        {"max_runs", int64_t{route_.max_executions}},
-       {"load_age_ms", load_age.count()},
+       {"load_age_ms", load_age_ms},
        {"prompt_parts", FormatPromptParts(traits_.parts)},
        {"request_digest", FormatDigest(traits_.digest)}});
   if (is_other_under_way) {
@@ -886,21 +822,16 @@
   displaced_.insert(other->at.endpoint);
   next_second_at_ = duty_.clock_.Now() + kSecondAttemptDelay;
   duty_.counters_.takeovers += is_takeover ? 1 : 0;
-  using std::chrono::milliseconds;
   const steady_time now = duty_.clock_.Now();
-  const auto silent_for =
-      std::chrono::duration_cast<milliseconds>(now - other->last_received_at);
   const endpoint_attempt& later = is_takeover ? *current_ : *other;
-  const auto overlap =
-      std::chrono::duration_cast<milliseconds>(now - later.begun_at);
   duty_.log_.LogRequest(
       is_takeover ? "second_try_took_over" : "second_try_ended",
       {{"request", request_.id.text()},
        {"route", route_.name},
        {"endpoint", current_->at.endpoint.text()},
        {"ended_endpoint", other->at.endpoint.text()},
-       {"silent_ms", silent_for.count()},
-       {"overlap_ms", overlap.count()}});
+       {"silent_ms", InMilliseconds(now - other->last_received_at)},
+       {"overlap_ms", InMilliseconds(now - later.begun_at)}});
   EndAttempt(*other, endpoint_outcome::kCancelled);
 }
 
@@ -1023,6 +954,7 @@
   const int status = 503;
   Log("request_refused", reason, status);
   caller_->Respond(status, headers, {});
+  duty_.admission_.OnNotExecuted(request_);
   Finish();
 }
 
@@ -1057,8 +989,6 @@
                           std::string_view reason,
                           int status) {
   const steady_time now = duty_.clock_.Now();
-  const auto waited =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - received_at_);
   const auto usage =
       duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
   duty_.log_.LogRequest(event,
@@ -1071,7 +1001,7 @@
                          {"last_endpoint", last_endpoint_.text()},
                          {"tries", int64_t{attempts_}},
                          {"runs", int64_t{Executions()}},
-                         {"waited_ms", waited.count()},
+                         {"waited_ms", InMilliseconds(now - received_at_)},
                          {"places", int64_t{usage.slots}},
                          {"taken", int64_t{usage.taken}}});
 }
@@ -1081,6 +1011,9 @@
     return;
   }
   caller_->on_disconnected = nullptr;
+  if (is_awaiting_slot_ && duty_.cancel_slot) {
+    duty_.cancel_slot(slot_ticket_);
+  }
   duty_.metrics_.ObserveTotal(route_.name, duty_.clock_.Now() - received_at_);
   for (const attempt_ptr& each :
        {std::exchange(current_, nullptr), std::exchange(second_, nullptr)}) {
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -54,7 +54,9 @@
   // Selects an endpoint, or requests a slot if slots of the service are scarce.
   // The attempt is a second one if another is under way.
   void StartAttempt();
-  slot_request MakeSlotRequest(steady_time now) const;
+  queued_slot_request MakeDemand(
+      steady_time now,
+      const selection_constraints& constraints) const;
   void OnSlotReply(const slot_reply& reply);
   void StartAttemptAtOwnSelection();
   // Endpoints that the request may return to have no slot: they are asked again
@@ -142,6 +144,7 @@
   uint32_t refusals_ = 0;  // Ended attempts that were not executed.
   uint32_t attempts_ = 0;  // Of any kind.
   bool is_awaiting_slot_ = false;
+  uint64_t slot_ticket_ = 0;  // Of the slot that is awaited.
   // Since the caller's first attempt, as far as is known.
   std::chrono::milliseconds elapsed_before_{0};
 
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -47,6 +47,7 @@
       duty_(loop, clock, options_.entry, log),
       jobs_(loop, clock, fleet_),
       slots_(clock, fleet_),
+      allotments_(clock, fleet_, options_.entry.seed),
       streams_(clock, fleet_),
       crashes_(fleet_, duty_.selector().crashes()),
       limits_(fleet_, duty_.selector().limits()),
@@ -62,6 +63,7 @@
                         limits.header_timeout, limits.idle_timeout});
     log_.LogState("config_in_force",
                   {{"version", static_cast<int64_t>(document.version)}});
+    allotments_.SetAccounts(ValueOf(read).accounts);
     duty_.SetRoutes(std::move(ValueOf(read)));
   };
   fleet_.on_endpoint = [this](const endpoint_directory::entry& entry) {
@@ -82,10 +84,20 @@
     }
     duty_.selector().Remove(endpoint);
   };
-  duty_.request_slot = [this](const slot_request& request,
-                              entry_duty::slot_reply_handler on_reply) {
-    return slots_.Request(request, std::move(on_reply));
+  duty_.admission().SetAllotments(&allotments_);
+  duty_.request_slot =
+      [this](
+          queued_slot_request demand,
+          entry_duty::slot_reply_handler on_reply) -> std::optional<uint64_t> {
+    if (slots_.CanQueue() && duty_.MayQueueForSlots(demand.request.service)) {
+      return slots_.Queue(std::move(demand), std::move(on_reply));
+    }
+    if (slots_.Request(demand.request, std::move(on_reply))) {
+      return 0;
+    }
+    return std::nullopt;
   };
+  duty_.cancel_slot = [this](uint64_t ticket) { slots_.Cancel(ticket); };
   duty_.record_stream = [this](uint64_t stream, const stream_origin& origin,
                                bool at_once) {
     streams_.Record(stream, origin);
@@ -109,6 +121,16 @@
                                      std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kLoadTotals)) {
       ApplyLoadTotals(link, payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kSlotGrant)) {
+      const auto grant = DecodeGrowing<slot_grant>(payload);
+      if (IsOk(grant)) {
+        slots_.OnGrant(ValueOf(grant));
+      }
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kLeaderFeatures)) {
+      const auto features = DecodeGrowing<leader_features>(payload);
+      if (IsOk(features)) {
+        slots_.SetFeatures(link.ip(), ValueOf(features).flags);
+      }
     } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
       crashes_.OnFrame(clock_.Now(), link, kind, payload);
     }
@@ -126,6 +148,8 @@
 // Open callers' connections end requests when the listener is destroyed.
 entry_host::~entry_host() {
   duty_.on_load_changed = nullptr;
+  duty_.admission().SetAllotments(nullptr);
+  duty_.cancel_slot = nullptr;
 }
 
 status entry_host::Start() {
@@ -159,6 +183,8 @@
   streams_.Tick(now);
   crashes_.Tick(now);
   limits_.Tick(now);
+  allotments_.Tick(now);
+  slots_.Tick(now);
   if (!fleet_.HasAllControlLinks()) {
     all_linked_since_.reset();
   } else if (!all_linked_since_) {
@@ -227,6 +253,7 @@
   totals_sender_ip_ = link.ip();
   totals_received_at_ = now;
   slots_.SetLeader(now, link.ip());
+  allotments_.SetLeader(now, link.ip());
   streams_.SetLeader(now, link.ip());
   limits_.SetLeader(now, link.ip());
   for (const endpoint_start& each : ValueOf(decoded).leaving) {
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "accounts/allotment_client.h"
 #include "entry/decision_log.h"
 #include "entry/entry_duty.h"
 #include "eventio/http_listener.h"
@@ -58,6 +59,7 @@
   const entry_duty& duty() const { return duty_; }
   job_store_client& jobs() { return jobs_; }
   const slot_client& slots() const { return slots_; }
+  const allotment_client& allotments() const { return allotments_; }
   fleet_host& fleet() { return fleet_; }
   const http_listener& callers() const { return callers_; }
 
@@ -76,6 +78,7 @@
   entry_duty duty_;
   job_store_client jobs_;
   slot_client slots_;
+  allotment_client allotments_;
   stream_origin_client streams_;
   crash_exchange crashes_;
   limit_exchange limits_;
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -29,6 +29,9 @@
   kCrashEvidence = 25,
   // Limits of endpoints, from the job group's leader to all hosts and back.
   kEndpointLimits = 26,
+  kSlotGrant = 27,  // slot_grant, from the job group's leader to entry hosts.
+  kSlotCancel = 29,  // slot_cancellation, from entry hosts to that leader.
+  kLeaderFeatures = 30,  // leader_features, from that leader to entry hosts.
 };
 
 // Calls from entry hosts to the leader of the job group, or to other hosts
@@ -43,6 +46,12 @@
   // Empty, to any control host. The empty reply comes after all that the
   // control host has passed on before. Earlier builds do not reply.
   kConfirmView = 7,
+  // EncodeNeeds(); the reply is EncodeGrants(). Earlier builds reply with
+  // another message.
+  kRequestAllotment = 8,
+  // queued_slot_request; the reply is a slot_reply. Only to leaders that have
+  // named kQueuesSlotRequests.
+  kQueueSlot = 9,
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "accounts/allotment_messages.h"
 #include "base/codec.h"
 #include "entry/poison_log.h"
 #include "eventio/host_link.h"
@@ -24,6 +25,8 @@
 constexpr std::chrono::milliseconds kLoadTimeout{1'000};
 // A new leader receives the load of most entry hosts within this time.
 constexpr std::chrono::milliseconds kLoadSettleTime{300};
+constexpr std::chrono::milliseconds kAllotmentInterval{100};
+constexpr std::chrono::milliseconds kFeaturesInterval{500};
 constexpr uint64_t kSnapshotAfterBytes = 24u << 20;
 constexpr uint32_t kSnapshotAfterEntries = 8'000;
 constexpr uint32_t kTrailingEntries = 1'000;
@@ -113,6 +116,7 @@
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
     if (IsOk(read)) {
+      allotments_.Update(clock_.Now(), ValueOf(read).accounts);
       routes_.emplace(std::move(ValueOf(read)));
     } else {
       log_.LogState("config_unreadable", {{"reason", ErrorOf(read).detail}});
@@ -144,6 +148,11 @@
       RecordLoad(link, payload);
     } else if (kind == static_cast<uint8_t>(fleet_frame::kStreams)) {
       RecordStreams(payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kSlotCancel)) {
+      const auto cancelled = DecodeGrowing<slot_cancellation>(payload);
+      if (IsOk(cancelled)) {
+        slots_.CancelQueued(link.peer_name, ValueOf(cancelled).ticket);
+      }
     } else if (kind == static_cast<uint8_t>(fleet_frame::kAnnouncement)) {
       const auto host = Decode<host_announcement>(payload);
       if (IsOk(host)) {
@@ -229,6 +238,7 @@
   if (was_leading_ != is_leading) {
     was_leading_ = is_leading;
     leading_since_ = now;
+    allotments_.Clear(now);
     log_.LogState(is_leading ? "job_leadership_won" : "job_leadership_lost",
                   {{"term", static_cast<int64_t>(group_->term())}});
   }
@@ -239,6 +249,10 @@
   was_dispatching_ = group_->IsTermLeader() && (is_leading || was_dispatching_);
   if (is_leading) {
     limits_.TickLeading(now);
+    if (now >= next_allotment_tick_) {
+      next_allotment_tick_ = now + kAllotmentInterval;
+      allotments_.Tick(now, fleet_.entry_host_count());
+    }
   } else {
     endpoints_.limits().SetShare(now, 0);
   }
@@ -247,6 +261,7 @@
     next_load_totals_at_ = now + LoadTotalsInterval(entry_loads_.size());
     PushLoadTotals(now);
   }
+  SendGrants(now);
   dispatcher_.Tick(now, routes_ ? &*routes_ : nullptr);
   ExpireWaitingReads(now);
   if (is_leading) {
@@ -286,6 +301,14 @@
     AllocateSlot(link, body, reply);
     return;
   }
+  if (static_cast<fleet_call>(method) == fleet_call::kQueueSlot) {
+    QueueSlot(link, body, reply);
+    return;
+  }
+  if (static_cast<fleet_call>(method) == fleet_call::kRequestAllotment) {
+    GrantAllotment(link, body, reply);
+    return;
+  }
   if (static_cast<fleet_call>(method) == fleet_call::kFindStream) {
     FindStream(body, reply);
     return;
@@ -308,8 +331,11 @@
       Cancel(body, reply);
       return;
     case fleet_call::kRequestSlot:
+    case fleet_call::kRequestAllotment:
+    case fleet_call::kQueueSlot:
+    case fleet_call::kConfirmView:
     case fleet_call::kFindStream:
-      return;  // Handled above.
+      break;  // Handled above, or by control hosts only.
   }
   reply(Encode(job_store_reply{}));
 }
@@ -462,6 +488,7 @@
   entry.received_at = now;
   entry.link = link.weak_from_this();
   slots_.RecordLoad(now, link.peer_name, ValueOf(decoded));
+  allotments_.RecordHost(now, link.peer_name);
   for (const endpoint_start& each : ValueOf(decoded).leaving) {
     endpoints_.RecordLeaving(now, each, leaving_endpoints::origin::kOtherHost);
   }
@@ -478,6 +505,7 @@
     }
     return online == 0;
   });
+  SendGrants(now);
 }
 
 void job_store_duty::RecordStreams(std::string_view payload) {
@@ -509,6 +537,10 @@
   reply(Encode(found));
 }
 
+bool job_store_duty::CanAllocate(steady_time now) const {
+  return IsLeading() && now >= leading_since_ + kLoadSettleTime;
+}
+
 void job_store_duty::UpdateBatchLoad() {
   for (const auto& [key, endpoint] : slots_.endpoint_ids()) {
     slots_.SetBatchLoad(key, endpoints_.OwnLoad(endpoint));
@@ -523,10 +555,7 @@
     const std::function<void(std::string)>& reply) {
   auto decoded = Decode<slot_request>(body);
   const steady_time now = clock_.Now();
-  const bool can_allocate = IsLeading() && IsOk(decoded) &&
-                            !link.peer_name.empty() &&
-                            now >= leading_since_ + kLoadSettleTime;
-  if (!can_allocate) {
+  if (!CanAllocate(now) || !IsOk(decoded) || link.peer_name.empty()) {
     reply(Encode(slot_reply{}));
     return;
   }
@@ -538,6 +567,15 @@
   }
   const slot_decision decision = slots_.Allocate(now, link.peer_name, request);
   reply(Encode(decision.reply));
+  RecordGrant(now, decision);
+}
+
+void job_store_duty::RecordGrant(steady_time now,
+                                 const slot_decision& decision) {
+  if (decision.reply.kind == slot_reply_kind::kQueued) {
+    ++slot_counters_.queued;
+    return;
+  }
   if (decision.reply.kind != slot_reply_kind::kGranted) {
     ++slot_counters_.refused;
     return;
@@ -550,6 +588,64 @@
   }
 }
 
+void job_store_duty::QueueSlot(const host_link& link,
+                               std::string_view body,
+                               const std::function<void(std::string)>& reply) {
+  auto decoded = DecodeGrowing<queued_slot_request>(body);
+  const steady_time now = clock_.Now();
+  if (!CanAllocate(now) || !IsOk(decoded) || link.peer_name.empty()) {
+    reply(Encode(slot_reply{}));
+    return;
+  }
+  UpdateBatchLoad();
+  queued_slot_request& demand = ValueOf(decoded);
+  for (const endpoint_id& each :
+       endpoints_.UnconfirmedEndpoints(demand.request.service)) {
+    demand.request.avoided_endpoints.push_back(LoadKey(each));
+  }
+  const slot_decision decision =
+      slots_.AllocateOrQueue(now, link.peer_name, demand);
+  reply(Encode(decision.reply));
+  RecordGrant(now, decision);
+}
+
+void job_store_duty::SendGrants(steady_time now) {
+  if (!CanAllocate(now) || !slots_.HasQueued()) {
+    return;
+  }
+  UpdateBatchLoad();
+  for (const queued_slot_decision& each : slots_.TakeQueued(now)) {
+    const auto entry = entry_loads_.find(each.host);
+    const auto link =
+        entry == entry_loads_.end() ? nullptr : entry->second.link.lock();
+    if (link != nullptr) {
+      link->Send(static_cast<uint8_t>(fleet_frame::kSlotGrant),
+                 Encode(slot_grant{each.ticket, each.decision.reply}));
+    }
+    RecordGrant(now, each.decision);
+  }
+}
+
+// Only the leader under its lease grants: two that grant at once would grant
+// the allotments twice.
+void job_store_duty::GrantAllotment(
+    const host_link& link,
+    std::string_view body,
+    const std::function<void(std::string)>& reply) {
+  const auto needs = DecodeNeeds(body);
+  const steady_time now = clock_.Now();
+  if (!CanAllocate(now) || !IsOk(needs) || link.peer_name.empty()) {
+    reply(NotLeaderReply());
+    return;
+  }
+  std::vector<allotment_grant> grants;
+  grants.reserve(ValueOf(needs).size());
+  for (const allotment_need& each : ValueOf(needs)) {
+    grants.push_back(allotments_.Take(now, link.peer_name, each));
+  }
+  reply(EncodeGrants(grants));
+}
+
 // Every entry host gets the same totals and subtracts its own load.
 void job_store_duty::PushLoadTotals(steady_time now) {
   for (auto at = entry_loads_.begin(); at != entry_loads_.end();) {
@@ -571,9 +667,17 @@
     }
   }
   const std::string encoded = Encode(totals);
+  const bool names_features = now >= next_features_at_;
+  if (names_features) {
+    next_features_at_ = now + kFeaturesInterval;
+  }
   for (const auto& [host, load] : entry_loads_) {
     if (const auto link = load.link.lock()) {
       link->Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), encoded);
+      if (names_features) {
+        link->Send(static_cast<uint8_t>(fleet_frame::kLeaderFeatures),
+                   Encode(leader_features{kQueuesSlotRequests}));
+      }
     }
   }
 }
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 
+#include "accounts/allotment_ledger.h"
 #include "base/result.h"
 #include "entry/decision_log.h"
 #include "entry/endpoint_selector.h"
@@ -57,6 +58,7 @@
   struct slot_counters {
     uint64_t granted = 0;
     uint64_t refused = 0;
+    uint64_t queued = 0;  // Of these, decided later than at once.
   };
 
   status Start();
@@ -73,6 +75,8 @@
   const item_dispatcher& dispatcher() const { return dispatcher_; }
   const relay_listener& relay() const { return relay_; }
   const endpoint_selector& endpoints() const { return endpoints_; }
+  const allotment_ledger& allotments() const { return allotments_; }
+  size_t slot_queue_size() const { return slots_.queued_count(); }
   const slot_counters& slot_totals() const { return slot_counters_; }
 
  private:
@@ -105,6 +109,16 @@
   void ReplyToWaitingReads(const job_id& job);
   void ExpireWaitingReads(steady_time now);
   std::string NotLeaderReply() const;
+  void GrantAllotment(const host_link& link,
+                      std::string_view body,
+                      const std::function<void(std::string)>& reply);
+  void QueueSlot(const host_link& link,
+                 std::string_view body,
+                 const std::function<void(std::string)>& reply);
+  // To entry hosts whose requests have waited for a slot.
+  void SendGrants(steady_time now);
+  // Counts the grant, and frees the slot if a batch request has it.
+  void RecordGrant(steady_time now, const slot_decision& decision);
   void AllocateSlot(const host_link& link,
                     std::string_view body,
                     const std::function<void(std::string)>& reply);
@@ -113,6 +127,9 @@
                   const std::function<void(std::string)>& reply) const;
   // Passes the batch requests at each endpoint to the allocator.
   void UpdateBatchLoad();
+  // Whether this host grants slots and tokens: only under its lease, and when
+  // it has heard of most hosts' load.
+  bool CanAllocate(steady_time now) const;
   void RecordLoad(host_link& link, std::string_view payload);
   void PushLoadTotals(steady_time now);
   void Heal(steady_time now);
@@ -137,6 +154,9 @@
   std::map<std::string, entry_load> entry_loads_;
   relay_listener relay_;
   slot_allocator slots_;
+  allotment_ledger allotments_;
+  steady_time next_allotment_tick_{};
+  steady_time next_features_at_{};
   slot_counters slot_counters_;
   stream_origins streams_;
   steady_time next_load_totals_at_{};
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -26,6 +26,11 @@
 // Positions in an endpoint's queue for requests that may wait for long.
 constexpr uint32_t kMaxWaiting = 8;
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
+// A run may take this many times the mean and still be in time.
+constexpr double kLongRunFactor = 1.5;
+// Of the waiting requests, looked at for a free slot that the first may not
+// use.
+constexpr size_t kMaxRequestsToTry = 8;
 // Of the slots that become free, the share that is expected to be available to
 // callers who return after a refusal; the others go to new requests.
 constexpr double kReturnShare = 0.25;
@@ -246,22 +251,9 @@
   }
 }
 
-slot_decision slot_allocator::Allocate(steady_time now,
-                                       const std::string& host,
-                                       const slot_request& request) {
-  for (const uint32_t key : request.avoided_endpoints) {
-    const auto avoided = endpoints_.find(key);
-    if (avoided != endpoints_.end()) {
-      avoided->second.avoided_by[host] = now;
-    }
-  }
-  for (const uint32_t key : request.failed_endpoints) {
-    const auto failed = endpoints_.find(key);
-    if (failed != endpoints_.end()) {
-      DecayCounts(now, failed->second);
-      failed->second.failed += 1;
-    }
-  }
+slot_allocator::candidate slot_allocator::SelectCandidate(
+    steady_time now,
+    const slot_request& request) {
   candidate best;
   for (auto& [key, state] : endpoints_) {
     if (state.report.service != request.service) {
@@ -275,6 +267,50 @@
       best = ranked;
     }
   }
+  return best;
+}
+
+slot_decision slot_allocator::Grant(steady_time now,
+                                    const std::string& host,
+                                    const candidate& at) {
+  endpoint_state& state = endpoints_.at(at.key);
+  limits_->RecordSent(now, StartOf(state.report));
+  state.uses.push_back({host, now});
+  StartWaiting(now, state);
+  host_endpoints_[host].insert(at.key);
+  slot_decision decision;
+  decision.reply.kind = slot_reply_kind::kGranted;
+  decision.reply.endpoint = state.report.endpoint;
+  decision.expected_wait = at.wait;
+  decision.needs_yield =
+      state.uses.size() <= state.report.slots &&
+      state.uses.size() + state.batch_load > state.report.slots;
+  return decision;
+}
+
+void slot_allocator::RecordAvoidance(steady_time now,
+                                     const std::string& host,
+                                     const slot_request& request) {
+  for (const uint32_t key : request.avoided_endpoints) {
+    const auto avoided = endpoints_.find(key);
+    if (avoided != endpoints_.end()) {
+      avoided->second.avoided_by[host] = now;
+    }
+  }
+  for (const uint32_t key : request.failed_endpoints) {
+    const auto failed = endpoints_.find(key);
+    if (failed != endpoints_.end()) {
+      DecayCounts(now, failed->second);
+      failed->second.failed += 1;
+    }
+  }
+}
+
+slot_decision slot_allocator::Allocate(steady_time now,
+                                       const std::string& host,
+                                       const slot_request& request) {
+  RecordAvoidance(now, host, request);
+  const candidate best = SelectCandidate(now, request);
   slot_decision decision;
   if (best.rank == candidate::preference::kUnusable) {
     if (const auto limited = LimitedService(now, request)) {
@@ -286,20 +322,127 @@
   if (best.wait > std::chrono::milliseconds(request.max_wait_ms)) {
     return Refuse(now, request, best.wait);
   }
-  endpoint_state& state = endpoints_.at(best.key);
-  limits_->RecordSent(now, StartOf(state.report));
-  state.uses.push_back({host, now});
-  StartWaiting(now, state);
-  host_endpoints_[host].insert(best.key);
-  decision.reply.kind = slot_reply_kind::kGranted;
-  decision.reply.endpoint = state.report.endpoint;
-  decision.expected_wait = best.wait;
-  decision.needs_yield =
-      state.uses.size() <= state.report.slots &&
-      state.uses.size() + state.batch_load > state.report.slots;
+  return Grant(now, host, best);
+}
+
+duration slot_allocator::MeanDuration(const service_state& service) const {
+  return service.mean_duration.count() > 0 ? service.mean_duration
+                                           : duration(kInitialDuration);
+}
+
+uint32_t slot_allocator::UsableSlots(const slot_request& request) const {
+  uint32_t slots = 0;
+  for (const auto& [key, state] : endpoints_) {
+    const bool is_usable = state.is_ready && HasVersion(request, state) &&
+                           state.report.service == request.service &&
+                           !limits_->IsLimited(StartOf(state.report));
+    slots += is_usable ? state.report.slots : 0;
+  }
+  return slots;
+}
+
+duration slot_allocator::UsefulWait(const queued_slot_request& demand) const {
+  const duration max_wait =
+      std::chrono::milliseconds(demand.request.max_wait_ms);
+  const auto found = services_.find(demand.request.service);
+  if (demand.is_run_counted == 0 || demand.has_returned != 0 ||
+      found == services_.end()) {
+    return max_wait;
+  }
+  const duration run = std::chrono::duration_cast<duration>(
+      MeanDuration(found->second) * kLongRunFactor);
+  return std::max<duration>(
+      std::chrono::milliseconds(demand.objective_left_ms) - run,
+      std::min<duration>(max_wait, kMinRetryAfter));
+}
+
+slot_decision slot_allocator::AllocateOrQueue(
+    steady_time now,
+    const std::string& host,
+    const queued_slot_request& demand) {
+  const slot_request& request = demand.request;
+  RecordAvoidance(now, host, request);
+  service_state& service = services_[request.service];
+  const candidate best = SelectCandidate(now, request);
+  // While others wait, a slot that is free is one that they must not use.
+  if (best.rank < candidate::preference::kQueue) {
+    return Grant(now, host, best);
+  }
+  const uint32_t slots = UsableSlots(request);
+  if (slots == 0) {
+    return Allocate(now, host, request);
+  }
+  const duration useful = UsefulWait(demand);
+  waiting_slot_request waiting{host, demand, now, now + useful};
+  const auto ahead =
+      static_cast<int64_t>(service.queue.CountAhead(now, waiting)) + 1;
+  const duration expected = MeanDuration(service) * ahead / slots;
+  if (expected > useful) {
+    return Refuse(now, request, expected);
+  }
+  slot_decision decision;
+  decision.expected_wait = expected;
+  decision.reply.kind = slot_reply_kind::kQueued;
+  if (const auto dropped = service.queue.Add(std::move(waiting))) {
+    const slot_decision refusal =
+        Refuse(now, dropped->demand.request, expected);
+    if (dropped->host == host && dropped->demand.ticket == demand.ticket) {
+      return refusal;
+    }
+    dropped_.push_back({dropped->host, dropped->demand.ticket, refusal});
+  }
   return decision;
 }
 
+std::vector<queued_slot_decision> slot_allocator::TakeQueued(steady_time now) {
+  std::vector<queued_slot_decision> decisions = std::exchange(dropped_, {});
+  for (auto& [id, service] : services_) {
+    for (const waiting_slot_request& each : service.queue.TakeExpired(now)) {
+      decisions.push_back({each.host, each.demand.ticket,
+                           Refuse(now, each.demand.request, duration(0))});
+    }
+    while (!service.queue.IsEmpty()) {
+      const auto grant = GrantNext(now, service.queue);
+      if (!grant) {
+        break;
+      }
+      decisions.push_back(*grant);
+    }
+  }
+  return decisions;
+}
+
+// The first request may not use the endpoints whose slots are free.
+std::optional<queued_slot_decision> slot_allocator::GrantNext(
+    steady_time now,
+    slot_queue& queue) {
+  for (const waiting_slot_request* each : queue.First(now, kMaxRequestsToTry)) {
+    const candidate best = SelectCandidate(now, each->demand.request);
+    if (best.rank < candidate::preference::kQueue) {
+      const waiting_slot_request granted = queue.Take(*each);
+      return queued_slot_decision{granted.host, granted.demand.ticket,
+                                  Grant(now, granted.host, best)};
+    }
+  }
+  return std::nullopt;
+}
+
+void slot_allocator::CancelQueued(const std::string& host, uint64_t ticket) {
+  for (auto& [id, service] : services_) {
+    if (service.queue.Remove(host, ticket)) {
+      return;
+    }
+  }
+}
+
+size_t slot_allocator::queued_count() const {
+  size_t count = 0;
+  for (const auto& [id, service] : services_) {
+    count += service.queue.size();
+  }
+  return count;
+}
+
 std::optional<slot_allocator::limited_service> slot_allocator::LimitedService(
     steady_time now,
     const slot_request& request) const {
@@ -321,19 +464,10 @@
 slot_decision slot_allocator::Refuse(steady_time now,
                                      const slot_request& request,
                                      duration expected_wait) {
-  uint32_t slots = 0;
-  for (const auto& [key, state] : endpoints_) {
-    const bool is_usable = state.is_ready && HasVersion(request, state) &&
-                           state.report.service == request.service &&
-                           !limits_->IsLimited(StartOf(state.report));
-    slots += is_usable ? state.report.slots : 0;
-  }
+  const uint32_t slots = UsableSlots(request);
   const auto limited = LimitedService(now, request);
   service_state& service = services_[request.service];
-  const duration mean = service.mean_duration.count() > 0
-                            ? service.mean_duration
-                            : duration(kInitialDuration);
-  const std::chrono::duration<double> mean_seconds = mean;
+  const std::chrono::duration<double> mean_seconds = MeanDuration(service);
   const double freed_per_second =
       slots / mean_seconds.count() + (limited ? limited->per_second : 0);
   const auto interval =
@@ -410,6 +544,9 @@
 }
 
 void slot_allocator::RemoveHost(const std::string& host) {
+  for (auto& [id, service] : services_) {
+    service.queue.RemoveHost(host);
+  }
   const auto found = host_endpoints_.find(host);
   if (found == host_endpoints_.end()) {
     return;
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -15,6 +15,7 @@
 #include "fleet/leaving_endpoints.h"
 #include "ratelimits/endpoint_limits.h"
 #include "slots/slot_messages.h"
+#include "slots/slot_queue.h"
 
 namespace shallotport {
 
@@ -27,6 +28,13 @@
   duration expected_wait{};
 };
 
+// The end of a queued request's wait.
+struct queued_slot_decision {
+  std::string host;
+  uint64_t ticket = 0;
+  slot_decision decision;
+};
+
 // Grants the slots of all endpoints to the entry hosts' online requests, so
 // that hosts that choose at the same time do not meet at an endpoint whose
 // engine admits requests in order of arrival. Counts the requests of each host
@@ -62,6 +70,18 @@
   slot_decision Allocate(steady_time now,
                          const std::string& host,
                          const slot_request& request);
+  // As Allocate(), but a request that finds no slot waits for one, if it is
+  // expected to get it in time: the reply is kQueued, and TakeQueued() returns
+  // the decision.
+  slot_decision AllocateOrQueue(steady_time now,
+                                const std::string& host,
+                                const queued_slot_request& demand);
+  // Slots for waiting requests, and refusals of those that would be late. Call
+  // when slots may have become free, and a few times in a useful wait.
+  std::vector<queued_slot_decision> TakeQueued(steady_time now);
+  void CancelQueued(const std::string& host, uint64_t ticket);
+  bool HasQueued() const { return queued_count() > 0 || !dropped_.empty(); }
+  size_t queued_count() const;
   // Replaces what is known of a host's load by its report, and records the
   // leaving endpoints that it names.
   void RecordLoad(steady_time now,
@@ -100,6 +120,7 @@
   };
   struct service_state {
     duration mean_duration{};
+    slot_queue queue;
     steady_time last_return_at{};  // Of the callers that were refused.
   };
   struct candidate;
@@ -129,6 +150,21 @@
   std::optional<limited_service> LimitedService(
       steady_time now,
       const slot_request& request) const;
+  // The endpoint that suits the request best now.
+  candidate SelectCandidate(steady_time now, const slot_request& request);
+  void RecordAvoidance(steady_time now,
+                       const std::string& host,
+                       const slot_request& request);
+  std::optional<queued_slot_decision> GrantNext(steady_time now,
+                                                slot_queue& queue);
+  slot_decision Grant(steady_time now,
+                      const std::string& host,
+                      const candidate& at);
+  duration MeanDuration(const service_state& service) const;
+  // Slots of endpoints without a limit that the request may use.
+  uint32_t UsableSlots(const slot_request& request) const;
+  // How long a slot is of use to the request.
+  duration UsefulWait(const queued_slot_request& demand) const;
   // Tells the caller to return when its turn among the refused ones comes.
   slot_decision Refuse(steady_time now,
                        const slot_request& request,
@@ -138,6 +174,8 @@
   std::map<uint32_t, endpoint_state> endpoints_;  // By LoadKey().
   std::map<uint32_t, endpoint_id> endpoint_ids_;
   std::map<service_id, service_state> services_;
+  // Refused because the queue was full.
+  std::vector<queued_slot_decision> dropped_;
   // Endpoints, by LoadKey(), with requests of a host.
   std::map<std::string, std::set<uint32_t>> host_endpoints_;
   leaving_endpoints leaving_;
--- a/src/libshallotport/slots/slot_client.h
+++ b/src/libshallotport/slots/slot_client.h
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
+#include "base/result.h"
 #include "fleet/fleet_host.h"
 #include "slots/slot_messages.h"
 
@@ -23,6 +26,7 @@
     uint64_t granted = 0;
     uint64_t refused = 0;
     uint64_t unavailable = 0;
+    uint64_t queued = 0;
   };
 
   slot_client(const clock_source& clock, fleet_host& fleet);
@@ -30,18 +34,50 @@
   // Load totals from the job group's leader arrived.
   void SetLeader(steady_time now, const std::string& ip);
 
+  // What the leader can do, by itself.
+  void SetFeatures(const std::string& ip, uint32_t flags);
+  void Tick(steady_time now);
+
   // False when no leader is known; the handler is not called then. The handler
   // is called once, possibly before this returns.
   bool Request(const slot_request& request, reply_handler on_reply);
 
+  // Whether the leader lets requests wait for slots.
+  bool CanQueue() const;
+  // As Request(), but the reply may come later, when a slot is free. Returns
+  // the request's ticket; nullopt when no leader is known. Call only while
+  // CanQueue().
+  std::optional<uint64_t> Queue(queued_slot_request demand,
+                                reply_handler on_reply);
+  // The request has ended: its handler is not called.
+  void Cancel(uint64_t ticket);
+  void OnGrant(const slot_grant& grant);
+
   const counters& totals() const { return counters_; }
 
  private:
+  struct waiting_request {
+    std::string leader_ip;
+    steady_time give_up_at{};
+    bool is_queued = false;
+    reply_handler on_reply;
+  };
+
+  bool IsAvailable(steady_time now) const;
+  void Count(const slot_reply& reply);
+  void OnQueueReply(uint64_t ticket, const result<std::string>& reply);
+  // Ends the wait of a request.
+  void Answer(uint64_t ticket, slot_reply reply);
+
   const clock_source& clock_;
   fleet_host& fleet_;
   std::string leader_ip_;
   steady_time leader_heard_at_{};
   steady_time paused_until_{};
+  std::string features_ip_;  // The leader that has named its features.
+  uint32_t features_ = 0;
+  uint64_t next_ticket_ = 1;
+  std::map<uint64_t, waiting_request> waiting_;
   counters counters_;
 };
 
--- a/src/libshallotport/slots/slot_messages.h
+++ b/src/libshallotport/slots/slot_messages.h
@@ -40,6 +40,29 @@
   kGranted = 2,      // `endpoint` has a slot or a position in its queue.
   kRefused = 3,      // No slot in time; try again after `retry_after_ms`.
   kNoEndpoint = 4,   // No endpoint that the request may use is known.
+  // It waits for a slot; a slot_grant follows. Only to a queued_slot_request.
+  kQueued = 5,
+};
+
+// A slot request that waits at the leader until a slot is free. Later builds
+// may add fields at the end.
+struct queued_slot_request {
+  slot_request request;
+  uint64_t ticket = 0;   // Names the request among those of its host.
+  uint64_t account = 0;  // AccountDigest(); 0: none.
+  uint32_t priority = 0;
+  uint8_t has_returned = 0;  // Its caller was refused before.
+  // Whether the whole response has to be there by the objective. Otherwise a
+  // slot within request.max_wait_ms is in time.
+  uint8_t is_run_counted = 0;
+  uint32_t objective_left_ms = 0;
+  uint32_t expected_work_ms = 0;  // At usual speed; 0: not known.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(request, ticket, account, priority, has_returned, is_run_counted,
+            objective_left_ms, expected_work_ms);
+  }
 };
 
 struct slot_reply {
@@ -53,6 +76,39 @@
   }
 };
 
+// The reply to a request that was queued.
+struct slot_grant {
+  uint64_t ticket = 0;
+  slot_reply reply;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(ticket, reply);
+  }
+};
+
+// The caller of a queued request has left.
+struct slot_cancellation {
+  uint64_t ticket = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(ticket);
+  }
+};
+
+// What the leader can do that earlier builds cannot.
+struct leader_features {
+  uint32_t flags = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(flags);
+  }
+};
+
+inline constexpr uint32_t kQueuesSlotRequests = 1;
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_SLOTS_SLOT_MESSAGES_H_
