accounts, slots: what was sent in a window is counted; returned calls are not late

Change: the ledger counts grants over the window; hosts tell a new leader what they have sent, and drop what it does not know; busy accounts are named to all hosts, which use no own share of them while the leader is lost. Calls wait only for as long as they can be in time, also returned ones.

--- a/src/libshallotport/accounts/allotment_budget.cc
+++ b/src/libshallotport/accounts/allotment_budget.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "accounts/account_table.h"
-#include "accounts/allotment_terms.h"
 
 namespace shallotport {
 
@@ -50,17 +49,15 @@
     const uint64_t digest = AccountDigest(each.name);
     const auto known = accounts_.find(digest);
     const bool is_new = known == accounts_.end();
-    account_state& state = updated[digest];
-    if (!is_new) {
-      state = std::move(known->second);
-    }
+    account_state& state =
+        updated
+            .emplace(digest, is_new ? account_state(window_count(window_))
+                                    : std::move(known->second))
+            .first->second;
     state.per_second = each.requests_per_second;
     state.burst = std::max(each.burst, 1.0);
     if (is_new) {
-      // A random phase: the hosts' own tokens do not come at the same time.
-      state.own_used_until =
-          now + Seconds(UniformUnit(random_) / state.per_second *
-                        std::max(HostCount(), 1u) / kOwnShare);
+      state.own_phase = UniformUnit(random_);
     }
     uint32_t kept = 0;
     for (lease& one : state.leases) {
@@ -97,18 +94,29 @@
   state.recent_at = now;
 }
 
+std::optional<allotment_verdict> allotment_budget::UseToken(
+    steady_time now,
+    account_state& state) {
+  Expire(now, state);
+  if (state.leases.empty()) {
+    return std::nullopt;
+  }
+  state.sent.Add(now, 1);
+  --state.leases.front().tokens;
+  return allotment_verdict{allotment_decision::kAdmitted, 0,
+                           state.leases.front().expires_at};
+}
+
 allotment_verdict allotment_budget::Admit(steady_time now, uint64_t account) {
   const auto found = accounts_.find(account);
   if (found == accounts_.end()) {
     return {};
   }
   account_state& state = found->second;
-  Expire(now, state);
-  if (!state.leases.empty()) {
+  if (const auto verdict = UseToken(now, state)) {
     Decay(now, state);
     state.recent += 1;
-    --state.leases.front().tokens;
-    return {allotment_decision::kAdmitted, 0, state.leases.front().expires_at};
+    return *verdict;
   }
   if (now < state.refused_until) {
     return {allotment_decision::kRefused,
@@ -122,27 +130,29 @@
 }
 
 duration allotment_budget::OwnInterval(const account_state& state) const {
-  return Seconds(HostCount() / (kOwnShare * state.per_second));
+  return Seconds(HostCount() / (OwnShare(state.per_second) * state.per_second));
 }
 
-// Tokens come at `own_used_until` plus multiples of the interval. Those that
-// were not used within their validity have expired.
-bool allotment_budget::TakeOwnToken(steady_time now, account_state& state) {
+// Tokens of the own share come at multiples of the interval, shifted by the
+// host's phase. Those that were not used within their validity have expired.
+steady_time allotment_budget::NextOwnToken(steady_time now,
+                                           const account_state& state) const {
   const duration interval = std::max(OwnInterval(state), duration(1));
   const duration validity = std::max<duration>(
       Seconds(state.burst / state.per_second), kMinOwnValidity);
-  const steady_time oldest_valid = now - validity;
-  if (state.own_used_until < oldest_valid) {
-    const auto expired = (oldest_valid - state.own_used_until) / interval;
-    state.own_used_until += expired * interval;
-    if (state.own_used_until < oldest_valid) {
-      state.own_used_until += interval;
-    }
-  }
-  if (state.own_used_until > now) {
+  const steady_time after = std::max(state.own_used_until, now - validity);
+  const duration shift =
+      std::chrono::duration_cast<duration>(interval * state.own_phase);
+  const auto number = (after.time_since_epoch() - shift) / interval;
+  return steady_time((number + 1) * interval + shift);
+}
+
+bool allotment_budget::TakeOwnToken(steady_time now, account_state& state) {
+  const steady_time next = NextOwnToken(now, state);
+  if (next > now) {
     return false;
   }
-  state.own_used_until += interval;
+  state.own_used_until = next;
   return true;
 }
 
@@ -153,10 +163,8 @@
     return {};
   }
   account_state& state = found->second;
-  Expire(now, state);
-  if (!state.leases.empty()) {
-    --state.leases.front().tokens;
-    return {allotment_decision::kAdmitted, 0, state.leases.front().expires_at};
+  if (const auto verdict = UseToken(now, state)) {
+    return *verdict;
   }
   return {allotment_decision::kRefused,
           MillisecondsUntil(now, state.next_token_at),
@@ -171,17 +179,21 @@
     return {};
   }
   account_state& state = found->second;
-  Expire(now, state);
-  if (!state.leases.empty()) {
-    --state.leases.front().tokens;
-    return {allotment_decision::kAdmitted, 0, state.leases.front().expires_at};
+  if (const auto verdict = UseToken(now, state)) {
+    return *verdict;
+  }
+  if (now < state.busy_until) {
+    return {allotment_decision::kRefused,
+            MillisecondsUntil(now, now + kMaxRefusalTime),
+            {}};
   }
   if (TakeOwnToken(now, state)) {
+    state.sent.Add(now, 1);
     state.overdrawn += is_leader_heard ? 1 : 0;
     return {};
   }
   return {allotment_decision::kRefused,
-          MillisecondsUntil(now, state.own_used_until),
+          MillisecondsUntil(now, NextOwnToken(now, state)),
           {}};
 }
 
@@ -191,11 +203,9 @@
     return;
   }
   account_state& state = found->second;
-  Expire(now, state);
-  if (state.leases.empty()) {
+  if (!UseToken(now, state)) {
+    state.sent.Add(now, 1);
     ++state.overdrawn;
-  } else {
-    --state.leases.front().tokens;
   }
 }
 
@@ -206,16 +216,41 @@
   if (found == accounts_.end() || now >= verdict.token_expires_at) {
     return;
   }
+  found->second.sent.Remove(now, 1);
   found->second.leases.push_front({1, verdict.token_expires_at});
 }
 
+void allotment_budget::ReportSent() {
+  for (auto& [account, state] : accounts_) {
+    state.is_sent_reported = false;
+    // The new leader does not know of these tokens.
+    state.leases.clear();
+  }
+}
+
+void allotment_budget::SetBusy(steady_time now,
+                               std::span<const uint64_t> accounts) {
+  for (const uint64_t each : accounts) {
+    const auto found = accounts_.find(each);
+    if (found != accounts_.end()) {
+      found->second.busy_until = now + window_;
+    }
+  }
+}
+
 std::vector<allotment_need> allotment_budget::Needs(steady_time now) {
   std::vector<allotment_need> needs;
   for (auto& [account, state] : accounts_) {
     allotment_need need;
     need.account = account;
+    if (!std::exchange(state.is_sent_reported, true)) {
+      need.sent = state.sent.CountsByAge(now);
+      // Reported as sent.
+      state.overdrawn = 0;
+    }
     const bool is_idle = state.leases.empty() && state.unasked == 0 &&
-                         state.overdrawn == 0 && state.recent < kBusyRequests;
+                         state.overdrawn == 0 && need.sent.empty() &&
+                         state.recent < kBusyRequests;
     if (is_idle) {
       continue;
     }
@@ -239,7 +274,8 @@
       state.next_ahead_at = now + kAheadInterval;
     }
     need.overdrawn = std::exchange(state.overdrawn, 0);
-    if (need.waiting + need.ahead + need.returned + need.overdrawn > 0) {
+    if (need.waiting + need.ahead + need.returned + need.overdrawn > 0 ||
+        !need.sent.empty()) {
       state.asked += need.waiting + need.ahead;
       needs.push_back(need);
     }
@@ -273,6 +309,8 @@
       account_state& state = found->second;
       state.asked -= std::min(state.asked, each.waiting + each.ahead);
       state.overdrawn += has_answer ? 0 : each.overdrawn;
+      state.is_sent_reported =
+          state.is_sent_reported && (has_answer || each.sent.empty());
     }
   }
 }
--- a/src/libshallotport/accounts/allotment_budget.h
+++ b/src/libshallotport/accounts/allotment_budget.h
@@ -4,11 +4,15 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "accounts/account_rules.h"
 #include "accounts/allotment_messages.h"
+#include "accounts/allotment_terms.h"
+#include "accounts/window_count.h"
 #include "base/clock.h"
 #include "base/random_source.h"
 
@@ -37,7 +41,10 @@
 // together would save up one token each.
 class allotment_budget {
  public:
-  explicit allotment_budget(uint64_t seed) : random_(seed) {}
+  // `window`: of the allotments.
+  explicit allotment_budget(uint64_t seed,
+                            duration window = kDefaultAllotmentWindow)
+      : random_(seed), window_(window) {}
 
   void Update(steady_time now, std::span<const account_rules> accounts);
   // Entry hosts, as the control hosts count them.
@@ -61,6 +68,10 @@
                 uint64_t account,
                 const allotment_verdict& verdict);
 
+  // The leader has changed: the next needs tell it what this host has sent.
+  void ReportSent();
+  // The leader names accounts that have used much of their allotments.
+  void SetBusy(steady_time now, std::span<const uint64_t> accounts);
   // What to ask the leader for now, and tokens to return. They count as asked
   // for and as returned. Empty: nothing.
   std::vector<allotment_need> Needs(steady_time now);
@@ -80,8 +91,12 @@
     steady_time expires_at{};
   };
   struct account_state {
+    explicit account_state(window_count initial) : sent(std::move(initial)) {}
+
     double per_second = 0;
     double burst = 0;
+    window_count sent;
+    bool is_sent_reported = false;
     std::deque<lease> leases;  // The first one expires first.
     double recent = 0;         // Requests of the last kTokenLifetime, decaying.
     steady_time recent_at{};
@@ -92,18 +107,28 @@
     steady_time refused_until{};
     steady_time next_ahead_at{};
     steady_time next_token_at{};
-    // Of the own share: the time until which tokens have been used or expired.
+    steady_time busy_until{};  // No own token is used until then.
+    // Of the own share: when its tokens come, as a part of their interval, so
+    // that those of all hosts do not come at the same time; and the time of the
+    // last one that was used.
+    double own_phase = 0;
     steady_time own_used_until{};
   };
 
+  // Uses a token of the leader; nullopt if there is none.
+  static std::optional<allotment_verdict> UseToken(steady_time now,
+                                                   account_state& state);
   static void Expire(steady_time now, account_state& state);
   static void Decay(steady_time now, account_state& state);
   bool TakeOwnToken(steady_time now, account_state& state);
+  // Of those that are valid or to come.
+  steady_time NextOwnToken(steady_time now, const account_state& state) const;
   // Between two tokens of the own share.
   duration OwnInterval(const account_state& state) const;
   uint32_t HostCount() const;
 
   random_source random_;
+  const duration window_;
   std::map<uint64_t, account_state> accounts_;  // With a limit.
   // The highest counts of entry hosts, by when they were last heard.
   std::map<uint32_t, steady_time> host_counts_;
--- a/src/libshallotport/accounts/allotment_client.cc
+++ b/src/libshallotport/accounts/allotment_client.cc
@@ -30,10 +30,11 @@
 
 allotment_client::allotment_client(const clock_source& clock,
                                    fleet_host& fleet,
-                                   uint64_t seed)
+                                   uint64_t seed,
+                                   duration window)
     : clock_(clock),
       fleet_(fleet),
-      budget_(seed),
+      budget_(seed, window),
       is_alive_(std::make_shared<bool>(true)) {}
 
 allotment_client::~allotment_client() = default;
@@ -43,10 +44,27 @@
 }
 
 void allotment_client::SetLeader(steady_time now, const std::string& ip) {
+  // A leader that was not heard of may have led, and forgotten, meanwhile.
+  if (leader_ip_ != ip || now >= leader_heard_at_ + kLeaderTimeout) {
+    budget_.ReportSent();
+  }
   leader_ip_ = ip;
   leader_heard_at_ = now;
 }
 
+bool allotment_client::OnFrame(steady_time now,
+                               uint8_t kind,
+                               std::string_view payload) {
+  if (kind != static_cast<uint8_t>(fleet_frame::kBusyAccounts)) {
+    return false;
+  }
+  const auto accounts = DecodeBusyAccounts(payload);
+  if (IsOk(accounts)) {
+    budget_.SetBusy(now, ValueOf(accounts));
+  }
+  return true;
+}
+
 bool allotment_client::IsLeaderHeard(steady_time now) const {
   return !leader_ip_.empty() && now < leader_heard_at_ + kLeaderTimeout &&
          fleet_.hub().IsUp(leader_ip_);
--- a/src/libshallotport/accounts/allotment_client.h
+++ b/src/libshallotport/accounts/allotment_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "accounts/account_rules.h"
@@ -33,12 +34,17 @@
     uint64_t unanswered = 0;  // and those without an answer in time.
   };
 
-  allotment_client(const clock_source& clock, fleet_host& fleet, uint64_t seed);
+  allotment_client(const clock_source& clock,
+                   fleet_host& fleet,
+                   uint64_t seed,
+                   duration window);
   ~allotment_client();
 
   void SetAccounts(std::span<const account_rules> accounts);
   // Load totals from the job group's leader arrived.
   void SetLeader(steady_time now, const std::string& ip);
+  // False if the frame is of another kind.
+  bool OnFrame(steady_time now, uint8_t kind, std::string_view payload);
   void Tick(steady_time now);
 
   bool HasLimit(uint64_t account) const { return budget_.HasLimit(account); }
--- a/src/libshallotport/accounts/allotment_ledger.cc
+++ b/src/libshallotport/accounts/allotment_ledger.cc
@@ -4,7 +4,6 @@
 #include <cmath>
 
 #include "accounts/account_table.h"
-#include "accounts/allotment_terms.h"
 
 namespace shallotport {
 
@@ -15,49 +14,47 @@
 constexpr std::chrono::milliseconds kReturnTime = 2 * kTokenLifetime;
 // A host that is not heard of for this long decides by itself.
 constexpr std::chrono::milliseconds kHostTimeout{800};
-// Of what is left, the most that one host gets for requests that are only
-// expected, so that others find tokens for requests that wait.
+// Of what is left beyond half of the allotment, the most that one host gets for
+// requests that are only expected, so that others find tokens for requests that
+// wait.
 constexpr double kMaxShareOfRest = 0.25;
-constexpr uint32_t kMaxNextTokenMs = 60'000;
-
-double Capacity(const account_rules& account) {
-  return std::max(account.burst, 1.0);
-}
+// An account that has used this part of its allotment is busy.
+constexpr double kBusyShare = 0.5;
+constexpr double kMaxLimit = 1e9;
 
 }  // namespace
 
-void allotment_ledger::Update(steady_time now,
-                              std::span<const account_rules> accounts) {
-  std::map<uint64_t, bucket> updated;
+allotment_ledger::allotment_ledger(duration window)
+    : window_(window + kTokenLifetime) {}
+
+void allotment_ledger::Update(std::span<const account_rules> accounts) {
+  std::map<uint64_t, account_state> updated;
   for (const account_rules& each : accounts) {
     if (!each.IsLimited()) {
       continue;
     }
     const uint64_t digest = AccountDigest(each.name);
-    const auto known = buckets_.find(digest);
-    bucket& to = updated[digest];
-    to.per_second = each.requests_per_second;
-    to.capacity = Capacity(each);
-    // What was sent while the account had no limit is not known.
-    const double initial = is_configured_ ? to.capacity : 0;
-    to.level = std::min(
-        known == buckets_.end() ? initial : LevelOf(known->second, now),
-        to.capacity);
-    to.filled_at = now;
+    const auto known = accounts_.find(digest);
+    account_state& state =
+        updated
+            .emplace(digest, known == accounts_.end()
+                                 ? account_state{0, 0, window_count(window_)}
+                                 : std::move(known->second))
+            .first->second;
+    state.per_second = each.requests_per_second;
+    state.burst = each.burst;
   }
-  buckets_ = std::move(updated);
-  is_configured_ = is_configured_ || !accounts.empty();
+  accounts_ = std::move(updated);
   std::erase_if(held_, [this](const auto& each) {
-    return !buckets_.contains(each.first.first);
+    return !accounts_.contains(each.first.first);
   });
 }
 
-void allotment_ledger::Clear(steady_time now) {
+void allotment_ledger::Clear() {
   held_.clear();
   heard_at_.clear();
-  for (auto& [account, each] : buckets_) {
-    each.level = 0;
-    each.filled_at = now;
+  for (auto& [account, each] : accounts_) {
+    each.granted = window_count(window_);
   }
 }
 
@@ -75,24 +72,15 @@
   const double missing = hosts == 0 ? 0
                                     : static_cast<double>(hosts - heard) /
                                           static_cast<double>(hosts);
-  SetShare(now, 1 - kOwnShare * missing);
-}
-
-void allotment_ledger::SetShare(steady_time now, double share) {
-  if (share == share_) {
-    return;
-  }
-  for (auto& [account, each] : buckets_) {
-    each.level = LevelOf(each, now);
-    each.filled_at = now;
-  }
-  share_ = share;
+  missing_ = missing;
 }
 
-double allotment_ledger::LevelOf(const bucket& of, steady_time now) const {
-  const std::chrono::duration<double> elapsed = now - of.filled_at;
-  return std::min(of.capacity, of.level + std::max(elapsed.count(), 0.0) *
-                                              of.per_second * share_);
+uint32_t allotment_ledger::Limit(const account_state& of) const {
+  const std::chrono::duration<double> window = window_ - kTokenLifetime;
+  const double limit = of.per_second * window.count() + of.burst;
+  const double share = 1 - OwnShare(of.per_second) * missing_;
+  return static_cast<uint32_t>(
+      std::max(1.0, std::floor(std::min(limit * share, kMaxLimit))));
 }
 
 uint32_t allotment_ledger::TakeReturned(steady_time now,
@@ -121,37 +109,36 @@
   RecordHost(now, host);
   allotment_grant grant;
   grant.account = need.account;
-  const auto found = buckets_.find(need.account);
-  if (found == buckets_.end()) {
+  const auto found = accounts_.find(need.account);
+  if (found == accounts_.end()) {
     // Its limit has ended here; the host may not have heard of it yet.
     grant.granted = need.waiting + need.ahead;
     return grant;
   }
-  bucket& from = found->second;
-  from.level = LevelOf(from, now);
-  from.filled_at = now;
-  from.level =
-      std::min(from.capacity, from.level + TakeReturned(now, host, need)) -
-      need.overdrawn;
-  // Bounds the time for which an account pays for requests without a token.
-  from.level = std::max(from.level, -from.capacity);
-  const double whole = std::floor(std::max(from.level, 0.0));
-  const double waiting = std::min<double>(need.waiting, whole);
-  const double ahead = std::min<double>(
-      need.ahead, std::floor((whole - waiting) * kMaxShareOfRest));
-  grant.granted = static_cast<uint32_t>(waiting + ahead);
-  from.level -= grant.granted;
+  account_state& from = found->second;
+  from.granted.AddByAge(now, need.sent);
+  from.granted.Remove(now, TakeReturned(now, host, need));
+  // An account does not pay for longer than a window for requests that were
+  // sent without a token.
+  from.granted.Add(now, std::min(need.overdrawn, Limit(from)));
+  const uint32_t left = Available(now, need.account);
+  const uint32_t waiting = std::min(need.waiting, left);
+  const uint32_t rest = left - waiting;
+  const uint32_t kept = Limit(from) / 2;
+  const auto most_ahead =
+      static_cast<uint32_t>((rest - std::min(rest, kept)) * kMaxShareOfRest);
+  grant.granted = waiting + std::min(need.ahead, most_ahead);
+  from.granted.Add(now, grant.granted);
   granted_ += grant.granted;
   if (grant.granted > 0) {
     held_[{need.account, host}].push_back({now, grant.granted});
   }
   if (grant.granted < need.waiting) {
     refused_ += need.waiting - grant.granted;
-    const double wait_ms =
-        std::ceil(std::max(1 - from.level, 0.0) / from.per_second * 1e3);
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+        from.granted.TimeUntil(now, Limit(from) - 1));
     grant.next_token_ms =
-        std::max(1u, static_cast<uint32_t>(std::min<double>(
-                         wait_ms, static_cast<double>(kMaxNextTokenMs))));
+        static_cast<uint32_t>(std::max<int64_t>(wait.count(), 1));
   }
   return grant;
 }
@@ -160,9 +147,23 @@
   heard_at_[host] = now;
 }
 
-double allotment_ledger::Available(steady_time now, uint64_t account) const {
-  const auto found = buckets_.find(account);
-  return found == buckets_.end() ? 0 : LevelOf(found->second, now);
+std::vector<uint64_t> allotment_ledger::BusyAccounts(steady_time now) {
+  std::vector<uint64_t> busy;
+  for (auto& [account, state] : accounts_) {
+    if (state.granted.Sum(now) >= kBusyShare * Limit(state)) {
+      busy.push_back(account);
+    }
+  }
+  return busy;
+}
+
+uint32_t allotment_ledger::Available(steady_time now, uint64_t account) {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end()) {
+    return 0;
+  }
+  const uint32_t limit = Limit(found->second);
+  return limit - std::min(limit, found->second.granted.Sum(now));
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/accounts/allotment_ledger.h
+++ b/src/libshallotport/accounts/allotment_ledger.h
@@ -7,30 +7,37 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "accounts/account_rules.h"
 #include "accounts/allotment_messages.h"
+#include "accounts/allotment_terms.h"
+#include "accounts/window_count.h"
 #include "base/clock.h"
 
 namespace shallotport {
 
-// Hands out the tokens of all accounts' allotments to the entry hosts: one
-// token bucket an account, which fills at the account's rate and holds its
-// burst. A token is deducted when it is granted and counts again only when the
-// host returns it in time. Owned by job_store_duty, used while that host leads
-// the job group. Pure.
+// Hands out the tokens of all accounts' allotments to the entry hosts: in any
+// window as many as the account's rate and burst allow. A token counts from
+// when it is granted, unless the host returns it in time. Owned by
+// job_store_duty, used while that host leads the job group. Pure.
 //
 // Answers accounts that ask several times their rate at once, at one entry host
 // or at all: no host has a share of its own, so that the whole allotment can be
-// used wherever it is asked for, and hosts that start anew add nothing.
+// used wherever it is asked for, and hosts that start anew add nothing. What
+// was sent in the window is counted, rather than a bucket filled, so that an
+// account that has sent little may send all that its window has left at once.
 class allotment_ledger {
  public:
-  // The accounts of the configuration in force. A bucket holds no more than the
-  // new burst at once; an account that was not known begins with a full one.
-  void Update(steady_time now, std::span<const account_rules> accounts);
-  // This host begins to lead: it does not know what was granted before, so all
-  // buckets are empty.
-  void Clear(steady_time now);
+  // `window`: of the allotments.
+  explicit allotment_ledger(duration window = kDefaultAllotmentWindow);
+
+  // The accounts of the configuration in force. A limit that has fallen counts
+  // at once.
+  void Update(std::span<const account_rules> accounts);
+  // This host begins to lead. It does not know what was granted before: the
+  // entry hosts tell with their first needs.
+  void Clear();
 
   allotment_grant Take(steady_time now,
                        const std::string& host,
@@ -43,18 +50,20 @@
   // count them.
   void Tick(steady_time now, uint32_t host_count);
 
-  // Tokens that can be granted now; negative after requests without a token.
-  double Available(steady_time now, uint64_t account) const;
-  size_t account_count() const { return buckets_.size(); }
+  // Accounts that have used much of their allotments. Hosts that lose the
+  // leader do not send more of them by their own decision.
+  std::vector<uint64_t> BusyAccounts(steady_time now);
+  // Tokens that can be granted now.
+  uint32_t Available(steady_time now, uint64_t account);
+  size_t account_count() const { return accounts_.size(); }
   uint64_t granted() const { return granted_; }
   uint64_t refused() const { return refused_; }
 
  private:
-  struct bucket {
+  struct account_state {
     double per_second = 0;
-    double capacity = 1;
-    double level = 0;
-    steady_time filled_at{};
+    double burst = 0;
+    window_count granted;
   };
   struct grant_record {
     steady_time at{};
@@ -62,19 +71,19 @@
   };
   using holder = std::pair<uint64_t, std::string>;  // Account and host.
 
-  // Of each rate, what is not kept back for hosts that decide by themselves.
-  void SetShare(steady_time now, double share);
-  double LevelOf(const bucket& of, steady_time now) const;
+  // What may be granted in a window, less what is kept back for hosts that
+  // decide by themselves.
+  uint32_t Limit(const account_state& of) const;
   // Tokens of grants that the host may still return.
   uint32_t TakeReturned(steady_time now,
                         const std::string& host,
                         const allotment_need& need);
 
-  std::map<uint64_t, bucket> buckets_;  // Of accounts with a limit.
+  const duration window_;  // Over which grants are counted.
+  std::map<uint64_t, account_state> accounts_;  // With a limit.
   std::map<holder, std::deque<grant_record>> held_;
   std::map<std::string, steady_time> heard_at_;  // By host.
-  double share_ = 1;
-  bool is_configured_ = false;
+  double missing_ = 0;  // Part of the entry hosts that is not heard of.
   uint64_t granted_ = 0;
   uint64_t refused_ = 0;  // Waiting requests without a token.
 };
--- a/src/libshallotport/accounts/allotment_messages.cc
+++ b/src/libshallotport/accounts/allotment_messages.cc
@@ -9,6 +9,7 @@
 // The first bytes of each message.
 constexpr uint32_t kNeedsFormat = 0x314E4C41;   // "ALN1"
 constexpr uint32_t kGrantsFormat = 0x31474C41;  // "ALG1"
+constexpr uint32_t kBusyFormat = 0x31424C41;    // "ALB1"
 
 template <typename T>
 struct tagged_list {
@@ -51,4 +52,12 @@
   return DecodeTagged<allotment_grant>(bytes, kGrantsFormat);
 }
 
+std::string EncodeBusyAccounts(const std::vector<uint64_t>& accounts) {
+  return Encode(tagged_list<uint64_t>{kBusyFormat, accounts});
+}
+
+result<std::vector<uint64_t>> DecodeBusyAccounts(std::string_view bytes) {
+  return DecodeTagged<uint64_t>(bytes, kBusyFormat);
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/accounts/allotment_messages.h
+++ b/src/libshallotport/accounts/allotment_messages.h
@@ -17,12 +17,15 @@
   uint32_t ahead = 0;      // Tokens for requests that are expected.
   uint32_t returned = 0;   // Tokens of an earlier grant that it does not use.
   uint32_t overdrawn = 0;  // Requests that it sent without a token.
+  // To a leader that is new to the host: requests that it has sent, by age in
+  // steps of half a second.
+  std::vector<uint32_t> sent;
 
   bool operator==(const allotment_need&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(account, waiting, ahead, returned, overdrawn);
+    archive(account, waiting, ahead, returned, overdrawn, sent);
   }
 };
 
@@ -50,6 +53,11 @@
 std::string EncodeGrants(const std::vector<allotment_grant>& grants);
 result<std::vector<allotment_grant>> DecodeGrants(std::string_view bytes);
 
+// Accounts that have used much of their allotments, from the leader to all
+// entry hosts.
+std::string EncodeBusyAccounts(const std::vector<uint64_t>& accounts);
+result<std::vector<uint64_t>> DecodeBusyAccounts(std::string_view bytes);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_ACCOUNTS_ALLOTMENT_MESSAGES_H_
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -47,7 +47,10 @@
       duty_(loop, clock, options_.entry, log),
       jobs_(loop, clock, fleet_),
       slots_(clock, fleet_),
-      allotments_(clock, fleet_, options_.entry.seed),
+      allotments_(clock,
+                  fleet_,
+                  options_.entry.seed,
+                  options_.allotment_window),
       streams_(clock, fleet_),
       crashes_(fleet_, duty_.selector().crashes()),
       limits_(fleet_, duty_.selector().limits()),
@@ -131,7 +134,8 @@
       if (IsOk(features)) {
         slots_.SetFeatures(link.ip(), ValueOf(features).flags);
       }
-    } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
+    } else if (!limits_.OnFrame(clock_.Now(), kind, payload) &&
+               !allotments_.OnFrame(clock_.Now(), kind, payload)) {
       crashes_.OnFrame(clock_.Now(), link, kind, payload);
     }
   };
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -26,6 +26,7 @@
   uint16_t listen_port = 0;
   // From the request to stop until the process is killed.
   duration stop_grace = std::chrono::seconds(8);
+  duration allotment_window = kDefaultAllotmentWindow;
 };
 
 // A host between callers and endpoints. Receives the configuration and the
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -32,6 +32,7 @@
   kSlotGrant = 27,  // slot_grant, from the job group's leader to entry hosts.
   kSlotCancel = 29,  // slot_cancellation, from entry hosts to that leader.
   kLeaderFeatures = 30,  // leader_features, from that leader to entry hosts.
+  kBusyAccounts = 31,    // EncodeBusyAccounts(), from it to entry hosts.
 };
 
 // Calls from entry hosts to the leader of the job group, or to other hosts
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -108,7 +108,8 @@
              [this](const endpoint_address& address) {
                return fleet_.endpoints().HasAddress(address);
              }),
-      slots_(endpoints_.limits()) {
+      slots_(endpoints_.limits()),
+      allotments_(options_.allotment_window) {
   table_.on_changed = [this](const job_id& job) {
     dispatcher_.OnJobChanged(job);
     ReplyToWaitingReads(job);
@@ -116,7 +117,7 @@
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
     if (IsOk(read)) {
-      allotments_.Update(clock_.Now(), ValueOf(read).accounts);
+      allotments_.Update(ValueOf(read).accounts);
       routes_.emplace(std::move(ValueOf(read)));
     } else {
       log_.LogState("config_unreadable", {{"reason", ErrorOf(read).detail}});
@@ -238,7 +239,7 @@
   if (was_leading_ != is_leading) {
     was_leading_ = is_leading;
     leading_since_ = now;
-    allotments_.Clear(now);
+    allotments_.Clear();
     log_.LogState(is_leading ? "job_leadership_won" : "job_leadership_lost",
                   {{"term", static_cast<int64_t>(group_->term())}});
   }
@@ -667,6 +668,9 @@
     }
   }
   const std::string encoded = Encode(totals);
+  const std::vector<uint64_t> busy = allotments_.BusyAccounts(now);
+  const std::string busy_accounts =
+      busy.empty() ? std::string() : EncodeBusyAccounts(busy);
   const bool names_features = now >= next_features_at_;
   if (names_features) {
     next_features_at_ = now + kFeaturesInterval;
@@ -674,6 +678,10 @@
   for (const auto& [host, load] : entry_loads_) {
     if (const auto link = load.link.lock()) {
       link->Send(static_cast<uint8_t>(fleet_frame::kLoadTotals), encoded);
+      if (!busy_accounts.empty()) {
+        link->Send(static_cast<uint8_t>(fleet_frame::kBusyAccounts),
+                   busy_accounts);
+      }
       if (names_features) {
         link->Send(static_cast<uint8_t>(fleet_frame::kLeaderFeatures),
                    Encode(leader_features{kQueuesSlotRequests}));
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -34,6 +34,7 @@
   size_t voters = 3;
   endpoint_selector_options selector;
   item_dispatcher::options dispatcher;
+  duration allotment_window = kDefaultAllotmentWindow;
 };
 
 // A job store: a host with a disk that is a member of the job group, which
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -345,8 +345,9 @@
   const duration max_wait =
       std::chrono::milliseconds(demand.request.max_wait_ms);
   const auto found = services_.find(demand.request.service);
-  if (demand.is_run_counted == 0 || demand.has_returned != 0 ||
-      found == services_.end()) {
+  // Also for callers that have returned: if they waited until they were late,
+  // all that came after them would be late as well.
+  if (demand.is_run_counted == 0 || found == services_.end()) {
     return max_wait;
   }
   const duration run = std::chrono::duration_cast<duration>(
