accounts, slots, eventio: own shares by use, calls in time, slow callers

A caller that does not read grew the host's memory by its whole response. Change: the leader tells each host what it may send alone, by its part of the account's requests. A call waits for as long as leaves time for a long run, and gets the endpoint that is expected to finish first, by durations learned for each load. Responses are read at the pace of their callers; stalled callers are closed; what is held is counted, and the largest are closed before memory ends.

--- a/src/libshallotport/accounts/allotment_budget.cc
+++ b/src/libshallotport/accounts/allotment_budget.cc
@@ -39,8 +39,7 @@
 
 }  // namespace
 
-void allotment_budget::Update(steady_time now,
-                              std::span<const account_rules> accounts) {
+void allotment_budget::Update(std::span<const account_rules> accounts) {
   std::map<uint64_t, account_state> updated;
   for (const account_rules& each : accounts) {
     if (!each.IsLimited()) {
@@ -148,6 +147,9 @@
 }
 
 bool allotment_budget::TakeOwnToken(steady_time now, account_state& state) {
+  if (state.own_share > 0) {
+    return state.sent_alone.Sum(now) < state.own_share;
+  }
   const steady_time next = NextOwnToken(now, state);
   if (next > now) {
     return false;
@@ -189,6 +191,7 @@
   }
   if (TakeOwnToken(now, state)) {
     state.sent.Add(now, 1);
+    state.sent_alone.Add(now, 1);
     state.overdrawn += is_leader_heard ? 1 : 0;
     return {};
   }
@@ -291,6 +294,7 @@
     return;
   }
   account_state& state = found->second;
+  state.own_share = grant.own_share;
   if (grant.granted > 0) {
     state.leases.push_back({grant.granted, asked_at + kTokenLifetime});
   }
--- a/src/libshallotport/accounts/allotment_budget.h
+++ b/src/libshallotport/accounts/allotment_budget.h
@@ -35,10 +35,12 @@
 // tokens ahead of need where an account is busy here, and for single ones
 // otherwise. Owned by allotment_client. Pure.
 //
-// A host that the leader does not answer decides by its own share of each rate.
-// Most accounts have much less than one request a second for each host, so a
-// token of the own share is valid for a limited time only: otherwise all hosts
-// together would save up one token each.
+// A host that the leader does not answer sends what the leader said before that
+// it may, by its part of the account's requests. Where it has not heard of the
+// account, it has an equal share of the rate. Most accounts have much less than
+// one request a second for each host, so a token of the own share is valid for
+// a limited time only: otherwise all hosts together would save up one token
+// each.
 class allotment_budget {
  public:
   // `window`: of the allotments.
@@ -46,7 +48,7 @@
                             duration window = kDefaultAllotmentWindow)
       : random_(seed), window_(window) {}
 
-  void Update(steady_time now, std::span<const account_rules> accounts);
+  void Update(std::span<const account_rules> accounts);
   // Entry hosts, as the control hosts count them.
   void SetHostCount(steady_time now, uint32_t hosts);
 
@@ -91,7 +93,8 @@
     steady_time expires_at{};
   };
   struct account_state {
-    explicit account_state(window_count initial) : sent(std::move(initial)) {}
+    explicit account_state(const window_count& initial)
+        : sent(initial), sent_alone(initial) {}
 
     double per_second = 0;
     double burst = 0;
@@ -108,9 +111,12 @@
     steady_time next_ahead_at{};
     steady_time next_token_at{};
     steady_time busy_until{};  // No own token is used until then.
-    // Of the own share: when its tokens come, as a part of their interval, so
-    // that those of all hosts do not come at the same time; and the time of the
-    // last one that was used.
+    // What the leader said that this host may send in a window without it.
+    uint32_t own_share = 0;
+    window_count sent_alone;
+    // Of hosts that the leader has not told: when their tokens come, as a part
+    // of their interval, so that those of all hosts do not come at the same
+    // time; and the time of the last one that was used.
     double own_phase = 0;
     steady_time own_used_until{};
   };
--- a/src/libshallotport/accounts/allotment_client.cc
+++ b/src/libshallotport/accounts/allotment_client.cc
@@ -40,7 +40,7 @@
 allotment_client::~allotment_client() = default;
 
 void allotment_client::SetAccounts(std::span<const account_rules> accounts) {
-  budget_.Update(clock_.Now(), accounts);
+  budget_.Update(accounts);
 }
 
 void allotment_client::SetLeader(steady_time now, const std::string& ip) {
--- a/src/libshallotport/accounts/allotment_ledger.cc
+++ b/src/libshallotport/accounts/allotment_ledger.cc
@@ -45,13 +45,16 @@
     state.burst = each.burst;
   }
   accounts_ = std::move(updated);
-  std::erase_if(held_, [this](const auto& each) {
+  const auto is_gone = [this](const auto& each) {
     return !accounts_.contains(each.first.first);
-  });
+  };
+  std::erase_if(held_, is_gone);
+  std::erase_if(used_, is_gone);
 }
 
 void allotment_ledger::Clear() {
   held_.clear();
+  used_.clear();
   heard_at_.clear();
   for (auto& [account, each] : accounts_) {
     each.granted = window_count(window_);
@@ -65,6 +68,9 @@
   std::erase_if(held_, [now](const auto& each) {
     return each.second.empty() || now > each.second.back().at + kReturnTime;
   });
+  for (auto at = used_.begin(); at != used_.end();) {
+    at = at->second.Sum(now) == 0 ? used_.erase(at) : std::next(at);
+  }
   const auto heard = static_cast<size_t>(std::count_if(
       heard_at_.begin(), heard_at_.end(),
       [now](const auto& at) { return now < at.second + kHostTimeout; }));
@@ -116,11 +122,17 @@
     return grant;
   }
   account_state& from = found->second;
-  from.granted.AddByAge(now, need.sent);
-  from.granted.Remove(now, TakeReturned(now, host, need));
+  const holder by{need.account, host};
+  window_count& used = used_.try_emplace(by, window_).first->second;
+  const uint32_t returned = TakeReturned(now, host, need);
+  for (window_count* each : {&from.granted, &used}) {
+    each->AddByAge(now, need.sent);
+    each->Remove(now, returned);
+  }
   // An account does not pay for longer than a window for requests that were
   // sent without a token.
-  from.granted.Add(now, std::min(need.overdrawn, Limit(from)));
+  const uint32_t overdrawn = std::min(need.overdrawn, Limit(from));
+  from.granted.Add(now, overdrawn);
   const uint32_t left = Available(now, need.account);
   const uint32_t waiting = std::min(need.waiting, left);
   const uint32_t rest = left - waiting;
@@ -129,6 +141,7 @@
       static_cast<uint32_t>((rest - std::min(rest, kept)) * kMaxShareOfRest);
   grant.granted = waiting + std::min(need.ahead, most_ahead);
   from.granted.Add(now, grant.granted);
+  used.Add(now, overdrawn + grant.granted);
   granted_ += grant.granted;
   if (grant.granted > 0) {
     held_[{need.account, host}].push_back({now, grant.granted});
@@ -140,9 +153,21 @@
     grant.next_token_ms =
         static_cast<uint32_t>(std::max<int64_t>(wait.count(), 1));
   }
+  grant.own_share = OwnShareOf(now, by);
   return grant;
 }
 
+uint32_t allotment_ledger::OwnShareOf(steady_time now, const holder& of) {
+  account_state& state = accounts_.at(of.first);
+  const uint32_t used = used_.at(of).Sum(now);
+  const uint32_t all = state.granted.Sum(now);
+  if (used == 0 || all == 0) {
+    return 0;
+  }
+  const double share = OwnShare(state.per_second) * Limit(state) * used / all;
+  return std::max(static_cast<uint32_t>(share), 1u);
+}
+
 void allotment_ledger::RecordHost(steady_time now, const std::string& host) {
   heard_at_[host] = now;
 }
--- a/src/libshallotport/accounts/allotment_ledger.h
+++ b/src/libshallotport/accounts/allotment_ledger.h
@@ -74,6 +74,8 @@
   // What may be granted in a window, less what is kept back for hosts that
   // decide by themselves.
   uint32_t Limit(const account_state& of) const;
+  // Of the account, by the host's part of its requests in the last window.
+  uint32_t OwnShareOf(steady_time now, const holder& of);
   // Tokens of grants that the host may still return.
   uint32_t TakeReturned(steady_time now,
                         const std::string& host,
@@ -82,6 +84,7 @@
   const duration window_;  // Over which grants are counted.
   std::map<uint64_t, account_state> accounts_;  // With a limit.
   std::map<holder, std::deque<grant_record>> held_;
+  std::map<holder, window_count> used_;
   std::map<std::string, steady_time> heard_at_;  // By host.
   double missing_ = 0;  // Part of the entry hosts that is not heard of.
   uint64_t granted_ = 0;
--- a/src/libshallotport/accounts/allotment_ledger_test.cc
+++ b/src/libshallotport/accounts/allotment_ledger_test.cc
@@ -104,7 +104,7 @@
 // Guards against messages of earlier builds, or malformed ones, that are taken
 // for grants.
 TEST(allotment_messages_test, OtherMessagesAreNoGrants) {
-  const std::vector<allotment_grant> grants = {{7, 2, 0}, {8, 0, 40}};
+  const std::vector<allotment_grant> grants = {{7, 2, 0, 3}, {8, 0, 40, 0}};
   const std::string bytes = EncodeGrants(grants);
   EXPECT_EQ(ValueOf(DecodeGrants(bytes)), grants);
   EXPECT_EQ(ValueOf(DecodeGrants(bytes + "later field")), grants);
--- a/src/libshallotport/accounts/allotment_load_test.cc
+++ b/src/libshallotport/accounts/allotment_load_test.cc
@@ -153,7 +153,7 @@
     std::function<void()> deliver;
   };
 
-  void Configure(host& to) { to.budget.Update(now, {&rules_, 1}); }
+  void Configure(host& to) { to.budget.Update({&rules_, 1}); }
   bool IsConnected(const host& of) const {
     return has_leader && !of.is_cut_off;
   }
@@ -412,6 +412,24 @@
                                   std::to_string(std::get<1>(info.param));
                          });
 
+// Guards against accounts below their limits that are refused while hosts are
+// cut off from the leader, or the leader is lost.
+TEST(allotment_without_leader, AccountsAreServedByTheHostsOfTheirCallers) {
+  for (const double rate : {3.0, 20.0, 110.0}) {
+    allotment_load fleet(kHosts, rate, rate, 5);
+    // Callers of an account come to a few hosts, in proportion to its size.
+    const auto few = [&fleet, rate](size_t hosts) {
+      return fleet.RandomHost(
+          std::min(hosts, static_cast<size_t>(rate * 0.6) + 1));
+    };
+    fleet.Run(milliseconds(6'000), rate * 0.4, few);
+    fleet.ForgetCounts();
+    fleet.has_leader = false;
+    fleet.Run(milliseconds(2'000), rate * 0.4, few);
+    EXPECT_LE(fleet.refused, fleet.offered / 10) << rate;
+  }
+}
+
 // Guards against a limit that falls and goes on to be exceeded.
 TEST(allotment_limit, BindsOneWindowAfterItFell) {
   allotment_load fleet(kHosts, 100, 100, 3);
--- a/src/libshallotport/accounts/allotment_messages.h
+++ b/src/libshallotport/accounts/allotment_messages.h
@@ -35,12 +35,16 @@
   uint32_t granted = 0;
   // Until the account has another token; 0 if every waiting request got one.
   uint32_t next_token_ms = 0;
+  // Requests that the host may send in a window by its own decision if it loses
+  // the leader: the larger a part of the account's requests come to it, the
+  // more.
+  uint32_t own_share = 0;
 
   bool operator==(const allotment_grant&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(account, granted, next_token_ms);
+    archive(account, granted, next_token_ms, own_share);
   }
 };
 
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -17,9 +17,6 @@
 // Several intervals between ticks. If they are further apart, this process
 // stalled and has not yet read what arrived meanwhile.
 constexpr std::chrono::milliseconds kStallThreshold{300};
-// While fewer than this share of a service's slots are taken, a free one is
-// found without a request for it.
-constexpr double kScarceShare = 0.5;
 // At most one retry of a slow request for every 20 requests served, so that a
 // fleet that is slow as a whole gets hardly any extra load.
 constexpr double kSlowRetryRatio = 0.05;
@@ -137,16 +134,6 @@
          (routes_ && !routes_->accounts().IsEmpty());
 }
 
-// Plain services have few slots and no queue: hosts that select by themselves
-// meet at them.
-bool entry_duty::AreSlotsScarce(
-    const service_id& service,
-    const endpoint_selector::slot_usage& usage) const {
-  const bool has_engine = routes_ && routes_->HasEngine(service);
-  return (!has_engine && MayQueueForSlots(service)) ||
-         usage.taken >= kScarceShare * usage.slots;
-}
-
 void entry_duty::ReadLimit(const selected_endpoint& from,
                            const response_head& head) {
   const endpoint_start start{from.endpoint, from.start_time_ms};
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -142,9 +142,6 @@
   void ReadLoad(const service_id& service,
                 const selected_endpoint& from,
                 const response_head& head);
-  // Whether a slot has to be requested rather than selected.
-  bool AreSlotsScarce(const service_id& service,
-                      const endpoint_selector::slot_usage& usage) const;
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
--- a/src/libshallotport/entry/route_table.cc
+++ b/src/libshallotport/entry/route_table.cc
@@ -90,14 +90,6 @@
   return nullptr;
 }
 
-bool route_table::HasEngine(const service_id& service) const {
-  return std::any_of(configuration_.services.begin(),
-                     configuration_.services.end(),
-                     [&service](const service_rules& each) {
-                       return each.name == service && each.engine_slots > 0;
-                     });
-}
-
 bool route_table::HasPublicJobs(std::string_view host) const {
   const auto found = by_host_.find(HostName(host));
   return found != by_host_.end() &&
--- a/src/libshallotport/entry/route_table.h
+++ b/src/libshallotport/entry/route_table.h
@@ -92,8 +92,6 @@
   const route* Match(std::string_view host, std::string_view path) const;
   const route_configuration& configuration() const { return configuration_; }
   const account_table& accounts() const { return accounts_; }
-  // Whether the endpoints of a service are model engines.
-  bool HasEngine(const service_id& service) const;
   // Whether callers without a key may have batch jobs on this host name.
   bool HasPublicJobs(std::string_view host) const;
 
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -30,6 +30,10 @@
 // Longer than a sound endpoint pauses.
 constexpr std::chrono::milliseconds kReturnWindow{1'500};
 
+// While fewer than this share of a service's slots are taken, a free one is
+// found without a request for it.
+constexpr double kScarceShare = 0.5;
+
 // Values of log fields.
 std::string_view LogName(endpoint_outcome end) {
   constexpr std::string_view kNames[] = {
@@ -122,6 +126,11 @@
       self->Finish();
     }
   };
+  caller_->on_taken = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->Apply(self->flow_.OnTaken(self->caller_->held()));
+    }
+  };
   if (duty_.last_deadline_ && deadline_ > *duty_.last_deadline_) {
     ++duty_.counters_.refused_stopping;
     Refuse(error_kind::kShuttingDown);
@@ -273,7 +282,7 @@
   const steady_time now = duty_.clock_.Now();
   const auto usage =
       duty_.selector_.SlotUsage(now, service_, constraints_.software_version);
-  const bool is_scarce = duty_.AreSlotsScarce(service_, usage);
+  const bool is_scarce = usage.taken >= kScarceShare * usage.slots;
   const selection_constraints constraints = CurrentConstraints();
   const bool may_be_granted = !constraints.is_limited_to_avoided &&
                               duty_.selector_.MayBegin(now, constraints);
@@ -580,6 +589,18 @@
     duty_.crash_observer_.OnSustainedOutput(Observed(*attempt));
   }
   caller_->SendChunk(events);
+  Apply(flow_.OnSent(attempt->last_received_at, caller_->held()));
+}
+
+void routed_exchange::Apply(flow_action action) {
+  if (current_ == nullptr || current_->call == nullptr) {
+    return;
+  }
+  if (action == flow_action::kPause) {
+    current_->call->Pause();
+  } else if (action == flow_action::kResume) {
+    current_->call->Resume();
+  }
 }
 
 void routed_exchange::FixVersion(const endpoint_attempt& attempt) {
@@ -724,7 +745,8 @@
   if (end == endpoint_outcome::kBroken) {
     ++duty_.counters_.broken_attempts;
     // An endpoint that announced its end has not crashed.
-    if (duty_.selector_.IsServing(endpoint)) {
+    // Nor one whose response was not read at its pace.
+    if (duty_.selector_.IsServing(endpoint) && !flow_.is_paused()) {
       duty_.crash_observer_.OnBroken(Observed(*attempt));
     }
   }
@@ -911,6 +933,10 @@
   }
   const auto self = shared_from_this();
   if (now < deadline_) {
+    if (flow_.is_paused() && current_ != nullptr) {
+      current_->last_received_at = now;
+    }
+    Apply(flow_.OnTick(now, caller_->held()));
     EndLongOverlap(now);
     BeginSecondIfSilent(now);
     if (next_return_at_ && now >= *next_return_at_) {
@@ -1011,6 +1037,7 @@
     return;
   }
   caller_->on_disconnected = nullptr;
+  caller_->on_taken = nullptr;
   if (is_awaiting_slot_ && duty_.cancel_slot) {
     duty_.cancel_slot(slot_ticket_);
   }
--- a/src/libshallotport/entry/routed_exchange.h
+++ b/src/libshallotport/entry/routed_exchange.h
@@ -12,6 +12,7 @@
 #include "entry/attempt_policy.h"
 #include "entry/endpoint_attempt.h"
 #include "entry/entry_duty.h"
+#include "entry/response_flow.h"
 #include "entry/resumption_policy.h"
 #include "poison/request_traits.h"
 
@@ -76,6 +77,8 @@
   void OnBody(const attempt_ptr& attempt, std::string_view bytes);
   // Sends events of a stream on to the caller.
   void SendOn(const attempt_ptr& attempt, const std::string& events);
+  // Reads the response at the pace of the caller.
+  void Apply(flow_action action);
   void OnEnd(const attempt_ptr& attempt, call_end end);
   void OnCompleteResponse(const attempt_ptr& attempt);
   void OnAttemptFailed(const attempt_ptr& attempt,
@@ -148,6 +151,7 @@
   // Since the caller's first attempt, as far as is known.
   std::chrono::milliseconds elapsed_before_{0};
 
+  response_flow flow_;
   bool has_response_begun_ = false;
   std::string last_event_id_;
   bool is_finished_ = false;
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -54,7 +54,9 @@
       streams_(clock, fleet_),
       crashes_(fleet_, duty_.selector().crashes()),
       limits_(fleet_, duty_.selector().limits()),
+      memory_(options_.memory_limit),
       callers_(loop, clock, std::move(on_request)) {
+  callers_.SetMemoryBudget(&memory_);
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
     if (!IsOk(read)) {
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -10,6 +10,7 @@
 #include "entry/decision_log.h"
 #include "entry/entry_duty.h"
 #include "eventio/http_listener.h"
+#include "eventio/memory_budget.h"
 #include "fleet/fleet_host.h"
 #include "jobstore/job_store_client.h"
 #include "poison/crash_exchange.h"
@@ -27,6 +28,8 @@
   // From the request to stop until the process is killed.
   duration stop_grace = std::chrono::seconds(8);
   duration allotment_window = kDefaultAllotmentWindow;
+  // Of what may be held for callers.
+  size_t memory_limit = 128u << 20;
 };
 
 // A host between callers and endpoints. Receives the configuration and the
@@ -62,6 +65,7 @@
   const slot_client& slots() const { return slots_; }
   const allotment_client& allotments() const { return allotments_; }
   fleet_host& fleet() { return fleet_; }
+  const memory_budget& memory() const { return memory_; }
   const http_listener& callers() const { return callers_; }
 
  private:
@@ -83,6 +87,7 @@
   stream_origin_client streams_;
   crash_exchange crashes_;
   limit_exchange limits_;
+  memory_budget memory_;  // Held for callers.
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -102,6 +102,7 @@
   events_ = std::move(events);
   is_in_call_ = true;
   is_sent_ = false;
+  is_paused_ = false;
   has_head_ = false;
   is_skipping_response_ = false;
   has_skipped_response_ = false;
@@ -239,8 +240,15 @@
   Read();
 }
 
+void endpoint_connection::ResumeReading() {
+  is_paused_ = false;
+  if (is_in_call_ && is_connected_) {
+    Read();
+  }
+}
+
 void endpoint_connection::Read() {
-  if (is_reading_ || is_closed_) {
+  if (is_reading_ || is_closed_ || (is_paused_ && is_in_call_)) {
     return;
   }
   is_reading_ = true;
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -29,6 +29,9 @@
   // Sends the request, after connecting if necessary.
   void Begin(outbound_request request, call_events events);
   void Close();
+  // Of the current call's response.
+  void PauseReading() { is_paused_ = true; }
+  void ResumeReading();
   // Closes the connection and drops its reference to the pool, which is being
   // destroyed.
   void Detach();
@@ -97,6 +100,7 @@
   call_events events_;
   bool is_connected_ = false;
   bool is_reading_ = false;
+  bool is_paused_ = false;
   bool is_in_call_ = false;
   bool is_sent_ = false;  // The whole request has been written.
   bool has_head_ = false;
--- a/src/libshallotport/eventio/endpoint_connection_pool.cc
+++ b/src/libshallotport/eventio/endpoint_connection_pool.cc
@@ -19,6 +19,16 @@
       connection_->Close();
     }
   }
+  void Pause() override {
+    if (connection_ != nullptr) {
+      connection_->PauseReading();
+    }
+  }
+  void Resume() override {
+    if (connection_ != nullptr) {
+      connection_->ResumeReading();
+    }
+  }
   // Called when the call has ended; its connection may serve another one.
   void Release() { connection_.reset(); }
 
--- a/src/libshallotport/eventio/endpoint_connection_pool.h
+++ b/src/libshallotport/eventio/endpoint_connection_pool.h
@@ -42,6 +42,11 @@
 class endpoint_call {
  public:
   virtual ~endpoint_call() = default;
+
+  // Stops and resumes reading the response. What was read already may still be
+  // passed on.
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
 };
 
 // A serialized request and how its response is recognized.
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
 #include "eventio/socket_options.h"
@@ -17,12 +16,16 @@
 // Limit of unparsed bytes buffered while a request is served; reading continues
 // afterwards.
 constexpr size_t kMaxPipelinedBytes = 64u << 10;
+// While memory is scarce, requests with a larger body are refused.
+constexpr size_t kLargeBodyBytes = 64u << 10;
 
 }  // namespace
 
 http_connection::http_connection(http_listener& listener,
                                  boost::asio::ip::tcp::socket socket)
-    : listener_(&listener), socket_(std::move(socket)) {
+    : listener_(&listener),
+      socket_(std::move(socket)),
+      held_(listener.memory_) {
   BeginIdle();
 }
 
@@ -53,6 +56,7 @@
           return;
         }
         self->input_.append(self->read_buffer_.data(), size);
+        self->CountHeld();
         if (!self->is_serving_) {
           self->Parse();
         }
@@ -64,7 +68,7 @@
 
 void http_connection::OnDisconnected() {
   const bool has_unsent_response =
-      !is_serving_ && (is_sending_ || !output_.empty());
+      !is_serving_ && (is_sending_ || UnsentBytes() > 0);
   if (has_unsent_response) {
     // The caller may have half-closed the connection.
     closes_when_sent_ = true;
@@ -80,6 +84,7 @@
   const auto self = shared_from_this();
   error_code ignored;
   socket_.close(ignored);
+  held_.Set(0);
   if (const auto exchange = exchange_.lock()) {
     exchange_.reset();
     const bool was_open = !std::exchange(exchange->is_ended_, true);
@@ -94,6 +99,8 @@
 
 void http_connection::Detach() {
   listener_ = nullptr;
+  held_.Set(0);
+  held_.Detach();
   Close();
 }
 
@@ -126,6 +133,11 @@
 }
 
 void http_connection::Sweep(steady_time now) {
+  if (watch_.HasStalled(now)) {
+    ++listener_->counters_.closed_stalled;
+    Close();
+    return;
+  }
   if (is_serving_ || is_sending_) {
     return;
   }
@@ -176,6 +188,11 @@
       Reject(400);
       return;
     }
+    if (!AcceptsBody()) {
+      ++listener_->counters_.refused_large;
+      Reject(503);
+      return;
+    }
     if (parser_->is_done()) {
       Dispatch();
     } else if (used == 0) {
@@ -211,6 +228,9 @@
   parser_.reset();
   input_.clear();
   header_list headers;
+  if (status == 503) {
+    headers.Add("Retry-After", "1");
+  }
   std::string bytes = FormatHead(status, headers);
   bytes += "Content-Length: 0\r\n\r\n";
   closes_when_sent_ = true;
@@ -235,6 +255,7 @@
     return;
   }
   output_ += bytes;
+  CountHeld();
   Flush();
 }
 
@@ -242,7 +263,7 @@
   if (is_sending_ || is_closed_) {
     return;
   }
-  if (output_.empty()) {
+  if (UnsentBytes() == 0) {
     if (closes_when_sent_) {
       error_code ignored;
       socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
@@ -251,20 +272,64 @@
     return;
   }
   is_sending_ = true;
-  sending_.clear();
-  std::swap(sending_, output_);
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(sending_),
-      [self = shared_from_this()](const error_code& failure, size_t) {
+  if (sent_ == sending_.size()) {
+    sending_.clear();
+    sent_ = 0;
+    std::swap(sending_, output_);
+  }
+  if (listener_ != nullptr) {
+    watch_.OnWaiting(listener_->clock_.Now());
+  }
+  socket_.async_write_some(
+      boost::asio::buffer(sending_) + sent_,
+      [self = shared_from_this()](const error_code& failure, size_t size) {
         self->is_sending_ = false;
         if (failure) {
           self->Close();
           return;
         }
-        self->Flush();
+        self->OnSent(size);
       });
 }
 
+void http_connection::OnSent(size_t size) {
+  sent_ += size;
+  if (listener_ != nullptr) {
+    watch_.OnTaken(listener_->clock_.Now(), size);
+  }
+  if (UnsentBytes() == 0) {
+    watch_.OnEmpty();
+  }
+  CountHeld();
+  const auto exchange = exchange_.lock();
+  if (exchange != nullptr && exchange->on_taken) {
+    exchange->on_taken();
+  }
+  Flush();
+}
+
+size_t http_connection::UnsentBytes() const {
+  return sending_.size() - sent_ + output_.size();
+}
+
+// What the parser has read is in `input_` no more, but in its message.
+void http_connection::CountHeld() {
+  if (!is_closed_) {
+    const size_t body = parser_ ? parser_->get().body().size() : 0;
+    held_.Set(UnsentBytes() + input_.size() + body);
+  }
+}
+
+bool http_connection::AcceptsBody() const {
+  if (listener_ == nullptr || listener_->memory_ == nullptr ||
+      listener_->memory_->Pressure() == memory_pressure::kNone) {
+    return true;
+  }
+  const auto length = parser_->content_length();
+  return parser_->get().body().size() <= kLargeBodyBytes &&
+         (!length || *length <= kLargeBodyBytes);
+}
+
 void http_connection::FinishExchange(bool is_closing) {
   exchange_.reset();
   is_serving_ = false;
@@ -319,6 +384,10 @@
   to.FinishExchange(to.closes_after_response_);
 }
 
+size_t http_exchange::held() const {
+  return is_ended_ ? 0 : connection_->UnsentBytes();
+}
+
 void http_exchange::BeginStream(int status, const header_list& headers) {
   has_begun_ = true;
   http_connection& to = *connection_;
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -11,6 +11,8 @@
 #include <string_view>
 
 #include "eventio/http_listener.h"
+#include "eventio/memory_budget.h"
+#include "eventio/slow_peer_watch.h"
 
 namespace shallotport {
 
@@ -32,6 +34,8 @@
   void EndExchange();
 
   bool is_busy() const { return is_serving_; }
+  // Bytes that wait for the caller, or for the rest of its request.
+  size_t held() const { return held_.count(); }
 
  private:
   friend class http_exchange;
@@ -46,6 +50,12 @@
   void Flush();
   void FinishExchange(bool is_closing);
   void OnDisconnected();
+  void OnSent(size_t size);
+  // What has been written and not yet been taken by the caller.
+  size_t UnsentBytes() const;
+  void CountHeld();
+  // False if a request of this size is not accepted now.
+  bool AcceptsBody() const;
   void BeginIdle();
   // Bytes wait in the socket.
   bool HasUnreadInput() const;
@@ -72,6 +82,9 @@
 
   std::string output_;
   std::string sending_;
+  size_t sent_ = 0;  // Of `sending_`.
+  slow_peer_watch watch_;
+  held_bytes held_;
   bool is_sending_ = false;
   bool closes_when_sent_ = false;
   bool is_closed_ = false;
--- a/src/libshallotport/eventio/http_listener.cc
+++ b/src/libshallotport/eventio/http_listener.cc
@@ -59,6 +59,24 @@
   for (const auto& each : all) {
     each->Sweep(now);
   }
+  if (memory_ != nullptr && memory_->Pressure() == memory_pressure::kCritical) {
+    CloseLargest();
+  }
+}
+
+// The kernel would end the whole process.
+void http_listener::CloseLargest() {
+  std::vector<std::shared_ptr<http_connection>> all(connections_.begin(),
+                                                    connections_.end());
+  std::sort(all.begin(), all.end(),
+            [](const auto& a, const auto& b) { return a->held() > b->held(); });
+  for (const auto& each : all) {
+    if (memory_->Excess() == 0 || each->held() == 0) {
+      return;
+    }
+    ++counters_.closed_for_memory;
+    each->Close();
+  }
 }
 
 size_t http_listener::busy_count() const {
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -17,12 +17,16 @@
 namespace shallotport {
 
 class http_connection;
+class memory_budget;
 
 // Counters of callers' connections that this host closed, since its start.
 struct listener_counters {
   uint64_t closed_idle = 0;
   // A request was read, and its connection was closed before any response.
   uint64_t unanswered = 0;
+  uint64_t closed_stalled = 0;  // The caller did not take its response.
+  uint64_t closed_for_memory = 0;
+  uint64_t refused_large = 0;  // Requests, while memory was scarce.
 };
 
 // Limits on requests and connections of callers.
@@ -49,6 +53,11 @@
   // Called once if the caller's connection ends before the response does.
   std::function<void()> on_disconnected;
 
+  // Called when the caller has taken bytes of the response.
+  std::function<void()> on_taken;
+  // Bytes of the response that the caller has not taken yet.
+  size_t held() const;
+
   // Sends a complete response.
   void Respond(int status, const header_list& headers, std::string_view body);
   // Sends a response as a stream of chunks, each as soon as it is passed.
@@ -86,6 +95,8 @@
 
   status Listen(const std::string& address, uint16_t port);
   void SetLimits(const listener_limits& limits) { limits_ = limits; }
+  // Call before Listen(); the budget outlives the listener.
+  void SetMemoryBudget(memory_budget* memory) { memory_ = memory; }
 
   // From now on, connections are closed after their current response.
   void StartDraining();
@@ -94,7 +105,8 @@
   // Ends all exchanges: with 502 where no response has begun, because the
   // request may have been executed, otherwise with the connection.
   void EndAll();
-  // Closes connections that exceeded a time limit; to be called a few times a
+  // Closes connections that exceeded a time limit, whose caller has stalled, or
+  // that hold most while memory is nearly used up; to be called a few times a
   // second.
   void Sweep(steady_time now);
 
@@ -107,11 +119,14 @@
   friend class http_connection;
   friend class http_exchange;
 
+  void CloseLargest();
+
   boost::asio::io_context& loop_;
   const clock_source& clock_;
   request_handler on_request_;
   listener_limits limits_;
   listener_counters counters_;
+  memory_budget* memory_ = nullptr;
   connection_acceptor acceptor_;
   std::set<std::shared_ptr<http_connection>> connections_;
   bool is_draining_ = false;
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -26,8 +26,11 @@
 // Positions in an endpoint's queue for requests that may wait for long.
 constexpr uint32_t kMaxWaiting = 8;
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
-// A run may take this many times the mean and still be in time.
-constexpr double kLongRunFactor = 1.5;
+// A request waits at least for the time in which some slot becomes free.
+constexpr std::chrono::milliseconds kMinWait{20};
+// Bytes between failure domains are expensive: another one's endpoint has to
+// finish this much earlier.
+constexpr std::chrono::milliseconds kOtherDomainCost{15};
 // Of the waiting requests, looked at for a free slot that the first may not
 // use.
 constexpr size_t kMaxRequestsToTry = 8;
@@ -76,6 +79,7 @@
     state.uses.clear();
     state.avoided_by.clear();
     state.mean_duration = {};
+    state.durations = {};
     state.ended = 0;
     state.failed = 0;
   }
@@ -127,10 +131,14 @@
   return is_known ? found->second.mean_duration : duration(kInitialDuration);
 }
 
-void slot_allocator::RecordDuration(endpoint_state& state, duration elapsed) {
+void slot_allocator::RecordDuration(endpoint_state& state,
+                                    duration elapsed,
+                                    uint32_t running) {
+  state.durations.Record(running, elapsed);
   state.mean_duration = Average(state.mean_duration, elapsed);
   service_state& service = services_[state.report.service];
   service.mean_duration = Average(service.mean_duration, elapsed);
+  service.slow.Record(elapsed);
 }
 
 bool slot_allocator::IsAvoidedByOthers(steady_time now,
@@ -270,12 +278,50 @@
   return best;
 }
 
+slot_allocator::candidate slot_allocator::SelectFirstToFinish(
+    steady_time now,
+    const queued_slot_request& demand) {
+  const slot_request& request = demand.request;
+  const candidate by_preference = SelectCandidate(now, request);
+  if (demand.is_run_counted == 0 ||
+      by_preference.rank >= candidate::preference::kFailing) {
+    return by_preference;
+  }
+  const auto service = services_.find(request.service);
+  const duration usual = service == services_.end()
+                             ? duration(kInitialDuration)
+                             : MeanDuration(service->second);
+  candidate first = by_preference;
+  std::optional<duration> first_finish;
+  for (const auto& [key, state] : endpoints_) {
+    if (state.report.service != request.service) {
+      continue;
+    }
+    const candidate ranked = Rank(now, request, key, state);
+    if (ranked.rank >= candidate::preference::kFailing) {
+      continue;
+    }
+    const bool is_own_domain = state.report.domain == request.domain;
+    const auto running =
+        static_cast<uint32_t>(state.uses.size()) + state.batch_load + 1;
+    const duration finish =
+        state.durations.Expect(running, usual) +
+        (is_own_domain ? duration(0) : duration(kOtherDomainCost));
+    if (!first_finish || finish < *first_finish) {
+      first_finish = finish;
+      first = ranked;
+    }
+  }
+  return first;
+}
+
 slot_decision slot_allocator::Grant(steady_time now,
                                     const std::string& host,
                                     const candidate& at) {
   endpoint_state& state = endpoints_.at(at.key);
   limits_->RecordSent(now, StartOf(state.report));
   state.uses.push_back({host, now});
+  state.uses.back().running = static_cast<uint32_t>(state.uses.size());
   StartWaiting(now, state);
   host_endpoints_[host].insert(at.key);
   slot_decision decision;
@@ -350,11 +396,9 @@
   if (demand.is_run_counted == 0 || found == services_.end()) {
     return max_wait;
   }
-  const duration run = std::chrono::duration_cast<duration>(
-      MeanDuration(found->second) * kLongRunFactor);
+  const duration run = found->second.slow.Get(MeanDuration(found->second));
   return std::max<duration>(
-      std::chrono::milliseconds(demand.objective_left_ms) - run,
-      std::min<duration>(max_wait, kMinRetryAfter));
+      std::chrono::milliseconds(demand.objective_left_ms) - run, kMinWait);
 }
 
 slot_decision slot_allocator::AllocateOrQueue(
@@ -364,7 +408,7 @@
   const slot_request& request = demand.request;
   RecordAvoidance(now, host, request);
   service_state& service = services_[request.service];
-  const candidate best = SelectCandidate(now, request);
+  const candidate best = SelectFirstToFinish(now, demand);
   // While others wait, a slot that is free is one that they must not use.
   if (best.rank < candidate::preference::kQueue) {
     return Grant(now, host, best);
@@ -418,7 +462,7 @@
     steady_time now,
     slot_queue& queue) {
   for (const waiting_slot_request* each : queue.First(now, kMaxRequestsToTry)) {
-    const candidate best = SelectCandidate(now, each->demand.request);
+    const candidate best = SelectFirstToFinish(now, each->demand);
     if (best.rank < candidate::preference::kQueue) {
       const waiting_slot_request granted = queue.Take(*each);
       return queued_slot_decision{granted.host, granted.demand.ticket,
@@ -527,7 +571,7 @@
         break;
       }
       if (oldest->has_started) {
-        RecordDuration(state, now - oldest->started_at);
+        RecordDuration(state, now - oldest->started_at, oldest->running);
       }
       DecayCounts(now, state);
       state.ended += 1;
@@ -536,6 +580,7 @@
     }
     for (; own < count; ++own) {
       uses.push_back({host, now});
+      uses.back().running = static_cast<uint32_t>(uses.size());
     }
     StartWaiting(now, state);
     if (own > 0) {
