slots: hosts select by themselves while most endpoints are avoided

Change: where less than half of a service's slots may be granted, the host selects by itself, as without a queue. A duration counts as five times the mean at most.

--- a/src/libshallotport/slots/load_durations.cc
+++ b/src/libshallotport/slots/load_durations.cc
@@ -10,6 +10,9 @@
 // In the moving average: follows a neighbour that slows the machine for half a
 // second within a few requests.
 constexpr int kSamples = 8;
+constexpr int kMeanSamples = 16;
+// Of the mean: a longer duration counts as this.
+constexpr int kMaxSample = 5;
 // Of the quantile: nine in ten requests take no longer.
 constexpr double kQuantile = 0.9;
 // Of the estimate, by which a sample moves it.
@@ -40,18 +43,24 @@
   return otherwise;
 }
 
-void slow_duration::Record(duration elapsed) {
-  if (estimate_.count() == 0) {
-    estimate_ = elapsed;
+void duration_estimate::Record(duration elapsed) {
+  if (mean_.count() == 0) {
+    mean_ = elapsed;
+    slow_ = elapsed;
     return;
   }
-  const bool is_above = elapsed > estimate_;
-  estimate_ += is_above ? Scaled(estimate_, kStep * kQuantile)
-                        : -Scaled(estimate_, kStep * (1 - kQuantile));
+  const duration sample = std::min(elapsed, mean_ * kMaxSample);
+  mean_ += (sample - mean_) / kMeanSamples;
+  slow_ += sample > slow_ ? Scaled(slow_, kStep * kQuantile)
+                          : -Scaled(slow_, kStep * (1 - kQuantile));
 }
 
-duration slow_duration::Get(duration otherwise) const {
-  return estimate_.count() == 0 ? otherwise : estimate_;
+duration duration_estimate::Mean(duration otherwise) const {
+  return mean_.count() == 0 ? otherwise : mean_;
+}
+
+duration duration_estimate::Slow(duration otherwise) const {
+  return slow_.count() == 0 ? otherwise : slow_;
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/slots/load_durations.h
+++ b/src/libshallotport/slots/load_durations.h
@@ -24,16 +24,20 @@
   std::vector<duration> by_load_;  // 0: unknown.
 };
 
-// A high quantile of the durations of a service's requests, which moves with
-// them. Pure.
-class slow_duration {
+// The mean and a high quantile of the durations of a service's requests, which
+// move with them. One that took very long, such as of a host that was
+// partitioned meanwhile, counts as a few times the mean. Pure.
+class duration_estimate {
  public:
   void Record(duration elapsed);
   // `otherwise` until requests have ended.
-  duration Get(duration otherwise) const;
+  duration Mean(duration otherwise) const;
+  // Nine in ten requests take no longer.
+  duration Slow(duration otherwise) const;
 
  private:
-  duration estimate_{};
+  duration mean_{};
+  duration slow_{};
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/slots/load_durations_test.cc
+++ b/src/libshallotport/slots/load_durations_test.cc
@@ -33,14 +33,16 @@
 // usual: a tenth of the runs take three times as long.
 TEST(load_durations_test, SlowDurationIsThatOfALongRun) {
   random_source random(3);
-  slow_duration slow;
-  EXPECT_EQ(slow.Get(milliseconds(9)), milliseconds(9));
+  duration_estimate durations;
+  EXPECT_EQ(durations.Slow(milliseconds(9)), milliseconds(9));
   for (int i = 0; i < 2'000; ++i) {
     const auto usual = milliseconds(40 + UniformBelow(random, 40));
-    slow.Record(UniformBelow(random, 10) < 2 ? 3 * usual : usual);
+    durations.Record(UniformBelow(random, 10) < 2 ? 3 * usual : usual);
   }
-  EXPECT_GT(slow.Get({}), milliseconds(100));
-  EXPECT_LT(slow.Get({}), milliseconds(240));
+  EXPECT_GT(durations.Slow({}), milliseconds(100));
+  EXPECT_LT(durations.Slow({}), milliseconds(240));
+  durations.Record(std::chrono::hours(1));
+  EXPECT_LT(durations.Mean({}), milliseconds(150));
 }
 
 }  // namespace
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -26,6 +26,8 @@
 // Positions in an endpoint's queue for requests that may wait for long.
 constexpr uint32_t kMaxWaiting = 8;
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
+// Of a service's slots, the least that a request may use to wait for one.
+constexpr double kMinAllowedShare = 0.5;
 // A request waits at least for the time in which some slot becomes free.
 constexpr std::chrono::milliseconds kMinWait{20};
 // Bytes between failure domains are expensive: another one's endpoint has to
@@ -138,7 +140,7 @@
   state.mean_duration = Average(state.mean_duration, elapsed);
   service_state& service = services_[state.report.service];
   service.mean_duration = Average(service.mean_duration, elapsed);
-  service.slow.Record(elapsed);
+  service.durations.Record(elapsed);
 }
 
 bool slot_allocator::IsAvoidedByOthers(steady_time now,
@@ -169,6 +171,20 @@
          *request.software_version == state.report.software_version;
 }
 
+bool slot_allocator::IsAllowed(steady_time now,
+                               const slot_request& request,
+                               uint32_t key,
+                               const endpoint_state& state) const {
+  const auto contains = [](const auto& list, const auto& value) {
+    return std::find(list.begin(), list.end(), value) != list.end();
+  };
+  return state.is_ready && state.report.slots > 0 &&
+         HasVersion(request, state) &&
+         !contains(request.avoided_endpoints, key) &&
+         !contains(request.avoided_domains, state.report.domain) &&
+         !IsAvoidedByOthers(now, state);
+}
+
 slot_allocator::candidate slot_allocator::Rank(
     steady_time now,
     const slot_request& request,
@@ -177,14 +193,8 @@
   using preference = candidate::preference;
   candidate ranked;
   ranked.key = key;
-  const auto contains = [](const auto& list, const auto& value) {
-    return std::find(list.begin(), list.end(), value) != list.end();
-  };
   const uint32_t slots = state.report.slots;
-  if (!state.is_ready || slots == 0 || !HasVersion(request, state) ||
-      contains(request.avoided_endpoints, key) ||
-      contains(request.avoided_domains, state.report.domain) ||
-      IsAvoidedByOthers(now, state) ||
+  if (!IsAllowed(now, request, key, state) ||
       !limits_->MaySend(now, StartOf(state.report), false)) {
     return ranked;
   }
@@ -290,7 +300,7 @@
   const auto service = services_.find(request.service);
   const duration usual = service == services_.end()
                              ? duration(kInitialDuration)
-                             : MeanDuration(service->second);
+                             : service->second.durations.Mean(kInitialDuration);
   candidate first = by_preference;
   std::optional<duration> first_finish;
   for (const auto& [key, state] : endpoints_) {
@@ -387,6 +397,18 @@
   return slots;
 }
 
+uint32_t slot_allocator::AllowedSlots(steady_time now,
+                                      const slot_request& request) const {
+  uint32_t slots = 0;
+  for (const auto& [key, state] : endpoints_) {
+    const bool is_allowed = state.report.service == request.service &&
+                            IsAllowed(now, request, key, state) &&
+                            !limits_->IsLimited(StartOf(state.report));
+    slots += is_allowed ? state.report.slots : 0;
+  }
+  return slots;
+}
+
 duration slot_allocator::UsefulWait(const queued_slot_request& demand) const {
   const duration max_wait =
       std::chrono::milliseconds(demand.request.max_wait_ms);
@@ -396,7 +418,7 @@
   if (demand.is_run_counted == 0 || found == services_.end()) {
     return max_wait;
   }
-  const duration run = found->second.slow.Get(MeanDuration(found->second));
+  const duration run = found->second.durations.Slow(kInitialDuration);
   return std::max<duration>(
       std::chrono::milliseconds(demand.objective_left_ms) - run, kMinWait);
 }
@@ -413,15 +435,21 @@
   if (best.rank < candidate::preference::kQueue) {
     return Grant(now, host, best);
   }
-  const uint32_t slots = UsableSlots(request);
-  if (slots == 0) {
-    return Allocate(now, host, request);
+  // Where hosts avoid most endpoints, as after a partition, free slots are not
+  // known here: the host selects by itself.
+  const uint32_t slots = AllowedSlots(now, request);
+  if (slots == 0 || slots < kMinAllowedShare * UsableSlots(request)) {
+    slot_decision decision;
+    decision.reply.kind = slot_reply_kind::kNoEndpoint;
+    return LimitedService(now, request) ? Allocate(now, host, request)
+                                        : decision;
   }
   const duration useful = UsefulWait(demand);
   waiting_slot_request waiting{host, demand, now, now + useful};
   const auto ahead =
       static_cast<int64_t>(service.queue.CountAhead(now, waiting)) + 1;
-  const duration expected = MeanDuration(service) * ahead / slots;
+  const duration expected =
+      service.durations.Mean(kInitialDuration) * ahead / slots;
   if (expected > useful) {
     return Refuse(now, request, expected);
   }
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -123,7 +123,7 @@
   };
   struct service_state {
     duration mean_duration{};
-    slow_duration slow;
+    duration_estimate durations;
     slot_queue queue;
     steady_time last_return_at{};  // Of the callers that were refused.
   };
@@ -171,6 +171,12 @@
                       const std::string& host,
                       const candidate& at);
   duration MeanDuration(const service_state& service) const;
+  // Whether the request may go to this endpoint, as far as hosts have seen.
+  bool IsAllowed(steady_time now,
+                 const slot_request& request,
+                 uint32_t key,
+                 const endpoint_state& state) const;
+  uint32_t AllowedSlots(steady_time now, const slot_request& request) const;
   // Slots of endpoints without a limit that the request may use.
   uint32_t UsableSlots(const slot_request& request) const;
   // How long a slot is of use to the request.
--- a/src/libshallotport/slots/slot_queue_test.cc
+++ b/src/libshallotport/slots/slot_queue_test.cc
@@ -100,6 +100,36 @@
   EXPECT_EQ(dropped->demand.account, 1u);
 }
 
+// Guards against requests that are refused because two hosts avoid most of the
+// endpoints, though these have free slots: after a partition has healed.
+TEST(slot_queue_test, HostsSelectByThemselvesWhileMostEndpointsAreAvoided) {
+  endpoint_limits limits;
+  slot_allocator allocator(limits);
+  for (const char* name : {"x", "y", "z"}) {
+    endpoint_report report;
+    report.endpoint = endpoint_id(name);
+    report.service = kService;
+    report.domain = domain_id("a");
+    report.stage = endpoint_stage::kReady;
+    report.slots = 1;
+    report.start_time_ms = 1;
+    allocator.Update(report);
+  }
+  queued_slot_request demand = Demand(1);
+  EXPECT_EQ(allocator.AllocateOrQueue(kStart, "h", demand).reply.kind,
+            slot_reply_kind::kGranted);
+  for (const char* host : {"i", "j"}) {
+    queued_slot_request avoiding = Demand(2);
+    for (const char* name : {"x", "y", "z"}) {
+      avoiding.request.avoided_endpoints.push_back(LoadKey(endpoint_id(name)));
+    }
+    allocator.AllocateOrQueue(kStart, host, avoiding);
+  }
+  demand.ticket = 3;
+  EXPECT_EQ(allocator.AllocateOrQueue(kStart, "h", demand).reply.kind,
+            slot_reply_kind::kNoEndpoint);
+}
+
 // Plays bursts on a plain service of 3 endpoints with 6 slots, which refuse
 // what finds no slot: 256 calls/s of 60 ms for 2.4 s, of which the endpoints
 // take some 5% less while neighbours slow them.
