slots, entry: streams wait for slots where accounts compete; calls do not

Change: only streams of deployments with accounts wait; calls are refused at once, as before, and return. The choice by durations at each load is taken out.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -115,23 +115,20 @@
   }
 }
 
-void entry_duty::ReadLoad(const service_id& service,
-                          const selected_endpoint& from,
+void entry_duty::ReadLoad(const selected_endpoint& from,
                           const response_head& head) {
   const auto load = ParseLoadHeader(head.headers.Value(options_.wire.load));
-  if (!load) {
-    return;
-  }
-  selector_.RecordLoad(clock_.Now(), from.endpoint, load->running,
-                       load->waiting);
-  if (load->pace) {
-    paced_services_.insert(service);
+  if (load) {
+    selector_.RecordLoad(clock_.Now(), from.endpoint, load->running,
+                         load->waiting);
   }
 }
 
-bool entry_duty::MayQueueForSlots(const service_id& service) const {
-  return paced_services_.contains(service) ||
-         (routes_ && !routes_->accounts().IsEmpty());
+// A call to a plain service has to end within its objective, so it gains less
+// by waiting than by a refusal after which its caller returns.
+bool entry_duty::MayQueueForSlots(const route& of) const {
+  return of.kind == request_kind::kStreaming && routes_ &&
+         !routes_->accounts().IsEmpty();
 }
 
 void entry_duty::ReadLimit(const selected_endpoint& from,
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -74,7 +74,9 @@
   // then the handler is not called. May be empty: this host selects endpoints
   // by itself.
   using slot_reply_handler = std::function<void(slot_reply reply)>;
+  // `may_wait`: the reply may come when a slot is free.
   std::function<std::optional<uint64_t>(queued_slot_request demand,
+                                        bool may_wait,
                                         slot_reply_handler on_reply)>
       request_slot;
   // The request that awaits a slot has ended.
@@ -117,9 +119,9 @@
 
   endpoint_selector& selector() { return selector_; }
   const endpoint_selector& selector() const { return selector_; }
-  // Whether requests of the service may wait for a slot at the leader of the
-  // job group: where accounts compete, or endpoints say how their machines are.
-  bool MayQueueForSlots(const service_id& service) const;
+  // Whether requests of a route may wait for a slot at the leader of the job
+  // group: streams, where accounts compete.
+  bool MayQueueForSlots(const route& of) const;
   size_t active_count() const { return active_.size(); }
   const entry_counters& counters() const { return counters_; }
   const entry_metrics& metrics() const { return metrics_; }
@@ -139,9 +141,7 @@
   // decided.
   void ReadLeaving(const selected_endpoint& from, const response_head& head);
   void ReadLimit(const selected_endpoint& from, const response_head& head);
-  void ReadLoad(const service_id& service,
-                const selected_endpoint& from,
-                const response_head& head);
+  void ReadLoad(const selected_endpoint& from, const response_head& head);
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
@@ -159,8 +159,6 @@
   entry_counters counters_;
   entry_metrics metrics_;
   usual_time_limit usual_time_limit_;
-  // Their endpoints name the pace of their machines.
-  std::set<service_id> paced_services_;
   std::set<std::shared_ptr<routed_exchange>> active_;
   std::optional<steady_time> last_deadline_;  // Of a request that is begun.
   steady_time last_tick_at_{};
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -288,13 +288,13 @@
                               duty_.selector_.MayBegin(now, constraints);
   if (is_scarce && may_be_granted && duty_.request_slot) {
     is_awaiting_slot_ = true;
-    const auto ticket =
-        duty_.request_slot(MakeDemand(now, constraints),
-                           [weak = weak_from_this()](const slot_reply& reply) {
-                             if (const auto self = weak.lock()) {
-                               self->OnSlotReply(reply);
-                             }
-                           });
+    const auto ticket = duty_.request_slot(
+        MakeDemand(now, constraints), duty_.MayQueueForSlots(route_),
+        [weak = weak_from_this()](const slot_reply& reply) {
+          if (const auto self = weak.lock()) {
+            self->OnSlotReply(reply);
+          }
+        });
     if (ticket) {
       slot_ticket_ = *ticket;
       return;
@@ -533,7 +533,7 @@
 // says that it can be.
 void routed_exchange::OnHead(const attempt_ptr& attempt, response_head head) {
   const wire_profile& wire = duty_.options_.wire;
-  duty_.ReadLoad(service_, attempt->at, head);
+  duty_.ReadLoad(attempt->at, head);
   duty_.ReadLeaving(attempt->at, head);
   duty_.ReadLimit(attempt->at, head);
   attempt->head = std::move(head);
--- a/src/libshallotport/entry/slot_demand.cc
+++ b/src/libshallotport/entry/slot_demand.cc
@@ -66,10 +66,6 @@
   demand.account = facts.account.digest;
   demand.priority = facts.account.priority.value_or(of.priority);
   demand.has_returned = facts.has_returned || !facts.may_refuse ? 1 : 0;
-  demand.is_run_counted =
-      of.kind != request_kind::kStreaming && has_objective ? 1 : 0;
-  demand.objective_left_ms = static_cast<uint32_t>(
-      std::max<int64_t>((of.objective - elapsed).count(), 0));
   return demand;
 }
 
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -29,7 +29,7 @@
   kCrashEvidence = 25,
   // Limits of endpoints, from the job group's leader to all hosts and back.
   kEndpointLimits = 26,
-  kSlotGrant = 27,  // slot_grant, from the job group's leader to entry hosts.
+  kSlotGrant = 27,   // slot_grant, from the job group's leader to entry hosts.
   kSlotCancel = 29,  // slot_cancellation, from entry hosts to that leader.
   kLeaderFeatures = 30,  // leader_features, from that leader to entry hosts.
   kBusyAccounts = 31,    // EncodeBusyAccounts(), from it to entry hosts.
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -28,11 +28,6 @@
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
 // Of a service's slots, the least that a request may use to wait for one.
 constexpr double kMinAllowedShare = 0.5;
-// A request waits at least for the time in which some slot becomes free.
-constexpr std::chrono::milliseconds kMinWait{20};
-// Bytes between failure domains are expensive: another one's endpoint has to
-// finish this much earlier.
-constexpr std::chrono::milliseconds kOtherDomainCost{15};
 // Of the waiting requests, looked at for a free slot that the first may not
 // use.
 constexpr size_t kMaxRequestsToTry = 8;
@@ -81,7 +76,6 @@
     state.uses.clear();
     state.avoided_by.clear();
     state.mean_duration = {};
-    state.durations = {};
     state.ended = 0;
     state.failed = 0;
   }
@@ -133,10 +127,7 @@
   return is_known ? found->second.mean_duration : duration(kInitialDuration);
 }
 
-void slot_allocator::RecordDuration(endpoint_state& state,
-                                    duration elapsed,
-                                    uint32_t running) {
-  state.durations.Record(running, elapsed);
+void slot_allocator::RecordDuration(endpoint_state& state, duration elapsed) {
   state.mean_duration = Average(state.mean_duration, elapsed);
   service_state& service = services_[state.report.service];
   service.mean_duration = Average(service.mean_duration, elapsed);
@@ -288,50 +279,12 @@
   return best;
 }
 
-slot_allocator::candidate slot_allocator::SelectFirstToFinish(
-    steady_time now,
-    const queued_slot_request& demand) {
-  const slot_request& request = demand.request;
-  const candidate by_preference = SelectCandidate(now, request);
-  if (demand.is_run_counted == 0 ||
-      by_preference.rank >= candidate::preference::kFailing) {
-    return by_preference;
-  }
-  const auto service = services_.find(request.service);
-  const duration usual = service == services_.end()
-                             ? duration(kInitialDuration)
-                             : service->second.durations.Mean(kInitialDuration);
-  candidate first = by_preference;
-  std::optional<duration> first_finish;
-  for (const auto& [key, state] : endpoints_) {
-    if (state.report.service != request.service) {
-      continue;
-    }
-    const candidate ranked = Rank(now, request, key, state);
-    if (ranked.rank >= candidate::preference::kFailing) {
-      continue;
-    }
-    const bool is_own_domain = state.report.domain == request.domain;
-    const auto running =
-        static_cast<uint32_t>(state.uses.size()) + state.batch_load + 1;
-    const duration finish =
-        state.durations.Expect(running, usual) +
-        (is_own_domain ? duration(0) : duration(kOtherDomainCost));
-    if (!first_finish || finish < *first_finish) {
-      first_finish = finish;
-      first = ranked;
-    }
-  }
-  return first;
-}
-
 slot_decision slot_allocator::Grant(steady_time now,
                                     const std::string& host,
                                     const candidate& at) {
   endpoint_state& state = endpoints_.at(at.key);
   limits_->RecordSent(now, StartOf(state.report));
   state.uses.push_back({host, now});
-  state.uses.back().running = static_cast<uint32_t>(state.uses.size());
   StartWaiting(now, state);
   host_endpoints_[host].insert(at.key);
   slot_decision decision;
@@ -409,20 +362,6 @@
   return slots;
 }
 
-duration slot_allocator::UsefulWait(const queued_slot_request& demand) const {
-  const duration max_wait =
-      std::chrono::milliseconds(demand.request.max_wait_ms);
-  const auto found = services_.find(demand.request.service);
-  // Also for callers that have returned: if they waited until they were late,
-  // all that came after them would be late as well.
-  if (demand.is_run_counted == 0 || found == services_.end()) {
-    return max_wait;
-  }
-  const duration run = found->second.durations.Slow(kInitialDuration);
-  return std::max<duration>(
-      std::chrono::milliseconds(demand.objective_left_ms) - run, kMinWait);
-}
-
 slot_decision slot_allocator::AllocateOrQueue(
     steady_time now,
     const std::string& host,
@@ -430,7 +369,7 @@
   const slot_request& request = demand.request;
   RecordAvoidance(now, host, request);
   service_state& service = services_[request.service];
-  const candidate best = SelectFirstToFinish(now, demand);
+  const candidate best = SelectCandidate(now, request);
   // While others wait, a slot that is free is one that they must not use.
   if (best.rank < candidate::preference::kQueue) {
     return Grant(now, host, best);
@@ -444,7 +383,7 @@
     return LimitedService(now, request) ? Allocate(now, host, request)
                                         : decision;
   }
-  const duration useful = UsefulWait(demand);
+  const duration useful = std::chrono::milliseconds(request.max_wait_ms);
   waiting_slot_request waiting{host, demand, now, now + useful};
   const auto ahead =
       static_cast<int64_t>(service.queue.CountAhead(now, waiting)) + 1;
@@ -490,7 +429,7 @@
     steady_time now,
     slot_queue& queue) {
   for (const waiting_slot_request* each : queue.First(now, kMaxRequestsToTry)) {
-    const candidate best = SelectFirstToFinish(now, each->demand);
+    const candidate best = SelectCandidate(now, each->demand.request);
     if (best.rank < candidate::preference::kQueue) {
       const waiting_slot_request granted = queue.Take(*each);
       return queued_slot_decision{granted.host, granted.demand.ticket,
@@ -599,7 +538,7 @@
         break;
       }
       if (oldest->has_started) {
-        RecordDuration(state, now - oldest->started_at, oldest->running);
+        RecordDuration(state, now - oldest->started_at);
       }
       DecayCounts(now, state);
       state.ended += 1;
@@ -608,7 +547,6 @@
     }
     for (; own < count; ++own) {
       uses.push_back({host, now});
-      uses.back().running = static_cast<uint32_t>(uses.size());
     }
     StartWaiting(now, state);
     if (own > 0) {
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -14,7 +14,7 @@
 #include "fleet/fleet_messages.h"
 #include "fleet/leaving_endpoints.h"
 #include "ratelimits/endpoint_limits.h"
-#include "slots/load_durations.h"
+#include "slots/duration_estimate.h"
 #include "slots/slot_messages.h"
 #include "slots/slot_queue.h"
 
@@ -104,7 +104,6 @@
     steady_time granted_at{};
     steady_time started_at{};  // As far as can be told from here.
     bool has_started = false;
-    uint32_t running = 0;  // At the endpoint when it was granted.
   };
   struct endpoint_state {
     endpoint_report report;
@@ -112,7 +111,6 @@
     uint32_t batch_load = 0;
     std::vector<slot_use> uses;  // In order of arrival.
     duration mean_duration{};    // Of online requests; 0: unknown.
-    load_durations durations;
     // Requests that ended, and those of them that ended with an error, both
     // decaying with their age.
     double ended = 0;
@@ -144,9 +142,7 @@
   // Records the start of waiting requests for which a slot is free.
   static void StartWaiting(steady_time now, endpoint_state& state);
   duration MeanDuration(const endpoint_state& state) const;
-  void RecordDuration(endpoint_state& state,
-                      duration elapsed,
-                      uint32_t running);
+  void RecordDuration(endpoint_state& state, duration elapsed);
   // Until an endpoint with a limit takes one more request of the service, and
   // how many a second they take; nullopt: none has a limit.
   struct limited_service {
@@ -158,10 +154,6 @@
       const slot_request& request) const;
   // The endpoint that suits the request best now.
   candidate SelectCandidate(steady_time now, const slot_request& request);
-  // As SelectCandidate(), for a request whose whole run has to be in time: of
-  // the endpoints with a free slot, the one that is expected to finish first.
-  candidate SelectFirstToFinish(steady_time now,
-                                const queued_slot_request& demand);
   void RecordAvoidance(steady_time now,
                        const std::string& host,
                        const slot_request& request);
@@ -179,8 +171,6 @@
   uint32_t AllowedSlots(steady_time now, const slot_request& request) const;
   // Slots of endpoints without a limit that the request may use.
   uint32_t UsableSlots(const slot_request& request) const;
-  // How long a slot is of use to the request.
-  duration UsefulWait(const queued_slot_request& demand) const;
   // Tells the caller to return when its turn among the refused ones comes.
   slot_decision Refuse(steady_time now,
                        const slot_request& request,
--- a/src/libshallotport/slots/slot_client.cc
+++ b/src/libshallotport/slots/slot_client.cc
@@ -94,8 +94,8 @@
   }
   const uint64_t ticket = next_ticket_++;
   demand.ticket = ticket;
-  const duration longest = std::chrono::milliseconds(
-      std::max(demand.request.max_wait_ms, demand.objective_left_ms));
+  const duration longest =
+      std::chrono::milliseconds(demand.request.max_wait_ms);
   waiting_[ticket] = {leader_ip_, now + longest + kCallTimeout, false,
                       std::move(on_reply)};
   fleet_.hub().Call(leader_ip_, static_cast<uint8_t>(fleet_call::kQueueSlot),
--- a/src/libshallotport/slots/slot_messages.h
+++ b/src/libshallotport/slots/slot_messages.h
@@ -44,7 +44,8 @@
   kQueued = 5,
 };
 
-// A slot request that waits at the leader until a slot is free. Later builds
+// A slot request that waits at the leader until a slot is free, for
+// request.max_wait_ms. Later builds
 // may add fields at the end.
 struct queued_slot_request {
   slot_request request;
@@ -52,16 +53,10 @@
   uint64_t account = 0;  // AccountDigest(); 0: none.
   uint32_t priority = 0;
   uint8_t has_returned = 0;  // Its caller was refused before.
-  // Whether the whole response has to be there by the objective. Otherwise a
-  // slot within request.max_wait_ms is in time.
-  uint8_t is_run_counted = 0;
-  uint32_t objective_left_ms = 0;
-  uint32_t expected_work_ms = 0;  // At usual speed; 0: not known.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(request, ticket, account, priority, has_returned, is_run_counted,
-            objective_left_ms, expected_work_ms);
+    archive(request, ticket, account, priority, has_returned);
   }
 };
 
--- a/src/libshallotport/slots/slot_queue.cc
+++ b/src/libshallotport/slots/slot_queue.cc
@@ -13,14 +13,6 @@
 // A request that has waited for this part of its useful wait goes first, so
 // that none is overtaken until it is late.
 constexpr double kOverdueShare = 0.75;
-// Of requests whose work is not known, in milliseconds.
-constexpr double kDefaultWork = 100;
-
-double WorkOf(const waiting_slot_request& request) {
-  const uint32_t expected = request.demand.expected_work_ms;
-  return expected > 0 ? expected : kDefaultWork;
-}
-
 bool IsOverdue(steady_time now, const waiting_slot_request& request) {
   return now - request.arrived_at >=
          (request.give_up_at - request.arrived_at) * kOverdueShare;
@@ -44,16 +36,16 @@
 std::optional<waiting_slot_request> slot_queue::Add(
     waiting_slot_request request) {
   request.start_tag = StartTag(request);
-  finish_tags_[request.demand.account] = request.start_tag + WorkOf(request);
+  finish_tags_[request.demand.account] = request.start_tag + 1;
   waiting_.push_back(std::move(request));
   if (waiting_.size() <= kMaxWaiting) {
     return std::nullopt;
   }
-  std::map<uint64_t, double> work;
+  std::map<uint64_t, size_t> counts;
   for (const waiting_slot_request& each : waiting_) {
-    work[each.demand.account] += WorkOf(each);
+    ++counts[each.demand.account];
   }
-  const uint64_t most = std::max_element(work.begin(), work.end(),
+  const uint64_t most = std::max_element(counts.begin(), counts.end(),
                                          [](const auto& a, const auto& b) {
                                            return a.second < b.second;
                                          })
@@ -62,7 +54,7 @@
       waiting_.rbegin(), waiting_.rend(),
       [most](const auto& each) { return each.demand.account == most; });
   waiting_slot_request dropped = std::move(*newest);
-  finish_tags_[most] -= WorkOf(dropped);
+  finish_tags_[most] -= 1;
   waiting_.erase(std::next(newest).base());
   return dropped;
 }
--- a/src/libshallotport/slots/slot_queue.h
+++ b/src/libshallotport/slots/slot_queue.h
@@ -24,7 +24,7 @@
 // The requests that wait for slots of one service, in the order in which they
 // get them: those whose useful wait is nearly over, callers that were refused
 // before, the more urgent priority, and then accounts in turn, by start-time
-// fair queueing of their expected work. So an account that sends many times its
+// fair queueing. So an account that sends many times its
 // usual waits behind itself and not the others behind it. Owned by
 // slot_allocator. Pure and bounded.
 class slot_queue {
@@ -33,7 +33,8 @@
   size_t size() const { return waiting_.size(); }
 
   // Adds a request. If the queue is full, the newest request of the account
-  // with the most waiting work is taken out and returned; it may be this one.
+  // with the most waiting requests is taken out and returned; it may be this
+  // one.
   std::optional<waiting_slot_request> Add(waiting_slot_request request);
   // False if it does not wait here.
   bool Remove(const std::string& host, uint64_t ticket);
--- a/src/libshallotport/slots/slot_queue_test.cc
+++ b/src/libshallotport/slots/slot_queue_test.cc
@@ -25,8 +25,6 @@
   demand.request.max_retry_after_ms = 1'000;
   demand.ticket = ticket;
   demand.account = account;
-  demand.is_run_counted = 1;
-  demand.objective_left_ms = 400;
   return demand;
 }
 
