eventio: requests that were just accepted are answered in a planned stop

Cause: closing the acceptor reset the connections that the kernel had accepted; those whose accept had returned were dropped by its handler. A read whose handler had not run hid a request, and a connection that had been used a moment ago was closed while its next request was on its way. At the end of the grace period requests that had not been begun got no response. Change: the acceptor hands over what waits before it closes. Connections wait for input and then read, so that bytes are in the socket or in the input. While draining, connections are closed after 500 ms without a request: CloseIdle() takes the time. EndAll() refuses requests that were not begun with 503. The entry host ends its stop one tick after it closed its acceptor (no test). The tests that call CloseIdle() pass a time 1 s ahead, so that they still tell idle connections from those with unread input. Shown by: eventio_test (202 tests, asan); connections_at_the_close (3 of 3), request_on_its_way_while_draining and RequestsNotBegunAreRefusedAtTheEnd were red before. The load of the changed read is not measured.

--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -294,11 +294,14 @@
 void entry_host::Drain(steady_time now) {
   // Connections also become idle later, without having been told that they will
   // be closed: the response in progress may have begun before the stop.
-  const bool is_closing = now >= drain_started_at_ + kAcceptWhileDraining;
-  if (is_closing) {
-    callers_.CloseIdle();
+  const bool was_closing = std::exchange(
+      is_closing_, now >= drain_started_at_ + kAcceptWhileDraining);
+  if (is_closing_) {
+    callers_.CloseIdle(now);
   }
-  const bool is_empty = is_closing && callers_.connection_count() == 0;
+  // The last connections to be accepted are counted from the next turn of the
+  // event loop on.
+  const bool is_empty = was_closing && callers_.connection_count() == 0;
   if ((is_empty || now >= end_) && on_drained_) {
     callers_.EndAll();
     std::exchange(on_drained_, nullptr)();
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -102,6 +102,7 @@
   // Since when all control hosts are linked; nullopt: they are not.
   std::optional<steady_time> all_linked_since_;
   steady_time drain_started_at_{};
+  bool is_closing_ = false;
   // Of the planned stop: what is still under way is ended.
   steady_time end_{};
   std::function<void()> on_drained_;
--- a/src/libshallotport/eventio/connection_acceptor.cc
+++ b/src/libshallotport/eventio/connection_acceptor.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryDelay{50};
+// Of connections accepted at the close, so that a flood does not delay it:
+// twice the kernel's queue.
+constexpr int kMaxAcceptedAtClose = 2'048;
 
 }  // namespace
 
@@ -27,6 +30,18 @@
 }
 
 void connection_acceptor::Close() {
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  boost::system::error_code failure;
+  acceptor_.non_blocking(true, failure);
+  for (int count = 0; !failure && count < kMaxAcceptedAtClose; ++count) {
+    boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, failure);
+    if (!failure) {
+      on_accepted_(std::move(socket));
+    }
+  }
   boost::system::error_code ignored;
   acceptor_.close(ignored);
 }
@@ -39,12 +54,15 @@
 void connection_acceptor::Accept() {
   acceptor_.async_accept([this](const boost::system::error_code& failure,
                                 boost::asio::ip::tcp::socket socket) {
+    // The acceptor may have been closed after this connection was accepted.
+    if (!failure) {
+      on_accepted_(std::move(socket));
+    }
     if (failure == boost::asio::error::operation_aborted ||
         !acceptor_.is_open()) {
       return;
     }
     if (!failure) {
-      on_accepted_(std::move(socket));
       Accept();
       return;
     }
--- a/src/libshallotport/eventio/connection_acceptor.h
+++ b/src/libshallotport/eventio/connection_acceptor.h
@@ -24,6 +24,9 @@
 
   // Port 0: the system chooses one. May be called again after a failure.
   status Listen(const std::string& ip, uint16_t port);
+  // Stops listening. Connections that wait to be accepted are handed over
+  // first: the kernel would reset them, and their callers may have sent a
+  // request.
   void Close();
   // 0 if it does not listen.
   uint16_t port() const;
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -18,6 +18,12 @@
 constexpr size_t kMaxPipelinedBytes = 64u << 10;
 // While memory is scarce, requests with a larger body are refused.
 constexpr size_t kLargeBodyBytes = 64u << 10;
+// While draining, a connection that has been idle for less is not closed: a
+// request may be on its way, or be sent again by the caller's kernel after
+// 200 ms.
+constexpr std::chrono::milliseconds kMinIdleTime{500};
+// Of a request that is refused at the end of a stop.
+constexpr size_t kMaxDiscardedBytes = 4u << 20;
 
 }  // namespace
 
@@ -36,6 +42,8 @@
 
 void http_connection::Start() {
   SetStreamOptions(socket_);
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
   Read();
 }
 
@@ -44,13 +52,24 @@
     return;
   }
   is_reading_ = true;
-  socket_.async_read_some(
-      boost::asio::buffer(read_buffer_),
-      [self = shared_from_this()](const error_code& failure, size_t size) {
+  // Waits before it reads: bytes of a read whose handler has not run yet would
+  // be seen neither in the socket nor in `input_`.
+  socket_.async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](error_code failure) {
         self->is_reading_ = false;
         if (self->is_closed_) {
           return;
         }
+        size_t size = 0;
+        if (!failure) {
+          size = self->socket_.read_some(
+              boost::asio::buffer(self->read_buffer_), failure);
+        }
+        if (failure == boost::asio::error::would_block) {
+          self->Read();
+          return;
+        }
         if (failure) {
           self->OnDisconnected();
           return;
@@ -104,15 +123,28 @@
   Close();
 }
 
-void http_connection::CloseIfIdle() {
+void http_connection::CloseIfIdle(steady_time now) {
   const bool is_idle =
       !is_serving_ && !is_sending_ && !has_started_request_ && input_.empty();
-  if (is_idle && !HasUnreadInput()) {
+  if (is_idle && now >= phase_begun_at_ + kMinIdleTime && !HasUnreadInput()) {
     ++listener_->counters_.closed_idle;
     Close();
   }
 }
 
+void http_connection::EndRequest() {
+  if (is_serving_) {
+    EndExchange();
+    return;
+  }
+  const bool has_request =
+      has_started_request_ || !input_.empty() || HasUnreadInput();
+  if (has_request && !is_closed_ && !closes_when_sent_) {
+    DiscardUnreadInput();
+    Reject(503);
+  }
+}
+
 void http_connection::EndExchange() {
   const auto exchange = exchange_.lock();
   if (exchange == nullptr || exchange->is_ended()) {
@@ -132,6 +164,14 @@
   return socket_.available(failure) > 0;
 }
 
+void http_connection::DiscardUnreadInput() {
+  error_code failure;
+  size_t discarded = 0;
+  while (!failure && discarded < kMaxDiscardedBytes) {
+    discarded += socket_.read_some(boost::asio::buffer(read_buffer_), failure);
+  }
+}
+
 void http_connection::Sweep(steady_time now) {
   if (watch_.HasStalled(now)) {
     ++listener_->counters_.closed_stalled;
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -29,9 +29,9 @@
   // being destroyed.
   void Detach();
   void Sweep(steady_time now);
-  void CloseIfIdle();
-  // Ends the exchange in progress, if any, as http_listener::EndAll() says.
-  void EndExchange();
+  void CloseIfIdle(steady_time now);
+  // Ends the request in progress, if any, as http_listener::EndAll() says.
+  void EndRequest();
 
   bool is_busy() const { return is_serving_; }
   // Bytes that wait for the caller, or for the rest of its request.
@@ -46,6 +46,7 @@
   void Parse();
   void Dispatch();
   void Reject(int status);
+  void EndExchange();
   void Write(std::string_view bytes);
   void Flush();
   void FinishExchange(bool is_closing);
@@ -59,6 +60,9 @@
   void BeginIdle();
   // Bytes wait in the socket.
   bool HasUnreadInput() const;
+  // Closing a socket with unread bytes resets it, and the caller may lose the
+  // response.
+  void DiscardUnreadInput();
   std::string FormatHead(int status, const header_list& headers) const;
 
   http_listener* listener_;
--- a/src/libshallotport/eventio/http_listener.cc
+++ b/src/libshallotport/eventio/http_listener.cc
@@ -36,20 +36,21 @@
   is_draining_ = true;
 }
 
-void http_listener::CloseIdle() {
+void http_listener::CloseIdle(steady_time now) {
   acceptor_.Close();
   const std::vector<std::shared_ptr<http_connection>> all(connections_.begin(),
                                                           connections_.end());
   for (const auto& each : all) {
-    each->CloseIfIdle();
+    each->CloseIfIdle(now);
   }
 }
 
 void http_listener::EndAll() {
+  acceptor_.Close();
   const std::vector<std::shared_ptr<http_connection>> all(connections_.begin(),
                                                           connections_.end());
   for (const auto& each : all) {
-    each->EndExchange();
+    each->EndRequest();
   }
 }
 
--- a/src/libshallotport/eventio/http_listener.h
+++ b/src/libshallotport/eventio/http_listener.h
@@ -100,10 +100,13 @@
 
   // From now on, connections are closed after their current response.
   void StartDraining();
-  // Stops accepting connections and closes the idle ones.
-  void CloseIdle();
+  // Stops accepting connections and closes those that have been idle for a
+  // while; to be called a few times a second until none is left. A request may
+  // be on its way on the others.
+  void CloseIdle(steady_time now);
   // Ends all exchanges: with 502 where no response has begun, because the
-  // request may have been executed, otherwise with the connection.
+  // request may have been executed, otherwise with the connection. Requests
+  // that were not begun get 503.
   void EndAll();
   // Closes connections that exceeded a time limit, whose caller has stalled, or
   // that hold most while memory is nearly used up; to be called a few times a
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -175,7 +175,7 @@
     return !held_exchanges_.empty() && listener_.connection_count() == 2;
   }));
   listener_.StartDraining();
-  listener_.CloseIdle();
+  listener_.CloseIdle(clock_.Now() + std::chrono::seconds(1));
   EXPECT_TRUE(RunUntil(loop_, [&] { return idle->is_ended; }));
   held_exchanges_[0]->Respond(200, {}, "late");
   EXPECT_TRUE(Receives(busy, "Connection: close"));
@@ -200,6 +200,56 @@
   EXPECT_FALSE(stream->received.ends_with("0\r\n\r\n"));
 }
 
+// Requests that had not been begun at the end of a stop got no answer.
+TEST_F(http_listener_test, RequestsNotBegunAreRefusedAtTheEnd) {
+  const auto idle = Connect();
+  const auto unread = Connect();
+  const auto half_read = Connect();
+  half_read->Write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nb");
+  ASSERT_TRUE(
+      RunUntil(loop_, [&] { return listener_.connection_count() == 3; }));
+  loop_.restart();
+  loop_.run_for(milliseconds(20));
+  const auto not_accepted = Connect();
+  not_accepted->Write(std::string(kPostRequest));
+  unread->Write(std::string(kPostRequest));
+  listener_.EndAll();
+  for (const auto& each : {unread, half_read, not_accepted}) {
+    EXPECT_TRUE(Receives(each, "HTTP/1.1 503"));
+    EXPECT_TRUE(Receives(each, "Connection: close"));
+    EXPECT_TRUE(RunUntil(loop_, [&] { return each->is_ended; }));
+  }
+  EXPECT_TRUE(idle->received.empty());
+  EXPECT_TRUE(requests_.empty());
+}
+
+class connections_at_the_close : public http_listener_test,
+                                 public testing::WithParamInterface<size_t> {};
+
+// Connections that waited to be accepted when the listener stopped accepting
+// were reset. The parameter is the number of those accepted before.
+TEST_P(connections_at_the_close, AreServed) {
+  std::vector<std::shared_ptr<raw_connection>> callers;
+  for (int count = 0; count < 4; ++count) {
+    callers.push_back(Connect());
+    callers.back()->Write(std::string(kPostRequest));
+  }
+  ASSERT_TRUE(RunUntil(
+      loop_, [&] { return listener_.connection_count() == GetParam(); }));
+  listener_.StartDraining();
+  listener_.CloseIdle(clock_.Now() + std::chrono::seconds(1));
+  for (const auto& each : callers) {
+    EXPECT_TRUE(RunUntil(
+        loop_, [&] { return each->is_ended || !each->received.empty(); }));
+    EXPECT_TRUE(each->received.starts_with("HTTP/1.1 200")) << each->received;
+  }
+  EXPECT_TRUE(Connect()->is_ended);
+}
+
+INSTANTIATE_TEST_SUITE_P(accepted_before,
+                         connections_at_the_close,
+                         testing::Values(0u, 1u, 2u));
+
 TEST_F(http_listener_test, IdleAndSlowConnectionsAreClosed) {
   const auto idle = Connect();
   const auto slow = Connect();
@@ -248,7 +298,7 @@
   caller->Write(param.sent);
   if (param.is_draining) {
     listener_.StartDraining();
-    listener_.CloseIdle();
+    listener_.CloseIdle(clock_.Now() + param.idle_for);
   } else {
     listener_.Sweep(clock_.Now() + param.idle_for);
   }
@@ -271,11 +321,15 @@
         waiting_connection{"unread_request", "", "GET /1 HTTP/1.1\r\n\r\n",
                            seconds(2), seconds(3), false, "HTTP/1.1 200"},
         waiting_connection{"unread_request_while_draining", "",
-                           "GET /1 HTTP/1.1\r\n\r\n", seconds(2), seconds(0),
+                           "GET /1 HTTP/1.1\r\n\r\n", seconds(2), seconds(1),
                            true, "HTTP/1.1 200"},
         waiting_connection{"half_read_request_while_draining", "GET /1 HT",
-                           "TP/1.1\r\n\r\n", seconds(2), seconds(0), true,
+                           "TP/1.1\r\n\r\n", seconds(2), seconds(1), true,
                            "HTTP/1.1 200"},
+        waiting_connection{"request_on_its_way_while_draining", "", "",
+                           seconds(2), seconds(0), true, "HTTP/1.1 200"},
+        waiting_connection{"idle_while_draining", "", "", seconds(2),
+                           seconds(1), true, ""},
         waiting_connection{"idle_since_before_a_lower_limit", "", "",
                            seconds(15), seconds(12), false, "HTTP/1.1 200"},
         waiting_connection{"idle_for_too_long", "", "", seconds(2), seconds(3),
--- a/src/libshallotport/eventio/link_hub_test.cc
+++ b/src/libshallotport/eventio/link_hub_test.cc
@@ -50,7 +50,7 @@
   return out << each.name;
 }
 
-class link_hub_test : public testing::TestWithParam<stall_case> {
+class link_calls : public testing::Test {
  protected:
   void SetUp() override {
     subscriber_ = std::make_unique<link_hub>(
@@ -103,6 +103,9 @@
   int link_down_count_ = 0;
 };
 
+class link_hub_test : public link_calls,
+                      public testing::WithParamInterface<stall_case> {};
+
 TEST_P(link_hub_test, SilenceCountsOnlyWhileTheProcessRuns) {
   Push("leave");
   subscriber_clock_.Advance(GetParam().stall);
@@ -129,6 +132,30 @@
         stall_case{"silent_without_a_stall", milliseconds(0), 14, false}),
     [](const auto& each) { return each.param.name; });
 
+// A second copy of a reply must not be taken for the reply to the next call.
+TEST_F(link_calls, SecondReplyIsIgnored) {
+  std::function<void(const std::string&)> reply_to_first;
+  publisher_->on_call = [&](host_link&, uint8_t, std::string_view body,
+                            const auto& reply) {
+    if (!reply_to_first) {
+      reply_to_first = reply;
+    } else {
+      reply_to_first("first");
+    }
+    reply(std::string(body));
+  };
+  std::vector<std::string> replies;
+  for (const char* body : {"first", "second"}) {
+    subscriber_->Call(kPublisherIp, 1, body, milliseconds(500),
+                      [&](const result<std::string>& reply) {
+                        replies.push_back(IsOk(reply) ? ValueOf(reply) : "");
+                      });
+    const size_t wanted = replies.size() + 1;
+    ASSERT_TRUE(RunBothUntil([&] { return replies.size() >= wanted; }));
+  }
+  EXPECT_EQ(replies, (std::vector<std::string>{"first", "second"}));
+}
+
 }  // namespace
 
 }  // namespace shallotport
