--- a/src/libshallotport/accounts/allotment_budget.cc
+++ b/src/libshallotport/accounts/allotment_budget.cc
@@ -25,10 +25,20 @@
 // A token of the own share is valid for the time in which the burst fills, and
 // for this long at least.
 constexpr std::chrono::milliseconds kMinOwnValidity{1'000};
+constexpr double kMaxLimit = 1e9;  // As of the ledger.
+
+// An own share that is older than this when the leader is lost is not used.
+// With one window, hosts that serve an account less often than that refuse
+// requests below its limit; with no bound, the sum over hosts exceeds the
+// limit.
+constexpr double kOwnShareWindows = 1.5;
+// Rates may be so small that the time between two tokens exceeds a duration.
+constexpr std::chrono::hours kMaxInterval{24};
 
 duration Seconds(double seconds) {
+  const std::chrono::duration<double> most = kMaxInterval;
   return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(seconds));
+      std::min(std::chrono::duration<double>(seconds), most));
 }
 
 uint32_t MillisecondsUntil(steady_time now, steady_time at) {
@@ -58,10 +68,13 @@
     if (is_new) {
       state.own_phase = UniformUnit(random_);
     }
+    // Of a limit that has fallen.
+    const std::chrono::duration<double> window = window_;
+    const auto most = static_cast<uint32_t>(
+        std::min(state.per_second * window.count() + state.burst, kMaxLimit));
     uint32_t kept = 0;
     for (lease& one : state.leases) {
-      one.tokens = std::min(
-          one.tokens, static_cast<uint32_t>(std::min(state.burst, 1e9)) - kept);
+      one.tokens = std::min(one.tokens, most - kept);
       kept += one.tokens;
     }
   }
@@ -146,8 +159,22 @@
   return steady_time((number + 1) * interval + shift);
 }
 
+bool allotment_budget::HasOwnShare(const account_state& state) const {
+  return state.own_share > 0 &&
+         leader_heard_at_ <
+             state.own_share_at +
+                 kOwnShareWindows * std::chrono::duration<double>(window_);
+}
+
+duration allotment_budget::TimeUntilOwnToken(steady_time now,
+                                             account_state& state) const {
+  return HasOwnShare(state)
+             ? state.sent_alone.TimeUntil(now, state.own_share - 1)
+             : NextOwnToken(now, state) - now;
+}
+
 bool allotment_budget::TakeOwnToken(steady_time now, account_state& state) {
-  if (state.own_share > 0) {
+  if (HasOwnShare(state)) {
     return state.sent_alone.Sum(now) < state.own_share;
   }
   const steady_time next = NextOwnToken(now, state);
@@ -196,7 +223,7 @@
     return {};
   }
   return {allotment_decision::kRefused,
-          MillisecondsUntil(now, NextOwnToken(now, state)),
+          MillisecondsUntil(now, now + TimeUntilOwnToken(now, state)),
           {}};
 }
 
@@ -295,6 +322,7 @@
   }
   account_state& state = found->second;
   state.own_share = grant.own_share;
+  state.own_share_at = now;
   if (grant.granted > 0) {
     state.leases.push_back({grant.granted, asked_at + kTokenLifetime});
   }
--- a/src/libshallotport/accounts/allotment_budget.h
+++ b/src/libshallotport/accounts/allotment_budget.h
@@ -70,6 +70,9 @@
                 uint64_t account,
                 const allotment_verdict& verdict);
 
+  // The leader was heard of. What it said of own shares more than 1.5 windows
+  // ago is out of date: the account's requests may come to other hosts since.
+  void SetLeaderHeard(steady_time now) { leader_heard_at_ = now; }
   // The leader has changed: the next needs tell it what this host has sent.
   void ReportSent();
   // The leader names accounts that have used much of their allotments.
@@ -105,7 +108,6 @@
     steady_time recent_at{};
     uint32_t unasked = 0;  // Requests that wait for a token.
     uint32_t asked = 0;    // Tokens that were asked for, without an answer yet.
-    uint32_t returned = 0;
     uint32_t overdrawn = 0;
     steady_time refused_until{};
     steady_time next_ahead_at{};
@@ -113,6 +115,7 @@
     steady_time busy_until{};  // No own token is used until then.
     // What the leader said that this host may send in a window without it.
     uint32_t own_share = 0;
+    steady_time own_share_at{};
     window_count sent_alone;
     // Of hosts that the leader has not told: when their tokens come, as a part
     // of their interval, so that those of all hosts do not come at the same
@@ -127,6 +130,10 @@
   static void Expire(steady_time now, account_state& state);
   static void Decay(steady_time now, account_state& state);
   bool TakeOwnToken(steady_time now, account_state& state);
+  // The leader said what this host may send, shortly before it was last heard
+  // of.
+  bool HasOwnShare(const account_state& state) const;
+  duration TimeUntilOwnToken(steady_time now, account_state& state) const;
   // Of those that are valid or to come.
   steady_time NextOwnToken(steady_time now, const account_state& state) const;
   // Between two tokens of the own share.
@@ -136,6 +143,7 @@
   random_source random_;
   const duration window_;
   std::map<uint64_t, account_state> accounts_;  // With a limit.
+  steady_time leader_heard_at_{};
   // The highest counts of entry hosts, by when they were last heard.
   std::map<uint32_t, steady_time> host_counts_;
 };
--- a/src/libshallotport/accounts/allotment_client.cc
+++ b/src/libshallotport/accounts/allotment_client.cc
@@ -50,6 +50,7 @@
   }
   leader_ip_ = ip;
   leader_heard_at_ = now;
+  budget_.SetLeaderHeard(now);
 }
 
 bool allotment_client::OnFrame(steady_time now,
--- a/src/libshallotport/accounts/allotment_ledger.cc
+++ b/src/libshallotport/accounts/allotment_ledger.cc
@@ -21,6 +21,8 @@
 // An account that has used this part of its allotment is busy.
 constexpr double kBusyShare = 0.5;
 constexpr double kMaxLimit = 1e9;
+// Tokens of an account without a limit, for one reply.
+constexpr uint32_t kMaxUncounted = 1'000'000'000;
 
 }  // namespace
 
@@ -118,7 +120,9 @@
   const auto found = accounts_.find(need.account);
   if (found == accounts_.end()) {
     // Its limit has ended here; the host may not have heard of it yet.
-    grant.granted = need.waiting + need.ahead;
+    const uint64_t asked = uint64_t{need.waiting} + need.ahead;
+    grant.granted =
+        static_cast<uint32_t>(std::min<uint64_t>(asked, kMaxUncounted));
     return grant;
   }
   account_state& from = found->second;
--- a/src/libshallotport/accounts/allotment_ledger_test.cc
+++ b/src/libshallotport/accounts/allotment_ledger_test.cc
@@ -92,6 +92,18 @@
   EXPECT_EQ(ledger_.Available(now_, account_), kLimit);
 }
 
+// Guards against malformed needs whose sums overflow, so that an account that
+// has used all seems to have used nothing.
+TEST_F(allotment_ledger_test, HugeCountsDoNotOverflow) {
+  constexpr uint32_t kMost = 0xFFFFFFFF;
+  EXPECT_EQ(Take({account_, kMost, kMost, kMost, 0, {kMost, 1}}).granted, 0u);
+  EXPECT_EQ(Take({account_, 1, 0, 0, kMost, {}}).granted, 0u);
+  now_ += milliseconds(6'000);
+  EXPECT_EQ(ledger_.Available(now_, account_), kLimit);
+  ledger_.Update({});
+  EXPECT_GT(Take({account_, kMost, 2, 0, 0, {}}).granted, 1'000u);
+}
+
 TEST_F(allotment_ledger_test, LimitsThatFallOrEndCountAtOnce) {
   rules_.burst = 0;
   rules_.requests_per_second = 1;
--- a/src/libshallotport/accounts/allotment_load_test.cc
+++ b/src/libshallotport/accounts/allotment_load_test.cc
@@ -69,6 +69,7 @@
         const std::vector<uint64_t> busy = ledger_.BusyAccounts(now);
         for (const auto& each : hosts_) {
           if (!each->is_cut_off) {
+            each->budget.SetLeaderHeard(now);
             each->budget.SetBusy(now, busy);
           }
         }
@@ -304,6 +305,16 @@
        AtRandom(load, milliseconds(30'000), 0);
        AtRandom(load, milliseconds(15'000), rate);
      }},
+    // Each request comes to another host, whose share of the account's requests
+    // is large at that time.
+    {"LeaderLostAfterQuietHours", 1, 8,
+     [](auto& load, double rate) {
+       size_t count = 0;
+       load.Run(milliseconds(200'000), rate / 20,
+                [&](size_t hosts) { return ++count % hosts; });
+       load.has_leader = false;
+       AtRandom(load, milliseconds(10'000), rate);
+     }},
     {"AThirdCutOff", 100, 6,
      [](auto& load, double rate) {
        AtRandom(load, milliseconds(3'000), rate);
--- a/src/libshallotport/accounts/window_count.cc
+++ b/src/libshallotport/accounts/window_count.cc
@@ -1,6 +1,7 @@
 #include "accounts/window_count.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace shallotport {
 
@@ -24,7 +25,9 @@
   }
 }
 
+// The sum saturates: other hosts' messages may state any number.
 void window_count::AddAt(int64_t number, uint32_t events) {
+  events = std::min(events, std::numeric_limits<uint32_t>::max() - sum_);
   const auto at = std::lower_bound(
       steps_.begin(), steps_.end(), number,
       [](const step& each, int64_t value) { return each.number < value; });
--- a/src/libshallotport/entry/account_admission.cc
+++ b/src/libshallotport/entry/account_admission.cc
@@ -62,10 +62,14 @@
   waiting->exchange->on_disconnected = [this, weak = std::weak_ptr(waiting)] {
     waiting_.erase(weak.lock());
   };
-  allotments_->Admit(account, [this, weak = std::weak_ptr(waiting)](
+  allotments_->Admit(account, [this, account, allotments = allotments_,
+                               weak = std::weak_ptr(waiting)](
                                   const allotment_verdict& verdict) {
     if (const auto open = weak.lock()) {
       OnVerdict(open, verdict);
+    } else {
+      // The caller has left: its request is not sent.
+      allotments->GiveBack(account, verdict);
     }
   });
 }
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -628,14 +628,15 @@
 }
 
 // Only the leader under its lease grants: two that grant at once would grant
-// the allotments twice.
+// the allotments twice. Without a configuration it would take every account for
+// one without a limit.
 void job_store_duty::GrantAllotment(
     const host_link& link,
     std::string_view body,
     const std::function<void(std::string)>& reply) {
   const auto needs = DecodeNeeds(body);
   const steady_time now = clock_.Now();
-  if (!CanAllocate(now) || !IsOk(needs) || link.peer_name.empty()) {
+  if (!CanAllocate(now) || !routes_ || !IsOk(needs) || link.peer_name.empty()) {
     reply(NotLeaderReply());
     return;
   }
