eventio, slots: steady slow callers are kept; waits that ended leave the queue

Cause: a review of the code for slow callers and of the queue of slot requests. - The kernel ended the connection of a caller that left no room in its window for 1.5 s (TCP_USER_TIMEOUT), and slow_peer_watch counted what the kernel accepted, in large parts, so that a steady caller seemed to stall. - A caller that pipelined requests and read nothing got every response added to its output. Buffers were never freed while the connection was kept, and the taken part of a write was not counted though it was held. - A closed connection that a pending operation still owned used the memory budget after its end. - The leader kept requests whose call had timed out or whose wait the entry host had ended, and granted them slots that nobody used. Tickets began with 1 in each process: a grant to a former process could be taken for a new request. A leader that was elected again refused requests of its former term. - Work that got no slot stayed charged to its account. - While durations are equal or unknown, the first endpoint was filled before others got a request. - Each load report ranked all endpoints for up to eight waiting requests also while no slot was free. Change: callers' connections are watched by what was acknowledged, without the kernel's limit. Pipelined requests wait while more than 64 KiB are unsent. Buffers are freed when they were taken, requests when they were written. Entry hosts cancel the tickets of waits that they end, and start tickets with the clock; the queue is cleared with the leadership; work is returned; equals are ranked as before; requests are tried only if a slot is free. The changes of slot_client and job_store_duty have no test of their own.

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -236,6 +236,7 @@
         // After a failed write the response may still be readable; the read
         // determines how the call ended.
         self->is_sent_ = !failure;
+        self->request_.bytes = {};  // Or kept for as long as the connection.
       });
   Read();
 }
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -18,6 +18,9 @@
 constexpr size_t kMaxPipelinedBytes = 64u << 10;
 // While memory is scarce, requests with a larger body are refused.
 constexpr size_t kLargeBodyBytes = 64u << 10;
+// Pipelined requests wait while more than this waits for their caller, or one
+// that reads nothing could order responses without bound.
+constexpr size_t kMaxUnsentBytes = 64u << 10;
 
 }  // namespace
 
@@ -36,6 +39,8 @@
 
 void http_connection::Start() {
   SetStreamOptions(socket_);
+  // `watch_` closes connections to lost callers.
+  AllowSlowReading(socket_);
   Read();
 }
 
@@ -85,6 +90,8 @@
   error_code ignored;
   socket_.close(ignored);
   held_.Set(0);
+  // Pending operations can keep the connection until after the budget's end.
+  held_.Detach();
   if (const auto exchange = exchange_.lock()) {
     exchange_.reset();
     const bool was_open = !std::exchange(exchange->is_ended_, true);
@@ -133,6 +140,9 @@
 }
 
 void http_connection::Sweep(steady_time now) {
+  if (unacknowledged_ > 0 || UnsentBytes() > 0) {
+    CountAcknowledged(now);
+  }
   if (watch_.HasStalled(now)) {
     ++listener_->counters_.closed_stalled;
     Close();
@@ -160,7 +170,8 @@
 }
 
 void http_connection::Parse() {
-  while (!input_.empty() && !is_serving_ && !is_closed_ && !closes_when_sent_) {
+  while (!input_.empty() && !is_serving_ && !is_closed_ && !closes_when_sent_ &&
+         !IsBehind()) {
     if (!parser_) {
       parser_.emplace();
       parser_->header_limit(listener_->limits_.header_bytes);
@@ -293,19 +304,45 @@
 }
 
 void http_connection::OnSent(size_t size) {
+  const bool was_behind = IsBehind();
   sent_ += size;
-  if (listener_ != nullptr) {
-    watch_.OnTaken(listener_->clock_.Now(), size);
-  }
+  unacknowledged_ += size;
   if (UnsentBytes() == 0) {
-    watch_.OnEmpty();
+    // An idle connection would keep the memory of its largest response.
+    sending_ = {};
+    output_ = {};
+    sent_ = 0;
+  }
+  if (listener_ != nullptr) {
+    CountAcknowledged(listener_->clock_.Now());
   }
   CountHeld();
   const auto exchange = exchange_.lock();
   if (exchange != nullptr && exchange->on_taken) {
-    exchange->on_taken();
+    const auto on_taken = exchange->on_taken;
+    on_taken();
   }
   Flush();
+  if (was_behind && !IsBehind() && !is_serving_ && !is_closed_) {
+    Parse();
+    Read();
+  }
+}
+
+// The kernel takes bytes in large parts and long before the caller does.
+void http_connection::CountAcknowledged(steady_time now) {
+  const size_t left = is_closed_ ? 0 : UnacknowledgedBytes(socket_);
+  if (left < unacknowledged_) {
+    watch_.OnTaken(now, unacknowledged_ - left);
+  }
+  unacknowledged_ = left;
+  if (left == 0 && UnsentBytes() == 0) {
+    watch_.OnEmpty();
+  }
+}
+
+bool http_connection::IsBehind() const {
+  return UnsentBytes() > kMaxUnsentBytes;
 }
 
 size_t http_connection::UnsentBytes() const {
@@ -316,7 +353,7 @@
 void http_connection::CountHeld() {
   if (!is_closed_) {
     const size_t body = parser_ ? parser_->get().body().size() : 0;
-    held_.Set(UnsentBytes() + input_.size() + body);
+    held_.Set(sending_.size() + output_.size() + input_.size() + body);
   }
 }
 
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -51,9 +51,13 @@
   void FinishExchange(bool is_closing);
   void OnDisconnected();
   void OnSent(size_t size);
+  // Tells `watch_` what the caller has acknowledged since the last call.
+  void CountAcknowledged(steady_time now);
   // What has been written and not yet been taken by the caller.
   size_t UnsentBytes() const;
   void CountHeld();
+  // Whether so much waits for the caller that its next request is not begun.
+  bool IsBehind() const;
   // False if a request of this size is not accepted now.
   bool AcceptsBody() const;
   void BeginIdle();
@@ -84,6 +88,7 @@
   std::string sending_;
   size_t sent_ = 0;  // Of `sending_`.
   slow_peer_watch watch_;
+  size_t unacknowledged_ = 0;  // In the socket, when it was last looked at.
   held_bytes held_;
   bool is_sending_ = false;
   bool closes_when_sent_ = false;
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -2,12 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "eventio/boot_clock.h"
 #include "eventio/loopback_test_util.h"
+#include "eventio/memory_budget.h"
 
 namespace shallotport {
 
@@ -288,6 +290,156 @@
                            seconds(2), seconds(3), false, "HTTP/1.1 408"}),
     [](const auto& info) { return info.param.name; });
 
+// A clock that a test sets forward where it would have to wait.
+struct forwarded_clock final : clock_source {
+  steady_time Now() const override { return boot.Now() + offset; }
+  wall_milliseconds WallNow() const override { return boot.WallNow(); }
+  boot_clock_source boot;
+  duration offset{};
+};
+
+// Callers that take their responses slowly or not at all.
+class slow_callers : public http_listener_test {
+ protected:
+  slow_callers() : memory_(64u << 20) {
+    slow_listener_ = std::make_unique<http_listener>(
+        loop_, slow_clock_,
+        [this](const inbound_request& request, const auto& exchange) {
+          ++served_;
+          exchange->Respond(200, {},
+                            request.target == "/large"
+                                ? std::string(kLargeBytes, 'x')
+                                : "small " + request.target);
+        });
+    slow_listener_->SetMemoryBudget(&memory_);
+    boost::asio::ip::tcp::acceptor probe(
+        loop_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    slow_port_ = probe.local_endpoint().port();
+    probe.close();
+    EXPECT_TRUE(IsOk(slow_listener_->Listen("127.0.0.1", slow_port_)));
+  }
+
+  // A caller whose socket holds little, and that reads only when told to.
+  boost::asio::ip::tcp::socket ConnectSlow() {
+    boost::asio::ip::tcp::socket socket(loop_);
+    socket.open(boost::asio::ip::tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), slow_port_});
+    return socket;
+  }
+  void Run(milliseconds time) {
+    loop_.restart();
+    loop_.run_for(time);
+  }
+  static void Write(boost::asio::ip::tcp::socket& to,
+                    const std::string& bytes) {
+    boost::asio::write(to, boost::asio::buffer(bytes));
+  }
+  // What is there, up to `limit` bytes.
+  static size_t Take(boost::asio::ip::tcp::socket& from, size_t limit) {
+    std::string bytes(std::min(limit, from.available()), 0);
+    return bytes.empty() ? 0 : from.read_some(boost::asio::buffer(bytes));
+  }
+
+  static constexpr size_t kLargeBytes = 12u << 20;
+  forwarded_clock slow_clock_;
+  memory_budget memory_;
+  std::unique_ptr<http_listener> slow_listener_;
+  uint16_t slow_port_ = 0;
+  int served_ = 0;
+};
+
+// Guards against memory that is held for callers that never read.
+TEST_F(slow_callers, OneThatReadsNothingIsClosedAfterItsBound) {
+  auto caller = ConnectSlow();
+  Write(caller, "GET /large HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop_, [&] { return memory_.held() > 1u << 20; }));
+  Run(milliseconds(50));
+  slow_listener_->Sweep(slow_clock_.Now());
+  slow_listener_->Sweep(slow_clock_.Now() + seconds(4));
+  EXPECT_EQ(slow_listener_->connection_count(), 1u);
+  slow_listener_->Sweep(slow_clock_.Now() + seconds(5));
+  EXPECT_EQ(slow_listener_->connection_count(), 0u);
+  EXPECT_EQ(slow_listener_->counters().closed_stalled, 1u);
+  EXPECT_EQ(memory_.held(), 0u);
+}
+
+// Guards against the kernel's limit on unacknowledged bytes, which ended the
+// connection of a caller that read nothing for 1.5 s.
+TEST_F(slow_callers, OneThatPausesAndGoesOnGetsAll) {
+  auto caller = ConnectSlow();
+  Write(caller, "GET /large HTTP/1.1\r\n\r\n");
+  Run(milliseconds(2'500));
+  size_t taken = 0;
+  EXPECT_TRUE(RunUntil(loop_, [&] {
+    slow_listener_->Sweep(slow_clock_.Now());
+    taken += Take(caller, 256u << 10);
+    return taken > kLargeBytes;
+  }));
+  EXPECT_TRUE(RunUntil(loop_, [&] { return memory_.held() == 0; }));
+  EXPECT_EQ(slow_listener_->counters().closed_stalled, 0u);
+}
+
+// Guards against a measure of what the kernel takes at once, in parts of its
+// buffer, instead of what the caller takes.
+TEST_F(slow_callers, ASteadyOneIsNotClosed) {
+  auto caller = ConnectSlow();
+  Write(caller, "GET /large HTTP/1.1\r\n\r\n");
+  Run(milliseconds(50));
+  // 32 KiB a second, by the times that the sweeps are told.
+  for (int second = 0; second < 60; ++second) {
+    Take(caller, 32u << 10);
+    Run(milliseconds(5));
+    slow_clock_.offset = seconds(second);
+    slow_listener_->Sweep(slow_clock_.Now());
+    ASSERT_EQ(slow_listener_->connection_count(), 1u) << second;
+  }
+}
+
+// Guards against responses that pile up for a caller that pipelines requests
+// and reads nothing, and against requests that are forgotten afterwards.
+TEST_F(slow_callers, PipelinedRequestsWaitForTheirCaller) {
+  auto caller = ConnectSlow();
+  std::string requests;
+  for (int i = 0; i < 5; ++i) {
+    requests += "GET /large HTTP/1.1\r\n\r\n";
+  }
+  Write(caller, requests);
+  Run(milliseconds(100));
+  EXPECT_EQ(served_, 1);
+  EXPECT_LT(memory_.held(), 2 * kLargeBytes);
+  size_t taken = 0;
+  EXPECT_TRUE(RunUntil(loop_, [&] {
+    taken += Take(caller, 1u << 20);
+    return taken > 5 * kLargeBytes;
+  }));
+  EXPECT_EQ(served_, 5);
+  EXPECT_TRUE(RunUntil(loop_, [&] { return memory_.held() == 0; }));
+}
+
+// Guards against a use of the budget after its end by a connection that its
+// last operation still owns.
+TEST(http_connection_test, ClosedConnectionMayOutliveTheBudget) {
+  boot_clock_source clock;
+  boost::asio::io_context loop;
+  auto memory = std::make_unique<memory_budget>(1u << 20);
+  auto listener = std::make_unique<http_listener>(
+      loop, clock, [](const inbound_request&, const auto&) {});
+  listener->SetMemoryBudget(memory.get());
+  boost::asio::ip::tcp::acceptor probe(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const uint16_t port = probe.local_endpoint().port();
+  probe.close();
+  ASSERT_TRUE(IsOk(listener->Listen("127.0.0.1", port)));
+  const auto caller = ConnectRaw(loop, "127.0.0.1", port);
+  ASSERT_TRUE(
+      RunUntil(loop, [&] { return listener->connection_count() == 1; }));
+  listener->Sweep(clock.Now() + seconds(60));
+  EXPECT_EQ(listener->connection_count(), 0u);
+  listener.reset();
+  memory.reset();
+}
+
 }  // namespace
 
 }  // namespace shallotport
--- a/src/libshallotport/eventio/socket_options.cc
+++ b/src/libshallotport/eventio/socket_options.cc
@@ -1,6 +1,8 @@
 #include "eventio/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/address.hpp>
@@ -38,6 +40,18 @@
              sizeof(kKeepAliveProbes));
 }
 
+void AllowSlowReading(boost::asio::ip::tcp::socket& socket) {
+  const int none = 0;
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &none,
+             sizeof(none));
+}
+
+size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) {
+  int bytes = 0;
+  const bool is_known = ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return is_known && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
+
 status OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
                     const std::string& ip,
                     uint16_t port) {
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -240,6 +240,7 @@
     was_leading_ = is_leading;
     leading_since_ = now;
     allotments_.Clear();
+    slots_.ClearQueued();
     log_.LogState(is_leading ? "job_leadership_won" : "job_leadership_lost",
                   {{"term", static_cast<int64_t>(group_->term())}});
   }
--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -307,7 +307,9 @@
     const duration finish =
         state.durations.Expect(running, usual) +
         (is_own_domain ? duration(0) : duration(kOtherDomainCost));
-    if (!first_finish || finish < *first_finish) {
+    // Of equals, the preferred one: durations that are not known yet are equal.
+    if (!first_finish || finish < *first_finish ||
+        (finish == *first_finish && ranked.Order() < first.Order())) {
       first_finish = finish;
       first = ranked;
     }
@@ -446,7 +448,7 @@
       decisions.push_back({each.host, each.demand.ticket,
                            Refuse(now, each.demand.request, duration(0))});
     }
-    while (!service.queue.IsEmpty()) {
+    while (!service.queue.IsEmpty() && HasFreeSlot(id)) {
       const auto grant = GrantNext(now, service.queue);
       if (!grant) {
         break;
@@ -457,6 +459,17 @@
   return decisions;
 }
 
+// Every load report asks for grants, and mostly none is possible: ranking all
+// endpoints for several requests would cost more than all else.
+bool slot_allocator::HasFreeSlot(const service_id& service) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&service](const auto& each) {
+        const endpoint_state& state = each.second;
+        return state.is_ready && state.uses.size() < state.report.slots &&
+               state.report.service == service;
+      });
+}
+
 // The first request may not use the endpoints whose slots are free.
 std::optional<queued_slot_decision> slot_allocator::GrantNext(
     steady_time now,
@@ -480,6 +493,13 @@
   }
 }
 
+void slot_allocator::ClearQueued() {
+  dropped_.clear();
+  for (auto& [id, service] : services_) {
+    service.queue.Clear();
+  }
+}
+
 size_t slot_allocator::queued_count() const {
   size_t count = 0;
   for (const auto& [id, service] : services_) {
--- a/src/libshallotport/slots/slot_allocator.h
+++ b/src/libshallotport/slots/slot_allocator.h
@@ -81,6 +81,8 @@
   // when slots may have become free, and a few times in a useful wait.
   std::vector<queued_slot_decision> TakeQueued(steady_time now);
   void CancelQueued(const std::string& host, uint64_t ticket);
+  // This host leads no more, or again: the entry hosts have ended their waits.
+  void ClearQueued();
   bool HasQueued() const { return queued_count() > 0 || !dropped_.empty(); }
   size_t queued_count() const;
   // Replaces what is known of a host's load by its report, and records the
@@ -165,6 +167,8 @@
   void RecordAvoidance(steady_time now,
                        const std::string& host,
                        const slot_request& request);
+  // False if no request can get a slot of the service now.
+  bool HasFreeSlot(const service_id& service) const;
   std::optional<queued_slot_decision> GrantNext(steady_time now,
                                                 slot_queue& queue);
   slot_decision Grant(steady_time now,
--- a/src/libshallotport/slots/slot_allocator_random_test.cc
+++ b/src/libshallotport/slots/slot_allocator_random_test.cc
@@ -173,6 +173,7 @@
       case slot_reply_kind::kNoEndpoint:
         break;
       case slot_reply_kind::kUnavailable:
+      case slot_reply_kind::kQueued:
         ADD_FAILURE() << "no decision";
     }
   }
--- a/src/libshallotport/slots/slot_client.cc
+++ b/src/libshallotport/slots/slot_client.cc
@@ -30,7 +30,10 @@
 }  // namespace
 
 slot_client::slot_client(const clock_source& clock, fleet_host& fleet)
-    : clock_(clock), fleet_(fleet) {}
+    : clock_(clock),
+      fleet_(fleet),
+      next_ticket_(
+          static_cast<uint64_t>(clock.Now().time_since_epoch().count())) {}
 
 void slot_client::SetLeader(steady_time now, const std::string& ip) {
   leader_ip_ = ip;
@@ -117,6 +120,10 @@
     }
     return;
   }
+  if (found != waiting_.end() &&
+      decoded_reply.kind == slot_reply_kind::kUnavailable) {
+    SendCancellation(found->second.leader_ip, ticket);
+  }
   Answer(ticket, std::move(decoded_reply));
 }
 
@@ -140,12 +147,16 @@
   if (found == waiting_.end()) {
     return;
   }
-  fleet_.hub().Send(found->second.leader_ip,
-                    static_cast<uint8_t>(fleet_frame::kSlotCancel),
-                    Encode(slot_cancellation{ticket}));
+  SendCancellation(found->second.leader_ip, ticket);
   waiting_.erase(found);
 }
 
+void slot_client::SendCancellation(const std::string& leader_ip,
+                                   uint64_t ticket) {
+  fleet_.hub().Send(leader_ip, static_cast<uint8_t>(fleet_frame::kSlotCancel),
+                    Encode(slot_cancellation{ticket}));
+}
+
 // Requests whose leader is lost are not granted a slot any more.
 void slot_client::Tick(steady_time now) {
   std::vector<uint64_t> ended;
@@ -158,6 +169,10 @@
     }
   }
   for (const uint64_t each : ended) {
+    const auto found = waiting_.find(each);
+    if (found != waiting_.end()) {
+      SendCancellation(found->second.leader_ip, each);
+    }
     Answer(each, {});
   }
 }
--- a/src/libshallotport/slots/slot_client.h
+++ b/src/libshallotport/slots/slot_client.h
@@ -66,6 +66,9 @@
   bool IsAvailable(steady_time now) const;
   void Count(const slot_reply& reply);
   void OnQueueReply(uint64_t ticket, const result<std::string>& reply);
+  // A slot that the leader granted later would be taken in vain until the next
+  // load report.
+  void SendCancellation(const std::string& leader_ip, uint64_t ticket);
   // Ends the wait of a request.
   void Answer(uint64_t ticket, slot_reply reply);
 
@@ -76,7 +79,9 @@
   steady_time paused_until_{};
   std::string features_ip_;  // The leader that has named its features.
   uint32_t features_ = 0;
-  uint64_t next_ticket_ = 1;
+  // Starts with the clock, so that a grant to the process that ran here before
+  // is not taken for one of this process.
+  uint64_t next_ticket_;
   std::map<uint64_t, waiting_request> waiting_;
   counters counters_;
 };
--- a/src/libshallotport/slots/slot_queue.cc
+++ b/src/libshallotport/slots/slot_queue.cc
@@ -62,23 +62,46 @@
       waiting_.rbegin(), waiting_.rend(),
       [most](const auto& each) { return each.demand.account == most; });
   waiting_slot_request dropped = std::move(*newest);
-  finish_tags_[most] -= WorkOf(dropped);
+  ReturnWork(dropped);
   waiting_.erase(std::next(newest).base());
   return dropped;
 }
 
 bool slot_queue::Remove(const std::string& host, uint64_t ticket) {
   return std::erase_if(waiting_, [&](const waiting_slot_request& each) {
-           return each.demand.ticket == ticket && each.host == host;
+           const bool is_it = each.demand.ticket == ticket && each.host == host;
+           if (is_it) {
+             ReturnWork(each);
+           }
+           return is_it;
          }) > 0;
 }
 
 void slot_queue::RemoveHost(const std::string& host) {
-  std::erase_if(waiting_, [&host](const waiting_slot_request& each) {
+  std::erase_if(waiting_, [this, &host](const waiting_slot_request& each) {
+    if (each.host == host) {
+      ReturnWork(each);
+    }
     return each.host == host;
   });
 }
 
+void slot_queue::Clear() {
+  waiting_.clear();
+  finish_tags_.clear();
+}
+
+void slot_queue::ReturnWork(const waiting_slot_request& request) {
+  const auto found = finish_tags_.find(request.demand.account);
+  if (found == finish_tags_.end()) {
+    return;
+  }
+  found->second -= WorkOf(request);
+  if (found->second <= virtual_time_) {
+    finish_tags_.erase(found);
+  }
+}
+
 std::vector<waiting_slot_request> slot_queue::TakeExpired(steady_time now) {
   const auto expired =
       std::stable_partition(waiting_.begin(), waiting_.end(),
@@ -89,6 +112,9 @@
       std::make_move_iterator(expired),
       std::make_move_iterator(waiting_.end()));
   waiting_.erase(expired, waiting_.end());
+  for (const waiting_slot_request& each : taken) {
+    ReturnWork(each);
+  }
   return taken;
 }
 
--- a/src/libshallotport/slots/slot_queue.h
+++ b/src/libshallotport/slots/slot_queue.h
@@ -38,6 +38,7 @@
   // False if it does not wait here.
   bool Remove(const std::string& host, uint64_t ticket);
   void RemoveHost(const std::string& host);
+  void Clear();
   std::vector<waiting_slot_request> TakeExpired(steady_time now);
 
   // The first `count` requests in order. The pointers are valid until the next
@@ -50,6 +51,8 @@
   size_t CountAhead(steady_time now, const waiting_slot_request& request) const;
 
  private:
+  // The work of a request that gets no slot is not held against its account.
+  void ReturnWork(const waiting_slot_request& request);
   // The account's, or that of all requests without one.
   double StartTag(const waiting_slot_request& request) const;
 
--- a/src/libshallotport/slots/slot_queue_test.cc
+++ b/src/libshallotport/slots/slot_queue_test.cc
@@ -100,6 +100,72 @@
   EXPECT_EQ(dropped->demand.account, 1u);
 }
 
+// Guards against an account that stands behind others for work that it never
+// received: its callers left, or were refused as late.
+TEST(slot_queue_test, WorkThatGotNoSlotIsNotCounted) {
+  slot_queue queue;
+  for (uint64_t i = 0; i < 3; ++i) {
+    queue.Add(Waiting(Demand(i, 1)));
+    queue.Add(Waiting(Demand(10 + i, 3)));
+  }
+  for (uint64_t i = 0; i < 3; ++i) {
+    EXPECT_TRUE(queue.Remove("h", i));
+  }
+  queue.TakeExpired(kStart + milliseconds(400));
+  EXPECT_TRUE(queue.IsEmpty());
+  const milliseconds later(500);
+  queue.Add(Waiting(Demand(20, 1), later));
+  queue.Add(Waiting(Demand(21, 3), later + milliseconds(1)));
+  queue.Add(Waiting(Demand(22, 2), later + milliseconds(2)));
+  EXPECT_EQ(Drain(queue, kStart + later + milliseconds(3)),
+            (std::vector<uint64_t>{20, 21, 22}));
+}
+
+endpoint_report Endpoint(uint16_t port, uint32_t slots) {
+  endpoint_report report;
+  report.endpoint = endpoint_id("e" + std::to_string(port));
+  report.service = kService;
+  report.domain = domain_id("a");
+  report.slots = slots;
+  report.start_time_ms = 1;
+  report.stage = endpoint_stage::kReady;
+  return report;
+}
+
+// Guards against a first endpoint that is filled before the others get any
+// request, while no duration is known.
+TEST(slot_queue_test, UnknownDurationsSpreadOverEndpoints) {
+  endpoint_limits limits;
+  slot_allocator slots(limits);
+  for (uint16_t port = 1; port <= 3; ++port) {
+    slots.Update(Endpoint(port, 4));
+  }
+  std::map<std::string, int> granted;
+  for (uint64_t i = 0; i < 6; ++i) {
+    const auto decision = slots.AllocateOrQueue(kStart, "h", Demand(i));
+    ASSERT_EQ(decision.reply.kind, slot_reply_kind::kGranted);
+    ++granted[std::string(decision.reply.endpoint.text())];
+  }
+  EXPECT_EQ(granted,
+            (std::map<std::string, int>{{"e1", 2}, {"e2", 2}, {"e3", 2}}));
+}
+
+// Guards against a leader that comes back and refuses or grants slots to
+// requests of its former term.
+TEST(slot_queue_test, RequestsOfAFormerTermAreForgotten) {
+  endpoint_limits limits;
+  slot_allocator slots(limits);
+  slots.Update(Endpoint(1, 1));
+  slots.AllocateOrQueue(kStart, "h", Demand(1));
+  queued_slot_request patient = Demand(2);
+  patient.objective_left_ms = 2'000;
+  const auto queued = slots.AllocateOrQueue(kStart, "h", patient);
+  ASSERT_EQ(queued.reply.kind, slot_reply_kind::kQueued);
+  slots.ClearQueued();
+  EXPECT_FALSE(slots.HasQueued());
+  EXPECT_TRUE(slots.TakeQueued(kStart + std::chrono::seconds(10)).empty());
+}
+
 // Plays bursts on a plain service of 3 endpoints with 6 slots, which refuse
 // what finds no slot: 256 calls/s of 60 ms for 2.4 s, of which the endpoints
 // take some 5% less while neighbours slow them.
