jobstore: leaving_endpoint_test follows the type of request_slot

Cause: entry_duty::request_slot takes a queued request and returns a ticket; the test still set a handler of the former type, and jobstore_test did not compile. Change: the test's handler returns a ticket while it holds the slot, and nullopt otherwise. What is checked is the same. Shown by: jobstore_test, 95 tests pass with the address sanitizer.

--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -87,11 +88,14 @@
     streams.services = {{service_id("svc"), 1}};
     routes_ = route_table(configuration);
     duty_.SetRoutes(configuration);
-    duty_.request_slot = [this](const slot_request&, auto on_reply) {
-      if (holds_slot_) {
-        on_slot_ = on_reply;
+    duty_.request_slot = [this](
+                             const queued_slot_request&,
+                             const auto& on_reply) -> std::optional<uint64_t> {
+      if (!holds_slot_) {
+        return std::nullopt;
       }
-      return holds_slot_;
+      on_slot_ = on_reply;
+      return 1;
     };
     for (const stand_in* each : {&leaving_, &other_, &first_}) {
       duty_.UpdateEndpoint({each->report, clock_.Now()});
