--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -90,11 +90,10 @@
     duty_.selector().Remove(endpoint);
   };
   duty_.admission().SetAllotments(&allotments_);
-  duty_.request_slot =
-      [this](
-          queued_slot_request demand,
-          entry_duty::slot_reply_handler on_reply) -> std::optional<uint64_t> {
-    if (slots_.CanQueue() && duty_.MayQueueForSlots(demand.request.service)) {
+  duty_.request_slot = [this](queued_slot_request demand, bool may_wait,
+                              entry_duty::slot_reply_handler on_reply)
+      -> std::optional<uint64_t> {
+    if (may_wait && slots_.CanQueue()) {
       return slots_.Queue(std::move(demand), std::move(on_reply));
     }
     if (slots_.Request(demand.request, std::move(on_reply))) {
