eventio, jobstore: unexpected exceptions cost one connection; silent items

Cause: nothing caught an exception between a handler and main, so one that left a handler ended the process with all its connections. Any byte of a response kept a batch item's attempt, so an endpoint that stalled within an event and sent a byte now and then kept the item and a slot. A store that was itself stopped for longer than the silence timeout cut all its attempts.

Change: RunGuarded (eventio/handler_guard.h) runs the steps in which bytes of others enter: callers' and endpoints' connections, links, calls and replies on them, relays, accepted connections. A step that throws is logged and costs its connection; a call on a link gets no reply and the link is kept. Entry points of consensus members are noexcept: a member does not go on from half a step.

--- a/src/libshallotport/entry/event_splitter.cc
+++ b/src/libshallotport/entry/event_splitter.cc
@@ -40,6 +40,7 @@
 
 std::string event_splitter::Feed(std::string_view bytes) {
   data_.clear();
+  has_ended_event_ = false;
   if (is_out_of_order_) {
     return {};
   }
@@ -58,6 +59,7 @@
     }
     consumed = end;
   }
+  has_ended_event_ = consumed > 0;
   partial_.erase(0, consumed);
   return complete_events;
 }
--- a/src/libshallotport/entry/event_splitter.h
+++ b/src/libshallotport/entry/event_splitter.h
@@ -25,6 +25,8 @@
   // Discards a partial event of an attempt that ended.
   void Reset() { partial_.clear(); }
 
+  // The last Feed() ended an event, which may be a comment or held back.
+  bool has_ended_event() const { return has_ended_event_; }
   bool has_partial() const { return !partial_.empty(); }
   // An event did not follow: the stream is not the one that was begun.
   bool is_out_of_order() const { return is_out_of_order_; }
@@ -47,6 +49,7 @@
   std::optional<event_sequence> sequence_;
   std::string partial_;
   std::string held_back_;
+  bool has_ended_event_ = false;
   bool has_first_ = false;
   bool is_out_of_order_ = false;
   std::string last_id_;
--- a/src/libshallotport/eventio/connection_acceptor.cc
+++ b/src/libshallotport/eventio/connection_acceptor.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
 namespace shallotport {
@@ -44,7 +45,7 @@
       return;
     }
     if (!failure) {
-      on_accepted_(std::move(socket));
+      RunGuarded("accept", [&] { on_accepted_(std::move(socket)); });
       Accept();
       return;
     }
--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
 namespace shallotport {
@@ -260,24 +261,37 @@
           return;
         }
         self->is_reading_ = false;
-        // The end of a relayed connection is announced, if it is sound.
-        if (failure == boost::asio::error::eof && !self->path_) {
-          self->OnEndOfStream();
-          return;
-        }
-        if (failure) {
-          self->NoteTimeout(failure);
-          if (self->IsConnecting(attempt)) {
-            self->OnPathFailed(call_end::kNotSent);
-          } else {
-            self->Finish(call_end::kBroken);
-          }
-          return;
+        const bool is_handled = RunGuarded(
+            "endpoints", [&] { self->OnRead(attempt, failure, size); });
+        if (!is_handled) {
+          // Ending the call may run the code that failed once more.
+          RunGuarded("endpoints",
+                     [&] { self->Finish(call_end::kInvalidResponse); });
+          self->Close();
         }
-        self->OnBytes({self->read_buffer_.data(), size});
       });
 }
 
+void endpoint_connection::OnRead(size_t attempt,
+                                 const error_code& failure,
+                                 size_t size) {
+  // The end of a relayed connection is announced, if it is sound.
+  if (failure == boost::asio::error::eof && !path_) {
+    OnEndOfStream();
+    return;
+  }
+  if (failure) {
+    NoteTimeout(failure);
+    if (IsConnecting(attempt)) {
+      OnPathFailed(call_end::kNotSent);
+    } else {
+      Finish(call_end::kBroken);
+    }
+    return;
+  }
+  OnBytes({read_buffer_.data(), size});
+}
+
 void endpoint_connection::NoteTimeout(const error_code& failure) {
   if (!path_ && pool_ != nullptr && failure == boost::asio::error::timed_out) {
     pool_->paths_.RecordTimedOut(pool_->clock_.Now(), address_);
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -61,6 +61,9 @@
   void OnRelayRefused(relay_frame reason);
   void Send();
   void Read();
+  void OnRead(size_t attempt,
+              const boost::system::error_code& failure,
+              size_t size);
   void NoteTimeout(const boost::system::error_code& failure);
   void OnBytes(std::string_view bytes);
   // False if the rest of the frames is of no interest.
--- a/src/libshallotport/eventio/host_link.cc
+++ b/src/libshallotport/eventio/host_link.cc
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/link_hub.h"
 #include "eventio/socket_options.h"
 
@@ -155,10 +156,15 @@
           self->Close();
           return;
         }
-        self->last_received_at_ = self->hub_->clock_.Now();
-        self->input_.append(self->read_buffer_.data(), size);
-        if (self->ProcessFrames()) {
-          self->Read();
+        const bool is_handled = RunGuarded("links", [&] {
+          self->last_received_at_ = self->hub_->clock_.Now();
+          self->input_.append(self->read_buffer_.data(), size);
+          if (self->ProcessFrames()) {
+            self->Read();
+          }
+        });
+        if (!is_handled) {
+          self->Close();
         }
       });
 }
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
 namespace shallotport {
@@ -48,24 +49,35 @@
       boost::asio::buffer(read_buffer_),
       [self = shared_from_this()](const error_code& failure, size_t size) {
         self->is_reading_ = false;
-        if (self->is_closed_) {
-          return;
-        }
-        if (failure) {
-          self->OnDisconnected();
-          return;
-        }
-        self->input_.append(self->read_buffer_.data(), size);
-        self->CountHeld();
-        if (!self->is_serving_) {
-          self->Parse();
-        }
-        if (!self->is_closed_ && self->input_.size() < kMaxPipelinedBytes) {
-          self->Read();
+        if (!self->is_closed_) {
+          self->RunStep([&] { self->OnRead(failure, size); });
         }
       });
 }
 
+void http_connection::OnRead(const error_code& failure, size_t size) {
+  if (failure) {
+    OnDisconnected();
+    return;
+  }
+  input_.append(read_buffer_.data(), size);
+  CountHeld();
+  if (!is_serving_) {
+    Parse();
+  }
+  if (!is_closed_ && input_.size() < kMaxPipelinedBytes) {
+    Read();
+  }
+}
+
+// The listener's other connections go on if a step throws.
+template <typename Step>
+void http_connection::RunStep(Step&& step) {
+  if (!RunGuarded("callers", step)) {
+    Close();
+  }
+}
+
 void http_connection::OnDisconnected() {
   const bool has_unsent_response =
       !is_serving_ && (is_sending_ || UnsentBytes() > 0);
@@ -288,7 +300,7 @@
           self->Close();
           return;
         }
-        self->OnSent(size);
+        self->RunStep([&] { self->OnSent(size); });
       });
 }
 
@@ -348,8 +360,10 @@
   // recurse into the next request.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (!self->is_closed_ && !self->is_serving_) {
-      self->Parse();
-      self->Read();
+      self->RunStep([&] {
+        self->Parse();
+        self->Read();
+      });
     }
   });
 }
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -43,6 +43,11 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
+  void OnRead(const boost::system::error_code& failure, size_t size);
+  // Runs a step that processes what the caller sent or took; closes the
+  // connection if it throws.
+  template <typename Step>
+  void RunStep(Step&& step);
   void Parse();
   void Dispatch();
   void Reject(int status);
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -3,6 +3,7 @@
 #include <cstring>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/host_link.h"
 
 namespace shallotport {
@@ -154,14 +155,18 @@
         return;
       }
       const auto method = static_cast<uint8_t>(payload[kCallIdBytes]);
-      on_call(link, method, payload.substr(kCallHeaderBytes),
-              [call_id = DecodeCallId(payload),
-               weak = link.weak_from_this()](const std::string& reply) {
-                if (const auto open = weak.lock()) {
-                  open->Send(static_cast<uint8_t>(link_frame::kReply),
-                             EncodeCallId(call_id) + reply);
-                }
-              });
+      const auto respond =
+          [call_id = DecodeCallId(payload),
+           weak = link.weak_from_this()](const std::string& reply) {
+            if (const auto open = weak.lock()) {
+              open->Send(static_cast<uint8_t>(link_frame::kReply),
+                         EncodeCallId(call_id) + reply);
+            }
+          };
+      // A call that fails gets no reply; others on the link go on.
+      RunGuarded("calls", [&] {
+        on_call(link, method, payload.substr(kCallHeaderBytes), respond);
+      });
       return;
     }
     case link_frame::kReply: {
@@ -174,7 +179,8 @@
       }
       const reply_function on_reply = std::move(found->second.on_reply);
       calls_.erase(found);
-      on_reply(std::string(payload.substr(kCallIdBytes)));
+      RunGuarded("replies",
+                 [&] { on_reply(std::string(payload.substr(kCallIdBytes))); });
       return;
     }
     default:
--- a/src/libshallotport/eventio/relay_tunnel.cc
+++ b/src/libshallotport/eventio/relay_tunnel.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/relay_listener.h"
 #include "eventio/socket_options.h"
 
@@ -49,8 +50,13 @@
           self->Close();
           return;
         }
-        self->open_input_.append(self->host_buffer_.data(), size);
-        self->OnOpenBytes();
+        const bool is_handled = RunGuarded("relay", [&] {
+          self->open_input_.append(self->host_buffer_.data(), size);
+          self->OnOpenBytes();
+        });
+        if (!is_handled) {
+          self->Close();
+        }
       });
 }
 
@@ -180,10 +186,15 @@
           self->WriteToHost();
           return;
         }
-        self->has_endpoint_bytes_ = true;
-        self->to_host_ += EncodeRelayFrame(
-            relay_frame::kData, {self->endpoint_buffer_.data(), size});
-        self->WriteToHost();
+        const bool is_handled = RunGuarded("relay", [&] {
+          self->has_endpoint_bytes_ = true;
+          self->to_host_ += EncodeRelayFrame(
+              relay_frame::kData, {self->endpoint_buffer_.data(), size});
+          self->WriteToHost();
+        });
+        if (!is_handled) {
+          self->Close();
+        }
       });
 }
 
--- a/src/libshallotport/fleet/group_replica.cc
+++ b/src/libshallotport/fleet/group_replica.cc
@@ -74,12 +74,13 @@
   return opened;
 }
 
-void group_replica::OnMessage(std::string bytes) {
+void group_replica::OnMessage(std::string bytes) noexcept {
   driver_->Handle(clock_.Now(), peer_bytes{std::move(bytes)});
   ScheduleFlush();
 }
 
-void group_replica::Propose(std::string command, reply_function reply) {
+void group_replica::Propose(std::string command,
+                            reply_function reply) noexcept {
   proposal content;
   content.slice = slice_;
   content.command = std::move(command);
@@ -88,7 +89,7 @@
   ScheduleFlush();
 }
 
-void group_replica::Query(std::string query, reply_function reply) {
+void group_replica::Query(std::string query, reply_function reply) noexcept {
   driver_->Handle(clock_.Now(),
                   submitted_query{slice_, std::move(query), std::move(reply)});
   ScheduleFlush();
@@ -96,7 +97,7 @@
 
 void group_replica::ChangeMembership(membership_step step,
                                      const host_id& host,
-                                     reply_function reply) {
+                                     reply_function reply) noexcept {
   driver_->Handle(clock_.Now(), submitted_step{step, host, std::move(reply)});
   ScheduleFlush();
 }
--- a/src/libshallotport/fleet/group_replica.h
+++ b/src/libshallotport/fleet/group_replica.h
@@ -45,13 +45,15 @@
       replica::send_function send);
   ~group_replica();
 
-  void OnMessage(std::string bytes);
-  void Propose(std::string command, reply_function reply);
+  // An exception within a step ends the process, which recovers from its files:
+  // a member must not go on from half a step.
+  void OnMessage(std::string bytes) noexcept;
+  void Propose(std::string command, reply_function reply) noexcept;
   // Linearizable; kNotLeader on any other member than the leader.
-  void Query(std::string query, reply_function reply);
+  void Query(std::string query, reply_function reply) noexcept;
   void ChangeMembership(membership_step step,
                         const host_id& host,
-                        reply_function reply);
+                        reply_function reply) noexcept;
   // Transfers leadership; `done` is called when the transfer has ended.
   void Stop(std::function<void()> done);
 
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -59,7 +59,7 @@
   event_splitter events;
   output_period output;
   steady_time begun_at{};
-  steady_time last_received_at{};
+  steady_time last_event_at{};     // Or its begin; in running time.
   wall_milliseconds deadline = 0;  // Of its job, in wall time.
   item_selection selection;
 };
@@ -151,7 +151,7 @@
     next_sweep_at_ = now + kSweepInterval;
     pool_.Sweep(now);
   }
-  AbortSilent(now);
+  AbortSilent(running_time_.Tick(now));
   if (!is_leading_ || routes == nullptr) {
     return;
   }
@@ -513,7 +513,7 @@
   attempt->endpoint = selected.endpoint;
   attempt->start_time_ms = selected.start_time_ms;
   attempt->begun_at = now;
-  attempt->last_received_at = now;
+  attempt->last_event_at = running_time_.At(now);
   attempt->deadline = job->accepted_at + job->submission.objective_ms;
   attempt->selection = *selection;
   attempt->events = event_splitter(event_sequence(resume_after));
@@ -562,7 +562,7 @@
 void item_dispatcher::AbortSilent(steady_time now) {
   std::vector<item_key> silent;
   for (const auto& [key, attempt] : attempts_) {
-    if (now > attempt->last_received_at + options_.silence_timeout) {
+    if (now > attempt->last_event_at + options_.silence_timeout) {
       silent.push_back(key);
     }
   }
@@ -617,9 +617,11 @@
 void item_dispatcher::OnBody(const item_key& key,
                              item_attempt& attempt,
                              std::string_view bytes) {
-  attempt.last_received_at = clock_.Now();
   const bool has_events = !attempt.events.last_id().empty();
   const bool is_following = !attempt.events.Feed(bytes).empty();
+  if (attempt.events.has_ended_event()) {
+    attempt.last_event_at = running_time_.At(clock_.Now());
+  }
   if (!has_events && !endpoints_.IsSameStart(attempt.selection.endpoint)) {
     // Its software version is not known.
     AbortAttempt(key, endpoint_outcome::kCancelled, kRetryDelayAfterBreak);
@@ -631,7 +633,7 @@
     item_state.text += attempt.events.data();
     item_state.last_event = attempt.events.last_id();
     item_state.has_broken = false;
-    if (attempt.output.BecomesSustained(attempt.last_received_at)) {
+    if (attempt.output.BecomesSustained(attempt.last_event_at)) {
       crash_observer_.OnSustainedOutput(Observed(attempt));
     }
   }
@@ -656,8 +658,7 @@
                    {"last_event", pending_items_.at(key).last_event}});
   pending_items_.at(key).has_broken = true;
   const steady_time now = clock_.Now();
-  const auto open = attempts_.find(key);
-  if (open != attempts_.end()) {
+  if (const auto open = attempts_.find(key); open != attempts_.end()) {
     pending_items_.at(key).time_spent += now - attempt.begun_at;
     attempts_.erase(open);
   }
@@ -668,19 +669,18 @@
 void item_dispatcher::OnHead(const item_key& key,
                              item_attempt& attempt,
                              response_head head) {
-  const endpoint_start limited{attempt.endpoint, attempt.start_time_ms};
+  const endpoint_start start{attempt.endpoint, attempt.start_time_ms};
   const limit_read limit =
-      RecordLimit(clock_.Now(), limited, head.headers, options_.wire.limit,
+      RecordLimit(clock_.Now(), start, head.headers, options_.wire.limit,
                   endpoints_.limits());
   counters_.malformed_limits += limit == limit_read::kMalformed ? 1 : 0;
   if (limit == limit_read::kChanged) {
-    LogLimit(log_, limited, endpoints_.limits());
+    LogLimit(log_, start, endpoints_.limits());
   }
   const leave_notice notice = ReadLeaveNotice(head.headers, options_.wire);
   attempt.head = std::move(head);
   counters_.malformed_leave_notices +=
       notice == leave_notice::kMalformed ? 1 : 0;
-  const endpoint_start start{attempt.endpoint, attempt.start_time_ms};
   if (notice == leave_notice::kLeaving &&
       endpoints_.RecordLeaving(clock_.Now(), start,
                                leaving_endpoints::origin::kOwnResponse)) {
@@ -828,8 +828,8 @@
       DiscardUncommitted(key);
       return;
     }
-    const auto item_state = pending_items_.find(key);
-    if (item_state != pending_items_.end()) {
+    if (const auto item_state = pending_items_.find(key);
+        item_state != pending_items_.end()) {
       // The result was not proposed: a new attempt asks the endpoint for the
       // end of the output again.
       item_state->second.is_committing_result = false;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -20,6 +20,7 @@
 #include "eventio/endpoint_connection_pool.h"
 #include "jobstore/item_schedule.h"
 #include "jobstore/job_table.h"
+#include "jobstore/running_time.h"
 #include "poison/crash_observer.h"
 #include "streams/stream_messages.h"
 
@@ -74,9 +75,10 @@
     // so that most online requests find a free one. An online request that is
     // granted a slot of an item's attempt aborts that attempt.
     double online_reserve = 0.04;
-    // An attempt that receives nothing for this long is retried at another
-    // endpoint. Engines emit an event every few tens of milliseconds;
-    // processing a prompt behind others takes under a second.
+    // An attempt that receives no whole event for this long is retried at
+    // another endpoint: single bytes do not keep a stalled one. Engines emit an
+    // event every few tens of milliseconds; processing a prompt behind others
+    // takes under a second.
     duration silence_timeout = std::chrono::seconds(3);
     uint64_t seed = 1;
   };
@@ -166,6 +168,7 @@
   // Aborts attempts at endpoints where online requests wait; they are resumed
   // later, after their last event.
   void YieldToOnline(steady_time now);
+  // `now`: in running time.
   void AbortSilent(steady_time now);
   // Records items that wait past their retention as dead letters.
   void GiveUpExpired();
@@ -191,6 +194,7 @@
   random_source random_;
   endpoint_connection_pool pool_;
   crash_observer crash_observer_;
+  running_time running_time_;
   counters counters_;
   bool is_leading_ = false;
   std::map<item_key, std::shared_ptr<item_attempt>> attempts_;
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -23,14 +24,18 @@
 using std::chrono::milliseconds;
 using commit_outcome = item_dispatcher::commit_outcome;
 
-// A clock whose time of day a test sets forward.
+// A clock that a test sets forward.
 class shifted_clock_source final : public clock_source {
  public:
-  steady_time Now() const override { return clock_.Now(); }
+  steady_time Now() const override {
+    return frozen_at.value_or(clock_.Now()) + steady_offset;
+  }
   wall_milliseconds WallNow() const override {
     return clock_.WallNow() + wall_offset.count();
   }
 
+  std::optional<steady_time> frozen_at;
+  milliseconds steady_offset{};
   milliseconds wall_offset{};
 
  private:
@@ -197,6 +202,91 @@
   EXPECT_EQ(dispatcher_.totals().silent, 1u);
 }
 
+// A stalled endpoint that sent a byte now and then kept its attempt for ever.
+TEST_F(item_dispatcher_test, BytesThatEndNoEventDoNotKeepAnAttempt) {
+  boost::asio::steady_timer trickle(loop_);
+  std::weak_ptr<raw_connection> stalled;
+  std::function<void()> send_byte = [&] {
+    trickle.expires_after(milliseconds(10));
+    trickle.async_wait([&](boost::system::error_code cancelled) {
+      const auto open = stalled.lock();
+      if (!cancelled && open != nullptr) {
+        open->Write("x");
+        send_byte();
+      }
+    });
+  };
+  respond_ = [&](raw_connection& connection, const std::string& id,
+                 const std::string& request) {
+    if (request.find("X-After: 1\r\n") != std::string::npos) {
+      connection.Write(CompleteResponse(id, kSecondEvent));
+      return;
+    }
+    connection.Write(PartialResponse(id, std::string(kFirstEvent) + "data: "));
+    stalled = connection.weak_from_this();
+    send_byte();
+  };
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(table_.Read(job_id("j"), 0).results[0].text.text(), "a\nb");
+  EXPECT_EQ(dispatcher_.totals().silent, 1u);
+}
+
+// A sound stream was cut if "silent" meant more than that no event ends in
+// time.
+TEST_F(item_dispatcher_test, SlowStreamOfWholeEventsIsNotCut) {
+  std::vector<std::string> parts;
+  std::string events;
+  for (int i = 1; i <= 6; ++i) {
+    const std::string event = "id: " + std::to_string(i) + "\ndata: a\n\n";
+    parts.push_back(event.substr(0, 7));
+    parts.push_back(event.substr(7));
+    events += event;
+  }
+  std::shared_ptr<raw_connection> stream;
+  respond_ = [&](raw_connection& connection, const std::string& id,
+                 const std::string&) {
+    const std::string whole = CompleteResponse(id, events);
+    connection.Write(whole.substr(0, whole.size() - events.size()));
+    stream = connection.shared_from_this();
+  };
+  clock_.frozen_at = clock_.Now();
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return stream != nullptr; }));
+  for (const std::string& part : parts) {
+    clock_.steady_offset += milliseconds(30);
+    stream->Write(part);
+    RunUntil(
+        loop_, [] { return false; }, milliseconds(10));  // Receives it.
+    dispatcher_.Tick(clock_.Now(), &routes_);
+  }
+  EXPECT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(attempted_items_.size(), 1u);
+  EXPECT_EQ(dispatcher_.totals().silent, 0u);
+}
+
+// A store that was stopped for longer than the silence timeout cut the streams
+// of all items, though their events waited to be read.
+TEST_F(item_dispatcher_test, StallOfThisProcessIsNoSilence) {
+  std::shared_ptr<raw_connection> stream;
+  respond_ = [&](raw_connection& connection, const std::string& id,
+                 const std::string&) {
+    const std::string whole =
+        CompleteResponse(id, std::string(kFirstEvent) + kSecondEvent);
+    connection.Write(
+        whole.substr(0, whole.size() - std::string(kSecondEvent).size()));
+    stream = connection.shared_from_this();
+  };
+  Submit("j", 1, 60'000);
+  ASSERT_TRUE(RunUntilDone([&] { return stream != nullptr; }));
+  clock_.steady_offset += milliseconds(5'000);
+  dispatcher_.Tick(clock_.Now(), &routes_);
+  EXPECT_EQ(dispatcher_.totals().silent, 0u);
+  stream->Write(kSecondEvent);
+  EXPECT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(attempted_items_.size(), 1u);
+}
+
 TEST_F(item_dispatcher_test, AttemptsYieldToOnlineRequestsAndAreResumed) {
   respond_ = [](raw_connection& connection, const std::string& id,
                 const std::string& request) {
