--- a/src/libshallotport/eventio/connection_acceptor.cc
+++ b/src/libshallotport/eventio/connection_acceptor.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
 namespace shallotport {
@@ -39,7 +40,7 @@
     boost::asio::ip::tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, failure);
     if (!failure) {
-      on_accepted_(std::move(socket));
+      RunGuarded("accept", [&] { on_accepted_(std::move(socket)); });
     }
   }
   boost::system::error_code ignored;
@@ -56,7 +57,7 @@
                                 boost::asio::ip::tcp::socket socket) {
     // The acceptor may have been closed after this connection was accepted.
     if (!failure) {
-      on_accepted_(std::move(socket));
+      RunGuarded("accept", [&] { on_accepted_(std::move(socket)); });
     }
     if (failure == boost::asio::error::operation_aborted ||
         !acceptor_.is_open()) {
--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <utility>
 
+#include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
 namespace shallotport {
@@ -59,35 +60,46 @@
   is_reading_ = true;
   // Waits before it reads: bytes of a read whose handler has not run yet would
   // be seen neither in the socket nor in `input_`.
-  socket_.async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [self = shared_from_this()](error_code failure) {
-        self->is_reading_ = false;
-        if (self->is_closed_) {
-          return;
-        }
-        size_t size = 0;
-        if (!failure) {
-          size = self->socket_.read_some(
-              boost::asio::buffer(self->read_buffer_), failure);
-        }
-        if (failure == boost::asio::error::would_block) {
-          self->Read();
-          return;
-        }
-        if (failure) {
-          self->OnDisconnected();
-          return;
-        }
-        self->input_.append(self->read_buffer_.data(), size);
-        self->CountHeld();
-        if (!self->is_serving_) {
-          self->Parse();
-        }
-        if (!self->is_closed_ && self->input_.size() < kMaxPipelinedBytes) {
-          self->Read();
-        }
-      });
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code failure) {
+                       self->is_reading_ = false;
+                       if (self->is_closed_) {
+                         return;
+                       }
+                       size_t size = 0;
+                       if (!failure) {
+                         size = self->socket_.read_some(
+                             boost::asio::buffer(self->read_buffer_), failure);
+                       }
+                       if (failure == boost::asio::error::would_block) {
+                         self->Read();
+                       } else {
+                         self->RunStep([&] { self->OnRead(failure, size); });
+                       }
+                     });
+}
+
+void http_connection::OnRead(const error_code& failure, size_t size) {
+  if (failure) {
+    OnDisconnected();
+    return;
+  }
+  input_.append(read_buffer_.data(), size);
+  CountHeld();
+  if (!is_serving_) {
+    Parse();
+  }
+  if (!is_closed_ && input_.size() < kMaxPipelinedBytes) {
+    Read();
+  }
+}
+
+// The listener's other connections go on if a step throws.
+template <typename Step>
+void http_connection::RunStep(Step&& step) {
+  if (!RunGuarded("callers", step)) {
+    Close();
+  }
 }
 
 void http_connection::OnDisconnected() {
@@ -339,7 +351,7 @@
           self->Close();
           return;
         }
-        self->OnSent(size);
+        self->RunStep([&] { self->OnSent(size); });
       });
 }
 
@@ -425,8 +437,10 @@
   // recurse into the next request.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (!self->is_closed_ && !self->is_serving_) {
-      self->Parse();
-      self->Read();
+      self->RunStep([&] {
+        self->Parse();
+        self->Read();
+      });
     }
   });
 }
--- a/src/libshallotport/jobstore/leaving_endpoint_test.cc
+++ b/src/libshallotport/jobstore/leaving_endpoint_test.cc
@@ -89,7 +89,7 @@
     routes_ = route_table(configuration);
     duty_.SetRoutes(configuration);
     duty_.request_slot = [this](
-                             const queued_slot_request&,
+                             const queued_slot_request&, bool,
                              const auto& on_reply) -> std::optional<uint64_t> {
       if (!holds_slot_) {
         return std::nullopt;
