--- a/src/libshallotport/slots/slot_allocator.cc
+++ b/src/libshallotport/slots/slot_allocator.cc
@@ -431,8 +431,7 @@
   decision.expected_wait = expected;
   decision.reply.kind = slot_reply_kind::kQueued;
   if (const auto dropped = service.queue.Add(std::move(waiting))) {
-    const slot_decision refusal =
-        Refuse(now, dropped->demand.request, expected);
+    slot_decision refusal = Refuse(now, dropped->demand.request, expected);
     if (dropped->host == host && dropped->demand.ticket == demand.ticket) {
       return refusal;
     }
