fleet, eventio: how far hosts are behind a configuration, and what waits in links

Nothing told the hypotheses of the incident apart: control hosts now count which linked hosts lack the newest configuration and for how long, log when that lasts a second, and count what links have sent, by kind, and what waits in them.

--- a/src/libshallotport/eventio/host_link.cc
+++ b/src/libshallotport/eventio/host_link.cc
@@ -111,9 +111,11 @@
     return;
   }
   if (output_.size() + payload.size() > kMaxQueuedBytes) {
+    ++hub_->totals_.closed_full;
     Close();
     return;
   }
+  hub_->totals_.sent_bytes[kind] += kHeaderBytes + payload.size();
   const auto length = static_cast<uint32_t>(payload.size());
   char header[kHeaderBytes];
   std::memcpy(header, &length, sizeof(length));
@@ -141,6 +143,7 @@
           self->Close();
           return;
         }
+        self->sending_.clear();
         self->Flush();
       });
 }
--- a/src/libshallotport/eventio/host_link.h
+++ b/src/libshallotport/eventio/host_link.h
@@ -38,6 +38,8 @@
   const std::string& ip() const { return ip_; }
   bool is_dialed() const { return is_dialed_; }
   bool is_up() const { return is_up_ && !is_closed_; }
+  // Bytes that the other side has not taken yet.
+  size_t queued_bytes() const { return output_.size() + sending_.size(); }
 
   // Name of the host at the other end, once it has announced itself; set and
   // used by the duties.
--- a/src/libshallotport/eventio/link_hub.cc
+++ b/src/libshallotport/eventio/link_hub.cc
@@ -1,5 +1,6 @@
 #include "eventio/link_hub.h"
 
+#include <algorithm>
 #include <cstring>
 #include <utility>
 
@@ -124,6 +125,28 @@
   return up;
 }
 
+size_t link_hub::LongestQueueBytes() const {
+  size_t longest = 0;
+  for (const auto& link : accepted_) {
+    longest = std::max(longest, link->queued_bytes());
+  }
+  for (const auto& [ip, link] : dialed_) {
+    longest = std::max(longest, link->queued_bytes());
+  }
+  return longest;
+}
+
+size_t link_hub::QueuedBytes() const {
+  size_t sum = 0;
+  for (const auto& link : accepted_) {
+    sum += link->queued_bytes();
+  }
+  for (const auto& [ip, link] : dialed_) {
+    sum += link->queued_bytes();
+  }
+  return sum;
+}
+
 void link_hub::Call(const std::string& ip,
                     uint8_t method,
                     std::string_view body,
--- a/src/libshallotport/eventio/link_hub.h
+++ b/src/libshallotport/eventio/link_hub.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_EVENTIO_LINK_HUB_H_
 #define SHALLOTPORT_EVENTIO_LINK_HUB_H_
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,11 @@
   kFirstDutyFrame = 16,
 };
 
+struct link_counters {
+  std::array<uint64_t, 256> sent_bytes{};  // By kind of frame.
+  uint64_t closed_full = 0;  // Links whose other side read too slowly.
+};
+
 // The TCP links between this host and other hosts of the system. A host dials
 // the hosts that it sends calls or subscriptions to; replies and published
 // frames come back on the same link. Links are pinged, and a silent link is
@@ -85,6 +91,10 @@
   void Tick(steady_time now);
 
   const std::string& own_ip() const { return own_ip_; }
+  const link_counters& totals() const { return totals_; }
+  // What waits in the link with the longest queue, and in all links.
+  size_t LongestQueueBytes() const;
+  size_t QueuedBytes() const;
   const std::set<std::shared_ptr<host_link>>& accepted() const {
     return accepted_;
   }
@@ -115,6 +125,7 @@
   std::set<std::shared_ptr<host_link>> accepted_;
   std::map<uint64_t, pending_call> calls_;
   uint64_t next_call_id_ = 1;
+  link_counters totals_;
   steady_time last_tick_at_{};
   bool is_shutting_down_ = false;
 };
--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -4,7 +4,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "base/codec.h"
 #include "base/log.h"
@@ -35,6 +37,8 @@
 constexpr std::chrono::milliseconds kFoundingTimeout{4'000};
 // The control group's state is a few documents: small files are enough.
 constexpr uint64_t kSnapshotAfterBytes = 4u << 20;
+// A linked host that lacks the newest configuration for this long is logged.
+constexpr std::chrono::milliseconds kLateDocument{1'000};
 constexpr uint32_t kSnapshotAfterEntries = 2'000;
 constexpr uint32_t kTrailingEntries = 500;
 constexpr uint32_t kSegmentBytes = 1u << 20;
@@ -121,6 +125,9 @@
       }
     });
   };
+  fleet_->on_document = [this](const configuration_document& document) {
+    receipts_.Publish(clock_.Now(), document.version);
+  };
   LoadKnownState();
   fleet_->on_consensus = [this](const host_id&,
                                 const group_envelope& envelope) {
@@ -136,6 +143,7 @@
       OnJobMembers(payload);
     }
   };
+  fleet_->hub().on_link_down = [this](host_link& link) { OnLinkDown(link); };
   fleet_->hub().on_call = [](host_link&, uint8_t method, std::string_view,
                              const std::function<void(std::string)>& reply) {
     if (static_cast<fleet_call>(method) == fleet_call::kConfirmView) {
@@ -166,6 +174,7 @@
 void control_duty::Tick(steady_time now) {
   fleet_->Tick(now);
   RecordAwaitedLeaves(now);
+  LogHostsBehind(now);
   if (needs_directory_push_ || now >= next_directory_) {
     needs_directory_push_ = false;
     const size_t control_hosts = fleet_->LiveHosts(host_role::kControl).size();
@@ -191,6 +200,36 @@
   }
 }
 
+void control_duty::OnLinkDown(host_link& link) {
+  // A host that dialed again has another link.
+  const auto& links = fleet_->hub().accepted();
+  const bool is_linked = std::any_of(
+      links.begin(), links.end(),
+      [&link](const auto& each) { return each->peer_name == link.peer_name; });
+  if (!is_linked) {
+    receipts_.Remove(host_id(link.peer_name));
+  }
+}
+
+void control_duty::LogHostsBehind(steady_time now) {
+  const std::vector<host_id> late = receipts_.BehindFor(now, kLateDocument);
+  if (std::exchange(are_hosts_late_, !late.empty()) == !late.empty()) {
+    return;
+  }
+  const std::string version = std::to_string(receipts_.newest());
+  if (late.empty()) {
+    LogStateChange("control", "linked hosts have configuration " + version);
+    return;
+  }
+  LogWarning("control", std::to_string(late.size()) +
+                            " linked hosts lack configuration " + version +
+                            ", as " + late.front().text() + "; " +
+                            std::to_string(fleet_->hub().QueuedBytes()) +
+                            " bytes wait in links, " +
+                            std::to_string(fleet_->hub().LongestQueueBytes()) +
+                            " in one of them");
+}
+
 void control_duty::LoadKnownState() {
   const known_state known = known_file_.Load();
   fleet_->RecordDocument(known.document);
@@ -239,6 +278,7 @@
                           known->host.start_id != host.start_id ||
                           known->host.disk != host.disk;
   fleet_->RecordHost(host);
+  receipts_.Record(host.host, host.document_version);
   const steady_time now = clock_.Now();
   if (is_new) {
     link.Send(static_cast<uint8_t>(fleet_frame::kDirectory),
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -10,6 +10,7 @@
 
 #include "base/result.h"
 #include "fleet/control_state.h"
+#include "fleet/document_receipts.h"
 #include "fleet/fleet_host.h"
 #include "fleet/group_healer.h"
 #include "fleet/group_replica.h"
@@ -85,6 +86,8 @@
   sync_totals syncs() const { return group_->syncs(); }
   // Calls of RecordLeave() whose callers had gone.
   uint64_t passed_over_leaves() const { return passed_over_leaves_; }
+  // Which linked hosts have the newest configuration.
+  const document_receipts& receipts() const { return receipts_; }
   fleet_host& fleet() { return *fleet_; }
   const fleet_host& fleet() const { return *fleet_; }
   const control_state& state() const { return state_; }
@@ -103,7 +106,9 @@
   void HealGroup(steady_time now);
   void FoundJobGroup(steady_time now);
   void ApplyAndPass(const endpoint_report& report);
+  void OnLinkDown(host_link& link);
   void RecordAwaitedLeaves(steady_time now);
+  void LogHostsBehind(steady_time now);
   // `leave_time_ms`: of a leave that names no start, otherwise 0.
   void EndStart(const endpoint_id& endpoint,
                 uint64_t start_time_ms,
@@ -120,6 +125,8 @@
   std::unique_ptr<group_replica> group_;
   group_healer healer_;
   known_state_file known_file_;
+  document_receipts receipts_;
+  bool are_hosts_late_ = false;
   bool is_push_scheduled_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   bool is_known_state_dirty_ = false;
