fleet: hosts get differences of configurations, and read whole ones at their pace

Callers got 404 for routes that had been added, or the former route, seconds after a change was acknowledged, and requests were sent to endpoints that had said they leave.

Cause: each of the control hosts sent each change as a whole document to each host, and again to a host whose next announcement named an older version. The links' queues grew with each change that a host had not read; leave notices, reports and pings waited behind them, and control hosts ran out of memory. Class of fault: a sender that repeats state without knowing what is on its way, on a link that others share.

Change: notices with the difference from the document that the host will have (document_delta, document_outbox, document_archive); larger ones are read by the host, one piece under way, from one control host at a time (document_fetch). Hosts of the build before send no receipt and get whole documents, one at a time. Leaves no longer write the document to disk again: known-configuration is a file of its own.

--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -121,12 +121,14 @@
     boost::asio::post(loop_, [this, alive = std::weak_ptr<bool>(is_alive_)] {
       if (!alive.expired()) {
         is_push_scheduled_ = false;
-        PushDocument();
+        PutDocumentInForce();
       }
     });
   };
   fleet_->on_document = [this](const configuration_document& document) {
+    documents_.Add(document);
     receipts_.Publish(clock_.Now(), document.version);
+    PushDocument();
   };
   LoadKnownState();
   fleet_->on_consensus = [this](const host_id&,
@@ -139,15 +141,23 @@
                                       std::string_view payload) {
     if (kind == static_cast<uint8_t>(fleet_frame::kAnnouncement)) {
       OnAnnouncement(link, payload);
+    } else if (kind == static_cast<uint8_t>(fleet_frame::kDocumentReceipt)) {
+      OnReceipt(link, payload);
     } else if (kind == static_cast<uint8_t>(fleet_frame::kJobMembers)) {
       OnJobMembers(payload);
     }
   };
   fleet_->hub().on_link_down = [this](host_link& link) { OnLinkDown(link); };
-  fleet_->hub().on_call = [](host_link&, uint8_t method, std::string_view,
-                             const std::function<void(std::string)>& reply) {
+  fleet_->hub().on_call = [this](
+                              host_link&, uint8_t method, std::string_view body,
+                              const std::function<void(std::string)>& reply) {
     if (static_cast<fleet_call>(method) == fleet_call::kConfirmView) {
       reply({});
+    } else if (static_cast<fleet_call>(method) == fleet_call::kReadDocument) {
+      const auto read = DecodeGrowing<document_read>(body);
+      if (IsOk(read)) {
+        reply(Encode(documents_.Read(ValueOf(read))));
+      }
     }
   };
   auto opened = group_replica::Open(
@@ -175,6 +185,7 @@
   fleet_->Tick(now);
   RecordAwaitedLeaves(now);
   LogHostsBehind(now);
+  acknowledgements_.Advance(now, receipts_);
   if (needs_directory_push_ || now >= next_directory_) {
     needs_directory_push_ = false;
     const size_t control_hosts = fleet_->LiveHosts(host_role::kControl).size();
@@ -184,8 +195,14 @@
                   kDirectoryInterval, kMaxDirectoryInterval);
     PushDirectory();
   }
-  if (is_known_state_dirty_ && now >= next_known_save_) {
-    SaveKnownState();
+  if (now >= next_known_save_) {
+    next_known_save_ = now + kKnownSaveInterval;
+    if (is_known_state_dirty_) {
+      SaveKnownEndpoints();
+    }
+    if (saved_document_version_ < fleet_->document().version) {
+      SaveKnownDocument();
+    }
   }
   if (group_->IsLeading()) {
     HealGroup(now);
@@ -193,14 +210,56 @@
   }
 }
 
+void control_duty::PutDocumentInForce() {
+  fleet_->RecordDocument(state_.document());
+}
+
 void control_duty::PushDocument() {
-  if (fleet_->RecordDocument(state_.document())) {
-    PushToAll(fleet_frame::kDocument, Encode(state_.document()));
-    is_known_state_dirty_ = true;
+  const uint64_t newest = documents_.newest();
+  const uint64_t digest = documents_.DigestOf(newest);
+  const auto& accepted = fleet_->hub().accepted();
+  // A link that is closed because it is full leaves the set.
+  const std::vector<std::shared_ptr<host_link>> links(accepted.begin(),
+                                                      accepted.end());
+  for (const auto& link : links) {
+    SendDocument(*link, outboxes_[link.get()].OnPublished(newest, digest));
   }
 }
 
+void control_duty::SendDocument(host_link& link,
+                                const document_outbox::decision& decision) {
+  switch (decision.next) {
+    case document_outbox::step::kNothing:
+      return;
+    case document_outbox::step::kNotice:
+      link.Send(
+          static_cast<uint8_t>(fleet_frame::kDocumentNotice),
+          documents_.NoticeFor(decision.base_version, decision.base_digest));
+      return;
+    case document_outbox::step::kWhole:
+      link.Send(static_cast<uint8_t>(fleet_frame::kDocument),
+                Encode(fleet_->document()));
+      return;
+  }
+}
+
+void control_duty::OnReceipt(host_link& link, std::string_view payload) {
+  const auto decoded = DecodeGrowing<document_receipt>(payload);
+  if (!IsOk(decoded)) {
+    return;
+  }
+  const document_receipt& receipt = ValueOf(decoded);
+  if (!link.peer_name.empty()) {
+    receipts_.Record(host_id(link.peer_name), receipt.version);
+    acknowledgements_.Advance(clock_.Now(), receipts_);
+  }
+  const uint64_t newest = documents_.newest();
+  SendDocument(link, outboxes_[&link].OnReceipt(receipt, newest,
+                                                documents_.DigestOf(newest)));
+}
+
 void control_duty::OnLinkDown(host_link& link) {
+  outboxes_.erase(&link);
   // A host that dialed again has another link.
   const auto& links = fleet_->hub().accepted();
   const bool is_linked = std::any_of(
@@ -208,6 +267,7 @@
       [&link](const auto& each) { return each->peer_name == link.peer_name; });
   if (!is_linked) {
     receipts_.Remove(host_id(link.peer_name));
+    acknowledgements_.Advance(clock_.Now(), receipts_);
   }
 }
 
@@ -233,6 +293,7 @@
 void control_duty::LoadKnownState() {
   const known_state known = known_file_.Load();
   fleet_->RecordDocument(known.document);
+  saved_document_version_ = known.document.version;
   for (endpoint_report report : known.reports) {
     report.age_ms = 0;
     if (IsOk(CheckReport(report))) {
@@ -247,21 +308,26 @@
     stage = entry.report.stage;
     is_known_state_dirty_ = true;
     if (stage != endpoint_stage::kReady) {
-      SaveKnownState();
+      SaveKnownEndpoints();
     }
   };
 }
 
-void control_duty::SaveKnownState() {
+void control_duty::SaveKnownEndpoints() {
   is_known_state_dirty_ = false;
-  const steady_time now = clock_.Now();
-  next_known_save_ = now + kKnownSaveInterval;
-  // Not fatal: without the file a restart only takes longer.
-  const status saved =
-      known_file_.Save({fleet_->document(), fleet_->endpoints().Reports(now)});
+  LogSaved(known_file_.SaveReports(fleet_->endpoints().Reports(clock_.Now())));
+}
+
+void control_duty::SaveKnownDocument() {
+  saved_document_version_ = fleet_->document().version;
+  LogSaved(known_file_.SaveDocument(fleet_->document()));
+}
+
+// A failure is not fatal: without the files a restart only takes longer.
+void control_duty::LogSaved(const status& saved) const {
   if (!IsOk(saved)) {
     LogWarning("control",
-               "cannot save the known state file: " + ErrorOf(saved).detail);
+               "cannot save the known state: " + ErrorOf(saved).detail);
   }
 }
 
@@ -286,12 +352,8 @@
     link.Send(static_cast<uint8_t>(fleet_frame::kEndpoint),
               Encode(endpoint_update{fleet_->endpoints().Reports(now)}));
   }
-  // Also repairs a push that was lost on a broken link.
-  const configuration_document& newest = fleet_->document();
-  const bool is_behind = host.document_version < newest.version;
-  if (is_behind || (is_new && !newest.bytes.empty())) {
-    link.Send(static_cast<uint8_t>(fleet_frame::kDocument), Encode(newest));
-  }
+  SendDocument(link, outboxes_[&link].OnAnnounced(host.document_version,
+                                                  documents_.newest()));
 }
 
 void control_duty::OnJobMembers(std::string_view payload) {
@@ -375,19 +437,30 @@
 
 void control_duty::PutDocument(configuration_document document,
                                status_reply reply) {
+  const uint64_t version = document.version;
   if (!state_.document().bytes.empty() &&
-      document.version <= state_.document().version) {
-    reply(success{});
+      version <= state_.document().version) {
+    Acknowledge(version, std::move(reply));
     return;
   }
   control_command command;
   command.kind = control_command_kind::kPutDocument;
   command.document = std::move(document);
-  group_->Propose(
-      EncodeControlCommand(command),
-      [reply = std::move(reply)](const result<std::string>& outcome) {
-        reply(AsStatus(outcome));
-      });
+  group_->Propose(EncodeControlCommand(command),
+                  [this, version, reply = std::move(reply)](
+                      const result<std::string>& outcome) {
+                    if (IsOk(outcome)) {
+                      Acknowledge(version, reply);
+                    } else {
+                      reply(ErrorOf(outcome));
+                    }
+                  });
+}
+
+void control_duty::Acknowledge(uint64_t version, status_reply reply) {
+  acknowledgements_.Add(clock_.Now(), version,
+                        [reply = std::move(reply)] { reply(success{}); });
+  acknowledgements_.Advance(clock_.Now(), receipts_);
 }
 
 void control_duty::ReadDocument(document_reply reply) {
--- a/src/libshallotport/fleet/control_duty.h
+++ b/src/libshallotport/fleet/control_duty.h
@@ -10,6 +10,9 @@
 
 #include "base/result.h"
 #include "fleet/control_state.h"
+#include "fleet/document_acknowledgements.h"
+#include "fleet/document_archive.h"
+#include "fleet/document_outbox.h"
 #include "fleet/document_receipts.h"
 #include "fleet/fleet_host.h"
 #include "fleet/group_healer.h"
@@ -57,9 +60,9 @@
   void Tick(steady_time now);
   void Stop(std::function<void()> done);
 
-  // Succeeds once the document is committed, or if it is no newer than the one
-  // in force. kNotLeader: another control host must be asked. kNoQuorum: it may
-  // still be committed.
+  // Succeeds once the document, or one that is no older, is committed and in
+  // force on all linked hosts, or a moment later. kNotLeader: another control
+  // host must be asked. kNoQuorum: it may still be committed.
   void PutDocument(configuration_document document, status_reply reply);
   // Returns the newest document, or kNotLeader.
   void ReadDocument(document_reply reply);
@@ -86,6 +89,9 @@
   sync_totals syncs() const { return group_->syncs(); }
   // Calls of RecordLeave() whose callers had gone.
   uint64_t passed_over_leaves() const { return passed_over_leaves_; }
+  const document_acknowledgements& acknowledgements() const {
+    return acknowledgements_;
+  }
   // Which linked hosts have the newest configuration.
   const document_receipts& receipts() const { return receipts_; }
   fleet_host& fleet() { return *fleet_; }
@@ -100,13 +106,18 @@
   status Open();
   void OnAnnouncement(host_link& link, std::string_view payload);
   void OnJobMembers(std::string_view payload);
+  void OnReceipt(host_link& link, std::string_view payload);
+  void OnLinkDown(host_link& link);
+  void PutDocumentInForce();
+  // Once the linked hosts have the version in force.
+  void Acknowledge(uint64_t version, status_reply reply);
   void PushDocument();
+  void SendDocument(host_link& link, const document_outbox::decision& decision);
   void PushDirectory();
   void PushToAll(fleet_frame kind, std::string_view payload);
   void HealGroup(steady_time now);
   void FoundJobGroup(steady_time now);
   void ApplyAndPass(const endpoint_report& report);
-  void OnLinkDown(host_link& link);
   void RecordAwaitedLeaves(steady_time now);
   void LogHostsBehind(steady_time now);
   // `leave_time_ms`: of a leave that names no start, otherwise 0.
@@ -115,7 +126,9 @@
                 uint64_t leave_time_ms);
   std::string EncodeDirectory(steady_time now) const;
   void LoadKnownState();
-  void SaveKnownState();
+  void SaveKnownEndpoints();
+  void SaveKnownDocument();
+  void LogSaved(const status& saved) const;
 
   boost::asio::io_context& loop_;
   const clock_source& clock_;
@@ -125,11 +138,15 @@
   std::unique_ptr<group_replica> group_;
   group_healer healer_;
   known_state_file known_file_;
+  document_archive documents_;
+  std::map<const host_link*, document_outbox> outboxes_;  // Of accepted links.
   document_receipts receipts_;
+  document_acknowledgements acknowledgements_;
   bool are_hosts_late_ = false;
   bool is_push_scheduled_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
-  bool is_known_state_dirty_ = false;
+  bool is_known_state_dirty_ = false;  // Of the endpoints.
+  uint64_t saved_document_version_ = 0;
   std::map<endpoint_id, endpoint_stage> saved_stages_;
   report_filter report_filter_;
   struct pending_leave {
--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -34,12 +34,19 @@
            clock,
            options_.self.host.text(),
            options_.port,
-           options_.link_bind_ip) {
+           options_.link_bind_ip),
+      documents_(clock, hub_, options_.self.host) {
+  documents_.on_document = [this](const configuration_document& document) {
+    RecordDocument(document);
+  };
+  documents_.control_hosts = [this] { return LinkedControlHosts(); };
   hub_.on_frame = [this](host_link& link, uint8_t kind,
                          std::string_view payload) {
     OnFrame(link, kind, payload);
   };
   hub_.on_link_up = [this](host_link& link) {
+    link.Send(FrameKind(fleet_frame::kDocumentReceipt),
+              documents_.FirstReceipt());
     link.Send(FrameKind(fleet_frame::kAnnouncement), Encode(options_.self));
   };
 }
@@ -61,10 +68,11 @@
   }
   UpdateTargets(now);
   hub_.Tick(now);
+  documents_.Tick(now);
 }
 
 void fleet_host::Announce() {
-  options_.self.document_version = document_.version;
+  options_.self.document_version = document().version;
   hosts_.Record(clock_.Now(), options_.self, 0);
   const std::string announcement = Encode(options_.self);
   for (const std::string& ip : hub_.UpTargets()) {
@@ -111,6 +119,9 @@
       }
       return;
     }
+    case fleet_frame::kDocumentNotice:
+      documents_.OnNotice(host_id(link.ip()), payload);
+      return;
     case fleet_frame::kEndpoint: {
       const auto update = Decode<endpoint_update>(payload);
       if (IsOk(update)) {
@@ -188,14 +199,16 @@
 }
 
 bool fleet_host::RecordDocument(const configuration_document& document) {
+  const configuration_document& known = this->document();
   if (document.bytes.empty() ||
-      (!document_.bytes.empty() && document.version <= document_.version)) {
+      (!known.bytes.empty() && document.version <= known.version)) {
     return false;
   }
-  document_ = document;
+  documents_.SetInForce(document);
   if (on_document) {
-    on_document(document_);
+    on_document(known);
   }
+  documents_.SendReceipts();
   return true;
 }
 
@@ -232,12 +245,19 @@
   return relays;
 }
 
-bool fleet_host::HasControlLink() const {
-  const auto up = hub_.UpTargets();
-  return std::any_of(up.begin(), up.end(), [this](const std::string& ip) {
+std::vector<host_id> fleet_host::LinkedControlHosts() const {
+  std::vector<host_id> linked;
+  for (const std::string& ip : hub_.UpTargets()) {
     const auto* known = hosts_.Find(host_id(ip));
-    return known != nullptr && known->host.role == host_role::kControl;
-  });
+    if (known != nullptr && known->host.role == host_role::kControl) {
+      linked.emplace_back(ip);
+    }
+  }
+  return linked;
+}
+
+bool fleet_host::HasControlLink() const {
+  return !LinkedControlHosts().empty();
 }
 
 bool fleet_host::HasAllControlLinks() const {
--- a/src/libshallotport/fleet/fleet_host.h
+++ b/src/libshallotport/fleet/fleet_host.h
@@ -12,6 +12,7 @@
 #include "base/result.h"
 #include "eventio/link_hub.h"
 #include "eventio/path_monitor.h"
+#include "fleet/document_receiver.h"
 #include "fleet/endpoint_directory.h"
 #include "fleet/fleet_messages.h"
 #include "fleet/host_directory.h"
@@ -59,6 +60,7 @@
   link_hub::frame_handler on_unhandled_frame;
 
   link_hub& hub() { return hub_; }
+  const link_hub& hub() const { return hub_; }
   const host_announcement& self() const { return options_.self; }
   void SetDisk(incarnation disk);
   void SetSeeds(std::vector<std::string> seed_ips);
@@ -75,7 +77,10 @@
 
   const host_directory& hosts() const { return hosts_; }
   const endpoint_directory& endpoints() const { return endpoints_; }
-  const configuration_document& document() const { return document_; }
+  const configuration_document& document() const {
+    return documents_.in_force();
+  }
+  const document_receiver& documents() const { return documents_; }
   const std::vector<host_id>& job_founders() const { return job_founders_; }
   const std::set<std::string>& retiring() const { return retiring_; }
   // Hosts of a role with a recent announcement, this one included.
@@ -97,6 +102,7 @@
 
  private:
   void OnFrame(host_link& link, uint8_t kind, std::string_view payload);
+  std::vector<host_id> LinkedControlHosts() const;
   void OnDirectory(std::string_view payload);
   // Applied the first report of an endpoint's start.
   void OnEndpointStarted(const endpoint_report& report);
@@ -109,7 +115,7 @@
   link_hub hub_;
   host_directory hosts_;
   endpoint_directory endpoints_;
-  configuration_document document_;
+  document_receiver documents_;
   std::vector<host_id> job_founders_;
   std::set<std::string> retiring_;
   uint32_t entry_host_count_ = 0;
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "fleet/document_delta.h"
 #include "fleet/endpoint_report.h"
 #include "fleet/endpoint_start.h"
 
@@ -18,10 +19,12 @@
 enum class fleet_frame : uint8_t {
   kAnnouncement = 16,  // host_announcement, from the dialing host.
   kDirectory = 17,     // directory_update, from control hosts.
-  kDocument = 18,      // configuration_document, from control hosts.
-  kEndpoint = 19,      // endpoint_update, from control hosts.
-  kConsensus = 20,     // group_envelope, between members of one group.
-  kLoad = 21,          // load_report, from entry hosts to job stores.
+  // configuration_document, from control hosts to hosts of earlier builds,
+  // which send no kDocumentReceipt.
+  kDocument = 18,
+  kEndpoint = 19,    // endpoint_update, from control hosts.
+  kConsensus = 20,   // group_envelope, between members of one group.
+  kLoad = 21,        // load_report, from entry hosts to job stores.
   kLoadTotals = 22,  // load_report, from the job group's leader to entry hosts.
   kJobMembers = 23,  // job_group_members, from that leader to control hosts.
   kStreams = 24,     // stream_report, from entry hosts to job stores.
@@ -31,8 +34,10 @@
   kEndpointLimits = 26,
   kSlotGrant = 27,   // slot_grant, from the job group's leader to entry hosts.
   kSlotCancel = 29,  // slot_cancellation, from entry hosts to that leader.
-  kLeaderFeatures = 30,  // leader_features, from that leader to entry hosts.
-  kBusyAccounts = 31,    // EncodeBusyAccounts(), from it to entry hosts.
+  kLeaderFeatures = 30,   // leader_features, from that leader to entry hosts.
+  kBusyAccounts = 31,     // EncodeBusyAccounts(), from it to entry hosts.
+  kDocumentReceipt = 32,  // document_receipt, to control hosts.
+  kDocumentNotice = 33,   // document_notice, from control hosts.
 };
 
 // Calls from entry hosts to the leader of the job group, or to other hosts
@@ -53,6 +58,9 @@
   // queued_slot_request; the reply is a slot_reply. Only to leaders that have
   // named kQueuesSlotRequests.
   kQueueSlot = 9,
+  // document_read, to a control host that has sent a notice of the document;
+  // the reply is a document_chunk.
+  kReadDocument = 10,
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
@@ -110,6 +118,61 @@
   }
 };
 
+// Which configuration a host has in force. The first one is sent before the
+// host's announcement.
+struct document_receipt {
+  uint64_t version = 0;
+  uint64_t digest = 0;  // HashOf() its bytes; 0: there is none.
+  // The host knows of a newer one, or has just connected: it waits for a notice
+  // that starts from this document.
+  bool awaits_notice = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, digest, awaits_notice);
+  }
+};
+
+// A control host has a newer configuration.
+struct document_notice {
+  uint64_t version = 0;
+  uint64_t digest = 0;
+  uint64_t size = 0;
+  // The document from which `delta` starts; 0: there is no delta, the document
+  // can be read with kReadDocument.
+  uint64_t base_version = 0;
+  uint64_t base_digest = 0;
+  document_delta delta;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, digest, size, base_version, base_digest, delta);
+  }
+};
+
+// Asks for the bytes of a document from `offset` on.
+struct document_read {
+  uint64_t version = 0;
+  uint64_t digest = 0;
+  uint64_t offset = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, digest, offset);
+  }
+};
+
+struct document_chunk {
+  bool is_held = false;  // False: the control host no longer has the document.
+  uint64_t offset = 0;
+  std::string bytes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(is_held, offset, bytes);
+  }
+};
+
 struct endpoint_update {
   std::vector<endpoint_report> reports;
 
--- a/src/libshallotport/fleet/known_state_file.cc
+++ b/src/libshallotport/fleet/known_state_file.cc
@@ -13,19 +13,28 @@
 
 constexpr size_t kChecksumBytes = sizeof(uint64_t);
 constexpr uint64_t kMaxFileBytes = 16u << 20;
+constexpr const char* kReportsFile = "known";
+constexpr const char* kDocumentFile = "known-configuration";
 
 }  // namespace
 
 known_state_file::known_state_file(file_system& files, std::string folder)
     : files_(files), folder_(std::move(folder)) {}
 
-status known_state_file::Save(const known_state& state) {
-  const std::string body = Encode(state);
+status known_state_file::SaveReports(std::vector<endpoint_report> reports) {
+  return Write(kReportsFile, Encode(known_state{{}, std::move(reports)}));
+}
+
+status known_state_file::SaveDocument(const configuration_document& document) {
+  return Write(kDocumentFile, Encode(document));
+}
+
+status known_state_file::Write(const std::string& name, std::string_view body) {
   const uint64_t checksum = HashOf(body);
   std::string bytes(kChecksumBytes, '\0');
   std::memcpy(bytes.data(), &checksum, kChecksumBytes);
   bytes += body;
-  const std::string path = folder_ + "/known";
+  const std::string path = folder_ + "/" + name;
   const std::string temporary_path = path + ".new";
   if (IsOk(files_.SizeOf(temporary_path))) {
     files_.Remove(temporary_path);
@@ -47,21 +56,26 @@
   return files_.SyncFolder(folder_);
 }
 
-known_state known_state_file::Load() const {
-  const std::string path = folder_ + "/known";
-  const auto bytes = files_.Read(path, 0, kMaxFileBytes);
+std::string known_state_file::Read(const std::string& name) const {
+  const auto bytes = files_.Read(folder_ + "/" + name, 0, kMaxFileBytes);
   if (!IsOk(bytes) || ValueOf(bytes).size() < kChecksumBytes) {
     return {};
   }
   uint64_t checksum = 0;
   std::memcpy(&checksum, ValueOf(bytes).data(), kChecksumBytes);
-  const std::string_view body =
-      std::string_view(ValueOf(bytes)).substr(kChecksumBytes);
-  if (HashOf(body) != checksum) {
-    return {};  // Torn by a power loss.
+  std::string body = ValueOf(bytes).substr(kChecksumBytes);
+  return HashOf(body) == checksum ? body : std::string();  // Torn.
+}
+
+known_state known_state_file::Load() const {
+  // Earlier builds keep the configuration in the file of the reports.
+  auto read = Decode<known_state>(Read(kReportsFile));
+  known_state known = IsOk(read) ? std::move(ValueOf(read)) : known_state();
+  auto document = Decode<configuration_document>(Read(kDocumentFile));
+  if (IsOk(document) && ValueOf(document).version >= known.document.version) {
+    known.document = std::move(ValueOf(document));
   }
-  auto decoded = Decode<known_state>(body);
-  return IsOk(decoded) ? std::move(ValueOf(decoded)) : known_state();
+  return known;
 }
 
 }  // namespace shallotport
--- a/src/libshallotport/fleet/known_state_file_test.cc
+++ b/src/libshallotport/fleet/known_state_file_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
+#include "base/codec.h"
+#include "base/digest.h"
 #include "fleet/control_state.h"
 #include "storage/fake_file_system_test_util.h"
 
@@ -9,22 +14,21 @@
 
 namespace {
 
-known_state MakeState(uint64_t version) {
-  known_state state;
-  state.document = {version, "routes"};
+std::vector<endpoint_report> MakeReports(uint32_t slots) {
   endpoint_report report;
   report.endpoint = endpoint_id("e");
-  report.slots = 8;
-  state.reports.push_back(report);
-  return state;
+  report.slots = slots;
+  return {report};
 }
 
 TEST(known_state_file_test, LoadsLastSavedState) {
   fake_file_system files;
   known_state_file file(files, "data");
   EXPECT_TRUE(file.Load().document.bytes.empty());
-  ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
-  ASSERT_TRUE(IsOk(file.Save(MakeState(2))));
+  ASSERT_TRUE(IsOk(file.SaveDocument({1, "routes"})));
+  ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(4))));
+  ASSERT_TRUE(IsOk(file.SaveDocument({2, "routes"})));
+  ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(8))));
   const known_state read = known_state_file(files, "data").Load();
   EXPECT_EQ(read.document.version, 2u);
   ASSERT_EQ(read.reports.size(), 1u);
@@ -36,21 +40,57 @@
     fake_file_system files;
     random_source random(seed);
     known_state_file file(files, "data");
-    ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
-    ASSERT_TRUE(IsOk(file.Save(MakeState(2))));
+    ASSERT_TRUE(IsOk(file.SaveDocument({1, "routes"})));
+    ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(4))));
+    ASSERT_TRUE(IsOk(file.SaveDocument({2, "routes"})));
+    ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(8))));
     files.Crash(random);
-    EXPECT_EQ(file.Load().document.version, 2u) << "seed " << seed;
+    const known_state read = file.Load();
+    EXPECT_EQ(read.document.version, 2u) << "seed " << seed;
+    ASSERT_EQ(read.reports.size(), 1u) << "seed " << seed;
+    EXPECT_EQ(read.reports[0].slots, 8u) << "seed " << seed;
+  }
+}
+
+TEST(known_state_file_test, TornFilesLoadAsEmpty) {
+  for (const char* name : {"known", "known-configuration"}) {
+    fake_file_system files;
+    known_state_file file(files, "data");
+    ASSERT_TRUE(IsOk(file.SaveDocument({1, "routes"})));
+    ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(4))));
+    auto torn = files.Open(std::string("data/") + name);
+    ASSERT_TRUE(IsOk(torn));
+    ASSERT_TRUE(IsOk(ValueOf(torn)->Truncate(20)));
+    const known_state read = file.Load();
+    EXPECT_NE(read.document.bytes.empty(), read.reports.empty()) << name;
   }
 }
 
-TEST(known_state_file_test, TornFileLoadsAsEmpty) {
+TEST(known_state_file_test, LeavesDoNotWriteTheConfigurationAgain) {
   fake_file_system files;
   known_state_file file(files, "data");
-  ASSERT_TRUE(IsOk(file.Save(MakeState(1))));
-  auto torn = files.Open("data/known");
-  ASSERT_TRUE(IsOk(torn));
-  ASSERT_TRUE(IsOk(ValueOf(torn)->Truncate(20)));
-  EXPECT_TRUE(file.Load().document.bytes.empty());
+  ASSERT_TRUE(IsOk(file.SaveDocument({1, std::string(500'000, 'r')})));
+  ASSERT_TRUE(IsOk(file.SaveReports(MakeReports(4))));
+  const auto size = files.SizeOf("data/known");
+  ASSERT_TRUE(IsOk(size));
+  EXPECT_LT(ValueOf(size), 1'000u);
+}
+
+// As builds before known-configuration wrote it.
+TEST(known_state_file_test, ReadsTheFileOfAnEarlierBuild) {
+  fake_file_system files;
+  known_state_file file(files, "data");
+  const std::string body = Encode(known_state{{3, "routes"}, MakeReports(4)});
+  const uint64_t checksum = HashOf(body);
+  std::string bytes(reinterpret_cast<const char*>(&checksum), sizeof(checksum));
+  bytes += body;
+  auto earlier = files.Open("data/known");
+  ASSERT_TRUE(IsOk(earlier));
+  ASSERT_TRUE(IsOk(ValueOf(earlier)->Append(bytes)));
+  EXPECT_EQ(file.Load().document.version, 3u);
+  EXPECT_EQ(file.Load().reports.size(), 1u);
+  ASSERT_TRUE(IsOk(file.SaveDocument({4, "routes"})));
+  EXPECT_EQ(file.Load().document.version, 4u);
 }
 
 std::string PutCommand(uint64_t version, const std::string& bytes) {
