--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -170,6 +170,10 @@
          !duty_.connections().paths().IsStranded(clock_.Now());
 }
 
+bool entry_host::MayLackConfiguration() const {
+  return fleet_.documents().behind_since() || !fleet_.HasControlLink();
+}
+
 void entry_host::UpdatePaths(steady_time now) {
   duty_.SetRelays(fleet_.Relays());
   const path_monitor& paths = duty_.connections().paths();
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -57,6 +57,9 @@
   // True when new callers should be sent to this host.
   bool IsReady() const;
 
+  // Whether control hosts have a newer configuration than this host, or may
+  // have one: none of them is linked.
+  bool MayLackConfiguration() const;
   // Version of the configuration in force here; 0: none yet.
   uint64_t configuration_version() const { return fleet_.document().version; }
   entry_duty& duty() { return duty_; }
