entry: bodies that are kept until they are whole count in the memory budget

A faulty endpoint that writes without end was read up to 16 MiB for each of its calls, and the smallest host has 120 MB: eight such calls at once could end it, with the requests of all its callers. The bodies were not counted in the budget of what a host holds for its callers.

response_buffer counts them, and cuts off a body beyond 64 KiB while the budget is used up; its attempt fails as one that broke. Tests: response_buffer_test (the class is new; without the budget its first test would hold 360 MiB).

--- a/src/libshallotport/entry/endpoint_attempt.h
+++ b/src/libshallotport/entry/endpoint_attempt.h
@@ -9,6 +9,7 @@
 #include "entry/endpoint_selector.h"
 #include "entry/event_splitter.h"
 #include "entry/output_period.h"
+#include "entry/response_buffer.h"
 #include "entry/response_kind.h"
 #include "eventio/endpoint_connection_pool.h"
 
@@ -27,6 +28,8 @@
 // One attempt of a request at one endpoint, and what has been received of its
 // response. Owned by its routed_exchange; destroying it cancels the call.
 struct endpoint_attempt {
+  explicit endpoint_attempt(memory_budget* memory) : body(memory) {}
+
   selected_endpoint at;
   std::unique_ptr<endpoint_call> call;
   steady_time begun_at{};
@@ -34,11 +37,10 @@
   response_head head;
   response_kind kind = response_kind::kNone;
   attempt_fault fault = attempt_fault::kNone;
-  bool has_output = false;   // Events of it were sent to the caller.
-  output_period output;      // Of these events.
-  event_splitter events;     // Of a stream.
-  std::string body;          // Of any other response.
-  bool is_body_cut = false;  // It is longer than the buffer.
+  bool has_output = false;  // Events of it were sent to the caller.
+  output_period output;     // Of these events.
+  event_splitter events;    // Of a stream.
+  response_buffer body;     // Of any other response.
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/entry/entry_duty.h
+++ b/src/libshallotport/entry/entry_duty.h
@@ -34,6 +34,7 @@
 
 namespace shallotport {
 
+class memory_budget;
 class routed_exchange;
 
 // A caller's request, with the fields that the platform's adapter read from it.
@@ -114,6 +115,9 @@
   // From now on, requests that may still be under way at `end` are refused: the
   // host ends then.
   void RefuseBeyond(steady_time end) { last_deadline_ = end; }
+  // Counts the responses that are kept until they are whole. Call before the
+  // first request; the budget outlives the duty.
+  void SetMemoryBudget(memory_budget* memory) { memory_ = memory; }
   // Ends requests whose deadline has passed; call every few milliseconds.
   void Tick(steady_time now);
 
@@ -148,6 +152,7 @@
   const options options_;
   decision_log& log_;
   random_source random_;
+  memory_budget* memory_ = nullptr;
   std::optional<route_table> routes_;
   route_history route_history_;
   endpoint_selector selector_;
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -15,8 +15,6 @@
 
 namespace {
 
-// Complete responses of endpoints are buffered in memory up to this size.
-constexpr size_t kMaxResponseBytes = 16u << 20;
 // With less time left than this, no endpoint can respond before the deadline.
 constexpr std::chrono::milliseconds kMinAttemptTime{5};
 // Random addition to the retry delay of refused callers, so that they do not
@@ -443,7 +441,7 @@
 
 void routed_exchange::SendTo(selected_endpoint endpoint) {
   const steady_time now = duty_.clock_.Now();
-  const auto attempt = std::make_shared<endpoint_attempt>();
+  const auto attempt = std::make_shared<endpoint_attempt>(duty_.memory_);
   attempt->at = std::move(endpoint);
   attempt->begun_at = now;
   attempt->last_received_at = now;
@@ -550,11 +548,9 @@
                              std::string_view bytes) {
   attempt->last_received_at = duty_.clock_.Now();
   if (attempt->kind != response_kind::kStream) {
-    attempt->is_body_cut =
-        attempt->is_body_cut ||
-        attempt->body.size() + bytes.size() > kMaxResponseBytes;
-    if (!attempt->is_body_cut) {
-      attempt->body.append(bytes);
+    attempt->body.Append(bytes);
+    if (attempt->body.is_cut()) {
+      OnFaultyResponse(attempt, attempt_fault::kIncomplete);
     }
     return;
   }
@@ -695,7 +691,7 @@
       }
       break;
     case response_kind::kWhole:
-      if (attempt->is_body_cut || has_response_begun_) {
+      if (has_response_begun_) {
         OnFaultyResponse(attempt, attempt_fault::kIncomplete);
         return;
       }
@@ -712,7 +708,7 @@
     caller_->SendChunk(attempt->events.TakeHeldBack());
     caller_->EndStream();
   } else {
-    caller_->Respond(status, ResponseHeaders(*attempt), attempt->body);
+    caller_->Respond(status, ResponseHeaders(*attempt), attempt->body.bytes());
   }
   Finish();
 }
@@ -994,13 +990,13 @@
 void routed_exchange::ForwardFailure(const endpoint_attempt& attempt) {
   const int status = attempt.head.status;
   // The endpoint did not mark it as not executed.
-  if (PromisesNotExecuted(status) || attempt.is_body_cut) {
+  if (PromisesNotExecuted(status)) {
     Fail(502, "the endpoint's error can't be passed on");
     return;
   }
   ++duty_.counters_.forwarded_failures;
   Log("request_failed", "the endpoint returned an error", status);
-  caller_->Respond(status, ResponseHeaders(attempt), attempt.body);
+  caller_->Respond(status, ResponseHeaders(attempt), attempt.body.bytes());
   Finish();
 }
 
--- a/src/libshallotport/entryhost/entry_host.cc
+++ b/src/libshallotport/entryhost/entry_host.cc
@@ -43,6 +43,7 @@
       options_(std::move(options)),
       read_document_(std::move(read_document)),
       log_(log),
+      memory_(options_.memory_limit),
       fleet_(loop, clock, options_.fleet, true),
       duty_(loop, clock, options_.entry, log),
       jobs_(loop, clock, fleet_),
@@ -54,9 +55,9 @@
       streams_(clock, fleet_),
       crashes_(fleet_, duty_.selector().crashes()),
       limits_(fleet_, duty_.selector().limits()),
-      memory_(options_.memory_limit),
       callers_(loop, clock, std::move(on_request)) {
   callers_.SetMemoryBudget(&memory_);
+  duty_.SetMemoryBudget(&memory_);
   fleet_.on_document = [this](const configuration_document& document) {
     auto read = read_document_(document);
     if (!IsOk(read)) {
--- a/src/libshallotport/entryhost/entry_host.h
+++ b/src/libshallotport/entryhost/entry_host.h
@@ -82,6 +82,7 @@
   const entry_host_options options_;
   const document_reader read_document_;
   decision_log& log_;
+  memory_budget memory_;  // Held for callers.
   fleet_host fleet_;
   entry_duty duty_;
   job_store_client jobs_;
@@ -90,7 +91,6 @@
   stream_origin_client streams_;
   crash_exchange crashes_;
   limit_exchange limits_;
-  memory_budget memory_;  // Held for callers.
   http_listener callers_;
   std::string last_sent_report_;  // Encoded.
   std::map<uint32_t, uint32_t>
