--- a/src/libshallotport/fleet/document_delta_test.cc
+++ b/src/libshallotport/fleet/document_delta_test.cc
@@ -15,7 +15,7 @@
 
 std::string Route(int number) {
   return R"({"name":"route-)" + std::to_string(number * 7'919) +
-         R"(","host":"h.example","pathPrefix":"/p)" + std::to_string(number) +
+         R"(","host":"h.example","prefix":"/p)" + std::to_string(number) +
          R"(/","kind":"safe","timeoutMs":2000,"service":"svc","attempts":2},)";
 }
 
