fleet: a new link announces the configuration that is in force now

The announcement named the version of the last periodic one, up to 500 ms old, after a receipt of a newer one: the host counted as behind, and acknowledgements waited for its next announcement.

--- a/src/libshallotport/fleet/fleet_host.cc
+++ b/src/libshallotport/fleet/fleet_host.cc
@@ -45,6 +45,7 @@
     OnFrame(link, kind, payload);
   };
   hub_.on_link_up = [this](host_link& link) {
+    options_.self.document_version = document().version;
     link.Send(FrameKind(fleet_frame::kDocumentReceipt),
               documents_.FirstReceipt());
     link.Send(FrameKind(fleet_frame::kAnnouncement), Encode(options_.self));
