--- a/src/libshallotport/fleet/control_duty.cc
+++ b/src/libshallotport/fleet/control_duty.cc
@@ -178,6 +178,8 @@
 }
 
 void control_duty::Stop(std::function<void()> done) {
+  // Committed changes are answered before the process ends.
+  acknowledgements_.Advance(steady_time::max(), receipts_);
   group_->Stop(std::move(done));
 }
 
