--- a/src/libshallotport/fleet/document_archive_test.cc
+++ b/src/libshallotport/fleet/document_archive_test.cc
@@ -24,16 +24,16 @@
  protected:
   document_archive_test() {
     for (uint64_t version = 1; version <= 40; ++version) {
-      archive.Add({version, Bytes(version)});
+      archive_.Add({version, Bytes(version)});
     }
   }
   document_notice Notice(uint64_t base_version, uint64_t base_digest) {
     const auto decoded =
-        Decode<document_notice>(archive.NoticeFor(base_version, base_digest));
+        Decode<document_notice>(archive_.NoticeFor(base_version, base_digest));
     return IsOk(decoded) ? ValueOf(decoded) : document_notice();
   }
 
-  document_archive archive;
+  document_archive archive_;
 };
 
 struct notice_case {
@@ -75,7 +75,7 @@
     [](const auto& info) { return info.param.name; });
 
 TEST_F(document_archive_test, LargeDifferencesAreLeftToReads) {
-  archive.Add({41, std::string(100'000, 'x')});
+  archive_.Add({41, std::string(100'000, 'x')});
   EXPECT_EQ(Notice(40, HashOf(Bytes(40))).base_version, 0u);
 }
 
@@ -83,16 +83,17 @@
   const std::string whole = Bytes(38);
   std::string read;
   while (read.size() < whole.size()) {
-    const document_chunk chunk = archive.Read({38, HashOf(whole), read.size()});
+    const document_chunk chunk =
+        archive_.Read({38, HashOf(whole), read.size()});
     ASSERT_TRUE(chunk.is_held);
     ASSERT_FALSE(chunk.bytes.empty());
     EXPECT_LE(chunk.bytes.size(), 64u << 10);
     read += chunk.bytes;
   }
   EXPECT_EQ(read, whole);
-  EXPECT_FALSE(archive.Read({38, HashOf("other"), 0}).is_held);
-  EXPECT_FALSE(archive.Read({2, HashOf(Bytes(2)), 0}).is_held);
-  EXPECT_FALSE(archive.Read({38, HashOf(whole), whole.size() + 1}).is_held);
+  EXPECT_FALSE(archive_.Read({38, HashOf("other"), 0}).is_held);
+  EXPECT_FALSE(archive_.Read({2, HashOf(Bytes(2)), 0}).is_held);
+  EXPECT_FALSE(archive_.Read({38, HashOf(whole), whole.size() + 1}).is_held);
 }
 
 }  // namespace
