--- a/src/libshallotport/fleet/document_archive.cc
+++ b/src/libshallotport/fleet/document_archive.cc
@@ -13,10 +13,9 @@
 // differences, and reads of a document end although a newer one has come.
 constexpr size_t kMaxDocuments = 16;
 constexpr size_t kMaxKeptBytes = 8u << 20;
-// What may wait in front of other messages: a few milliseconds of the narrowest
-// link.
+// What may wait in front of other messages: 6 and 24 ms of a link of 22 Mbit/s.
 constexpr size_t kMaxDeltaBytes = 16u << 10;
-constexpr size_t kMaxChunkBytes = 32u << 10;
+constexpr size_t kMaxChunkBytes = 64u << 10;
 
 }  // namespace
 
