jobstore, batch: items begin at the last slot of a service

Cause: the share of slots that stays free for online requests, 4%, is rounded up, and one slot is all that such a service has.

Change: HasSlotForItem() decides. A reserve that is half of the slots or more is open to one item at a time. An online request is granted that slot as before: the item's attempt is aborted and resumed.

--- a/src/libshallotport/batch/batch_window.cc
+++ b/src/libshallotport/batch/batch_window.cc
@@ -83,6 +83,11 @@
   return KnownOnline() + unattributed_;
 }
 
+// Without a slot that it may use, batch work would never begin.
+uint32_t batch_window::ReservedSlots() const {
+  return std::min(settings_.reserve_slots, SubtractOrZero(slots_, 1));
+}
+
 uint32_t batch_window::OnlineDemand(steady_time now) {
   Advance(now);
   return Demand();
@@ -156,8 +161,7 @@
   const double margin = std::max(kMinBurstRequests,
                                  kBurstDeviations * std::sqrt(average_demand_));
   const bool is_unusual = demand > average_demand_ + margin;
-  const bool has_free_slots =
-      demand + outstanding_ + settings_.reserve_slots <= slots_;
+  const bool has_free_slots = demand + outstanding_ + ReservedSlots() <= slots_;
   if (is_unusual) {
     bursts_ += now >= burst_until_ ? 1 : 0;
     burst_until_ = now + kBurstDuration;
@@ -239,7 +243,7 @@
   if (now < start_hold_until_) {
     return std::min(outstanding_, GuardedKeepLimit(now));
   }
-  const uint32_t online = Demand() + settings_.reserve_slots;
+  const uint32_t online = Demand() + ReservedSlots();
   const uint32_t peak = static_cast<uint32_t>(std::ceil(peak_demand_ - 0.25));
   const uint32_t available = SubtractOrZero(slots_, std::max(online, peak));
   return std::min(available, static_cast<uint32_t>(limit_));
@@ -249,10 +253,9 @@
 // peak does not count here. In a burst batch work falls below the reserve, so
 // that the engine is as fast as without batch work.
 uint32_t batch_window::GuardedKeepLimit(steady_time now) {
-  const uint32_t available =
-      SubtractOrZero(slots_, Demand() + settings_.reserve_slots);
+  const uint32_t available = SubtractOrZero(slots_, Demand() + ReservedSlots());
   return now < burst_until_
-             ? std::min(available, SubtractOrZero(settings_.reserve_slots, 1))
+             ? std::min(available, SubtractOrZero(ReservedSlots(), 1))
              : available;
 }
 
--- a/src/libshallotport/batch/batch_window.h
+++ b/src/libshallotport/batch/batch_window.h
@@ -17,8 +17,9 @@
 
 struct window_settings {
   std::string strategy = "guarded";  // Or "greedy", "fixed_share".
-  uint32_t reserve_slots = 1;        // Kept free of batch at all times.
-  uint32_t share_percent = 50;       // Of the slots, for fixed_share.
+  // Kept free of batch at all times; at most all slots but one.
+  uint32_t reserve_slots = 1;
+  uint32_t share_percent = 50;  // Of the slots, for fixed_share.
 };
 
 // Number of online requests that one host has in flight at one endpoint. It is
@@ -98,6 +99,7 @@
   void AdjustLimit(steady_time now);
   uint32_t KnownOnline() const;
   uint32_t Demand() const;
+  uint32_t ReservedSlots() const;
 
   window_settings settings_;
   const window_strategy* strategy_;
--- a/src/libshallotport/batch/batch_window_test.cc
+++ b/src/libshallotport/batch/batch_window_test.cc
@@ -67,6 +67,40 @@
                     limit_case{"FixedShare", "fixed_share", 5, 8, 8}),
     [](const auto& each) { return each.param.name; });
 
+struct small_endpoint_case {
+  const char* name;
+  uint32_t slots;
+  uint32_t online;
+  uint32_t start;
+  uint32_t keep;
+};
+
+class small_endpoint_test : public testing::TestWithParam<small_endpoint_case> {
+};
+
+// Guards against a reserve that takes all slots of a small endpoint, so that
+// accepted items never begin there. The reserve is two slots.
+TEST_P(small_endpoint_test, LeavesASlotForBatch) {
+  batch_window window = WindowOf("guarded", GetParam().slots);
+  steady_time now = OpenFully(window);
+  if (GetParam().online > 0) {
+    window.OnOnline(now, host_id("b"), 1, {1, GetParam().online});
+    now += milliseconds(300);
+  }
+  EXPECT_EQ(window.StartLimit(now), GetParam().start);
+  EXPECT_EQ(window.KeepLimit(now), GetParam().keep);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    small_endpoint_test,
+    testing::Values(small_endpoint_case{"OneSlot", 1, 0, 1, 1},
+                    small_endpoint_case{"OneSlotTaken", 1, 1, 0, 0},
+                    small_endpoint_case{"TwoSlots", 2, 0, 1, 1},
+                    small_endpoint_case{"TwoSlotsOneTaken", 2, 1, 0, 0},
+                    small_endpoint_case{"ThreeSlots", 3, 0, 1, 1}),
+    [](const auto& each) { return each.param.name; });
+
 TEST(BatchWindow, RejectsAnUnknownStrategy) {
   EXPECT_FALSE(IsOk(batch_window::Create({"eager", 1, 50})));
 }
--- a/src/libshallotport/entry/route_table.cc
+++ b/src/libshallotport/entry/route_table.cc
@@ -33,6 +33,13 @@
 
 }  // namespace
 
+bool route::SendsTo(const service_id& service) const {
+  return std::any_of(services.begin(), services.end(),
+                     [&](const weighted_service& each) {
+                       return each.weight > 0 && each.service == service;
+                     });
+}
+
 status CheckRoutes(const route_configuration& configuration) {
   std::set<service_id> known_services;
   for (const service_rules& each : configuration.services) {
--- a/src/libshallotport/entry/route_table.h
+++ b/src/libshallotport/entry/route_table.h
@@ -54,6 +54,8 @@
            (kind == request_kind::kStreaming && is_resumable) ||
            kind == request_kind::kBatch;
   }
+  // Some of its requests go to the service.
+  bool SendsTo(const service_id& service) const;
 };
 
 struct service_rules {
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -1,7 +1,6 @@
 #include "jobstore/item_dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 #include <set>
 #include <variant>
@@ -14,6 +13,7 @@
 #include "entry/response_kind.h"
 #include "entry/skipped_response_log.h"
 #include "jobstore/item_version_policy.h"
+#include "jobstore/online_reserve.h"
 
 namespace shallotport {
 
@@ -39,13 +39,6 @@
 constexpr std::chrono::milliseconds kExpiryCheckInterval{1'000};
 constexpr size_t kMaxExpiredPerCheck = 50;
 
-bool AllowsService(const route& item_route, const service_id& service) {
-  return std::any_of(item_route.services.begin(), item_route.services.end(),
-                     [&](const weighted_service& each) {
-                       return each.weight > 0 && each.service == service;
-                     });
-}
-
 }  // namespace
 
 struct item_dispatcher::item_attempt {
@@ -320,11 +313,15 @@
   pending_items_.clear();
 }
 
-bool item_dispatcher::HasSlotsAboveReserve(steady_time now,
-                                           const service_id& service) const {
+bool item_dispatcher::HasSlotAboveReserve(steady_time now,
+                                          const service_id& service) const {
   const auto usage = endpoints_.SlotUsage(now, service);
-  const double reserve = std::ceil(options_.online_reserve * usage.slots);
-  return usage.taken + 1 + reserve <= usage.slots;
+  const bool has_attempts =
+      std::any_of(attempts_.begin(), attempts_.end(), [&](const auto& each) {
+        return each.second->selection.origin.service == service;
+      });
+  return HasSlotForItem({usage.slots, usage.taken, has_attempts},
+                        options_.online_reserve);
 }
 
 std::optional<item_dispatcher::item_selection> item_dispatcher::AcquireSlot(
@@ -337,7 +334,7 @@
       round.exhausted.contains({service, software_version})) {
     return std::nullopt;
   }
-  const bool has_slots = HasSlotsAboveReserve(now, service);
+  const bool has_slots = HasSlotAboveReserve(now, service);
   selection_constraints constraints;
   const request_traits traits = TraitsOf(item);
   constraints.is_batch = true;
@@ -381,7 +378,7 @@
     const duration time_spent =
         pending == nullptr ? duration(0) : pending->time_spent;
     facts.is_origin_ready =
-        AllowsService(item_route, origin->service) &&
+        item_route.SendsTo(origin->service) &&
         endpoints_.IsVersionServing(origin->service, origin->software_version);
     facts.can_be_in_time =
         !schedule_.Rank(clock_.WallNow(), {deadline, time_spent}).is_late;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -72,8 +72,9 @@
   struct options {
     wire_profile wire;
     // Share of a service's slots that stays free when an item's attempt begins,
-    // so that most online requests find a free one. An online request that is
-    // granted a slot of an item's attempt aborts that attempt.
+    // so that most online requests find a free one; see online_reserve.h for
+    // services with few slots. An online request that is granted a slot of an
+    // item's attempt aborts that attempt.
     double online_reserve = 0.04;
     // An attempt that receives no whole event for this long is retried at
     // another endpoint: single bytes do not keep a stalled one. Engines emit an
@@ -178,7 +179,7 @@
   // all. The items are resumed from their committed progress.
   void DiscardUncommitted(const item_key& key);
   void DiscardAllUncommitted();
-  bool HasSlotsAboveReserve(steady_time now, const service_id& service) const;
+  bool HasSlotAboveReserve(steady_time now, const service_id& service) const;
   std::vector<item_key> Candidates(steady_time now) const;
   void ScheduleRetry(const item_key& key, duration delay);
   // Commits an item's result; `command` has its text and what it continues.
--- a/src/libshallotport/jobstore/item_dispatcher_test.cc
+++ b/src/libshallotport/jobstore/item_dispatcher_test.cc
@@ -75,15 +75,7 @@
                         Commit(command, done);
                       }
                     }) {
-    endpoint_report report;
-    report.endpoint = endpoint_id("e");
-    report.service = service_id("svc");
-    report.ip = "127.0.0.1";
-    report.port = endpoint_.port();
-    report.slots = 3;
-    report.start_time_ms = 1;
-    report.software_version = "v1";
-    selector_.Update(report);
+    ReportSlots(3);
     table_.on_changed = [this](const job_id& job) {
       dispatcher_.OnJobChanged(job);
     };
@@ -99,6 +91,18 @@
     dispatcher_.SetLeading(true);
   }
 
+  void ReportSlots(uint32_t slots) {
+    endpoint_report report;
+    report.endpoint = endpoint_id("e");
+    report.service = service_id("svc");
+    report.ip = "127.0.0.1";
+    report.port = endpoint_.port();
+    report.slots = slots;
+    report.start_time_ms = 1;
+    report.software_version = "v1";
+    selector_.Update(report);
+  }
+
   static item_dispatcher::options Options() {
     item_dispatcher::options options;
     options.wire.request_id = "X-Id";
@@ -305,6 +309,41 @@
   EXPECT_EQ(table_.Read(job_id("j"), 0).results[0].text.text(), "a\nb");
 }
 
+// Guards against items that never begin because the reserve for online requests
+// takes the only slot of their service.
+TEST_F(item_dispatcher_test, ItemsUseTheOnlySlotOneAfterTheOther) {
+  respond_ = [this](raw_connection& connection, const std::string& id,
+                    const std::string&) {
+    EXPECT_EQ(dispatcher_.running_count(), 1u);
+    connection.Write(CompleteResponse(id, kFirstEvent));
+  };
+  ReportSlots(1);
+  Submit("j", 3, 10'000);
+  EXPECT_TRUE(RunUntilDone([&] { return ResultCount("j") == 3; }));
+  EXPECT_EQ(attempted_items_.size(), 3u);
+}
+
+// Guards against an item that keeps the only slot from online requests.
+TEST_F(item_dispatcher_test, ItemInTheOnlySlotYieldsAndIsResumed) {
+  respond_ = [](raw_connection& connection, const std::string& id,
+                const std::string& request) {
+    const bool is_resumed = request.find("X-After: 1\r\n") != std::string::npos;
+    connection.Write(is_resumed ? CompleteResponse(id, kSecondEvent)
+                                : PartialResponse(id, kFirstEvent));
+  };
+  ReportSlots(1);
+  Submit("j", 1, 10'000);
+  ASSERT_TRUE(RunUntilDone([&] { return attempted_items_.size() == 1; }));
+  RunUntil(
+      loop_, [] { return false; }, milliseconds(30));  // Receives its event.
+  selector_.SetPeerLoad(clock_.Now(), endpoint_id("e"), 1);
+  EXPECT_TRUE(RunUntilDone([&] { return dispatcher_.totals().yielded == 1; }));
+  EXPECT_EQ(dispatcher_.running_count(), 0u);
+  selector_.SetPeerLoad(clock_.Now(), endpoint_id("e"), 0);
+  EXPECT_TRUE(RunUntilDone([&] { return ResultCount("j") == 1; }));
+  EXPECT_EQ(table_.Read(job_id("j"), 0).results[0].text.text(), "a\nb");
+}
+
 // A result that was proposed before leadership was lost may be committed after
 // this host leads again and has begun a second attempt. The second attempt must
 // be aborted and must not record another result.
