accounts: a new leader counts what lost hosts were granted

Cause: grants of a window were known to the leader and to the entry host that used them, both in memory. No request ran from the kills until the new leader began to grant, so that own shares were not it.

Change: every 50 ms the leader sends to the other voters of the job group what it granted, by account and start of an entry host (frame 34). They keep a window of these records; a new leader counts them, and reads what it lacks from the others (call 11). A host's own report replaces its records. Records are a set, so that two changes of leader within a window and late replies neither lose nor double a grant. A store grants only once it has noticed that it leads. Hosts of the build before ignore the frame, and their reply to the call is not taken for records.

--- a/src/libshallotport/accounts/allotment_ledger.cc
+++ b/src/libshallotport/accounts/allotment_ledger.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
+#include <limits>
 
 #include "accounts/account_table.h"
 
@@ -37,12 +39,16 @@
     }
     const uint64_t digest = AccountDigest(each.name);
     const auto known = accounts_.find(digest);
+    const bool is_new = known == accounts_.end();
     account_state& state =
         updated
-            .emplace(digest, known == accounts_.end()
-                                 ? account_state{0, 0, window_count(window_)}
-                                 : std::move(known->second))
+            .emplace(digest, is_new ? account_state{0, 0, window_count(window_)}
+                                    : std::move(known->second))
             .first->second;
+    for (auto at = inherited_.lower_bound({digest, 0});
+         is_new && at != inherited_.end() && at->first.first == digest; ++at) {
+      state.granted.AddCounts(at->second);
+    }
     state.per_second = each.requests_per_second;
     state.burst = each.burst;
   }
@@ -57,6 +63,9 @@
 void allotment_ledger::Clear() {
   held_.clear();
   used_.clear();
+  inherited_.clear();
+  reported_.clear();
+  unrecorded_.clear();
   heard_at_.clear();
   for (auto& [account, each] : accounts_) {
     each.granted = window_count(window_);
@@ -70,9 +79,13 @@
   std::erase_if(held_, [now](const auto& each) {
     return each.second.empty() || now > each.second.back().at + kReturnTime;
   });
-  for (auto at = used_.begin(); at != used_.end();) {
-    at = at->second.Sum(now) == 0 ? used_.erase(at) : std::next(at);
+  for (std::map<holder, window_count>* counts : {&used_, &inherited_}) {
+    for (auto at = counts->begin(); at != counts->end();) {
+      at = at->second.Sum(now) == 0 ? counts->erase(at) : std::next(at);
+    }
   }
+  std::erase_if(reported_,
+                [this](const holder& each) { return !used_.contains(each); });
   const auto heard = static_cast<size_t>(std::count_if(
       heard_at_.begin(), heard_at_.end(),
       [now](const auto& at) { return now < at.second + kHostTimeout; }));
@@ -92,29 +105,90 @@
 }
 
 uint32_t allotment_ledger::TakeReturned(steady_time now,
-                                        const std::string& host,
-                                        const allotment_need& need) {
-  const auto found = held_.find({need.account, host});
+                                        const holder& of,
+                                        uint32_t returned) {
+  const auto found = held_.find(of);
   if (found == held_.end()) {
     return 0;
   }
-  std::deque<grant_record>& grants = found->second;
+  std::deque<held_grant>& grants = found->second;
   while (!grants.empty() && now > grants.front().at + kReturnTime) {
     grants.pop_front();
   }
-  uint32_t rest = need.returned;
-  for (grant_record& each : grants) {
+  uint32_t rest = returned;
+  for (held_grant& each : grants) {
     const uint32_t taken = std::min(rest, each.tokens);
     each.tokens -= taken;
     rest -= taken;
   }
-  return need.returned - rest;
+  return returned - rest;
+}
+
+void allotment_ledger::Inherit(steady_time now, const grant_record& record) {
+  const steady_time at = now - std::chrono::milliseconds(record.age_ms);
+  for (const granted_tokens& each : record.grants) {
+    const holder by{each.account, each.host_start};
+    if (reported_.contains(by)) {
+      continue;
+    }
+    window_count& counts = inherited_.try_emplace(by, window_).first->second;
+    const auto found = accounts_.find(each.account);
+    if (found != accounts_.end()) {
+      found->second.granted.RemoveCounts(counts);
+    }
+    const auto tokens =
+        static_cast<uint32_t>(std::abs(static_cast<int64_t>(each.tokens)));
+    if (each.tokens >= 0) {
+      counts.Add(at, tokens);
+    } else {
+      counts.Remove(at, tokens);
+    }
+    if (found != accounts_.end()) {
+      found->second.granted.AddCounts(counts);
+    }
+  }
+}
+
+std::vector<granted_tokens> allotment_ledger::TakeUnrecorded() {
+  constexpr int64_t kMost = std::numeric_limits<int32_t>::max();
+  std::vector<granted_tokens> grants;
+  for (const auto& [by, tokens] : unrecorded_) {
+    if (tokens != 0) {
+      grants.push_back(
+          {by.first, by.second,
+           static_cast<int32_t>(std::clamp(tokens, -kMost, kMost))});
+    }
+  }
+  unrecorded_.clear();
+  return grants;
+}
+
+void allotment_ledger::CountSent(steady_time now,
+                                 const holder& by,
+                                 std::span<const uint32_t> sent) {
+  if (sent.empty()) {
+    return;
+  }
+  window_count& granted = accounts_.at(by.first).granted;
+  window_count reported(window_);
+  reported.AddByAge(now, sent);
+  uint32_t known = 0;
+  const auto inherited = inherited_.find(by);
+  if (reported_.insert(by).second && inherited != inherited_.end()) {
+    known = inherited->second.Sum(now);
+    granted.RemoveCounts(inherited->second);
+    inherited_.erase(inherited);
+  }
+  granted.AddCounts(reported);
+  used_.at(by).AddCounts(reported);
+  const uint32_t all = reported.Sum(now);
+  unrecorded_[by] += all - std::min(all, known);
 }
 
 allotment_grant allotment_ledger::Take(steady_time now,
-                                       const std::string& host,
+                                       const host_start& host,
                                        const allotment_need& need) {
-  RecordHost(now, host);
+  RecordHost(now, host.host);
   allotment_grant grant;
   grant.account = need.account;
   const auto found = accounts_.find(need.account);
@@ -126,13 +200,12 @@
     return grant;
   }
   account_state& from = found->second;
-  const holder by{need.account, host};
+  const holder by{need.account, host.Key()};
   window_count& used = used_.try_emplace(by, window_).first->second;
-  const uint32_t returned = TakeReturned(now, host, need);
-  for (window_count* each : {&from.granted, &used}) {
-    each->AddByAge(now, need.sent);
-    each->Remove(now, returned);
-  }
+  CountSent(now, by, need.sent);
+  const uint32_t returned = TakeReturned(now, by, need.returned);
+  from.granted.Remove(now, returned);
+  used.Remove(now, returned);
   // An account does not pay for longer than a window for requests that were
   // sent without a token.
   const uint32_t overdrawn = std::min(need.overdrawn, Limit(from));
@@ -147,8 +220,9 @@
   from.granted.Add(now, grant.granted);
   used.Add(now, overdrawn + grant.granted);
   granted_ += grant.granted;
+  unrecorded_[by] += int64_t{overdrawn} + grant.granted - returned;
   if (grant.granted > 0) {
-    held_[{need.account, host}].push_back({now, grant.granted});
+    held_[by].push_back({now, grant.granted});
   }
   if (grant.granted < need.waiting) {
     refused_ += need.waiting - grant.granted;
--- a/src/libshallotport/accounts/allotment_ledger.h
+++ b/src/libshallotport/accounts/allotment_ledger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "accounts/account_rules.h"
 #include "accounts/allotment_messages.h"
 #include "accounts/allotment_terms.h"
+#include "accounts/host_start.h"
 #include "accounts/window_count.h"
 #include "base/clock.h"
 
@@ -35,12 +37,17 @@
   // The accounts of the configuration in force. A limit that has fallen counts
   // at once.
   void Update(std::span<const account_rules> accounts);
-  // This host begins to lead. It does not know what was granted before: the
-  // entry hosts tell with their first needs.
+  // This host begins or ceases to lead.
   void Clear();
+  // Counts what was granted before this host began to lead, in place of each
+  // entry host until it reports with its first needs what it has sent. A host
+  // that was lost or has restarted never does. Pass each record once.
+  void Inherit(steady_time now, const grant_record& record);
+  // What was granted since the last call, for the other stores.
+  std::vector<granted_tokens> TakeUnrecorded();
 
   allotment_grant Take(steady_time now,
-                       const std::string& host,
+                       const host_start& host,
                        const allotment_need& need);
 
   // Records that the host is linked to this one. Hosts that are not heard of
@@ -65,11 +72,11 @@
     double burst = 0;
     window_count granted;
   };
-  struct grant_record {
+  struct held_grant {
     steady_time at{};
     uint32_t tokens = 0;
   };
-  using holder = std::pair<uint64_t, std::string>;  // Account and host.
+  using holder = std::pair<uint64_t, uint64_t>;  // Account and host's start.
 
   // What may be granted in a window, less what is kept back for hosts that
   // decide by themselves.
@@ -77,14 +84,20 @@
   // Of the account, by the host's part of its requests in the last window.
   uint32_t OwnShareOf(steady_time now, const holder& of);
   // Tokens of grants that the host may still return.
-  uint32_t TakeReturned(steady_time now,
-                        const std::string& host,
-                        const allotment_need& need);
+  uint32_t TakeReturned(steady_time now, const holder& of, uint32_t returned);
+  // Counts what a host has sent, by age, in place of what was inherited.
+  void CountSent(steady_time now,
+                 const holder& by,
+                 std::span<const uint32_t> sent);
 
   const duration window_;  // Over which grants are counted.
   std::map<uint64_t, account_state> accounts_;  // With a limit.
-  std::map<holder, std::deque<grant_record>> held_;
+  std::map<holder, std::deque<held_grant>> held_;
   std::map<holder, window_count> used_;
+  // Granted by earlier leaders to hosts that have not reported to this one.
+  std::map<holder, window_count> inherited_;
+  std::set<holder> reported_;
+  std::map<holder, int64_t> unrecorded_;
   std::map<std::string, steady_time> heard_at_;  // By host.
   double missing_ = 0;  // Part of the entry hosts that is not heard of.
   uint64_t granted_ = 0;
--- a/src/libshallotport/accounts/allotment_ledger_test.cc
+++ b/src/libshallotport/accounts/allotment_ledger_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+#include <ostream>
+#include <string>
+#include <vector>
+
 #include "accounts/account_table.h"
 #include "accounts/allotment_terms.h"
 
@@ -23,7 +28,7 @@
   }
 
   allotment_grant Take(const allotment_need& need) {
-    return ledger_.Take(now_, "h", need);
+    return ledger_.Take(now_, {"h", 1}, need);
   }
 
   const uint64_t account_ = AccountDigest("a");
@@ -78,6 +83,85 @@
   EXPECT_EQ(ledger_.Available(now_, account_), kLimit - 20);
 }
 
+// Guards against a new leader that grants again what hosts that were lost with
+// the former one have sent, and that counts the others' requests twice.
+struct inherited_case {
+  std::string name;
+  host_start reporting;
+  std::vector<uint32_t> sent;
+  uint32_t counted;
+};
+
+void PrintTo(const inherited_case& each, std::ostream* out) {
+  *out << each.name;
+}
+
+class inherited_grants : public testing::TestWithParam<inherited_case> {};
+
+// Of the allotment of 70, a former leader has granted 40 tokens to a host.
+TEST_P(inherited_grants, CountUntilTheHostReports) {
+  account_rules rules;
+  rules.name = "a";
+  rules.requests_per_second = 10;
+  rules.burst = 20;
+  const uint64_t account = AccountDigest("a");
+  const steady_time now = steady_time{} + std::chrono::hours(1);
+  allotment_ledger ledger;
+  const host_start host{"h", 1};
+  const auto inherit = [&](uint64_t number, uint32_t age_ms, int32_t tokens) {
+    ledger.Inherit(now, {7, number, age_ms, {{account, host.Key(), tokens}}});
+  };
+  inherit(1, 900, 45);
+  // The configuration arrives after a part of the records.
+  ledger.Update({&rules, 1});
+  inherit(2, 100, -5);
+  EXPECT_EQ(ledger.Available(now, account), 30u);
+  const auto& [name, reporting, sent, counted] = GetParam();
+  ledger.Take(now, reporting, {account, 0, 0, 0, 0, sent});
+  EXPECT_EQ(ledger.Available(now, account), 70 - counted);
+  inherit(3, 200, 1);  // Arrives late.
+  const bool has_reported = reporting.Key() == host.Key() && !sent.empty();
+  EXPECT_EQ(ledger.Available(now, account),
+            70 - counted - (has_reported ? 0 : 1));
+  EXPECT_EQ(ledger.Available(now + milliseconds(6'000), account), 70u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    inherited_grants,
+    testing::Values(inherited_case{"no_report", {"h", 1}, {}, 40},
+                    inherited_case{"sent_all", {"h", 1}, {10, 30}, 40},
+                    inherited_case{"unused_tokens", {"h", 1}, {8, 28}, 36},
+                    inherited_case{"sent_alone", {"h", 1}, {20, 30}, 50},
+                    inherited_case{"restarted", {"h", 2}, {3}, 43},
+                    inherited_case{"other_host", {"g", 1}, {3}, 43}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against grants that the other stores do not hear of: all that changes
+// a host's count is recorded, once.
+TEST_F(allotment_ledger_test, RecordsWhatChangesAHostsCount) {
+  const uint64_t host = host_start{"h", 1}.Key();
+  using grants = std::vector<granted_tokens>;
+  EXPECT_EQ(ledger_.TakeUnrecorded(), grants());
+  Take({account_, 5, 0, 0, 2, {}});
+  EXPECT_EQ(ledger_.TakeUnrecorded(), (grants{{account_, host, 7}}));
+  Take({account_, 0, 0, 3, 0, {}});
+  EXPECT_EQ(ledger_.TakeUnrecorded(), (grants{{account_, host, -3}}));
+  Take({account_, 1, 0, 0, 0, {4, 4}});
+  EXPECT_EQ(ledger_.TakeUnrecorded(), (grants{{account_, host, 9}}));
+  EXPECT_EQ(ledger_.TakeUnrecorded(), grants());
+}
+
+// Guards against a report that is recorded as new though earlier records hold
+// most of it.
+TEST_F(allotment_ledger_test, RecordsOnlyWhatAReportAdds) {
+  const uint64_t host = host_start{"h", 1}.Key();
+  ledger_.Inherit(now_, {7, 1, 0, {{account_, host, 30}}});
+  Take({account_, 0, 0, 0, 0, {32}});
+  EXPECT_EQ(ledger_.TakeUnrecorded(),
+            (std::vector<granted_tokens>{{account_, host, 2}}));
+}
+
 // Guards against hosts of both sides of a partition that use a whole rate.
 TEST_F(allotment_ledger_test, KeepsBackTheShareOfHostsThatAreNotHeard) {
   ledger_.RecordHost(now_, "cut off");
@@ -113,6 +197,19 @@
   EXPECT_EQ(Take({account_, 9, 0, 0, 0, {}}).granted, 9u);
 }
 
+// Guards against an overflow by records that state any number.
+TEST_F(allotment_ledger_test, HugeRecordsDoNotOverflow) {
+  constexpr int32_t kMost = std::numeric_limits<int32_t>::max();
+  constexpr int32_t kLeast = std::numeric_limits<int32_t>::min();
+  for (const int32_t tokens : {kMost, kMost, kMost, kLeast, kLeast, kMost}) {
+    ledger_.Inherit(now_, {7, 1, 0xFFFFFFFF, {{account_, 1, tokens}}});
+    ledger_.Inherit(now_, {7, 1, 0, {{account_, 2, tokens}}});
+  }
+  EXPECT_EQ(ledger_.Available(now_, account_), 0u);
+  now_ += milliseconds(6'000);
+  EXPECT_EQ(ledger_.Available(now_, account_), kLimit);
+}
+
 // Guards against messages of earlier builds, or malformed ones, that are taken
 // for grants.
 TEST(allotment_messages_test, OtherMessagesAreNoGrants) {
--- a/src/libshallotport/accounts/allotment_load_test.cc
+++ b/src/libshallotport/accounts/allotment_load_test.cc
@@ -10,6 +10,7 @@
 #include "accounts/allotment_budget.h"
 #include "accounts/allotment_ledger.h"
 #include "accounts/allotment_terms.h"
+#include "accounts/grant_journal.h"
 
 namespace shallotport {
 namespace {
@@ -19,6 +20,7 @@
 constexpr milliseconds kStep{1};
 constexpr milliseconds kMessageTime{3};  // Between a host and the leader.
 constexpr milliseconds kTickInterval{50};
+constexpr milliseconds kRecordInterval{50};
 constexpr milliseconds kWindow{5'000};
 
 // A load of one account on a small number of steps: requests arrive at hosts,
@@ -74,6 +76,10 @@
           }
         }
       }
+      if (has_leader && now >= next_record_at_) {
+        next_record_at_ = now + kRecordInterval;
+        SendGrantRecord();
+      }
       for (const auto& each : hosts_) {
         if (now >= each->next_tick) {
           each->next_tick = now + kTickInterval;
@@ -101,9 +107,13 @@
       hosts_[i]->is_cut_off = is_cut_off;
     }
   }
-  // Another host begins to lead; it knows the accounts.
+  // Another host begins to lead; it knows the accounts, and what the journals
+  // of the stores hold.
   void ReplaceLeader() {
     ledger_.Clear();
+    for (const grant_record& each : journal_.RecordsBeyond(now, {})) {
+      ledger_.Inherit(now, each);
+    }
     for (const auto& each : hosts_) {
       each->budget.ReportSent();
       Ask(*each);
@@ -141,9 +151,10 @@
 
  private:
   struct host {
-    explicit host(uint64_t seed) : budget(seed) {}
+    explicit host(uint64_t seed) : start_id(seed), budget(seed) {}
 
     std::string name;
+    uint64_t start_id;
     allotment_budget budget;
     steady_time next_tick{};
     bool is_cut_off = false;
@@ -159,6 +170,13 @@
     return has_leader && !of.is_cut_off;
   }
 
+  // To the stores that do not lead.
+  void SendGrantRecord() {
+    grant_record record{1, next_record_number_++, 0, ledger_.TakeUnrecorded()};
+    messages_.push_back(
+        {now + kMessageTime, [=, this] { journal_.Add(now, record); }});
+  }
+
   void Deliver() {
     for (size_t i = 0; i < messages_.size(); ++i) {
       if (messages_[i].at <= now) {
@@ -203,15 +221,30 @@
     const steady_time asked_at = now;
     const size_t waiting = std::exchange(from.waiting, 0);
     const std::string name = from.name;
+    const host_start start{name, from.start_id};
     messages_.push_back(
         {now + kMessageTime, [=, this] {
-           const allotment_grant grant = ledger_.Take(now, name, needs[0]);
+           if (!has_leader) {
+             DecideAlone(name, needs, waiting);
+             return;
+           }
+           const allotment_grant grant = ledger_.Take(now, start, needs[0]);
            messages_.push_back({now + kMessageTime, [=, this] {
                                   Answer(name, asked_at, needs, grant, waiting);
                                 }});
          }});
   }
 
+  void DecideAlone(const std::string& name,
+                   const std::vector<allotment_need>& needs,
+                   size_t waiting) {
+    host& at = *hosts_[std::stoul(name)];
+    at.budget.EndCall(needs, false);
+    for (size_t i = 0; i < waiting; ++i) {
+      Count(at.budget.AdmitAlone(now, account_, false));
+    }
+  }
+
   // The host may have started anew meanwhile: its callers are gone.
   void Answer(const std::string& name,
               steady_time asked_at,
@@ -232,6 +265,9 @@
   double rate_;
   double burst_;
   allotment_ledger ledger_;
+  grant_journal journal_{kWindow + kTokenLifetime};
+  uint64_t next_record_number_ = 0;
+  steady_time next_record_at_{};
   std::vector<std::unique_ptr<host>> hosts_;
   std::vector<message> messages_;
   std::vector<steady_time> sent_;
@@ -339,6 +375,39 @@
          AtRandom(load, milliseconds(400), rate);
        }
      }},
+    // All requests came to one host, which is killed together with the leader:
+    // nobody else can tell what it has sent.
+    {"LeaderAndTheHostOfAllRequestsLost", 20, 4.5,
+     [](auto& load, double rate) {
+       load.Run(milliseconds(1'400), rate, [](size_t) { return size_t{0}; });
+       load.has_leader = false;
+       load.RestartHosts(0, 1);
+       AtRandom(load, milliseconds(1'500), rate);
+       load.ReplaceLeader();
+       load.has_leader = true;
+       AtRandom(load, milliseconds(4'000), rate);
+     }},
+    {"LeadersAndHostsLostTwiceInAWindow", 60, 7.5,
+     [](auto& load, double rate) {
+       for (int i = 0; i < 6; ++i) {
+         load.Run(milliseconds(700), rate, [](size_t) { return size_t{3}; });
+         load.has_leader = false;
+         load.RestartHosts(3, 1);
+         AtRandom(load, milliseconds(1'200), rate);
+         load.ReplaceLeader();
+         load.has_leader = true;
+       }
+     }},
+    {"LeaderAndAThirdOfTheHostsLost", 120, 6,
+     [](auto& load, double rate) {
+       AtRandom(load, milliseconds(1'500), rate);
+       load.has_leader = false;
+       load.RestartHosts(0, 24);
+       AtRandom(load, milliseconds(1'000), rate);
+       load.ReplaceLeader();
+       load.has_leader = true;
+       AtRandom(load, milliseconds(5'000), rate);
+     }},
     {"BurstAfterAPause", 60, 30,
      [](auto& load, double rate) {
        for (int i = 0; i < 4; ++i) {
@@ -405,6 +474,24 @@
          AtRandom(load, milliseconds(2'400), rate * 1.17);
        }
      }},
+    // What hosts report counts in place of what is recorded of them.
+    {"LeadersChange", 60, 0.7,
+     [](auto& load, double rate) {
+       for (int i = 0; i < 4; ++i) {
+         AtRandom(load, milliseconds(2'000), rate);
+         load.ReplaceLeader();
+       }
+       AtRandom(load, milliseconds(2'000), rate);
+     }},
+    {"LeadersAndAThirdOfTheHostsLost", 60, 0.7,
+     [](auto& load, double rate) {
+       for (int i = 0; i < 3; ++i) {
+         AtRandom(load, milliseconds(2'000), rate);
+         load.RestartHosts(static_cast<size_t>(i) * 24, 24);
+         load.ReplaceLeader();
+       }
+       AtRandom(load, milliseconds(2'000), rate);
+     }},
     {"AThirdStartsAnew", 60, 0.7,
      [](auto& load, double rate) {
        for (int i = 0; i < 3; ++i) {
--- a/src/libshallotport/accounts/allotment_messages.cc
+++ b/src/libshallotport/accounts/allotment_messages.cc
@@ -7,9 +7,10 @@
 namespace {
 
 // The first bytes of each message.
-constexpr uint32_t kNeedsFormat = 0x314E4C41;   // "ALN1"
-constexpr uint32_t kGrantsFormat = 0x31474C41;  // "ALG1"
-constexpr uint32_t kBusyFormat = 0x31424C41;    // "ALB1"
+constexpr uint32_t kNeedsFormat = 0x314E4C41;    // "ALN1"
+constexpr uint32_t kGrantsFormat = 0x31474C41;   // "ALG1"
+constexpr uint32_t kBusyFormat = 0x31424C41;     // "ALB1"
+constexpr uint32_t kRecordsFormat = 0x31524C41;  // "ALR1"
 
 template <typename T>
 struct tagged_list {
@@ -60,4 +61,12 @@
   return DecodeTagged<uint64_t>(bytes, kBusyFormat);
 }
 
+std::string EncodeGrantRecords(const std::vector<grant_record>& records) {
+  return Encode(tagged_list<grant_record>{kRecordsFormat, records});
+}
+
+result<std::vector<grant_record>> DecodeGrantRecords(std::string_view bytes) {
+  return DecodeTagged<grant_record>(bytes, kRecordsFormat);
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/accounts/allotment_messages.h
+++ b/src/libshallotport/accounts/allotment_messages.h
@@ -48,7 +48,37 @@
   }
 };
 
-// Later builds may add fields at the end of either message. Messages of another
+// Tokens of one account that one start of an entry host was granted.
+struct granted_tokens {
+  uint64_t account = 0;     // AccountDigest().
+  uint64_t host_start = 0;  // host_start::Key().
+  int32_t tokens = 0;       // Below 0: more were returned than granted.
+
+  bool operator==(const granted_tokens&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(account, host_start, tokens);
+  }
+};
+
+// What the leader of the job group has granted within a fraction of a second,
+// for the stores that may lead after it.
+struct grant_record {
+  uint64_t leader_start = 0;  // Of the leader's process.
+  uint64_t number = 0;        // Counts the records of that process.
+  uint32_t age_ms = 0;        // When the message was sent.
+  std::vector<granted_tokens> grants;
+
+  bool operator==(const grant_record&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(leader_start, number, age_ms, grants);
+  }
+};
+
+// Later builds may add fields at the end of each message. Messages of another
 // kind are kCorrupt: hosts of an earlier build answer calls that they do not
 // know with such.
 std::string EncodeNeeds(const std::vector<allotment_need>& needs);
@@ -62,6 +92,9 @@
 std::string EncodeBusyAccounts(const std::vector<uint64_t>& accounts);
 result<std::vector<uint64_t>> DecodeBusyAccounts(std::string_view bytes);
 
+std::string EncodeGrantRecords(const std::vector<grant_record>& records);
+result<std::vector<grant_record>> DecodeGrantRecords(std::string_view bytes);
+
 }  // namespace shallotport
 
 #endif  // SHALLOTPORT_ACCOUNTS_ALLOTMENT_MESSAGES_H_
--- a/src/libshallotport/accounts/allotment_messages_fuzz.cc
+++ b/src/libshallotport/accounts/allotment_messages_fuzz.cc
@@ -8,6 +8,7 @@
 #include "accounts/account_table.h"
 #include "accounts/allotment_budget.h"
 #include "accounts/allotment_ledger.h"
+#include "accounts/grant_journal.h"
 
 // Decodes arbitrary bytes as each message and passes it to the ledger or to a
 // budget. What is decoded can be encoded and decoded again. Whatever a message
@@ -31,7 +32,7 @@
     uint64_t held = 0;
     for (allotment_need each : ValueOf(needs)) {
       each.account = AccountDigest(rules.name);
-      const uint32_t granted = ledger.Take(now, "h", each).granted;
+      const uint32_t granted = ledger.Take(now, {"h", 1}, each).granted;
       held -= std::min<uint64_t>(held, each.returned);
       held += granted;
       if (granted > kLimit || ledger.Available(now, each.account) > kLimit) {
@@ -59,6 +60,28 @@
       budget.EndCall(budget.Needs(now), false);
     }
   }
+  const auto records = DecodeGrantRecords(bytes);
+  if (IsOk(records)) {
+    if (ValueOf(DecodeGrantRecords(EncodeGrantRecords(ValueOf(records)))) !=
+        ValueOf(records)) {
+      __builtin_trap();
+    }
+    allotment_ledger ledger;
+    ledger.Update({&rules, 1});
+    grant_journal journal(kDefaultAllotmentWindow);
+    for (grant_record each : ValueOf(records)) {
+      for (granted_tokens& tokens : each.grants) {
+        tokens.account = AccountDigest(rules.name);
+      }
+      if (journal.Add(now, each)) {
+        ledger.Inherit(now, each);
+      }
+      if (ledger.Available(now, AccountDigest(rules.name)) > kLimit) {
+        __builtin_trap();
+      }
+    }
+    (void)journal.RecordsBeyond(now, journal.Headers(now));
+  }
   const auto busy = DecodeBusyAccounts(bytes);
   if (IsOk(busy)) {
     allotment_budget(1).SetBusy(now, ValueOf(busy));
--- a/src/libshallotport/accounts/window_count.cc
+++ b/src/libshallotport/accounts/window_count.cc
@@ -105,4 +105,26 @@
   }
 }
 
+void window_count::AddCounts(const window_count& other) {
+  for (const step& each : other.steps_) {
+    if (each.events > 0) {
+      AddAt(each.number, each.events);
+    }
+  }
+}
+
+void window_count::RemoveCounts(const window_count& other) {
+  auto at = steps_.begin();
+  for (const step& each : other.steps_) {
+    while (at != steps_.end() && at->number < each.number) {
+      ++at;
+    }
+    if (at != steps_.end() && at->number == each.number) {
+      const uint32_t taken = std::min(at->events, each.events);
+      at->events -= taken;
+      sum_ -= taken;
+    }
+  }
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/accounts/window_count.h
+++ b/src/libshallotport/accounts/window_count.h
@@ -28,6 +28,10 @@
   // Adds what another host has counted.
   void AddByAge(steady_time now, std::span<const uint32_t> counts);
 
+  // Adds, or takes back, what `other` has counted, at the times when it did.
+  void AddCounts(const window_count& other);
+  void RemoveCounts(const window_count& other);
+
  private:
   struct step {
     int64_t number = 0;  // Of kStep since the clock's start.
--- a/src/libshallotport/eventio/host_link.h
+++ b/src/libshallotport/eventio/host_link.h
@@ -41,9 +41,10 @@
   // Bytes that the other side has not taken yet.
   size_t queued_bytes() const { return output_.size() + sending_.size(); }
 
-  // Name of the host at the other end, once it has announced itself; set and
-  // used by the duties.
+  // Name and start of the host at the other end, once it has announced itself;
+  // set and used by the duties.
   std::string peer_name;
+  uint64_t peer_start_id = 0;
 
  private:
   void OnConnected();
--- a/src/libshallotport/fleet/fleet_messages.h
+++ b/src/libshallotport/fleet/fleet_messages.h
@@ -38,6 +38,8 @@
   kBusyAccounts = 31,     // EncodeBusyAccounts(), from it to entry hosts.
   kDocumentReceipt = 32,  // document_receipt, to control hosts.
   kDocumentNotice = 33,   // document_notice, from control hosts.
+  // EncodeGrantRecords(), from the job group's leader to its other voters.
+  kGrantRecords = 34,
 };
 
 // Calls from entry hosts to the leader of the job group, or to other hosts
@@ -61,6 +63,10 @@
   // document_read, to a control host that has sent a notice of the document;
   // the reply is a document_chunk.
   kReadDocument = 10,
+  // EncodeGrantRecords(), the records that a new leader has, without their
+  // grants, to the other voters of the job group; the reply has those that it
+  // lacks. Earlier builds reply with another message.
+  kReadGrantRecords = 11,
 };
 
 enum class host_role : uint8_t { kEntry = 1, kControl = 2, kStore = 3 };
--- a/src/libshallotport/jobstore/job_store_duty.cc
+++ b/src/libshallotport/jobstore/job_store_duty.cc
@@ -109,7 +109,8 @@
                return fleet_.endpoints().HasAddress(address);
              }),
       slots_(endpoints_.limits()),
-      allotments_(options_.allotment_window) {
+      allotments_(options_.allotment_window),
+      grants_(clock, fleet_, allotments_, options_.allotment_window) {
   table_.on_changed = [this](const job_id& job) {
     dispatcher_.OnJobChanged(job);
     ReplyToWaitingReads(job);
@@ -161,9 +162,11 @@
           crashes_.OnHostLinked(clock_.Now(), link);
         }
         link.peer_name = ValueOf(host).host.text();
+        link.peer_start_id = ValueOf(host).start_id;
         fleet_.RecordHost(ValueOf(host));
       }
-    } else if (!limits_.OnFrame(clock_.Now(), kind, payload)) {
+    } else if (!limits_.OnFrame(clock_.Now(), kind, payload) &&
+               !grants_.OnFrame(kind, payload)) {
       crashes_.OnFrame(clock_.Now(), link, kind, payload);
     }
   };
@@ -239,10 +242,12 @@
   if (was_leading_ != is_leading) {
     was_leading_ = is_leading;
     leading_since_ = now;
-    allotments_.Clear();
+    grants_.SetLeading(now, is_leading, OtherVoters());
     slots_.ClearQueued();
-    log_.LogState(is_leading ? "job_leadership_won" : "job_leadership_lost",
-                  {{"term", static_cast<int64_t>(group_->term())}});
+    log_.LogState(
+        is_leading ? "job_leadership_won" : "job_leadership_lost",
+        {{"term", static_cast<int64_t>(group_->term())},
+         {"grant_records", static_cast<int64_t>(grants_.record_count())}});
   }
   // A lapsed lease does not abort attempts; the election of another leader
   // does.
@@ -255,6 +260,7 @@
       next_allotment_tick_ = now + kAllotmentInterval;
       allotments_.Tick(now, fleet_.entry_host_count());
     }
+    grants_.Tick(now, OtherVoters());
   } else {
     endpoints_.limits().SetShare(now, 0);
   }
@@ -315,6 +321,10 @@
     FindStream(body, reply);
     return;
   }
+  if (static_cast<fleet_call>(method) == fleet_call::kReadGrantRecords) {
+    reply(grants_.ReplyToRead(body));
+    return;
+  }
   if (!IsLeading()) {
     reply(NotLeaderReply());
     return;
@@ -337,6 +347,7 @@
     case fleet_call::kQueueSlot:
     case fleet_call::kConfirmView:
     case fleet_call::kFindStream:
+    case fleet_call::kReadGrantRecords:
       break;  // Handled above, or by control hosts only.
   }
   reply(Encode(job_store_reply{}));
@@ -539,8 +550,9 @@
   reply(Encode(found));
 }
 
+// A leader that Tick() has not noticed yet has inherited nothing.
 bool job_store_duty::CanAllocate(steady_time now) const {
-  return IsLeading() && now >= leading_since_ + kLoadSettleTime;
+  return was_leading_ && IsLeading() && now >= leading_since_ + kLoadSettleTime;
 }
 
 void job_store_duty::UpdateBatchLoad() {
@@ -643,12 +655,23 @@
   }
   std::vector<allotment_grant> grants;
   grants.reserve(ValueOf(needs).size());
+  const host_start host{link.peer_name, link.peer_start_id};
   for (const allotment_need& each : ValueOf(needs)) {
-    grants.push_back(allotments_.Take(now, link.peer_name, each));
+    grants.push_back(allotments_.Take(now, host, each));
   }
   reply(EncodeGrants(grants));
 }
 
+std::vector<host_id> job_store_duty::OtherVoters() const {
+  std::vector<host_id> voters;
+  for (const group_member& each : group_->membership().members) {
+    if (each.is_voter && each.host != fleet_.self().host) {
+      voters.push_back(each.host);
+    }
+  }
+  return voters;
+}
+
 // Every entry host gets the same totals and subtracts its own load.
 void job_store_duty::PushLoadTotals(steady_time now) {
   for (auto at = entry_loads_.begin(); at != entry_loads_.end();) {
--- a/src/libshallotport/jobstore/job_store_duty.h
+++ b/src/libshallotport/jobstore/job_store_duty.h
@@ -9,8 +9,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "accounts/allotment_ledger.h"
+#include "accounts/grant_exchange.h"
 #include "base/result.h"
 #include "entry/decision_log.h"
 #include "entry/endpoint_selector.h"
@@ -113,6 +115,7 @@
   void GrantAllotment(const host_link& link,
                       std::string_view body,
                       const std::function<void(std::string)>& reply);
+  std::vector<host_id> OtherVoters() const;
   void QueueSlot(const host_link& link,
                  std::string_view body,
                  const std::function<void(std::string)>& reply);
@@ -156,6 +159,7 @@
   relay_listener relay_;
   slot_allocator slots_;
   allotment_ledger allotments_;
+  grant_exchange grants_;
   steady_time next_allotment_tick_{};
   steady_time next_features_at_{};
   slot_counters slot_counters_;
