accounts: an empty list of accounts lets no caller in

A configuration that withdrew the last account was read as one without accounts: every caller was served, with or without a key.

Cause: account_table::IsEmpty() stood for "callers need no key".

--- a/src/libshallotport/accounts/account_table.cc
+++ b/src/libshallotport/accounts/account_table.cc
@@ -35,7 +35,7 @@
 }
 
 account_table::account_table(std::vector<account_rules> accounts)
-    : accounts_(std::move(accounts)) {
+    : needs_keys_(true), accounts_(std::move(accounts)) {
   for (size_t i = 0; i < accounts_.size(); ++i) {
     by_digest_.emplace(AccountDigest(accounts_[i].name), i);
     for (const std::string& digest : accounts_[i].key_digests) {
--- a/src/libshallotport/accounts/account_table.h
+++ b/src/libshallotport/accounts/account_table.h
@@ -24,11 +24,13 @@
 // new configuration brings a new table.
 class account_table {
  public:
+  // Of a configuration without accounts: callers need no key.
   account_table() = default;
   explicit account_table(std::vector<account_rules> accounts);
 
-  // Without accounts, callers need no key.
-  bool IsEmpty() const { return accounts_.empty(); }
+  // A configuration that has accounts lists the keys that callers may use, even
+  // if it lists none.
+  bool NeedsKeys() const { return needs_keys_; }
   // Null if no account has this key. The time that it takes does not depend on
   // how much of a key is right: keys are compared by their SHA-256.
   const account_rules* FindByKey(std::string_view key) const;
@@ -37,6 +39,7 @@
   std::span<const account_rules> accounts() const { return accounts_; }
 
  private:
+  bool needs_keys_ = false;
   std::vector<account_rules> accounts_;
   std::unordered_map<std::string, size_t> by_key_digest_;
   std::unordered_map<uint64_t, size_t> by_digest_;
--- a/src/libshallotport/accounts/caller_identity.cc
+++ b/src/libshallotport/accounts/caller_identity.cc
@@ -39,7 +39,7 @@
   };
   const auto count = std::count_if(headers.fields().begin(),
                                    headers.fields().end(), is_credentials);
-  if (accounts.IsEmpty() || count == 0) {
+  if (!accounts.NeedsKeys() || count == 0) {
     return identity;
   }
   identity.kind = caller_identity_kind::kUnknownKey;
--- a/src/libshallotport/accounts/caller_identity_test.cc
+++ b/src/libshallotport/accounts/caller_identity_test.cc
@@ -89,6 +89,21 @@
   EXPECT_NE(ScopeToAccount("bjob", "a"), ScopeToAccount("job", "ab"));
 }
 
+// Guards against a list of accounts that has become empty and lets every caller
+// in, as a configuration without one does.
+TEST(account_table, AnEmptyListOfAccountsNeedsKeys) {
+  header_list headers;
+  headers.Add("Authorization", "Bearer key-1");
+  const account_table none;
+  EXPECT_FALSE(none.NeedsKeys());
+  EXPECT_EQ(IdentifyCaller(none, headers, "Authorization").kind,
+            caller_identity_kind::kAnonymous);
+  const account_table empty(std::vector<account_rules>{});
+  EXPECT_TRUE(empty.NeedsKeys());
+  EXPECT_EQ(IdentifyCaller(empty, headers, "Authorization").kind,
+            caller_identity_kind::kUnknownKey);
+}
+
 struct accounts_case {
   std::string name;
   std::vector<account_rules> accounts;
--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -128,7 +128,7 @@
 // by waiting than by a refusal after which its caller returns.
 bool entry_duty::MayQueueForSlots(const route& of) const {
   return of.kind == request_kind::kStreaming && routes_ &&
-         !routes_->accounts().IsEmpty();
+         routes_->accounts().NeedsKeys();
 }
 
 void entry_duty::ReadLimit(const selected_endpoint& from,
--- a/src/libshallotport/entry/route_table.cc
+++ b/src/libshallotport/entry/route_table.cc
@@ -71,7 +71,9 @@
 
 route_table::route_table(route_configuration configuration)
     : configuration_(std::move(configuration)),
-      accounts_(configuration_.accounts) {
+      accounts_(configuration_.has_accounts
+                    ? account_table(configuration_.accounts)
+                    : account_table()) {
   for (size_t i = 0; i < configuration_.routes.size(); ++i) {
     by_host_[HostName(configuration_.routes[i].host)].push_back(i);
   }
--- a/src/libshallotport/entry/route_table.h
+++ b/src/libshallotport/entry/route_table.h
@@ -77,7 +77,9 @@
   std::vector<route> routes;
   std::vector<service_rules> services;
   caller_limits limits;
-  std::vector<account_rules> accounts;  // Empty: callers need no key.
+  // Callers need a key of an account, also if the list is empty.
+  bool has_accounts = false;
+  std::vector<account_rules> accounts;
 };
 
 // Returns kInvalidRequest, naming the route or the account, if the
