--- a/util/soak.sh
+++ b/util/soak.sh
@@ -10,7 +10,7 @@
 #   --kept       the seeds of platform/tests/soak/kept_seeds.txt
 #   --program F  another build of shallotport-fleet, for comparisons
 #   --earlier F  half of the hosts run this build until they start again
-#   --odd KINDS, --no-hold-ups, --power-loss, --busy K   see docs/SOAK.md
+#   --odd KINDS, --no-hold-ups, --power-loss, --account, --busy K   see docs/SOAK.md
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1 minutes=1 runs=1 jobs=1 kept=0 program= earlier=
@@ -29,7 +29,7 @@
       troubles+=("$1" "$2")
       shift 2
       ;;
-    --no-hold-ups | --power-loss) troubles+=("$1"); shift ;;
+    --no-hold-ups | --power-loss | --account) troubles+=("$1"); shift ;;
     --kept) kept=1; shift ;;
     *) usage ;;
   esac
