--- a/src/libshallotport/batch/batch_window_test.cc
+++ b/src/libshallotport/batch/batch_window_test.cc
@@ -39,6 +39,7 @@
 struct limit_case {
   const char* name;
   const char* strategy;
+  uint32_t slots;
   uint32_t online;  // Arrived after the window had opened.
   uint32_t start;
   uint32_t keep;
@@ -47,7 +48,7 @@
 class window_limit_test : public testing::TestWithParam<limit_case> {};
 
 TEST_P(window_limit_test, FollowsTheOnlineDemand) {
-  batch_window window = WindowOf(GetParam().strategy, 16);
+  batch_window window = WindowOf(GetParam().strategy, GetParam().slots);
   steady_time now = OpenFully(window);
   if (GetParam().online > 0) {
     window.OnOnline(now, host_id("b"), 1, {1, GetParam().online});
@@ -60,45 +61,23 @@
 INSTANTIATE_TEST_SUITE_P(
     Cases,
     window_limit_test,
-    testing::Values(limit_case{"GuardedIdle", "guarded", 0, 14, 14},
-                    limit_case{"GuardedBusy", "guarded", 5, 9, 9},
-                    limit_case{"GuardedFull", "guarded", 20, 0, 0},
-                    limit_case{"Greedy", "greedy", 5, 16, 16},
-                    limit_case{"FixedShare", "fixed_share", 5, 8, 8}),
+    testing::Values(limit_case{"GuardedIdle", "guarded", 16, 0, 14, 14},
+                    limit_case{"GuardedBusy", "guarded", 16, 5, 9, 9},
+                    limit_case{"GuardedFull", "guarded", 16, 20, 0, 0},
+                    limit_case{"Greedy", "greedy", 16, 5, 16, 16},
+                    limit_case{"FixedShare", "fixed_share", 16, 5, 8, 8}),
     [](const auto& each) { return each.param.name; });
 
-struct small_endpoint_case {
-  const char* name;
-  uint32_t slots;
-  uint32_t online;
-  uint32_t start;
-  uint32_t keep;
-};
-
-class small_endpoint_test : public testing::TestWithParam<small_endpoint_case> {
-};
-
 // Guards against a reserve that takes all slots of a small endpoint, so that
 // accepted items never begin there. The reserve is two slots.
-TEST_P(small_endpoint_test, LeavesASlotForBatch) {
-  batch_window window = WindowOf("guarded", GetParam().slots);
-  steady_time now = OpenFully(window);
-  if (GetParam().online > 0) {
-    window.OnOnline(now, host_id("b"), 1, {1, GetParam().online});
-    now += milliseconds(300);
-  }
-  EXPECT_EQ(window.StartLimit(now), GetParam().start);
-  EXPECT_EQ(window.KeepLimit(now), GetParam().keep);
-}
-
 INSTANTIATE_TEST_SUITE_P(
-    Cases,
-    small_endpoint_test,
-    testing::Values(small_endpoint_case{"OneSlot", 1, 0, 1, 1},
-                    small_endpoint_case{"OneSlotTaken", 1, 1, 0, 0},
-                    small_endpoint_case{"TwoSlots", 2, 0, 1, 1},
-                    small_endpoint_case{"TwoSlotsOneTaken", 2, 1, 0, 0},
-                    small_endpoint_case{"ThreeSlots", 3, 0, 1, 1}),
+    SmallEndpoints,
+    window_limit_test,
+    testing::Values(limit_case{"OneSlot", "guarded", 1, 0, 1, 1},
+                    limit_case{"OneSlotTaken", "guarded", 1, 1, 0, 0},
+                    limit_case{"TwoSlots", "guarded", 2, 0, 1, 1},
+                    limit_case{"TwoSlotsOneTaken", "guarded", 2, 1, 0, 0},
+                    limit_case{"ThreeSlots", "guarded", 3, 0, 1, 1}),
     [](const auto& each) { return each.param.name; });
 
 TEST(BatchWindow, RejectsAnUnknownStrategy) {
