eventio: a reset that a write has met does not end a response

Callers saw: an endpoint that answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection. The part reached them as a whole answer (MIXED); streams without a length ended as complete, and items of batch jobs were completed by a part of their text. The same over a relay.

Cause: the kernel reports the error of a connection once, to the first call that meets it. That was the pending write of the upload, whose failure was ignored because "the read determines how the call ended"; the read then returned the end of the stream, which delimits such a body. An endpoint that ends after it has read all that had come closes in order first, and its host resets the connection when more of the upload arrives.

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -70,7 +70,8 @@
     : pool_(&pool),
       address_(to),
       socket_(pool.loop_),
-      connect_timer_(pool.loop_) {}
+      connect_timer_(pool.loop_),
+      end_timer_(pool.loop_) {}
 
 bool endpoint_connection::IsReusable(steady_time now) const {
   return !is_closed_ && !is_in_call_ && input_.empty() && now < idle_until_;
@@ -237,6 +238,8 @@
         // After a failed write the response may still be readable; the read
         // determines how the call ended.
         self->is_sent_ = !failure;
+        self->has_write_failed_ = static_cast<bool>(failure);
+        self->NoteTimeout(failure);
         self->request_.bytes = {};  // Or kept for as long as the connection.
       });
   Read();
@@ -528,7 +531,34 @@
                                      parser_->need_eof() &&
                                      !is_skipping_response_;
   may_keep_alive_ = false;
-  Finish(is_delimited_by_close ? call_end::kComplete : call_end::kBroken);
+  switch (is_delimited_by_close ? JudgeEnd() : stream_end::kBroken) {
+    case stream_end::kOrderly:
+      Finish(call_end::kComplete);
+      return;
+    case stream_end::kBroken:
+      Finish(call_end::kBroken);
+      return;
+    case stream_end::kUndecided:
+      end_timer_.expires_after(kStreamEndCheckInterval);
+      end_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && !self->is_closed_) {
+          self->OnEndOfStream();
+        }
+      });
+      return;
+  }
+}
+
+// A relay has judged the end that it announces.
+stream_end endpoint_connection::JudgeEnd() {
+  if (path_) {
+    return stream_end::kOrderly;
+  }
+  stream_end_facts facts;
+  facts.has_failed = has_write_failed_ || WasAborted(socket_);
+  facts.has_peer_all = is_sent_ && UnacknowledgedBytes(socket_) == 0;
+  facts.checks = end_checks_++;
+  return JudgeStreamEnd(facts);
 }
 
 void endpoint_connection::Finish(call_end end) {
@@ -588,6 +618,7 @@
   boost::asio::post(socket_.get_executor(),
                     [released_events = std::exchange(events_, {})] {});
   connect_timer_.cancel();
+  end_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
   if (pool_ != nullptr) {
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -14,6 +14,7 @@
 
 #include "eventio/endpoint_connection_pool.h"
 #include "eventio/relay_frames.h"
+#include "eventio/stream_end.h"
 
 namespace shallotport {
 
@@ -70,6 +71,7 @@
   bool OnRelayFrame(relay_frame kind, std::string_view payload);
   void OnInput();
   void OnEndOfStream();
+  stream_end JudgeEnd();
   bool ParseInput();
   bool ProcessHead();
   bool IsAnswer(const response_head& head);
@@ -87,6 +89,8 @@
   const endpoint_address address_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
+  boost::asio::steady_timer end_timer_;  // Until the stream's end is decided.
+  uint32_t end_checks_ = 0;
   std::array<char, 8192> read_buffer_{};
   std::string input_;
   std::vector<endpoint_path> tried_paths_;  // The last one is `path_`.
@@ -106,6 +110,7 @@
   bool is_paused_ = false;
   bool is_in_call_ = false;
   bool is_sent_ = false;  // The whole request has been written.
+  bool has_write_failed_ = false;
   bool has_head_ = false;
   // Discards a response that belongs to no waiting request.
   bool is_skipping_response_ = false;
--- a/src/libshallotport/eventio/relay_tunnel.cc
+++ b/src/libshallotport/eventio/relay_tunnel.cc
@@ -7,6 +7,7 @@
 #include "eventio/handler_guard.h"
 #include "eventio/relay_listener.h"
 #include "eventio/socket_options.h"
+#include "eventio/stream_end.h"
 
 namespace shallotport {
 
@@ -156,16 +157,18 @@
 }
 
 void relay_tunnel::WriteToEndpoint(size_t size) {
-  boost::asio::async_write(endpoint_,
-                           boost::asio::buffer(host_buffer_.data(), size),
-                           [self = shared_from_this()](error_code, size_t) {
-                             // After a failed write a response may still be
-                             // readable; reading from the endpoint finds out
-                             // how the connection ended.
-                             if (!self->is_closed_) {
-                               self->ReadFromHost();
-                             }
-                           });
+  is_writing_to_endpoint_ = true;
+  boost::asio::async_write(
+      endpoint_, boost::asio::buffer(host_buffer_.data(), size),
+      [self = shared_from_this()](error_code failure, size_t) {
+        // After a failed write a response may still be readable; reading from
+        // the endpoint finds out how the connection ended.
+        self->is_writing_to_endpoint_ = false;
+        self->has_endpoint_write_failed_ |= static_cast<bool>(failure);
+        if (!self->is_closed_) {
+          self->ReadFromHost();
+        }
+      });
 }
 
 void relay_tunnel::ReadFromEndpoint() {
@@ -176,14 +179,11 @@
           return;
         }
         if (failure == boost::asio::error::eof) {
-          self->to_host_ += EncodeRelayFrame(relay_frame::kEnd);
-          self->is_ending_ = true;
-          self->WriteToHost();
+          self->OnEndpointEnd();
           return;
         }
         if (failure) {
-          self->is_ending_ = true;
-          self->WriteToHost();
+          self->End();
           return;
         }
         const bool is_handled = RunGuarded("relay", [&] {
@@ -198,6 +198,39 @@
       });
 }
 
+// What the host sends goes on to the endpoint until the end is decided.
+void relay_tunnel::OnEndpointEnd() {
+  error_code ignored;
+  stream_end_facts facts;
+  facts.has_failed = has_endpoint_write_failed_ || WasAborted(endpoint_);
+  facts.has_peer_all = !is_writing_to_endpoint_ &&
+                       UnacknowledgedBytes(endpoint_) == 0 &&
+                       host_.available(ignored) == 0;
+  facts.checks = end_checks_++;
+  switch (JudgeStreamEnd(facts)) {
+    case stream_end::kOrderly:
+      to_host_ += EncodeRelayFrame(relay_frame::kEnd);
+      End();
+      return;
+    case stream_end::kBroken:
+      End();
+      return;
+    case stream_end::kUndecided:
+      timer_.expires_after(kStreamEndCheckInterval);
+      timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+        if (!cancelled && !self->is_closed_) {
+          self->OnEndpointEnd();
+        }
+      });
+      return;
+  }
+}
+
+void relay_tunnel::End() {
+  is_ending_ = true;
+  WriteToHost();
+}
+
 void relay_tunnel::WriteToHost() {
   if (is_writing_to_host_ || is_closed_) {
     return;
--- a/src/libshallotport/eventio/relay_tunnel.h
+++ b/src/libshallotport/eventio/relay_tunnel.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -36,6 +37,11 @@
   void ReadFromHost();
   void WriteToEndpoint(size_t size);
   void ReadFromEndpoint();
+  // A read has met the end of the endpoint's stream. Only an orderly end is
+  // announced to the host.
+  void OnEndpointEnd();
+  // Closes both connections once all frames are written.
+  void End();
   // Writes what is queued for the host, then reads on or closes.
   void WriteToHost();
   // The endpoint sees that its request was ended, the host that the connection
@@ -45,7 +51,8 @@
   relay_listener* listener_;
   boost::asio::ip::tcp::socket host_;
   boost::asio::ip::tcp::socket endpoint_;
-  boost::asio::steady_timer timer_;  // Until the connection is open.
+  // Until the connection is open, and from its end until that is decided.
+  boost::asio::steady_timer timer_;
   std::array<char, 8192> host_buffer_{};
   std::array<char, 8192> endpoint_buffer_{};
   std::string open_input_;  // Until the connection is open.
@@ -53,6 +60,9 @@
   std::string writing_to_host_;
   bool is_open_ = false;
   bool is_writing_to_host_ = false;
+  bool is_writing_to_endpoint_ = false;
+  bool has_endpoint_write_failed_ = false;
+  uint32_t end_checks_ = 0;
   bool is_ending_ = false;           // Close once all frames are written.
   bool has_endpoint_bytes_ = false;  // Of which the frame is not yet written.
   bool is_closed_ = false;
--- a/src/libshallotport/eventio/socket_options.cc
+++ b/src/libshallotport/eventio/socket_options.cc
@@ -52,6 +52,14 @@
   return is_known && bytes > 0 ? static_cast<size_t>(bytes) : 0;
 }
 
+bool WasAborted(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const bool is_known = getsockopt(socket.native_handle(), IPPROTO_TCP,
+                                   TCP_INFO, &info, &size) == 0;
+  return is_known && info.tcpi_state == TCP_CLOSE;
+}
+
 status OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
                     const std::string& ip,
                     uint16_t port) {
--- a/src/libshallotport/eventio/socket_options.h
+++ b/src/libshallotport/eventio/socket_options.h
@@ -19,6 +19,10 @@
 void AllowSlowReading(boost::asio::ip::tcp::socket& socket);
 // Bytes that have been written and that the peer has not acknowledged.
 size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+// Whether a reset or a timeout has ended the connection. The kernel reports the
+// error once, to the first call that meets it: after a write that failed, reads
+// end as if the peer had closed its side. False where the kernel does not tell.
+bool WasAborted(boost::asio::ip::tcp::socket& socket);
 
 // Opens `acceptor` and listens on an address, even if a previous process used
 // it until recently. The error names the address.
