base, eventio, http: a status outside 100 to 599 is no answer

Callers saw: an endpoint in trouble sent a head with status 000, and what followed it reached them as the answer, also where the head claimed a refusal; without anything behind it the call waited until its time limit.

Cause: the HTTP libraries take any three digits for a status, and the code asked only whether it is under 200, which made 000 to 099 and 101 interim responses. libcurl, in shallotportd, rejects 000 itself, but lets 101, 600 to 999 and some malformed status lines pass.

Change: CheckResponseHead, a function of the received bytes, checks the status line wherever answers are read: endpoint_connection (entry hosts, job stores, calls between hosts) and endpoint_caller. A head that fails it ends the call as an invalid response, so that the request counts as one that may have run: 502, or another attempt where the route allows one.

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <utility>
 
+#include "base/response_head.h"
 #include "eventio/handler_guard.h"
 #include "eventio/socket_options.h"
 
@@ -403,9 +404,13 @@
     parser_->body_limit(kMaxBodyBytes);
     parser_->skip(request_.method == "HEAD");
     has_head_ = false;
+    head_.clear();
   }
   error_code failure;
   const size_t used = parser_->put(boost::asio::buffer(input_), failure);
+  if (!has_head_) {
+    head_.append(input_, 0, used);
+  }
   input_.erase(0, used);
   CountParsed(used);
   if ((failure && failure != http::error::need_more) || IsTooLong()) {
@@ -440,9 +445,13 @@
          framing_bytes_ > kMaxFramingBytes || input_.size() > kMaxFramingBytes;
 }
 
-// False for an interim response.
+// False for an interim response, and if the call has ended.
 bool endpoint_connection::ProcessHead() {
   has_head_ = true;
+  if (CheckResponseHead(std::exchange(head_, {})) != head_fault::kNone) {
+    Finish(call_end::kInvalidResponse);
+    return false;
+  }
   parser_->eager(true);
   const auto& message = parser_->get();
   if (message.result_int() < 200) {
--- a/src/libshallotport/eventio/endpoint_connection.h
+++ b/src/libshallotport/eventio/endpoint_connection.h
@@ -112,6 +112,7 @@
   bool is_sent_ = false;  // The whole request has been written.
   bool has_write_failed_ = false;
   bool has_head_ = false;
+  std::string head_;  // As received, until it is whole.
   // Discards a response that belongs to no waiting request.
   bool is_skipping_response_ = false;
   bool has_skipped_response_ = false;
--- a/src/libshallotport/http/endpoint_caller.cc
+++ b/src/libshallotport/http/endpoint_caller.cc
@@ -10,11 +10,14 @@
 #include <thread>
 #include <utility>
 
+#include "base/response_head.h"
+
 namespace shallotport {
 
 namespace {
 
 constexpr int kIdlePollMilliseconds = 1000;
+constexpr size_t kMaxHeadBytes = 64UL * 1024;
 
 // The library wants one initialisation a process, before any thread uses it.
 void InitialiseCurl() {
@@ -29,7 +32,9 @@
   CURL* handle = nullptr;
   curl_slist* header_list = nullptr;
   int status = 0;
+  std::string head;            // As received, until it is whole.
   bool is_head_whole = false;  // Of the final answer, not an interim one.
+  bool is_head_malformed = false;
   bool is_head_reported = false;
   std::vector<http_field> headers;
 
@@ -58,27 +63,36 @@
   return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+// The size of the line; anything else ends the call.
 size_t OnHeaderLine(char* data, size_t size, size_t count, void* user) {
   auto* call = static_cast<running_call*>(user);
-  const std::string_view line = Trimmed({data, size * count});
-  if (line.empty()) {
-    call->is_head_whole = call->status >= 200;
-    return size * count;
+  const std::string_view raw(data, size * count);
+  if (call->is_head_whole) {
+    return raw.size();  // A trailer.
+  }
+  call->head.append(raw);
+  const std::string_view line = Trimmed(raw);
+  const bool is_too_long = call->head.size() > kMaxHeadBytes;
+  if (line.empty() || is_too_long) {
+    const std::string head = std::exchange(call->head, {});
+    call->is_head_malformed =
+        is_too_long || CheckResponseHead(head) != head_fault::kNone;
+    call->is_head_whole = !call->is_head_malformed && call->status >= 200;
+    return call->is_head_malformed ? 0 : raw.size();
   }
   if (line.starts_with("HTTP/")) {
     long status = 0;
     curl_easy_getinfo(call->handle, CURLINFO_RESPONSE_CODE, &status);
     call->status = static_cast<int>(status);
     call->headers.clear();
-    call->is_head_whole = false;
-    return size * count;
+    return raw.size();
   }
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     call->headers.push_back({std::string(line.substr(0, colon)),
                              std::string(Trimmed(line.substr(colon + 1)))});
   }
-  return size * count;
+  return raw.size();
 }
 
 size_t OnBodyBytes(char* data, size_t size, size_t count, void* user) {
@@ -245,7 +259,9 @@
     // The library takes an answer that ends within its head for a whole one.
     end.is_whole = outcome == CURLE_OK && call->is_head_whole;
     end.is_sent = WasSent(call->handle, outcome);
-    if (outcome != CURLE_OK) {
+    if (call->is_head_malformed) {
+      end.detail = "the answer's head is malformed";
+    } else if (outcome != CURLE_OK) {
       end.detail = curl_easy_strerror(outcome);
     } else if (!end.is_whole) {
       end.detail = "the answer ended within its head";
