serving: a batch item's answer has a stated end

Callers saw nothing yet; found while looking for the cause of the reset uploads. The result of an item could be the first part of an answer that only the end of its connection delimits, from an endpoint that crashed: the end of a process closes its connections in order. attempt_sink, which reads answers to requests, never took such an answer; batch_lane did.

Change: batch_lane wants a length or chunks, as ENDPOINT-PROTOCOL.md always said, and counts the attempt as failed otherwise. The heads in its tests have a length now, as endpoints' have; the new case has none.

--- a/src/libshallotport/serving/batch_lane.cc
+++ b/src/libshallotport/serving/batch_lane.cc
@@ -129,6 +129,8 @@
     is_stream_ = status == kOkStatus && FindField(headers, "Content-Type")
                                             .value_or("")
                                             .starts_with("text/event-stream");
+    has_stated_end_ = FindField(headers, "Content-Length").has_value() ||
+                      FindField(headers, "Transfer-Encoding").has_value();
   }
 
   void OnBytes(std::string_view bytes) override {
@@ -184,6 +186,10 @@
     if (is_cancelled) {
       return make(call_outcome::kCancelled, error_kind::kCancelled, "");
     }
+    if (end.is_whole && status_ == kOkStatus && !is_stream_) {
+      return make(call_outcome::kFailed, error_kind::kEndpointFailed,
+                  "the answer states no end of its body");
+    }
     if (end.is_whole && status_ != kOkStatus) {
       return IsRejection(status_) ? make(call_outcome::kRejected,
                                          error_kind::kInvalidRequest, Detail())
@@ -203,7 +209,8 @@
       return is_done_ ? std::optional(WholeAnswer(call_, attempt_, streamed_))
                       : std::nullopt;
     }
-    return end.is_whole ? std::optional(body_) : std::nullopt;
+    return end.is_whole && has_stated_end_ ? std::optional(body_)
+                                           : std::nullopt;
   }
 
   std::string Detail() const {
@@ -223,6 +230,7 @@
   bool is_refused_ = false;
   bool is_foreign_ = false;
   bool is_stream_ = false;
+  bool has_stated_end_ = false;
   bool is_done_ = false;
   bool is_too_large_ = false;
 };
--- a/src/libshallotport/serving/batch_lane_test.cc
+++ b/src/libshallotport/serving/batch_lane_test.cc
@@ -63,6 +63,7 @@
   bool is_cancelled;
   call_outcome outcome;
   uint64_t partial_tokens;
+  bool has_stated_end = true;
 };
 
 class batch_lane_test : public testing::TestWithParam<lane_case> {};
@@ -79,6 +80,9 @@
   });
   if (given.status != 0) {
     std::vector<http_field> headers = {{"Content-Type", given.type}};
+    if (given.has_stated_end) {
+      headers.push_back({"Content-Length", std::to_string(given.bytes.size())});
+    }
     if (!given.not_run.empty()) {
       headers.push_back({"X-Not-Run", given.not_run});
     }
@@ -105,38 +109,40 @@
 INSTANTIATE_TEST_SUITE_P(
     Cases,
     batch_lane_test,
-    testing::Values(lane_case{"Whole", 200, "application/json", "", "{}",
-                              kWhole, false, call_outcome::kDone, 0},
-                    lane_case{"WholeThoughCancelled", 200, "application/json",
-                              "", "{}", kWhole, true, call_outcome::kDone, 0},
-                    lane_case{"CutOff", 200, "application/json", "", "{",
-                              kBroken, false, call_outcome::kEndpointDied, 0},
-                    lane_case{"NoHead", 0, "", "", "", kBroken, false,
-                              call_outcome::kEndpointDied, 0},
-                    lane_case{"NotConnected", 0, "", "", "", kUnsent, false,
-                              call_outcome::kNotRun, 0},
-                    lane_case{"Refused", 503, "text/plain", "1", "", kWhole,
-                              false, call_outcome::kNotRun, 0},
-                    lane_case{"Rejected", 400, "text/plain", "", "bad", kWhole,
-                              false, call_outcome::kRejected, 0},
-                    lane_case{"ServerError", 500, "text/plain", "", "oops",
-                              kWhole, false, call_outcome::kFailed, 0},
-                    // Its tokens went into the text that is resumed.
-                    lane_case{"ServerErrorAsStream", 500, kStream, "",
-                              Token(kAttempt, "x"), kWhole, false,
-                              call_outcome::kFailed, 0},
-                    lane_case{"Stream", 200, kStream, "",
-                              Token(kAttempt, "x") + "data: [DONE]\n\n", kWhole,
-                              false, call_outcome::kDone, 1},
-                    lane_case{"StreamWithoutEnd", 200, kStream, "",
-                              Token(kAttempt, "x"), kWhole, false,
-                              call_outcome::kEndpointDied, 1},
-                    lane_case{"ForeignStream", 200, kStream, "",
-                              Token("batch.a.1.8", "x") + "data: [DONE]\n\n",
-                              kWhole, false, call_outcome::kFailed, 0},
-                    lane_case{"CancelledStream", 200, kStream, "",
-                              Token(kAttempt, "x") + Token(kAttempt, "y"),
-                              kBroken, true, call_outcome::kCancelled, 2}),
+    testing::Values(
+        lane_case{"Whole", 200, "application/json", "", "{}", kWhole, false,
+                  call_outcome::kDone, 0},
+        lane_case{"WholeThoughCancelled", 200, "application/json", "", "{}",
+                  kWhole, true, call_outcome::kDone, 0},
+        // An endpoint that crashes closes its connections, too.
+        lane_case{"WithoutStatedEnd", 200, "application/json", "", "{}", kWhole,
+                  false, call_outcome::kFailed, 0, false},
+        lane_case{"CutOff", 200, "application/json", "", "{", kBroken, false,
+                  call_outcome::kEndpointDied, 0},
+        lane_case{"NoHead", 0, "", "", "", kBroken, false,
+                  call_outcome::kEndpointDied, 0},
+        lane_case{"NotConnected", 0, "", "", "", kUnsent, false,
+                  call_outcome::kNotRun, 0},
+        lane_case{"Refused", 503, "text/plain", "1", "", kWhole, false,
+                  call_outcome::kNotRun, 0},
+        lane_case{"Rejected", 400, "text/plain", "", "bad", kWhole, false,
+                  call_outcome::kRejected, 0},
+        lane_case{"ServerError", 500, "text/plain", "", "oops", kWhole, false,
+                  call_outcome::kFailed, 0},
+        // Its tokens went into the text that is resumed.
+        lane_case{"ServerErrorAsStream", 500, kStream, "", Token(kAttempt, "x"),
+                  kWhole, false, call_outcome::kFailed, 0},
+        lane_case{"Stream", 200, kStream, "",
+                  Token(kAttempt, "x") + "data: [DONE]\n\n", kWhole, false,
+                  call_outcome::kDone, 1},
+        lane_case{"StreamWithoutEnd", 200, kStream, "", Token(kAttempt, "x"),
+                  kWhole, false, call_outcome::kEndpointDied, 1},
+        lane_case{"ForeignStream", 200, kStream, "",
+                  Token("batch.a.1.8", "x") + "data: [DONE]\n\n", kWhole, false,
+                  call_outcome::kFailed, 0},
+        lane_case{"CancelledStream", 200, kStream, "",
+                  Token(kAttempt, "x") + Token(kAttempt, "y"), kBroken, true,
+                  call_outcome::kCancelled, 2}),
     [](const auto& each) { return each.param.name; });
 
 TEST(BatchLane, ResumedStreamEndsAsOneWholeAnswer) {
