eventio: a stream cut off for a caller of HTTP/1.0 is reset

A caller of HTTP/1.0 gets streams without chunks, and http_exchange::Abort() closed its connection in order, so that a part looked whole to it.

Change: a connection whose response is delimited by its end is reset if it is closed before that response has been written. Evidence: http_1_0_stream, cut off: connection_reset now, eof with the reset switched off; the whole stream ends with eof on both.

--- a/src/libshallotport/eventio/http_connection.cc
+++ b/src/libshallotport/eventio/http_connection.cc
@@ -119,6 +119,10 @@
   }
   const auto self = shared_from_this();
   error_code ignored;
+  if (is_delimited_by_close_) {
+    // Closed in order, a part of the response would look whole.
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
   socket_.close(ignored);
   held_.Set(0);
   // Pending operations can keep the connection until after the budget's end.
@@ -328,6 +332,7 @@
   }
   if (UnsentBytes() == 0) {
     if (closes_when_sent_) {
+      is_delimited_by_close_ = false;
       error_code ignored;
       socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
       Close();
@@ -486,6 +491,7 @@
       to.listener_ != nullptr && to.listener_->is_draining();
   to.closes_after_response_ =
       to.closes_after_response_ || is_draining || to.is_http_1_0_;
+  to.is_delimited_by_close_ = to.is_http_1_0_;
   std::string bytes = to.FormatHead(status, headers);
   bytes += to.is_http_1_0_ ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
   to.Write(bytes);
--- a/src/libshallotport/eventio/http_connection.h
+++ b/src/libshallotport/eventio/http_connection.h
@@ -91,6 +91,8 @@
   bool closes_after_response_ = false;
   bool is_head_request_ = false;
   bool is_http_1_0_ = false;
+  // Only the end of the connection tells the caller that the response is whole.
+  bool is_delimited_by_close_ = false;
   std::weak_ptr<http_exchange> exchange_;
 
   std::string output_;
--- a/src/libshallotport/eventio/http_listener_test.cc
+++ b/src/libshallotport/eventio/http_listener_test.cc
@@ -3,7 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -169,6 +173,64 @@
   EXPECT_EQ(caller->received.find("0\r\n\r\n"), std::string::npos);
 }
 
+struct stream_end_case {
+  const char* name;
+  bool is_whole;
+  boost::system::error_code end;  // That the caller's read meets.
+};
+
+void PrintTo(const stream_end_case& each, std::ostream* out) {
+  *out << each.name;
+}
+
+class http_1_0_stream : public http_listener_test,
+                        public testing::WithParamInterface<stream_end_case> {};
+
+// A stream that was cut off was closed like a whole one.
+TEST_P(http_1_0_stream, IsClosedInOrderOnlyIfItIsWhole) {
+  boost::asio::ip::tcp::socket caller(loop_);
+  caller.connect({boost::asio::ip::make_address("127.0.0.1"), port_});
+  boost::asio::write(
+      caller, boost::asio::buffer(std::string("GET /hold HTTP/1.0\r\n\r\n")));
+  ASSERT_TRUE(RunUntil(loop_, [&] { return !held_exchanges_.empty(); }));
+  http_exchange& exchange = *held_exchanges_[0];
+  exchange.BeginStream(200, {});
+  exchange.SendChunk("data: 1\n\n");
+  if (GetParam().is_whole) {
+    exchange.EndStream();
+  } else {
+    RunUntil(
+        loop_, [] { return false; }, milliseconds(20));
+    exchange.Abort();
+  }
+  std::string received;
+  std::optional<boost::system::error_code> end;
+  std::array<char, 256> buffer{};
+  std::function<void()> read = [&] {
+    caller.async_read_some(boost::asio::buffer(buffer),
+                           [&](boost::system::error_code failure, size_t size) {
+                             received.append(buffer.data(), size);
+                             if (failure) {
+                               end = failure;
+                             } else {
+                               read();
+                             }
+                           });
+  };
+  read();
+  ASSERT_TRUE(RunUntil(loop_, [&] { return end.has_value(); }));
+  EXPECT_EQ(*end, GetParam().end);
+  EXPECT_TRUE(received.ends_with("data: 1\n\n")) << received;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table,
+    http_1_0_stream,
+    testing::Values(stream_end_case{"whole", true, boost::asio::error::eof},
+                    stream_end_case{"cut_off", false,
+                                    boost::asio::error::connection_reset}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST_F(http_listener_test, DrainingClosesConnectionsAfterTheirResponse) {
   const auto idle = Connect();
   const auto busy = Connect();
