--- a/src/libshallotport/base/malformed_heads_test_util.h
+++ b/src/libshallotport/base/malformed_heads_test_util.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTPORT_BASE_MALFORMED_HEADS_TEST_UTIL_H_
 #define SHALLOTPORT_BASE_MALFORMED_HEADS_TEST_UTIL_H_
 
+#include <initializer_list>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -15,6 +16,14 @@
   std::string bytes;  // Head and body.
 };
 
+inline std::string Joined(std::initializer_list<std::string_view> parts) {
+  std::string all;
+  for (const std::string_view each : parts) {
+    all.append(each);
+  }
+  return all;
+}
+
 inline void PrintTo(const malformed_head& each, std::ostream* out) {
   *out << each.name;
 }
@@ -36,8 +45,9 @@
                      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
                             "0\r\n\r\n"});
     // What follows a misread interim response would be the answer.
-    heads.push_back({name + "_and_answer",
-                     head + "\r\n" + sound + "Content-Length: 5\r\n\r\nhello"});
+    heads.push_back(
+        {name + "_and_answer",
+         Joined({head, "\r\n", sound, "Content-Length: 5\r\n\r\nhello"})});
     heads.push_back(
         {name + "_of_events", head + "Content-Type: text/event-stream\r\n\r\n"
                                      "data: [DONE]\n\n"});
@@ -77,11 +87,11 @@
     }
     const std::string odd(1, c);
     const std::string name = "name_byte_" + std::to_string(byte);
-    add(name + "_inside", "X-O" + odd + "dd: v\r\n" + length);
-    add(name + "_last", "X-Odd" + odd + ": v\r\n" + length);
+    add(name + "_inside", Joined({"X-O", odd, "dd: v\r\n", length}));
+    add(name + "_last", Joined({"X-Odd", odd, ": v\r\n", length}));
     // The line feed ends a line for some parsers.
     if (c != '\r' && c != '\n') {
-      add(name + "_first", odd + "X-Odd: v\r\n" + length);
+      add(name + "_first", Joined({odd, "X-Odd: v\r\n", length}));
     }
   }
   for (int byte = 0; byte < 128; ++byte) {
--- a/src/libshallotport/base/response_head_test.cc
+++ b/src/libshallotport/base/response_head_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <ostream>
 #include <string>
 
 #include "base/malformed_heads_test_util.h"
@@ -47,6 +48,10 @@
   const char* fields;
 };
 
+void PrintTo(const sound_head& each, std::ostream* out) {
+  *out << each.name;
+}
+
 class sound_head_test : public testing::TestWithParam<sound_head> {};
 
 TEST_P(sound_head_test, HasNoFault) {
