--- a/src/libshallotport/eventio/endpoint_connection_fuzz.cc
+++ b/src/libshallotport/eventio/endpoint_connection_fuzz.cc
@@ -42,7 +42,7 @@
 }  // namespace shallotport
 
 // Responds to one call with arbitrary bytes. The call must end exactly once;
-// its head must precede its body, must not be interim, and must echo the
+// its head must precede its body, must have a final status, and must echo the
 // expected id or none.
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   using namespace shallotport;
@@ -63,7 +63,8 @@
   call_events events;
   events.on_head = [&](const response_head& head) {
     const std::string* echo = head.headers.Find("X-Id");
-    if (++heads > 1 || head.status < 200 || (echo != nullptr && *echo != "1")) {
+    if (++heads > 1 || head.status < 200 || head.status > 599 ||
+        (echo != nullptr && *echo != "1")) {
       __builtin_trap();
     }
   };
