eventio: name the fact after what the kernel tells

Cause: has_peer_all did not say what the peer has; UnacknowledgedBytes() tells that all bytes are acknowledged. Change: is_all_acknowledged.

--- a/src/libshallotport/eventio/endpoint_connection.cc
+++ b/src/libshallotport/eventio/endpoint_connection.cc
@@ -565,7 +565,7 @@
   }
   stream_end_facts facts;
   facts.has_failed = has_write_failed_ || WasAborted(socket_);
-  facts.has_peer_all = is_sent_ && UnacknowledgedBytes(socket_) == 0;
+  facts.is_all_acknowledged = is_sent_ && UnacknowledgedBytes(socket_) == 0;
   facts.checks = end_checks_++;
   return JudgeStreamEnd(facts);
 }
--- a/src/libshallotport/eventio/relay_tunnel.cc
+++ b/src/libshallotport/eventio/relay_tunnel.cc
@@ -203,9 +203,9 @@
   error_code ignored;
   stream_end_facts facts;
   facts.has_failed = has_endpoint_write_failed_ || WasAborted(endpoint_);
-  facts.has_peer_all = !is_writing_to_endpoint_ &&
-                       UnacknowledgedBytes(endpoint_) == 0 &&
-                       host_.available(ignored) == 0;
+  facts.is_all_acknowledged = !is_writing_to_endpoint_ &&
+                              UnacknowledgedBytes(endpoint_) == 0 &&
+                              host_.available(ignored) == 0;
   facts.checks = end_checks_++;
   switch (JudgeStreamEnd(facts)) {
     case stream_end::kOrderly:
--- a/src/libshallotport/eventio/stream_end.cc
+++ b/src/libshallotport/eventio/stream_end.cc
@@ -14,7 +14,8 @@
   if (facts.has_failed) {
     return stream_end::kBroken;
   }
-  const bool is_decided = facts.has_peer_all || facts.checks >= kMaxChecks;
+  const bool is_decided =
+      facts.is_all_acknowledged || facts.checks >= kMaxChecks;
   return is_decided ? stream_end::kOrderly : stream_end::kUndecided;
 }
 
--- a/src/libshallotport/eventio/stream_end.h
+++ b/src/libshallotport/eventio/stream_end.h
@@ -16,7 +16,7 @@
 struct stream_end_facts {
   bool has_failed = false;  // A write has, or the connection was aborted.
   // Nothing is left to send, and the peer has acknowledged all of it.
-  bool has_peer_all = false;
+  bool is_all_acknowledged = false;
   uint32_t checks = 0;  // Made before, kStreamEndCheckInterval apart.
 };
 
