poison: log how long an attempt had put out text when its endpoint crashed

Change: crash records have the field output_ms, from the attempt's first output to its last one; builds of before pass it over and send none. Each record of this host is logged as attempt_crashed. Nothing decides by it yet.

--- a/src/libshallotport/entry/entry_duty.cc
+++ b/src/libshallotport/entry/entry_duty.cc
@@ -6,6 +6,7 @@
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
 #include "entry/load_header.h"
+#include "entry/poison_log.h"
 #include "entry/routed_exchange.h"
 #include "entry/skipped_response_log.h"
 
@@ -41,6 +42,7 @@
   crash_observer_.on_ended = [this](const endpoint_start& start) {
     selector_.RecordEnded(clock_.Now(), start);
   };
+  LogCrashes(crash_observer_, log_);
   LogSkippedResponses(pool_, log_);
 }
 
--- a/src/libshallotport/entry/output_period.h
+++ b/src/libshallotport/entry/output_period.h
@@ -17,14 +17,21 @@
     if (!begun_at_) {
       begun_at_ = now;
     }
+    last_at_ = now;
     const bool is_due = !is_sustained_ &&
                         now >= *begun_at_ + crash_attribution::kSustainedOutput;
     is_sustained_ = is_sustained_ || is_due;
     return is_due;
   }
 
+  // From the first text to the last one so far.
+  duration length() const {
+    return begun_at_ ? last_at_ - *begun_at_ : duration(0);
+  }
+
  private:
   std::optional<steady_time> begun_at_;
+  steady_time last_at_{};
   bool is_sustained_ = false;
 };
 
--- a/src/libshallotport/entry/poison_log.cc
+++ b/src/libshallotport/entry/poison_log.cc
@@ -5,6 +5,8 @@
 
 #include "entry/decision_log.h"
 #include "poison/crash_attribution.h"
+#include "poison/crash_observer.h"
+#include "poison/prompt_parts.h"
 
 namespace shallotport {
 
@@ -36,4 +38,17 @@
                 {"chance", std::string_view(chance)}});
 }
 
+void LogCrashes(crash_observer& observer, decision_log& log) {
+  observer.on_crash = [&log](const crash_record& record) {
+    log.LogRequest("attempt_crashed",
+                   {{"start", FormatDigest(record.endpoint)},
+                    {"request_key", FormatDigest(record.request)},
+                    {"service", record.service.text()},
+                    {"ran_ms", int64_t{record.ran_ms}},
+                    {"output_ms", int64_t{record.output_ms}},
+                    {"prompt_parts", FormatPromptParts(record.parts)},
+                    {"request_digest", FormatDigest(record.digest)}});
+  };
+}
+
 }  // namespace shallotport
--- a/src/libshallotport/entry/routed_exchange.cc
+++ b/src/libshallotport/entry/routed_exchange.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <variant>
 
-#include "base/digest.h"
+#include "entry/attempt_observation.h"
 #include "entry/retry_after.h"
 #include "entry/slot_demand.h"
 #include "entry/takeover_policy.h"
@@ -393,10 +393,8 @@
 
 observed_attempt routed_exchange::Observed(
     const endpoint_attempt& attempt) const {
-  const selected_endpoint& at = attempt.at;
-  return {
-      {at.endpoint, at.start_time_ms}, at.address,       at.domain, service_,
-      HashOf(request_.id.text()),      attempt.begun_at, traits_};
+  return ObservationOf(attempt.at, service_, request_.id.text(),
+                       attempt.begun_at, attempt.output, traits_);
 }
 
 bool routed_exchange::DeferReturn() {
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -6,10 +6,11 @@
 #include <variant>
 #include <vector>
 
-#include "base/digest.h"
+#include "entry/attempt_observation.h"
 #include "entry/leave_notice.h"
 #include "entry/limit_log.h"
 #include "entry/output_period.h"
+#include "entry/poison_log.h"
 #include "entry/response_kind.h"
 #include "entry/skipped_response_log.h"
 #include "jobstore/item_version_policy.h"
@@ -106,6 +107,7 @@
   crash_observer_.on_ended = [this](const endpoint_start& start) {
     endpoints_.RecordEnded(clock_.Now(), start);
   };
+  LogCrashes(crash_observer_, log_);
   LogSkippedResponses(pool_, log_);
 }
 
@@ -410,14 +412,9 @@
 }
 
 observed_attempt item_dispatcher::Observed(const item_attempt& attempt) const {
-  const selected_endpoint& at = attempt.selection.endpoint;
-  return {{at.endpoint, at.start_time_ms},
-          at.address,
-          at.domain,
-          attempt.selection.origin.service,
-          HashOf(attempt.item_id),
-          attempt.begun_at,
-          attempt.traits};
+  return ObservationOf(attempt.selection.endpoint,
+                       attempt.selection.origin.service, attempt.item_id,
+                       attempt.begun_at, attempt.output, attempt.traits);
 }
 
 item_dispatcher::pending_item& item_dispatcher::PendingItem(
--- a/src/libshallotport/poison/crash_messages.h
+++ b/src/libshallotport/poison/crash_messages.h
@@ -40,6 +40,8 @@
   // From the sender's last whole answer of the service until it broke.
   uint32_t answered_before_ms = kNeverAnswered;
   domain_id domain;  // Of the endpoint. Empty: not known.
+  // From the attempt's first output to its last one; 0 also if not known.
+  uint32_t output_ms = 0;
 
   auto operator<=>(const crash_record&) const = default;
 
@@ -49,6 +51,7 @@
     SerializeLaterField(archive, digest);
     SerializeLaterField(archive, answered_before_ms);
     SerializeLaterField(archive, domain);
+    SerializeLaterField(archive, output_ms);
   }
 };
 
--- a/src/libshallotport/poison/crash_messages_test.cc
+++ b/src/libshallotport/poison/crash_messages_test.cc
@@ -13,7 +13,7 @@
 crash_evidence Evidence() {
   crash_evidence evidence;
   evidence.crashes.push_back(
-      {1, 2, service_id("llm"), 30, 40, {5, 6}, 11, 12, domain_id("d")});
+      {1, 2, service_id("llm"), 30, 40, {5, 6}, 11, 12, domain_id("d"), 13});
   evidence.whole_answers.push_back({7, 80, true});
   evidence.service_answers.push_back({service_id("llm"), 9});
   return evidence;
@@ -82,6 +82,7 @@
   record.digest = 0;
   record.answered_before_ms = kNeverAnswered;
   record.domain = domain_id();
+  record.output_ms = 0;
   EXPECT_EQ(ValueOf(decoded).crashes[0], record);
   EXPECT_EQ(ValueOf(decoded).whole_answers[0],
             (whole_answer_record{7, 80, false}));
--- a/src/libshallotport/poison/crash_observer.cc
+++ b/src/libshallotport/poison/crash_observer.cc
@@ -10,6 +10,11 @@
 constexpr std::chrono::milliseconds kProbeValidity{300};
 constexpr size_t kMaxRecords = 256;  // Of one endpoint, while it is probed.
 
+uint32_t Milliseconds(duration period) {
+  return static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(period).count());
+}
+
 }  // namespace
 
 crash_observer::crash_observer(const clock_source& clock,
@@ -36,17 +41,15 @@
   record.request = attempt.request;
   record.service = attempt.service;
   record.domain = attempt.domain;
-  record.ran_ms = static_cast<uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                            attempt.begun_at)
-          .count());
+  record.ran_ms = Milliseconds(now - attempt.begun_at);
+  record.output_ms = Milliseconds(attempt.output);
   record.parts = attempt.traits.parts;
   record.digest = attempt.traits.digest;
   const auto [at, is_new] = pending_.try_emplace(attempt.start);
   pending_crash& pending = at->second;
   if (!is_new && !pending.is_probing &&
       pending.result == probe_result::kRefused) {
-    attribution_.RecordCrash(now, record);
+    RecordCrash(now, record);
     return;
   }
   if (pending.records.size() < kMaxRecords) {
@@ -76,8 +79,7 @@
   pending.is_probing = false;
   pending.result = result;
   const steady_time now = clock_.Now();
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - pending.probed_at);
+  const uint32_t age_ms = Milliseconds(now - pending.probed_at);
   std::vector<crash_record> records = std::exchange(pending.records, {});
   switch (result) {
     case probe_result::kAccepted:
@@ -94,8 +96,15 @@
     on_ended(start);
   }
   for (crash_record& each : records) {
-    each.age_ms = static_cast<uint32_t>(age.count());
-    attribution_.RecordCrash(now, each);
+    each.age_ms = age_ms;
+    RecordCrash(now, each);
+  }
+}
+
+void crash_observer::RecordCrash(steady_time now, const crash_record& record) {
+  attribution_.RecordCrash(now, record);
+  if (on_crash) {
+    on_crash(record);
   }
 }
 
--- a/src/libshallotport/poison/crash_observer.h
+++ b/src/libshallotport/poison/crash_observer.h
@@ -23,6 +23,7 @@
   uint64_t request = 0;  // Key of its id.
   steady_time begun_at{};
   const request_traits& traits;
+  duration output{};  // From its first output to its last one so far.
 };
 
 // Tells crash_attribution which broken attempts are due to an endpoint's crash.
@@ -46,6 +47,8 @@
   // Called when the process of a start has ended, as far as this host saw. May
   // be empty.
   std::function<void(const endpoint_start& start)> on_ended;
+  // Called for each attempt that broke since its endpoint ended. May be empty.
+  std::function<void(const crash_record& record)> on_crash;
 
   void OnBroken(const observed_attempt& attempt);
   void OnWholeAnswer(const observed_attempt& attempt);
@@ -64,6 +67,7 @@
   };
 
   void OnProbed(const endpoint_start& start, probe_result result);
+  void RecordCrash(steady_time now, const crash_record& record);
   void RemoveOld(steady_time now);
 
   const clock_source& clock_;
