poison: a crash during an attempt's output says nothing of its prompt's parts

Cause: a crash counted against every part of every request that the endpoint had. Two items that begin, run and are resumed together are at each crash of their endpoints: one witness, counted three times in two requests. While a part is blocked, nothing can show that it is sound. Change: a crash counts against a request's parts, and the request, only if its attempt had put out text for less than 80 ms. The leading job store sends one item with a blocked part as a trial, 5 s after the last crash: three at most, none after the seventh crash. Tests: with both switched off in the same build, unlucky_items (endpoints_end_together, end_as_output_begins), unlucky_streams (both), and cases of verdict and blocked_part fail; they pass now, and so do the other cases of unlucky_items and poison_item.

--- a/src/libshallotport/entry/endpoint_selector.cc
+++ b/src/libshallotport/entry/endpoint_selector.cc
@@ -315,10 +315,10 @@
 bool endpoint_selector::MayBegin(
     steady_time now,
     const selection_constraints& constraints) const {
-  return constraints.traits == nullptr ||
-         (!crashes_.IsBlocked(now, *constraints.traits) &&
-          !crashes_.IsHeldBack(now, *constraints.traits,
-                               constraints.is_repeat));
+  const request_traits* traits = constraints.traits;
+  return traits == nullptr ||
+         ((constraints.is_trial || !crashes_.IsBlocked(now, *traits)) &&
+          !crashes_.IsHeldBack(now, *traits, constraints.is_repeat));
 }
 
 std::variant<selected_endpoint, selection_failure> endpoint_selector::Acquire(
--- a/src/libshallotport/entry/endpoint_selector.h
+++ b/src/libshallotport/entry/endpoint_selector.h
@@ -58,7 +58,8 @@
   bool prefers_known_version = false;
   // Of the request; they outlive the constraints. Null: none.
   const request_traits* traits = nullptr;
-  bool is_repeat = false;             // It may have been executed already.
+  bool is_trial = false;   // Of a blocked part; crash_attribution agreed.
+  bool is_repeat = false;  // It may have been executed already.
   bool is_limited_rate_only = false;  // Only endpoints that name a limit.
   // Batch requests take free slots only; others may also wait at an endpoint.
   bool is_batch = false;
--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -345,8 +345,16 @@
   constraints.prefers_known_version = true;
   constraints.traits = &traits;
   constraints.is_repeat = round.is_repeat;
+  constraints.is_trial = endpoints_.crashes().IsTrialDue(now, traits);
   const auto selection = endpoints_.Acquire(now, service, constraints);
   if (const auto* selected = std::get_if<selected_endpoint>(&selection)) {
+    if (constraints.is_trial) {
+      endpoints_.crashes().BeginTrial(now, traits);
+      log_.LogRequest("item_trial",
+                      {{"item", item.id},
+                       {"endpoint", selected->endpoint.text()},
+                       {"prompt_parts", FormatPromptParts(traits.parts)}});
+    }
     return item_selection{*selected, {service, selected->software_version}};
   }
   if (std::get<selection_failure>(selection) == selection_failure::kPoison) {
--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -68,6 +68,12 @@
 constexpr milliseconds kGroupMargin{1'000};
 // While a part is blocked, no answer can show that the verdict was wrong.
 constexpr std::chrono::minutes kGroupBlock{2};
+// From the last crash, or the last trial, to a trial of a blocked part.
+constexpr milliseconds kTrialDelay{5'000};
+// Bounds the endpoints that a part crashes once it is known: no trial follows
+// so many crashes, or so many trials.
+constexpr size_t kMaxTrialCrashes = 7;
+constexpr size_t kMaxTrials = 3;
 
 // Of these attempts, one is taken to have broken before the counted ones.
 constexpr double kAssumedAttempts = 100;
@@ -461,7 +467,19 @@
 bool crash_attribution::Counts(const known_record& known,
                                const crash_key& key) const {
   const key_state& state = keys_.at(key);
-  return !state.was_answered || state.answered_at <= known.broken_at;
+  const bool is_excused =
+      state.was_answered && state.answered_at > known.broken_at;
+  return !is_excused && milliseconds(known.record.output_ms) < kOnsetPeriod;
+}
+
+size_t crash_attribution::CountEnded(const crash_key& key) const {
+  std::set<uint64_t> ended;
+  for (const known_record& each : records_) {
+    if (Contains(each.keys, key) && Counts(each, key)) {
+      ended.insert(each.record.endpoint);
+    }
+  }
+  return ended.size();
 }
 
 crash_attribution::suspicions crash_attribution::SuspicionsBeside(
@@ -738,7 +756,7 @@
 steady_time crash_attribution::LastCrash(const crash_key& key) const {
   steady_time last{};
   for (const known_record& each : records_) {
-    if (Contains(each.keys, key)) {
+    if (Contains(each.keys, key) && Counts(each, key)) {
       last = std::max(last, each.broken_at);
     }
   }
@@ -784,6 +802,9 @@
     has_changed_ = false;
     next_undecided_decision_ = now + kUndecidedInterval;
     verdicts_ = Decide(now);
+    std::erase_if(trials_, [this](const auto& each) {
+      return !verdicts_.contains(each.first);
+    });
   }
   std::set<crash_key> blocked;
   for (const auto& [key, until] : verdicts_) {
@@ -837,6 +858,39 @@
   });
 }
 
+bool crash_attribution::IsTrialDue(steady_time now,
+                                   const request_traits& traits) const {
+  if (verdicts_.empty()) {
+    return false;
+  }
+  bool is_blocked = false;
+  for (const crash_key& key : KeysOf(traits)) {
+    const auto found = verdicts_.find(key);
+    if (found == verdicts_.end() || now >= found->second) {
+      continue;
+    }
+    is_blocked = true;
+    const auto known = trials_.find(key);
+    const trial_record trials =
+        known == trials_.end() ? trial_record{} : known->second;
+    if (IsRequest(key) ||
+        now < std::max(LastCrash(key), trials.last_at) + kTrialDelay ||
+        trials.count >= kMaxTrials || CountEnded(key) >= kMaxTrialCrashes) {
+      return false;
+    }
+  }
+  return is_blocked;
+}
+
+void crash_attribution::BeginTrial(steady_time now,
+                                   const request_traits& traits) {
+  for (const crash_key& key : KeysOf(traits)) {
+    if (verdicts_.contains(key)) {
+      trials_[key] = {now, trials_[key].count + 1};
+    }
+  }
+}
+
 duration crash_attribution::BlockedFor(steady_time now,
                                        const request_traits& traits) const {
   duration longest{};
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -46,7 +46,14 @@
 // runs for long and is resumed each time meets one crash after the other. For a
 // request three crashes in a row are enough unless attempts often break: nobody
 // else sends it. An attempt that puts out text for a while shows, as a whole
-// answer does, that its keys did not crash endpoints when it began.
+// answer does, that its keys did not crash endpoints when it began. A crash
+// under an attempt whose output was under way is no evidence against its keys:
+// requests with a part in common that run at the same time, and are resumed at
+// the same time, would be taken for several witnesses of independent crashes.
+//
+// While a part is blocked, nothing shows that it is sound. A host that alone
+// decides about some requests, such as the one that sends batch items, may send
+// one of them at a time as a trial.
 //
 // Hosts exchange their records, and each one decides by all of them and by how
 // often its own attempts break. A host that errs blocks a key alone, and is
@@ -66,6 +73,8 @@
  public:
   // A key under which endpoints crash breaks its attempts well before.
   static constexpr std::chrono::milliseconds kSustainedOutput{1'000};
+  // It breaks them within this time after their first output, if not before.
+  static constexpr std::chrono::milliseconds kOnsetPeriod{80};
 
   enum class role : uint8_t {
     kObserver,  // Passes on what this host saw.
@@ -119,6 +128,11 @@
   bool IsHeldBack(steady_time now,
                   const request_traits& traits,
                   bool is_repeat) const;
+  // True if a request with these traits, which has a blocked part, may be sent
+  // nevertheless, to find out whether the part is sound.
+  bool IsTrialDue(steady_time now, const request_traits& traits) const;
+  // Such a request is being sent; the next one has to wait.
+  void BeginTrial(steady_time now, const request_traits& traits);
   // How long it stays blocked or held back if no more endpoints crash.
   duration BlockedFor(steady_time now, const request_traits& traits) const;
 
@@ -185,6 +199,11 @@
     domain_id domain;
     steady_time seen_at{};
   };
+  // Requests with a blocked part that this host sent nevertheless.
+  struct trial_record {
+    steady_time last_at{};
+    size_t count = 0;
+  };
   using suspicions = std::map<crash_key, suspicion>;
   // Keys with a verdict, and until when they are blocked. Afterwards they may
   // be tried again, and still explain their crashes.
@@ -207,6 +226,8 @@
   // Whether there is a crash of the key that an answer at `answered_at`
   // excuses and the known one does not.
   bool ExcusesCrash(const crash_key& key, steady_time answered_at) const;
+  // Endpoints that ended under the key, as far as they count.
+  size_t CountEnded(const crash_key& key) const;
   // Whether the key is suspected for this record's crash.
   bool Counts(const known_record& known, const crash_key& key) const;
   suspicions SuspicionsBeside(const verdicts& guilty) const;
@@ -253,7 +274,8 @@
   std::map<service_id, service_counts> services_;
   std::map<service_id, endpoint_population> endpoints_;
   verdicts verdicts_;
-  std::set<crash_key> blocked_;  // At the last update.
+  std::set<crash_key> blocked_;               // At the last update.
+  std::map<crash_key, trial_record> trials_;  // Of keys with a verdict.
   std::map<crash_key, steady_time> held_back_until_;
   // Whole answers of parts that are in no record.
   std::map<crash_key, steady_time> answered_;
