jobstore: items whose route has ended become dead letters

Cause: the dispatcher put an item without a route off by 400 ms, again and again; only the retention, or nothing if there is none, ended it. Nothing told a route that has ended from one that this store does not know yet. Change: item_expiry (pure) also ends items whose route has ended: no route of the configuration in force matches the item's path or its job's prefix, and that configuration is newer than the one the job was accepted under, or than one in which this store saw the route. It waits 5 s, since routes are put back. The version travels behind the prefix in job_submission::prefix, which no build reads otherwise, so that stored forms and messages stay as they are. Tests: with the new end switched off in the same build, ended_route (removed, new_leader, stores_restart) and 13 cases of route_end and expired_items fail; all pass now. One run each, address sanitizer.

--- a/src/libshallotport/jobstore/item_dispatcher.cc
+++ b/src/libshallotport/jobstore/item_dispatcher.cc
@@ -34,11 +34,11 @@
 constexpr std::chrono::milliseconds kSweepInterval{500};
 // The search for items to send visits every waiting item.
 constexpr std::chrono::milliseconds kDispatchInterval{40};
-// Added to a job's retention before its items are given up, because clocks may
-// jump.
-constexpr wall_milliseconds kRetentionMarginMs = 15'000;
 constexpr std::chrono::milliseconds kExpiryCheckInterval{1'000};
+// Bounds the commands that one check adds to the log; the next one follows
+// soon.
 constexpr size_t kMaxExpiredPerCheck = 50;
+constexpr std::chrono::milliseconds kNextExpiryCheckDelay{100};
 
 }  // namespace
 
@@ -118,6 +118,7 @@
     return;
   }
   is_leading_ = is_leading;
+  expiry_.Reset();
   if (is_leading) {
     return;
   }
@@ -153,8 +154,7 @@
   YieldToOnline(now);
   CommitProgress(now);
   if (now >= next_expiry_check_at_) {
-    next_expiry_check_at_ = now + kExpiryCheckInterval;
-    GiveUpExpired();
+    GiveUpExpired(now, *routes);
   }
   if (now < next_dispatch_at_ || !endpoints_.HasFreeSlots(now, 0)) {
     return;
@@ -170,8 +170,7 @@
 }
 
 // The items that may be sent now, in the schedule's order.
-std::vector<item_dispatcher::item_key> item_dispatcher::Candidates(
-    steady_time now) const {
+std::vector<item_key> item_dispatcher::Candidates(steady_time now) const {
   const wall_milliseconds wall = clock_.WallNow();
   using ranked_item = std::pair<item_rank, item_key>;
   std::vector<ranked_item> ranked;
@@ -207,31 +206,24 @@
   return keys;
 }
 
-void item_dispatcher::GiveUpExpired() {
-  const wall_milliseconds wall = clock_.WallNow();
-  std::vector<item_key> expired;
-  for (const auto& [id, job] : table_.jobs()) {
-    const wall_milliseconds retention = job.submission.retention_ms;
-    if (!job.IsOpen() || retention == 0 ||
-        wall <= job.accepted_at + retention + kRetentionMarginMs) {
-      continue;
-    }
-    for (uint32_t i = 0; i < job.items.size(); ++i) {
-      const item_key key(id, i);
-      const auto pending = pending_items_.find(key);
-      const bool is_committing = pending != pending_items_.end() &&
-                                 pending->second.is_committing_result;
-      if (!job.items[i].has_result && !attempts_.contains(key) &&
-          !is_committing) {
-        expired.push_back(key);
-      }
-    }
-  }
-  expired.resize(std::min(expired.size(), kMaxExpiredPerCheck));
-  for (const item_key& key : expired) {
-    ++counters_.expired;
-    log_.LogRequest("item_expired", {{"job", key.first.text()},
-                                     {"item_place", int64_t{key.second}}});
+void item_dispatcher::GiveUpExpired(steady_time now,
+                                    const route_table& routes) {
+  const auto is_busy = [this](const item_key& key) {
+    const auto pending = pending_items_.find(key);
+    return attempts_.contains(key) || (pending != pending_items_.end() &&
+                                       pending->second.is_committing_result);
+  };
+  const auto expired = expiry_.Find(now, clock_.WallNow(), table_, routes,
+                                    kMaxExpiredPerCheck, is_busy);
+  next_expiry_check_at_ =
+      now + (expired.size() < kMaxExpiredPerCheck ? kExpiryCheckInterval
+                                                  : kNextExpiryCheckDelay);
+  for (const auto& [key, reason] : expired) {
+    const bool has_route_ended = reason == expiry_reason::kRouteEnded;
+    ++(has_route_ended ? counters_.route_ended : counters_.expired);
+    log_.LogRequest(
+        has_route_ended ? "item_route_ended" : "item_expired",
+        {{"job", key.first.text()}, {"item_place", int64_t{key.second}}});
     CommitResult(key, {});
   }
 }
@@ -463,7 +455,7 @@
                                    dispatch_round& round) {
   const auto* job = table_.Find(key.first);
   const job_item& item = job->submission.items[key.second];
-  const route* matched_route = routes.Match(job->submission.host, item.path);
+  const route* matched_route = RouteOf(routes, job->submission, key.second);
   if (matched_route == nullptr) {
     ScheduleRetry(key, kRetryDelayAfterFailure);
     return;
--- a/src/libshallotport/jobstore/item_dispatcher.h
+++ b/src/libshallotport/jobstore/item_dispatcher.h
@@ -18,6 +18,7 @@
 #include "entry/route_table.h"
 #include "entry/wire_profile.h"
 #include "eventio/endpoint_connection_pool.h"
+#include "jobstore/item_expiry.h"
 #include "jobstore/item_schedule.h"
 #include "jobstore/job_table.h"
 #include "jobstore/running_time.h"
@@ -60,9 +61,10 @@
     // and those with an event that did not follow the last one.
     uint64_t unusable_heads = 0;
     uint64_t events_out_of_order = 0;
-    uint64_t refused = 0;  // By endpoints without a free slot.
-    uint64_t poison = 0;   // Not sent: endpoints crash under their prompts.
-    uint64_t expired = 0;  // Given up after their retention.
+    uint64_t refused = 0;      // By endpoints without a free slot.
+    uint64_t poison = 0;       // Not sent: endpoints crash under their prompts.
+    uint64_t expired = 0;      // Given up after their retention.
+    uint64_t route_ended = 0;  // Given up after the end of their route.
     uint64_t endpoints_leaving = 0;  // Said so in a response to an item.
     uint64_t malformed_leave_notices = 0;
     uint64_t attempts_at_limited = 0;  // At endpoints that had named a limit.
@@ -120,7 +122,6 @@
   size_t running_count() const { return attempts_.size(); }
 
  private:
-  using item_key = std::pair<job_id, uint32_t>;
   struct item_attempt;
   struct pending_item;
   struct dispatch_round;
@@ -171,8 +172,8 @@
   void YieldToOnline(steady_time now);
   // `now`: in running time.
   void AbortSilent(steady_time now);
-  // Records items that wait past their retention as dead letters.
-  void GiveUpExpired();
+  // Records items that end without another attempt as dead letters.
+  void GiveUpExpired(steady_time now, const route_table& routes);
   void CommitProgress(steady_time now);
   void OnProgressCommitted(const item_key& key, commit_outcome outcome);
   // Aborts the attempt and discards uncommitted progress, of one item or of
@@ -207,6 +208,7 @@
   steady_time next_progress_commit_at_{};
   steady_time next_dispatch_at_{};
   item_schedule schedule_;
+  item_expiry expiry_;
 };
 
 }  // namespace shallotport
--- a/src/libshallotport/jobstore/job_records.h
+++ b/src/libshallotport/jobstore/job_records.h
@@ -33,7 +33,7 @@
   // submitted the job.
   std::string route;
   std::string host;                   // Host header of the submission.
-  std::string prefix;                 // Path prefix of the route.
+  std::string prefix;                 // Of the route; FormatAcceptedRoute().
   uint64_t waiting_tokens_limit = 0;  // 0: unlimited.
   uint32_t objective_ms = 0;          // Until all results are due.
   uint32_t retention_ms = 0;          // Afterwards items may be given up.
