--- a/src/libshallotport/poison/crash_attribution.cc
+++ b/src/libshallotport/poison/crash_attribution.cc
@@ -68,10 +68,10 @@
 constexpr milliseconds kGroupMargin{1'000};
 // While a part is blocked, no answer can show that the verdict was wrong.
 constexpr std::chrono::minutes kGroupBlock{2};
-// From the last crash, or the last trial, to a trial of a blocked part.
+// A blocked part is tried this long after its last crash and its last trial.
 constexpr milliseconds kTrialDelay{5'000};
-// Bounds the endpoints that a part crashes once it is known: no trial follows
-// so many crashes, or so many trials.
+// Limits on trials, so that a guilty part crashes few endpoints by them:
+// crashes in all, and trials of one host.
 constexpr size_t kMaxTrialCrashes = 7;
 constexpr size_t kMaxTrials = 3;
 
--- a/src/libshallotport/poison/crash_attribution.h
+++ b/src/libshallotport/poison/crash_attribution.h
@@ -53,7 +53,7 @@
 //
 // While a part is blocked, nothing shows that it is sound. A host that alone
 // decides about some requests, such as the one that sends batch items, may send
-// one of them at a time as a trial.
+// one of them at a time as a trial, as a half-open circuit breaker does.
 //
 // Hosts exchange their records, and each one decides by all of them and by how
 // often its own attempts break. A host that errs blocks a key alone, and is
